--- /dev/null
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -0,0 +1,233 @@
+// Package callerhttp is the HTTP interface for callers, operators and the balancer.
+package callerhttp
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/kataras/iris/v12"
+
+	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/app/entry"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/team"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// API is what the interface needs of the process.
+type API interface {
+	RunRequest(ctx context.Context, request entry.Request) (work.Outcome, error)
+	Authorize(team ident.TeamID, token string) (team.Stored, error)
+	Apply(ctx context.Context, team ident.TeamID, source []byte, expect ident.Revision) (ident.Revision, error)
+	Cell(ctx context.Context) ([]port.Status, []ident.ProcessID)
+	Events(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.ProcessID)
+	Ready() error
+}
+
+// Server builds the HTTP handler.
+type Server struct {
+	api API
+}
+
+// New returns the handler of every path.
+func New(api API, metrics http.Handler) (http.Handler, error) {
+	s := &Server{api}
+	app := iris.New()
+	app.Configure(iris.WithoutBanner, iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	app.Logger().SetLevel("disable")
+	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") }) // the connection broke
+	app.Get("/readyz", s.ready)
+	if metrics != nil {
+		app.Get("/metrics", iris.FromStd(metrics))
+	}
+	v1 := app.Party("/v1")
+	v1.Post("/run", s.run)
+	v1.Get("/documents/{team}", s.getDocument)
+	v1.Put("/documents/{team}", s.putDocument)
+	v1.Get("/cell", s.cell)
+	v1.Get("/timeline", s.timeline)
+	app.OnErrorCode(iris.StatusNotFound, func(ctx iris.Context) {
+		fail(ctx, fault.New(fault.NotFound, "no such path: %s", ctx.Path()))
+	})
+	if err := app.Build(); err != nil {
+		return nil, fault.As(fault.Internal, err, "build the routes")
+	}
+	return app, nil
+}
+
+func fail(ctx iris.Context, err error) {
+	httpjson.WriteError(ctx.ResponseWriter(), err)
+}
+
+func (s *Server) ready(ctx iris.Context) {
+	if err := s.api.Ready(); err != nil {
+		fail(ctx, err)
+		return
+	}
+	_, _ = ctx.WriteString("ready\n") // the connection broke
+}
+
+// RunCall is the body of POST /v1/run.
+type RunCall struct {
+	Team       string `json:"team"`
+	RequestID  string `json:"request_id"`
+	Kind       string `json:"kind"`
+	DeadlineMS int64  `json:"deadline_ms,omitempty"` // from now; 0 for the kind's own
+	Payload    []byte `json:"payload,omitempty"`
+}
+
+// RunReply is the answer to POST /v1/run. Length and digest let the caller tell a cut output from a whole one.
+type RunReply struct {
+	Team      string `json:"team"`
+	RequestID string `json:"request_id"`
+	Output    []byte `json:"output"`
+	Length    int    `json:"length"` // of the output in bytes
+	Digest    string `json:"digest"` // xxhash64 of the output, in hexadecimal
+	RunMS     int64  `json:"run_ms"`
+}
+
+func (s *Server) run(ctx iris.Context) {
+	var call RunCall
+	if err := httpjson.Read(ctx.ResponseWriter(), ctx.Request(), &call); err != nil {
+		fail(ctx, err)
+		return
+	}
+	outcome, err := s.api.RunRequest(ctx.Request().Context(), entry.Request{
+		Team: ident.TeamID(call.Team), Token: token(ctx), ID: ident.RequestID(call.RequestID), Kind: call.Kind,
+		Deadline: time.Duration(call.DeadlineMS) * time.Millisecond, Payload: call.Payload,
+	})
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	httpjson.Write(ctx.ResponseWriter(), RunReply{
+		Team: call.Team, RequestID: call.RequestID, Output: outcome.Output, Length: len(outcome.Output),
+		Digest: Digest(outcome.Output), RunMS: outcome.RunTime.Milliseconds(),
+	})
+}
+
+// Digest returns the digest of an output as answers carry it.
+func Digest(output []byte) string {
+	sum := xxhash.New()
+	_, _ = sum.Write(output) // a hash does not fail
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// token returns the bearer token of the call.
+func token(ctx iris.Context) string {
+	return strings.TrimPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+}
+
+// Document is a document with its revision.
+type Document struct {
+	Source   string `json:"source"`
+	Revision uint64 `json:"revision"` // on a put: the revision that it replaces, 0 for none
+}
+
+func (s *Server) getDocument(ctx iris.Context) {
+	stored, err := s.api.Authorize(ident.TeamID(ctx.Params().Get("team")), token(ctx))
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	httpjson.Write(ctx.ResponseWriter(), Document{Source: string(stored.Source), Revision: uint64(stored.Revision)})
+}
+
+func (s *Server) putDocument(ctx iris.Context) {
+	id := ident.TeamID(ctx.Params().Get("team"))
+	if _, err := s.api.Authorize(id, token(ctx)); err != nil {
+		fail(ctx, err)
+		return
+	}
+	var doc Document
+	if err := httpjson.Read(ctx.ResponseWriter(), ctx.Request(), &doc); err != nil {
+		fail(ctx, err)
+		return
+	}
+	revision, err := s.api.Apply(ctx.Request().Context(), id, []byte(doc.Source), ident.Revision(doc.Revision))
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	httpjson.Write(ctx.ResponseWriter(), Document{Source: doc.Source, Revision: uint64(revision)})
+}
+
+// timelineFilter reads the query of GET /v1/timeline.
+func timelineFilter(ctx iris.Context) (timeline.Filter, error) {
+	filter := timeline.Filter{Worker: ident.WorkerID(ctx.URLParam("worker"))}
+	if job := ctx.URLParam("job"); job != "" {
+		team, request, ok := strings.Cut(job, "/")
+		if !ok {
+			return filter, fault.New(fault.Invalid, "job %q: want team/request-id", job)
+		}
+		filter.Work = ident.WorkID{Team: ident.TeamID(team), Request: ident.RequestID(request)}
+	}
+	if since := ctx.URLParam("since"); since != "" {
+		d, err := time.ParseDuration(since)
+		if err != nil {
+			return filter, fault.New(fault.Invalid, "since %q: want a duration such as 90s", since)
+		}
+		filter.Since = time.Now().Add(-d)
+	}
+	return filter, nil
+}
+
+// Timeline is the answer to GET /v1/timeline.
+type Timeline struct {
+	Events []Event  `json:"events"`
+	Silent []string `json:"silent,omitempty"` // processes that did not answer
+}
+
+// Event is an event of the time line.
+type Event struct {
+	WallNS  int64  `json:"wall_ns"`
+	Logical uint32 `json:"logical"`
+	Process string `json:"process"`
+	Kind    string `json:"kind"`
+	Work    string `json:"work,omitempty"`
+	Task    string `json:"task,omitempty"`
+	Worker  string `json:"worker,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+	Text    string `json:"text"`
+}
+
+func (s *Server) timeline(ctx iris.Context) {
+	filter, err := timelineFilter(ctx)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	events, silent := s.api.Events(ctx.Request().Context(), filter)
+	reply := Timeline{Events: []Event{}}
+	for _, e := range events {
+		out := Event{
+			WallNS: e.At.Wall, Logical: e.At.Logical, Process: string(e.Process), Kind: string(e.Kind), Task: e.Task,
+			Worker: string(e.Worker), Detail: e.Detail, Text: e.String(),
+		}
+		if e.Work.Request != "" {
+			out.Work = e.Work.String()
+		}
+		reply.Events = append(reply.Events, out)
+	}
+	for _, p := range silent {
+		reply.Silent = append(reply.Silent, string(p))
+	}
+	httpjson.Write(ctx.ResponseWriter(), reply)
+}
+
+// Serve answers on the listener until the server is shut down.
+func Serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fault.As(fault.Unavailable, err, "serve callers")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/document/document.go
@@ -0,0 +1,139 @@
+// Package document reads a team's document from YAML.
+package document
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/team"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// MaxSize is the largest document in bytes.
+const MaxSize = 256 << 10
+
+type document struct {
+	Version int    `yaml:"version"`
+	Team    string `yaml:"team"`
+	Token   string `yaml:"token"`
+	Weight  int    `yaml:"weight"`
+	Quota   size   `yaml:"quota"`
+	Kinds   []kind `yaml:"kinds"`
+}
+
+type kind struct {
+	Name       string `yaml:"name"`
+	Class      string `yaml:"class"`
+	Size       size   `yaml:"size"`
+	Repeatable bool   `yaml:"repeatable"`
+	Expected   string `yaml:"expected"`
+	Deadline   string `yaml:"deadline"`
+	Retries    int    `yaml:"retries"`
+	Spread     string `yaml:"spread"`
+	Region     string `yaml:"region"`
+}
+
+type size struct {
+	Cores        float64 `yaml:"cores"`
+	MemoryMiB    int64   `yaml:"memory_mib"`
+	Accelerators int64   `yaml:"accelerators"`
+	Slots        int64   `yaml:"slots"`
+}
+
+func (s size) vector() resource.Vector {
+	return resource.Vector{
+		MilliCores: int64(s.Cores * 1000), MemoryBytes: s.MemoryMiB << 20,
+		Accelerators: s.Accelerators, Slots: s.Slots,
+	}
+}
+
+// Decode reads a document and checks it. It fails with Invalid or TooLarge; the error names every fault with its line.
+func Decode(source []byte) (team.Document, error) {
+	if len(source) > MaxSize {
+		return team.Document{}, fault.New(fault.TooLarge, "the document has %d bytes; the limit is %d", len(source), MaxSize)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(source))
+	decoder.KnownFields(true)
+	var raw document
+	if err := decoder.Decode(&raw); err != nil {
+		return team.Document{}, syntaxError(err)
+	}
+	if err := decoder.Decode(new(any)); !errors.Is(err, io.EOF) {
+		return team.Document{}, fault.New(fault.Invalid, "the file has more than one document")
+	}
+	doc, faults := convert(raw)
+	faults = append(faults, doc.Check()...)
+	if len(faults) > 0 {
+		return team.Document{}, faultsError(source, faults)
+	}
+	return doc, nil
+}
+
+func syntaxError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return fault.New(fault.Invalid, "the document is empty")
+	}
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	message = strings.ReplaceAll(message, "unmarshal errors:\n  ", "")
+	message = strings.ReplaceAll(message, "\n  ", "; ")
+	message = strings.ReplaceAll(message, " in type document.", " in ")
+	return fault.New(fault.Invalid, "%s", message)
+}
+
+func convert(raw document) (team.Document, []team.Fault) {
+	doc := team.Document{
+		Version: raw.Version, Team: ident.TeamID(raw.Team), Token: raw.Token, Weight: raw.Weight,
+		Quota: raw.Quota.vector(),
+	}
+	var faults []team.Fault
+	for i, k := range raw.Kinds {
+		converted, bad := convertKind(fmt.Sprintf("kinds[%d]", i), k)
+		doc.Kinds = append(doc.Kinds, converted)
+		faults = append(faults, bad...)
+	}
+	return doc, faults
+}
+
+func convertKind(path string, k kind) (team.Kind, []team.Fault) {
+	var faults []team.Fault
+	class, err := work.ParseClass(k.Class)
+	if err != nil {
+		faults = append(faults, team.Fault{Field: path + ".class", Message: err.Error()})
+	}
+	duration := func(field, text string) time.Duration {
+		if text == "" {
+			return 0
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			faults = append(faults, team.Fault{
+				Field: path + "." + field, Message: fmt.Sprintf("%q is not a duration such as 90s or 2h", text),
+			})
+		}
+		return d
+	}
+	return team.Kind{
+		Name: k.Name, Class: class, Size: k.Size.vector(), Repeatable: k.Repeatable,
+		Expected: duration("expected", k.Expected), Deadline: duration("deadline", k.Deadline),
+		Retries: k.Retries, Spread: k.Spread, Region: k.Region,
+	}, faults
+}
+
+func faultsError(source []byte, faults []team.Fault) error {
+	var root yaml.Node
+	_ = yaml.Unmarshal(source, &root) // decoded without error before
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = fmt.Sprintf("line %d: %s: %s", lineOf(&root, f.Field), f.Field, f.Message)
+	}
+	return fault.New(fault.Invalid, "%s", strings.Join(lines, "; "))
+}
--- /dev/null
+++ b/internal/adapter/peerwire/convert.go
@@ -0,0 +1,341 @@
+package peerwire
+
+import (
+	"time"
+
+	"skylarkstall/internal/adapter/peerwire/peerpb"
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+func encodeStamp(s timeline.Stamp) *peerpb.Stamp {
+	return &peerpb.Stamp{Wall: s.Wall, Logical: s.Logical}
+}
+
+func decodeStamp(s *peerpb.Stamp) timeline.Stamp {
+	return timeline.Stamp{Wall: s.GetWall(), Logical: s.GetLogical()}
+}
+
+func encodeResources(v resource.Vector) *peerpb.Resources {
+	return &peerpb.Resources{
+		MilliCores: v.MilliCores, MemoryBytes: v.MemoryBytes, Accelerators: v.Accelerators, Slots: v.Slots,
+	}
+}
+
+func decodeResources(r *peerpb.Resources) resource.Vector {
+	return resource.Vector{
+		MilliCores: r.GetMilliCores(), MemoryBytes: r.GetMemoryBytes(),
+		Accelerators: r.GetAccelerators(), Slots: r.GetSlots(),
+	}
+}
+
+func encodeTask(t ident.TaskID) *peerpb.Task {
+	return &peerpb.Task{Team: string(t.Work.Team), Request: string(t.Work.Request), Index: t.Index}
+}
+
+func decodeTask(t *peerpb.Task) ident.TaskID {
+	return ident.TaskID{
+		Work:  ident.WorkID{Team: ident.TeamID(t.GetTeam()), Request: ident.RequestID(t.GetRequest())},
+		Index: t.GetIndex(),
+	}
+}
+
+func encodeTasks(tasks []ident.TaskID) []*peerpb.Task {
+	out := make([]*peerpb.Task, len(tasks))
+	for i, t := range tasks {
+		out[i] = encodeTask(t)
+	}
+	return out
+}
+
+func decodeTasks(tasks []*peerpb.Task) []ident.TaskID {
+	out := make([]ident.TaskID, len(tasks))
+	for i, t := range tasks {
+		out[i] = decodeTask(t)
+	}
+	return out
+}
+
+func encodeTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func decodeTime(ns int64) time.Time {
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns)
+}
+
+func encodeSpec(s work.Spec) *peerpb.Spec {
+	return &peerpb.Spec{
+		Task: encodeTask(s.ID), Attempt: uint64(s.Attempt), Kind: s.Kind, Class: uint32(s.Class),
+		Repeatable: s.Repeatable, Size: encodeResources(s.Size), ExpectedNs: int64(s.Expected),
+		DeadlineUnixNs: encodeTime(s.Deadline), Payload: s.Payload, Weight: uint32(max(s.Weight, 0)),
+	}
+}
+
+func decodeSpec(s *peerpb.Spec) (work.Spec, error) {
+	spec := work.Spec{
+		ID: decodeTask(s.GetTask()), Attempt: ident.Attempt(s.GetAttempt()), Kind: s.GetKind(),
+		Class: work.Class(s.GetClass()), Repeatable: s.GetRepeatable(), Size: decodeResources(s.GetSize()),
+		Expected: time.Duration(s.GetExpectedNs()), Deadline: decodeTime(s.GetDeadlineUnixNs()),
+		Payload: s.GetPayload(), Weight: int(s.GetWeight()),
+	}
+	return spec, checkSpec(spec, s.GetClass())
+}
+
+// checkSpec refuses what no process of this version sends.
+func checkSpec(spec work.Spec, class uint32) error {
+	if err := ident.Check("team", string(spec.ID.Work.Team)); err != nil {
+		return err
+	}
+	if err := ident.Check("request_id", string(spec.ID.Work.Request)); err != nil {
+		return err
+	}
+	if class >= uint32(work.ClassCount) {
+		return fault.New(fault.Invalid, "class %d is unknown", class)
+	}
+	return spec.Size.Check("size")
+}
+
+func encodeOutcome(o work.Outcome) *peerpb.Outcome {
+	return &peerpb.Outcome{
+		Task: encodeTask(o.Task), Attempt: uint64(o.Attempt), Ok: o.OK, Output: o.Output, Message: o.Message,
+		RunTimeNs: int64(o.RunTime),
+	}
+}
+
+func decodeOutcome(o *peerpb.Outcome) work.Outcome {
+	return work.Outcome{
+		Task: decodeTask(o.GetTask()), Attempt: ident.Attempt(o.GetAttempt()), OK: o.GetOk(), Output: o.GetOutput(),
+		Message: o.GetMessage(), RunTime: time.Duration(o.GetRunTimeNs()),
+	}
+}
+
+func encodeHome(h ident.HomeEpoch) *peerpb.HomeEpoch {
+	return &peerpb.HomeEpoch{Counter: h.Counter, Process: string(h.Process)}
+}
+
+func decodeHome(h *peerpb.HomeEpoch) ident.HomeEpoch {
+	return ident.HomeEpoch{Counter: h.GetCounter(), Process: ident.ProcessID(h.GetProcess())}
+}
+
+func decodePartition(p uint32) (ident.PartitionID, error) {
+	if p >= ident.Partitions {
+		return 0, fault.New(fault.Invalid, "partition %d; there are %d", p, ident.Partitions)
+	}
+	return ident.PartitionID(p), nil
+}
+
+func encodeHeldTasks(tasks []port.HeldTask) []*peerpb.HeldTask {
+	out := make([]*peerpb.HeldTask, len(tasks))
+	for i, t := range tasks {
+		out[i] = &peerpb.HeldTask{Task: encodeTask(t.Task), Attempt: uint64(t.Attempt), Worker: string(t.Worker)}
+	}
+	return out
+}
+
+func decodeHeldTasks(tasks []*peerpb.HeldTask) []port.HeldTask {
+	out := make([]port.HeldTask, len(tasks))
+	for i, t := range tasks {
+		out[i] = port.HeldTask{
+			Task: decodeTask(t.GetTask()), Attempt: ident.Attempt(t.GetAttempt()),
+			Worker: ident.WorkerID(t.GetWorker()),
+		}
+	}
+	return out
+}
+
+func encodeHeld(h port.Held) *peerpb.Held {
+	return &peerpb.Held{
+		Highest: encodeHome(h.Highest), Tasks: encodeHeldTasks(h.Tasks),
+		Workers: encodeWorkers(h.Workers), Unreachable: encodeWorkers(h.Unreachable),
+	}
+}
+
+func decodeHeld(h *peerpb.Held) port.Held {
+	return port.Held{
+		Highest: decodeHome(h.GetHighest()), Tasks: decodeHeldTasks(h.GetTasks()),
+		Workers: decodeWorkers(h.GetWorkers()), Unreachable: decodeWorkers(h.GetUnreachable()),
+	}
+}
+
+func encodeWorkers(ids []ident.WorkerID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
+	}
+	return out
+}
+
+func decodeWorkers(ids []string) []ident.WorkerID {
+	out := make([]ident.WorkerID, len(ids))
+	for i, id := range ids {
+		out[i] = ident.WorkerID(id)
+	}
+	return out
+}
+
+func encodeReport(r port.Report) *peerpb.Report {
+	out := &peerpb.Report{Process: string(r.Process), Running: encodeHeldTasks(r.Running)}
+	for _, o := range r.Ended {
+		out.Ended = append(out.Ended, encodeOutcome(o))
+	}
+	return out
+}
+
+func decodeReport(r *peerpb.Report) port.Report {
+	out := port.Report{Process: ident.ProcessID(r.GetProcess()), Running: decodeHeldTasks(r.GetRunning())}
+	for _, o := range r.GetEnded() {
+		out.Ended = append(out.Ended, decodeOutcome(o))
+	}
+	return out
+}
+
+func encodePeer(p membership.Peer) *peerpb.Peer {
+	return &peerpb.Peer{
+		Id: string(p.ID), Zone: string(p.Zone), Incarnation: p.Incarnation, Draining: p.Draining,
+		Revision: uint64(p.Revision),
+	}
+}
+
+func decodePeer(p *peerpb.Peer) membership.Peer {
+	return membership.Peer{
+		ID: ident.ProcessID(p.GetId()), Zone: ident.Zone(p.GetZone()), Incarnation: p.GetIncarnation(),
+		Draining: p.GetDraining(), Revision: ident.Revision(p.GetRevision()),
+	}
+}
+
+func encodeHeartbeat(h port.Heartbeat) *peerpb.Heartbeat {
+	d := &peerpb.Digest{
+		Free: encodeResources(h.Digest.Free), Capacity: encodeResources(h.Digest.Capacity),
+		LargestFit: encodeResources(h.Digest.LargestFit),
+	}
+	for class := range h.Digest.Queued {
+		d.Queued = append(d.Queued, uint32(h.Digest.Queued[class]))
+		d.OldestNs = append(d.OldestNs, int64(h.Digest.Oldest[class]))
+	}
+	return &peerpb.Heartbeat{Peer: encodePeer(h.Peer), Digest: d}
+}
+
+func decodeHeartbeat(h *peerpb.Heartbeat) port.Heartbeat {
+	d := h.GetDigest()
+	out := port.Heartbeat{Peer: decodePeer(h.GetPeer()), Digest: fleet.Digest{
+		Free: decodeResources(d.GetFree()), Capacity: decodeResources(d.GetCapacity()),
+		LargestFit: decodeResources(d.GetLargestFit()),
+	}}
+	for class := range out.Digest.Queued {
+		if class < len(d.GetQueued()) && class < len(d.GetOldestNs()) {
+			out.Digest.Queued[class] = int(d.GetQueued()[class])
+			out.Digest.Oldest[class] = time.Duration(d.GetOldestNs()[class])
+		}
+	}
+	return out
+}
+
+func encodeDocuments(docs port.Documents) *peerpb.Documents {
+	out := &peerpb.Documents{Revision: uint64(docs.Revision)}
+	for _, d := range docs.Documents {
+		out.Documents = append(out.Documents, &peerpb.Document{
+			Key: d.Key, Source: d.Source, Revision: uint64(d.Revision),
+		})
+	}
+	return out
+}
+
+func decodeDocuments(docs *peerpb.Documents) port.Documents {
+	out := port.Documents{Revision: ident.Revision(docs.GetRevision())}
+	for _, d := range docs.GetDocuments() {
+		out.Documents = append(out.Documents, port.Document{
+			Key: d.GetKey(), Source: d.GetSource(), Revision: ident.Revision(d.GetRevision()),
+		})
+	}
+	return out
+}
+
+func encodeFilter(f timeline.Filter) *peerpb.FetchEvents {
+	return &peerpb.FetchEvents{
+		Team: string(f.Work.Team), Request: string(f.Work.Request), Worker: string(f.Worker),
+		SinceUnixNs: encodeTime(f.Since),
+	}
+}
+
+func decodeFilter(f *peerpb.FetchEvents) timeline.Filter {
+	return timeline.Filter{
+		Work:   ident.WorkID{Team: ident.TeamID(f.GetTeam()), Request: ident.RequestID(f.GetRequest())},
+		Worker: ident.WorkerID(f.GetWorker()), Since: decodeTime(f.GetSinceUnixNs()),
+	}
+}
+
+func encodeEvents(events []timeline.Event) *peerpb.Events {
+	out := &peerpb.Events{}
+	for _, e := range events {
+		out.Events = append(out.Events, &peerpb.Event{
+			At: encodeStamp(e.At), Process: string(e.Process), Kind: string(e.Kind), Team: string(e.Work.Team),
+			Request: string(e.Work.Request), Task: e.Task, Worker: string(e.Worker), Detail: e.Detail,
+		})
+	}
+	return out
+}
+
+func decodeEvents(events *peerpb.Events) []timeline.Event {
+	var out []timeline.Event
+	for _, e := range events.GetEvents() {
+		out = append(out, timeline.Event{
+			At: decodeStamp(e.GetAt()), Process: ident.ProcessID(e.GetProcess()), Kind: timeline.Kind(e.GetKind()),
+			Work: ident.WorkID{Team: ident.TeamID(e.GetTeam()), Request: ident.RequestID(e.GetRequest())},
+			Task: e.GetTask(), Worker: ident.WorkerID(e.GetWorker()), Detail: e.GetDetail(),
+		})
+	}
+	return out
+}
+
+func encodeStatus(s port.Status) *peerpb.Status {
+	out := &peerpb.Status{
+		Heartbeat: encodeHeartbeat(s.Heartbeat), Ready: s.Ready, StartedUnixNs: encodeTime(s.Started),
+	}
+	for _, p := range s.Partitions {
+		out.Partitions = append(out.Partitions, uint32(p))
+	}
+	for _, w := range s.Workers {
+		out.Workers = append(out.Workers, &peerpb.WorkerStatus{
+			Row: &peerpb.Row{
+				Worker: string(w.Row.Worker), Zone: string(w.Row.Zone), Rack: string(w.Row.Rack),
+				Capacity: encodeResources(w.Row.Capacity), Free: encodeResources(w.Row.Free),
+			},
+			Epoch: uint64(w.Epoch), Running: uint32(w.Running), Usable: w.Usable,
+		})
+	}
+	return out
+}
+
+func decodeStatus(s *peerpb.Status) port.Status {
+	out := port.Status{
+		Heartbeat: decodeHeartbeat(s.GetHeartbeat()), Ready: s.GetReady(), Started: decodeTime(s.GetStartedUnixNs()),
+	}
+	for _, p := range s.GetPartitions() {
+		out.Partitions = append(out.Partitions, ident.PartitionID(p))
+	}
+	for _, w := range s.GetWorkers() {
+		row := w.GetRow()
+		out.Workers = append(out.Workers, port.WorkerStatus{
+			Row: fleet.Row{
+				Worker: ident.WorkerID(row.GetWorker()), Zone: ident.Zone(row.GetZone()),
+				Rack: ident.Rack(row.GetRack()), Capacity: decodeResources(row.GetCapacity()),
+				Free: decodeResources(row.GetFree()),
+			},
+			Epoch: ident.Epoch(w.GetEpoch()), Running: int(w.GetRunning()), Usable: w.GetUsable(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/adapter/peerwire/dispatch.go
@@ -0,0 +1,118 @@
+package peerwire
+
+import (
+	"context"
+
+	"skylarkstall/internal/adapter/peerwire/peerpb"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+var done = &peerpb.Reply{Body: &peerpb.Reply_Done{Done: &peerpb.Done{}}}
+
+// dispatch decodes the call, hands it to the handler and encodes the answer.
+func (t *Transport) dispatch(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error) {
+	switch body := call.GetBody().(type) {
+	case *peerpb.Call_Execute:
+		return t.execute(ctx, body.Execute)
+	case *peerpb.Call_Place:
+		return t.place(ctx, body.Place)
+	case *peerpb.Call_TakeHome:
+		return t.takeHome(ctx, body.TakeHome)
+	case *peerpb.Call_Report:
+		return empty(t.handler.HandleReport(ctx, decodeReport(body.Report)))
+	case *peerpb.Call_Cancel:
+		return t.cancel(ctx, body.Cancel)
+	case *peerpb.Call_Settle:
+		return empty(t.handler.HandleSettle(ctx, decodeTasks(body.Settle.GetTasks())))
+	case *peerpb.Call_FetchDocuments:
+		return t.documents(ctx, body.FetchDocuments)
+	case *peerpb.Call_FetchEvents:
+		return t.events(ctx, body.FetchEvents)
+	case *peerpb.Call_FetchStatus:
+		return t.status(ctx)
+	default:
+		return nil, fault.New(fault.Invalid, "call %T is unknown", body)
+	}
+}
+
+func empty(err error) (*peerpb.Reply, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: done.Body}, nil
+}
+
+func (t *Transport) execute(ctx context.Context, call *peerpb.Execute) (*peerpb.Reply, error) {
+	spec, err := decodeSpec(call.GetSpec())
+	if err != nil {
+		return nil, err
+	}
+	outcome, err := t.handler.HandleExecute(ctx, port.Execute{Spec: spec, Digest: call.GetDigest()})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Outcome{Outcome: encodeOutcome(outcome)}}, nil
+}
+
+func (t *Transport) place(ctx context.Context, call *peerpb.Place) (*peerpb.Reply, error) {
+	spec, err := decodeSpec(call.GetSpec())
+	if err != nil {
+		return nil, err
+	}
+	partition, err := decodePartition(call.GetPartition())
+	if err != nil {
+		return nil, err
+	}
+	outcome, err := t.handler.HandlePlace(ctx, port.Place{
+		Partition: partition, Home: decodeHome(call.GetHome()), Spec: spec, Attach: call.GetAttach(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Outcome{Outcome: encodeOutcome(outcome)}}, nil
+}
+
+func (t *Transport) takeHome(ctx context.Context, call *peerpb.TakeHome) (*peerpb.Reply, error) {
+	partition, err := decodePartition(call.GetPartition())
+	if err != nil {
+		return nil, err
+	}
+	held, err := t.handler.HandleTakeHome(ctx, port.TakeHome{Partition: partition, Home: decodeHome(call.GetHome())})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Held{Held: encodeHeld(held)}}, nil
+}
+
+func (t *Transport) cancel(ctx context.Context, call *peerpb.Cancel) (*peerpb.Reply, error) {
+	found, err := t.handler.HandleCancel(ctx, decodeTask(call.GetTask()))
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Canceled{Canceled: &peerpb.Canceled{Found: found}}}, nil
+}
+
+func (t *Transport) documents(ctx context.Context, call *peerpb.FetchDocuments) (*peerpb.Reply, error) {
+	docs, err := t.handler.HandleDocuments(ctx, revision(call.GetAfter()))
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Documents{Documents: encodeDocuments(docs)}}, nil
+}
+
+func (t *Transport) events(ctx context.Context, call *peerpb.FetchEvents) (*peerpb.Reply, error) {
+	events, err := t.handler.HandleEvents(ctx, decodeFilter(call))
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Events{Events: encodeEvents(events)}}, nil
+}
+
+func (t *Transport) status(ctx context.Context) (*peerpb.Reply, error) {
+	status, err := t.handler.HandleStatus(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Status{Status: encodeStatus(status)}}, nil
+}
--- /dev/null
+++ b/internal/adapter/storehttp/storehttp.go
@@ -0,0 +1,136 @@
+// Package storehttp speaks the protocol of the platform's key-value service: JSON calls over HTTP/2.
+package storehttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// Paths of the protocol; every call is a POST.
+const (
+	PathGet       = "/v1/get"
+	PathPut       = "/v1/put"
+	PathDelete    = "/v1/delete"
+	PathList      = "/v1/list"
+	PathWatch     = "/v1/watch"
+	PathGrant     = "/v1/lease/grant"
+	PathKeepAlive = "/v1/lease/keepalive"
+)
+
+// Call is the body of every call; each uses the fields that it needs.
+type Call struct {
+	Key    string `json:"key,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	Value  []byte `json:"value,omitempty"`
+	Expect uint64 `json:"expect,omitempty"` // revision of the key; 0 for absent
+	After  uint64 `json:"after,omitempty"`  // revision of the store
+	Lease  uint64 `json:"lease,omitempty"`
+	TTLMS  int64  `json:"ttl_ms,omitempty"`
+}
+
+// Entry is a key with its value.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"` // null when deleted
+	Revision uint64 `json:"revision"`
+}
+
+// Reply is the answer to every call.
+type Reply struct {
+	Entries  []Entry `json:"entries,omitempty"`
+	Revision uint64  `json:"revision,omitempty"`
+	Lease    uint64  `json:"lease,omitempty"`
+}
+
+// callTimeout bounds a call that does not wait. The service answers in milliseconds when it is up.
+const callTimeout = 2 * time.Second
+
+// watchTimeout bounds a waiting watch, so that a silent connection is found.
+const watchTimeout = 30 * time.Second
+
+// Client implements port.Store.
+type Client struct {
+	http *httpjson.Client
+}
+
+// New returns a client for the service at host:port.
+func New(address string) *Client {
+	return &Client{http: httpjson.NewClient(address)}
+}
+
+func (c *Client) call(ctx context.Context, timeout time.Duration, path string, call Call) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply Reply
+	err := c.http.Call(ctx, http.MethodPost, path, call, &reply)
+	if fault.Is(err, fault.Interrupted) || fault.Is(err, fault.Unavailable) {
+		return Reply{}, fault.As(fault.StoreUnavailable, err, "store")
+	}
+	return reply, err
+}
+
+// Get implements port.Store.
+func (c *Client) Get(ctx context.Context, key string) (port.Entry, error) {
+	reply, err := c.call(ctx, callTimeout, PathGet, Call{Key: key})
+	if err != nil {
+		return port.Entry{}, err
+	}
+	if len(reply.Entries) != 1 {
+		return port.Entry{}, fault.New(fault.StoreUnavailable, "get %s: %d entries", key, len(reply.Entries))
+	}
+	return decode(reply.Entries)[0], nil
+}
+
+// Put implements port.Store.
+func (c *Client) Put(
+	ctx context.Context, key string, value []byte, expect ident.Revision, lease port.LeaseID,
+) (ident.Revision, error) {
+	call := Call{Key: key, Value: value, Expect: uint64(expect), Lease: uint64(lease)}
+	reply, err := c.call(ctx, callTimeout, PathPut, call)
+	return ident.Revision(reply.Revision), err
+}
+
+// Delete implements port.Store.
+func (c *Client) Delete(ctx context.Context, key string, expect ident.Revision) error {
+	_, err := c.call(ctx, callTimeout, PathDelete, Call{Key: key, Expect: uint64(expect)})
+	return err
+}
+
+// List implements port.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, ident.Revision, error) {
+	reply, err := c.call(ctx, callTimeout, PathList, Call{Prefix: prefix})
+	return decode(reply.Entries), ident.Revision(reply.Revision), err
+}
+
+// Watch implements port.Store. It returns no entry and no error when nothing changed for 30 s.
+func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision) ([]port.Entry, error) {
+	call := Call{Prefix: prefix, After: uint64(after), TTLMS: (watchTimeout - callTimeout).Milliseconds()}
+	reply, err := c.call(ctx, watchTimeout, PathWatch, call)
+	return decode(reply.Entries), err
+}
+
+// Grant implements port.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
+	reply, err := c.call(ctx, callTimeout, PathGrant, Call{TTLMS: ttl.Milliseconds()})
+	return port.LeaseID(reply.Lease), err
+}
+
+// KeepAlive implements port.Store.
+func (c *Client) KeepAlive(ctx context.Context, lease port.LeaseID) error {
+	_, err := c.call(ctx, callTimeout, PathKeepAlive, Call{Lease: uint64(lease)})
+	return err
+}
+
+func decode(entries []Entry) []port.Entry {
+	out := make([]port.Entry, len(entries))
+	for i, e := range entries {
+		out[i] = port.Entry{Key: e.Key, Value: e.Value, Revision: ident.Revision(e.Revision)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/adapter/workerhttp/client.go
@@ -0,0 +1,96 @@
+package workerhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// callTimeout bounds a call that does not wait for outcomes.
+const callTimeout = 2 * time.Second
+
+// Dialer makes clients. It implements port.WorkerDialer.
+type Dialer struct{}
+
+// Dial returns a client for the worker at host:port.
+func (Dialer) Dial(_ ident.WorkerID, address string) port.WorkerClient {
+	return &client{http: httpjson.NewClient(address)}
+}
+
+type client struct {
+	http *httpjson.Client
+}
+
+func (c *client) call(ctx context.Context, timeout time.Duration, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.http.Call(ctx, http.MethodPost, path, in, out)
+}
+
+// Claim implements port.WorkerClient.
+func (c *client) Claim(ctx context.Context, claim work.Claim) (work.Inventory, error) {
+	call := ClaimCall{
+		Process: string(claim.Process), Epoch: uint64(claim.Epoch), Supersede: claim.Supersede,
+		LeaseMS: claim.Lease.Milliseconds(), TaskLeaseMS: claim.TaskLease.Milliseconds(),
+	}
+	var reply Inventory
+	if err := c.call(ctx, callTimeout, PathClaim, call, &reply); err != nil {
+		return work.Inventory{Epoch: ident.Epoch(reply.Epoch), Holder: ident.ProcessID(reply.Holder)}, err
+	}
+	return decodeInventory(reply)
+}
+
+// Sync implements port.WorkerClient.
+func (c *client) Sync(ctx context.Context, sync work.Sync) (work.SyncReply, error) {
+	call := SyncCall{Epoch: uint64(sync.Epoch), After: sync.After, WaitMS: sync.Wait.Milliseconds()}
+	for _, task := range sync.Acknowledge {
+		call.Acknowledge = append(call.Acknowledge, task.String())
+	}
+	var reply SyncReply
+	if err := c.call(ctx, sync.Wait+callTimeout, PathSync, call, &reply); err != nil {
+		return work.SyncReply{}, err
+	}
+	return decodeSyncReply(reply)
+}
+
+// Release implements port.WorkerClient.
+func (c *client) Release(ctx context.Context, epoch ident.Epoch) error {
+	return c.call(ctx, callTimeout, PathRelease, EpochCall{uint64(epoch)}, nil)
+}
+
+// Start implements port.WorkerClient.
+func (c *client) Start(ctx context.Context, start work.Start) error {
+	return c.call(ctx, callTimeout, PathStart, StartCall{
+		Epoch: uint64(start.Epoch), Task: start.Task.String(), Attempt: uint64(start.Attempt), Kind: start.Kind,
+		Class: start.Class.String(), Size: start.Size, SentMS: time.Now().UnixMilli(),
+		ExpiryMS: start.Expiry.Milliseconds(), Payload: start.Payload,
+	}, nil)
+}
+
+// Stop implements port.WorkerClient.
+func (c *client) Stop(ctx context.Context, epoch ident.Epoch, task ident.TaskID) error {
+	return c.call(ctx, callTimeout, PathStop, TaskCall{Epoch: uint64(epoch), Task: task.String()}, nil)
+}
+
+// Checkpoint implements port.WorkerClient.
+func (c *client) Checkpoint(ctx context.Context, epoch ident.Epoch, task ident.TaskID) ([]byte, error) {
+	var reply CheckpointReply
+	err := c.call(ctx, callTimeout, PathCheckpoint, TaskCall{Epoch: uint64(epoch), Task: task.String()}, &reply)
+	return reply.Saved, fault.Wrap(err, "checkpoint %s", task)
+}
+
+// Throttle implements port.WorkerClient.
+func (c *client) Throttle(ctx context.Context, epoch ident.Epoch, task ident.TaskID, limit resource.Vector) error {
+	call := TaskCall{Epoch: uint64(epoch), Task: task.String(), Limit: limit}
+	return c.call(ctx, callTimeout, PathThrottle, call, nil)
+}
+
+// Close implements port.WorkerClient.
+func (c *client) Close() error { return c.http.Close() }
--- /dev/null
+++ b/internal/adapter/workerhttp/wire.go
@@ -0,0 +1,252 @@
+// Package workerhttp speaks the worker protocol: JSON calls over one HTTP/2 connection.
+package workerhttp
+
+import (
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// Paths of the worker protocol; every call is a POST.
+const (
+	PathClaim      = "/v1/claim"
+	PathSync       = "/v1/sync"
+	PathRelease    = "/v1/release"
+	PathStart      = "/v1/start"
+	PathStop       = "/v1/stop"
+	PathCheckpoint = "/v1/checkpoint"
+	PathThrottle   = "/v1/throttle"
+)
+
+// ClaimCall is the body of a claim.
+type ClaimCall struct {
+	Process     string `json:"process"`
+	Epoch       uint64 `json:"epoch"`
+	Supersede   bool   `json:"supersede,omitempty"`
+	LeaseMS     int64  `json:"lease_ms"`
+	TaskLeaseMS int64  `json:"task_lease_ms"`
+}
+
+// Claim returns the domain value.
+func (c ClaimCall) Claim() work.Claim {
+	return work.Claim{
+		Process: ident.ProcessID(c.Process), Epoch: ident.Epoch(c.Epoch), Supersede: c.Supersede,
+		Lease: ms(c.LeaseMS), TaskLease: ms(c.TaskLeaseMS),
+	}
+}
+
+// Inventory is the answer to a claim. A refusal has only the epoch and the holder, beside the failure.
+type Inventory struct {
+	Epoch    uint64          `json:"epoch"`
+	Holder   string          `json:"holder,omitempty"`
+	Capacity resource.Vector `json:"capacity"`
+	Zone     string          `json:"zone,omitempty"`
+	Rack     string          `json:"rack,omitempty"`
+	Running  []Running       `json:"running,omitempty"`
+	Outcomes []Outcome       `json:"outcomes,omitempty"`
+	Draining bool            `json:"draining,omitempty"`
+}
+
+// Running is a running attempt.
+type Running struct {
+	Task      string          `json:"task"`
+	Attempt   uint64          `json:"attempt"`
+	Kind      string          `json:"kind"`
+	Class     string          `json:"class"`
+	Size      resource.Vector `json:"size"`
+	StartedMS int64           `json:"started_ms"`
+}
+
+// Outcome is an ended attempt.
+type Outcome struct {
+	Task      string `json:"task"`
+	Attempt   uint64 `json:"attempt"`
+	OK        bool   `json:"ok,omitempty"`
+	Output    []byte `json:"output,omitempty"`
+	Message   string `json:"message,omitempty"`
+	RunTimeMS int64  `json:"run_ms"`
+}
+
+// SyncCall is the body of a sync.
+type SyncCall struct {
+	Epoch       uint64   `json:"e"`
+	After       uint64   `json:"a,omitempty"`
+	Acknowledge []string `json:"k,omitempty"`
+	WaitMS      int64    `json:"w,omitempty"`
+}
+
+// SyncReply is the answer to a sync.
+type SyncReply struct {
+	Outcomes []Outcome `json:"o,omitempty"`
+	Last     uint64    `json:"l,omitempty"`
+	Draining bool      `json:"d,omitempty"`
+	Usage    []Usage   `json:"u,omitempty"`
+}
+
+// Usage is what a task uses.
+type Usage struct {
+	Task string          `json:"task"`
+	Used resource.Vector `json:"used"`
+}
+
+// StartCall is the body of a start.
+type StartCall struct {
+	Epoch    uint64          `json:"epoch"`
+	Task     string          `json:"task"`
+	Attempt  uint64          `json:"attempt"`
+	Kind     string          `json:"kind"`
+	Class    string          `json:"class"`
+	Size     resource.Vector `json:"size"`
+	SentMS   int64           `json:"sent_ms"`   // Unix milliseconds
+	ExpiryMS int64           `json:"expiry_ms"` // after SentMS
+	Payload  []byte          `json:"payload,omitempty"`
+}
+
+// Start returns the domain value and when it was sent.
+func (c StartCall) Start() (work.Start, time.Time, error) {
+	task, err := ident.ParseTaskID(c.Task)
+	if err != nil {
+		return work.Start{}, time.Time{}, err
+	}
+	class, err := work.ParseClass(c.Class)
+	if err != nil {
+		return work.Start{}, time.Time{}, err
+	}
+	if err := c.Size.Check("size"); err != nil {
+		return work.Start{}, time.Time{}, err
+	}
+	return work.Start{
+		Epoch: ident.Epoch(c.Epoch), Task: task, Attempt: ident.Attempt(c.Attempt), Kind: c.Kind, Class: class,
+		Size: c.Size, Expiry: ms(c.ExpiryMS), Payload: c.Payload,
+	}, time.UnixMilli(c.SentMS), nil
+}
+
+// TaskCall is the body of a stop, checkpoint or throttle.
+type TaskCall struct {
+	Epoch uint64          `json:"epoch"`
+	Task  string          `json:"task"`
+	Limit resource.Vector `json:"limit"` // throttle only
+}
+
+// ID returns the task's id. It fails with Invalid.
+func (c TaskCall) ID() (ident.TaskID, error) { return ident.ParseTaskID(c.Task) }
+
+// EpochCall is the body of a release.
+type EpochCall struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+// CheckpointReply is the answer to a checkpoint.
+type CheckpointReply struct {
+	Saved []byte `json:"saved"`
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// EncodeInventory returns the wire form.
+func EncodeInventory(inv work.Inventory) Inventory {
+	out := Inventory{
+		Epoch: uint64(inv.Epoch), Holder: string(inv.Holder), Capacity: inv.Capacity, Zone: string(inv.Zone), Rack: string(inv.Rack),
+		Draining: inv.Draining, Outcomes: encodeOutcomes(inv.Outcomes),
+	}
+	for _, r := range inv.Running {
+		out.Running = append(out.Running, Running{
+			Task: r.Task.String(), Attempt: uint64(r.Attempt), Kind: r.Kind, Class: r.Class.String(), Size: r.Size,
+			StartedMS: r.Started.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func decodeInventory(in Inventory) (work.Inventory, error) {
+	outcomes, err := decodeOutcomes(in.Outcomes)
+	if err != nil {
+		return work.Inventory{}, err
+	}
+	inv := work.Inventory{
+		Epoch: ident.Epoch(in.Epoch), Holder: ident.ProcessID(in.Holder), Capacity: in.Capacity,
+		Zone: ident.Zone(in.Zone), Rack: ident.Rack(in.Rack), Draining: in.Draining, Outcomes: outcomes,
+	}
+	for _, r := range in.Running {
+		task, err := ident.ParseTaskID(r.Task)
+		if err != nil {
+			return work.Inventory{}, err
+		}
+		class, err := work.ParseClass(r.Class)
+		if err != nil {
+			return work.Inventory{}, err
+		}
+		inv.Running = append(inv.Running, work.Running{
+			Task: task, Attempt: ident.Attempt(r.Attempt), Kind: r.Kind, Class: class, Size: r.Size,
+			Started: ms(r.StartedMS),
+		})
+	}
+	return inv, nil
+}
+
+func encodeOutcomes(outcomes []work.Outcome) []Outcome {
+	var out []Outcome
+	for _, o := range outcomes {
+		out = append(out, Outcome{
+			Task: o.Task.String(), Attempt: uint64(o.Attempt), OK: o.OK, Output: o.Output, Message: o.Message,
+			RunTimeMS: o.RunTime.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func decodeOutcomes(outcomes []Outcome) ([]work.Outcome, error) {
+	var out []work.Outcome
+	for _, o := range outcomes {
+		task, err := ident.ParseTaskID(o.Task)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, work.Outcome{
+			Task: task, Attempt: ident.Attempt(o.Attempt), OK: o.OK, Output: o.Output, Message: o.Message,
+			RunTime: ms(o.RunTimeMS),
+		})
+	}
+	return out, nil
+}
+
+// EncodeSyncReply returns the wire form.
+func EncodeSyncReply(reply work.SyncReply) SyncReply {
+	out := SyncReply{Outcomes: encodeOutcomes(reply.Outcomes), Last: reply.Last, Draining: reply.Draining}
+	for _, u := range reply.Usage {
+		out.Usage = append(out.Usage, Usage{Task: u.Task.String(), Used: u.Used})
+	}
+	return out
+}
+
+func decodeSyncReply(in SyncReply) (work.SyncReply, error) {
+	outcomes, err := decodeOutcomes(in.Outcomes)
+	if err != nil {
+		return work.SyncReply{}, err
+	}
+	reply := work.SyncReply{Outcomes: outcomes, Last: in.Last, Draining: in.Draining}
+	for _, u := range in.Usage {
+		task, err := ident.ParseTaskID(u.Task)
+		if err != nil {
+			return work.SyncReply{}, err
+		}
+		reply.Usage = append(reply.Usage, work.Usage{Task: task, Used: u.Used})
+	}
+	return reply, nil
+}
+
+// Sync returns the domain value. It fails with Invalid.
+func (c SyncCall) Sync() (work.Sync, error) {
+	sync := work.Sync{Epoch: ident.Epoch(c.Epoch), After: c.After, Wait: ms(c.WaitMS)}
+	for _, s := range c.Acknowledge {
+		task, err := ident.ParseTaskID(s)
+		if err != nil {
+			return work.Sync{}, fault.Wrap(err, "acknowledge")
+		}
+		sync.Acknowledge = append(sync.Acknowledge, task)
+	}
+	return sync, nil
+}
--- /dev/null
+++ b/internal/app/home/execute.go
@@ -0,0 +1,134 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/ledger"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+)
+
+// keepResult is how long after its deadline the result of a request is kept for a caller that asks again.
+const keepResult = 15 * time.Minute
+
+// retryPause is the mean pause before a refused attempt goes to another owner.
+const retryPause = 20 * time.Millisecond
+
+// execute runs the request or joins it.
+func (p *partition) execute(ctx context.Context, call port.Execute) (work.Outcome, error) {
+	id := call.Spec.ID.Work
+	book := p.book()
+	decision, done, err := book.Admit(time.Now(), id, call.Digest)
+	if err != nil {
+		return work.Outcome{}, err
+	}
+	if decision == ledger.Run {
+		outcome, err := p.run(ctx, call.Spec)
+		book.End(id, ledger.Result{Outcome: outcome, Err: err}, call.Spec.Deadline.Add(keepResult))
+		return outcome, err
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return work.Outcome{}, fault.New(fault.Interrupted, "%s runs; ask again with the same request id", id)
+	}
+	result, ok := book.Result(id)
+	if !ok {
+		return work.Outcome{}, fault.New(fault.Interrupted, "%s ended; ask again with the same request id", id)
+	}
+	return result.Outcome, result.Err
+}
+
+func (p *partition) book() *ledger.Ledger {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger
+}
+
+// run starts attempts until one ends. An attempt follows another only when that one certainly does not run.
+func (p *partition) run(ctx context.Context, spec work.Spec) (work.Outcome, error) {
+	if !spec.Repeatable {
+		return work.Outcome{}, fault.New(fault.StoreUnavailable, "no journal: work that is not repeatable is refused")
+	}
+	refused := map[ident.ProcessID]bool{}
+	for {
+		owner, err := p.service.choose(spec, refused)
+		if err != nil {
+			if len(refused) == 0 {
+				return work.Outcome{}, err
+			}
+			clear(refused) // every owner refused; their queues may have moved since
+			pause.For(ctx, retryPause)
+			if ctx.Err() != nil {
+				return work.Outcome{}, err
+			}
+			continue
+		}
+		spec.Attempt = ident.NextAttempt(time.Now(), spec.Attempt)
+		outcome, err := p.attempt(ctx, owner, spec)
+		switch answer := fault.KindOf(err).Answer(); {
+		case err == nil:
+			return outcome, nil
+		case answer.Ran != fault.RanNo || !answer.Retryable || ctx.Err() != nil:
+			return work.Outcome{}, err
+		}
+		refused[owner] = true
+	}
+}
+
+// attempt places one attempt and follows it until it has ended or certainly does not run.
+func (p *partition) attempt(ctx context.Context, owner ident.ProcessID, spec work.Spec) (work.Outcome, error) {
+	epoch, _ := p.tenure()
+	call := port.Place{Partition: p.id, Home: epoch, Spec: spec}
+	outcome, err := p.service.Peers.Place(ctx, owner, call)
+	if fault.Is(err, fault.Interrupted) {
+		return p.follow(ctx, call)
+	}
+	return outcome, err
+}
+
+// follow finds an attempt whose owner was lost, and waits for its outcome. It returns NoCapacity when the attempt
+// certainly does not run and has no outcome.
+func (p *partition) follow(ctx context.Context, call port.Place) (work.Outcome, error) {
+	call.Attach = true
+	began := time.Now()
+	for ctx.Err() == nil {
+		changed := p.changed.Changed()
+		if outcome, ok := p.takeReported(call.Spec.ID, call.Spec.Attempt); ok {
+			return outcome, nil
+		}
+		found := p.survey(ctx)
+		if owner, ok := found.owners[call.Spec.ID]; ok {
+			outcome, err := p.service.Peers.Place(ctx, owner, call)
+			if !fault.Is(err, fault.Interrupted) && !fault.Is(err, fault.NotFound) {
+				return outcome, err
+			}
+		} else if found.complete || time.Since(began) > p.service.LostAfter {
+			return work.Outcome{}, fault.New(fault.NoCapacity, "the owner of %s failed before it ran", call.Spec.ID)
+		}
+		timer := time.NewTimer(surveyRetry)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return work.Outcome{}, fault.New(fault.UnknownOutcome, "%s was started; its outcome is not known", call.Spec.ID)
+}
+
+// followAdopted waits for the outcome of an attempt that a former home placed.
+func (p *partition) followAdopted(ctx context.Context, held port.HeldTask) {
+	epoch, _ := p.tenure()
+	book := p.book()
+	call := port.Place{Partition: p.id, Home: epoch, Spec: work.Spec{ID: held.Task, Attempt: held.Attempt}}
+	call.Spec.Size.Slots = 1 // the least that a frame may carry; an attach does not use it
+	p.service.record(timeline.TakenOver, held.Task, "")
+	outcome, err := p.follow(ctx, call)
+	book.End(held.Task.Work, ledger.Result{Outcome: outcome, Err: err}, time.Now().Add(keepResult))
+}
--- /dev/null
+++ b/internal/app/home/home.go
@@ -0,0 +1,121 @@
+// Package home holds the partitions that this process is the home of: it deduplicates request ids and sees each request
+// through to its outcome.
+package home
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"skylarkstall/internal/app/directory"
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/routing"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// Config is what the service needs.
+type Config struct {
+	Self      ident.ProcessID
+	Zone      ident.Zone
+	Members   *membership.Membership
+	Live      func() <-chan struct{} // closed when the set of live processes next changes
+	Beats     func() []port.Heartbeat
+	Digest    func(time.Time) fleet.Digest
+	Dir       *directory.Directory
+	Peers     port.Peers
+	Recorder  *timeline.Recorder
+	Log       *slog.Logger
+	LostAfter time.Duration // when an attempt that nobody holds has certainly ended: the task lease bound
+}
+
+// Service holds the partitions.
+type Service struct {
+	Config
+	partitions [ident.Partitions]*partition
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// New returns a service that is the home of nothing yet.
+func New(config Config) *Service {
+	s := &Service{Config: config, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	for i := range s.partitions {
+		s.partitions[i] = newPartition(s, ident.PartitionID(i))
+	}
+	return s
+}
+
+// Run keeps one goroutine for each partition until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, p := range s.partitions {
+		running.Go(func() { p.Run(ctx) })
+	}
+	running.Wait()
+}
+
+// Partitions returns the partitions that this process is the home of.
+func (s *Service) Partitions() []ident.PartitionID {
+	var ids []ident.PartitionID
+	for _, p := range s.partitions {
+		if _, ok := p.tenure(); ok {
+			ids = append(ids, p.id)
+		}
+	}
+	return ids
+}
+
+// HandleExecute runs a request, or joins it when it arrived before, and returns its outcome.
+func (s *Service) HandleExecute(ctx context.Context, call port.Execute) (work.Outcome, error) {
+	p := s.partitions[call.Spec.ID.Work.Partition()]
+	ctx, cancel := context.WithDeadline(ctx, call.Spec.Deadline)
+	defer cancel()
+	if err := p.await(ctx); err != nil {
+		return work.Outcome{}, err
+	}
+	return p.execute(ctx, call)
+}
+
+// HandleReport takes the ends of attempts that no call of this home waits for.
+func (s *Service) HandleReport(_ context.Context, report port.Report) error {
+	for _, outcome := range report.Ended {
+		s.partitions[outcome.Task.Work.Partition()].reported(outcome)
+	}
+	return nil
+}
+
+// choose returns an owner for the task, leaving out those that refused it.
+func (s *Service) choose(spec work.Spec, refused map[ident.ProcessID]bool) (ident.ProcessID, error) {
+	now := time.Now()
+	candidates := []routing.Candidate{{Process: s.Self, Zone: s.Zone, Self: true, Digest: s.Digest(now)}}
+	for _, beat := range s.Beats() {
+		candidates = append(candidates, routing.Candidate{
+			Process: beat.Peer.ID, Zone: beat.Peer.Zone, Digest: beat.Digest,
+		})
+	}
+	open := candidates[:0]
+	for _, c := range candidates {
+		if !refused[c.Process] && !c.Digest.Capacity.IsZero() {
+			open = append(open, c)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owner, ok := routing.Choose(s.random, open, spec, s.Zone)
+	if !ok {
+		return "", fault.New(fault.NoCapacity, "no process owns a worker that may take %s", spec.ID)
+	}
+	return owner, nil
+}
+
+func (s *Service) record(kind timeline.Kind, task ident.TaskID, detail string) {
+	s.Recorder.Record(time.Now(), timeline.Event{Kind: kind, Work: task.Work, Detail: detail})
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,79 @@
+// Package cli holds the commands of skylarkstall, one file each.
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"skylarkstall/internal/fault"
+)
+
+// envPrefix starts the name of every environment variable: the flag --peer-address is SKYLARKSTALL_PEER_ADDRESS.
+const envPrefix = "SKYLARKSTALL"
+
+// app is what the commands share.
+type app struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command line and returns the exit code of the error table.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	a := &app{out: out, err: errOut}
+	root := a.root()
+	err := root.ParseAndRun(ctx, args)
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return 0
+	case fault.KindOf(err) == fault.Internal && root.FlagSet.Parsed():
+		fmt.Fprintf(errOut, "skylarkstall: %v\n", err)
+		return fault.Invalid.Answer().Exit
+	default:
+		fmt.Fprintf(errOut, "skylarkstall: %v\n", err)
+		return fault.KindOf(err).Answer().Exit
+	}
+}
+
+func (a *app) root() *ffcli.Command {
+	root := &ffcli.Command{
+		Name:       "skylarkstall",
+		ShortUsage: "skylarkstall <command> [flags]",
+		ShortHelp:  "A cluster scheduler for teams that share one pool of VMs.",
+		FlagSet:    a.flags("skylarkstall"),
+		Subcommands: []*ffcli.Command{
+			a.serve(), a.dev(), a.run(),
+		},
+	}
+	root.Exec = func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return fault.New(fault.Invalid, "unknown command %q; see skylarkstall --help", args[0])
+		}
+		return flag.ErrHelp
+	}
+	return root
+}
+
+func (a *app) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.err)
+	return fs
+}
+
+func options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(envPrefix)}
+}
+
+func (a *app) logger(level string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, fault.New(fault.Invalid, "log-level %q: want debug, info, warn or error", level)
+	}
+	return slog.New(slog.NewTextHandler(a.err, &slog.HandlerOptions{Level: l})), nil
+}
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,43 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"skylarkstall/internal/adapter/callerhttp"
+	"skylarkstall/internal/fault"
+)
+
+func (a *app) run() *ffcli.Command {
+	fs := a.flags("skylarkstall run")
+	address := fs.String("address", "127.0.0.1:7070", "host:port of any process")
+	team := fs.String("team", "", "team")
+	token := fs.String("token", "", "token of the team")
+	kind := fs.String("kind", "", "kind of work")
+	id := fs.String("request-id", "", "request id; a new one when empty")
+	payload := fs.String("payload", "", "payload")
+	deadline := fs.Duration("deadline", 0, "longest time to the answer; 0 for the kind's own")
+	return &ffcli.Command{
+		Name: "run", ShortUsage: "skylarkstall run [flags]", ShortHelp: "Run a short request and print its output.",
+		FlagSet: fs, Options: options(),
+		Exec: func(ctx context.Context, _ []string) error {
+			if *id == "" {
+				*id = ulid.Make().String()
+			}
+			client := callerhttp.NewClient(*address, *token)
+			reply, err := client.Run(ctx, callerhttp.RunCall{
+				Team: *team, RequestID: *id, Kind: *kind, Payload: []byte(*payload),
+				DeadlineMS: deadline.Milliseconds(),
+			})
+			if err != nil {
+				return fault.Wrap(err, "request %s", *id)
+			}
+			_, err = fmt.Fprintf(a.out, "%s\n", reply.Output)
+			return fault.Wrap(err, "print after %v", time.Duration(reply.RunMS)*time.Millisecond)
+		},
+	}
+}
--- /dev/null
+++ b/internal/devcell/devcell.go
@@ -0,0 +1,238 @@
+// Package devcell runs a whole cell in one process: stand-ins for the platform and the workers, and entry processes that
+// talk to them and to each other over loopback.
+package devcell
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"skylarkstall/examples"
+	"skylarkstall/internal/adapter/callerhttp"
+	"skylarkstall/internal/adapter/storehttp"
+	"skylarkstall/internal/adapter/vmlisthttp"
+	"skylarkstall/internal/app/configsync"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/node"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+	"skylarkstall/internal/standin/store"
+	"skylarkstall/internal/standin/vmlist"
+	"skylarkstall/internal/standin/worker"
+)
+
+// Settings describe a cell.
+type Settings struct {
+	Processes     int
+	Workers       int
+	Zones         []ident.Zone
+	Capacity      resource.Vector // of each worker
+	CallerAddress string          // of the first process; the others listen on free ports
+	Log           *slog.Logger
+	Observe       func(ident.WorkerID, worker.Observation) // may be nil
+}
+
+// WorkersPerRack is how many workers share a rack.
+const WorkersPerRack = 8
+
+// DefaultCapacity is the size of a worker: 32 cores, 128 GB and 8 slots.
+var DefaultCapacity = resource.Vector{MilliCores: 32_000, MemoryBytes: 128 << 30, Slots: 8}
+
+// Cell is a running cell.
+type Cell struct {
+	Store   *store.Store
+	VMs     *vmlist.List
+	Workers []*worker.Worker
+	Nodes   []*Node
+
+	settings Settings
+	mu       sync.Mutex
+	rows     []vmlisthttp.VM
+}
+
+// Node is an entry process of the cell.
+type Node struct {
+	*node.Node
+	ID   ident.ProcessID
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Start runs a cell. Close ends it.
+func Start(ctx context.Context, settings Settings) (*Cell, error) {
+	if settings.Capacity.IsZero() {
+		settings.Capacity = DefaultCapacity
+	}
+	if len(settings.Zones) == 0 {
+		settings.Zones = []ident.Zone{"kochi-a", "kochi-b", "alappuzha"}
+	}
+	c := &Cell{settings: settings}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cell) start(ctx context.Context) error {
+	var err error
+	if c.Store, err = store.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	if c.VMs, err = vmlist.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	if err := c.putDocuments(ctx); err != nil {
+		return err
+	}
+	for i := range c.settings.Workers {
+		if err := c.addWorker(i); err != nil {
+			return err
+		}
+	}
+	for i := range c.settings.Processes {
+		if _, err := c.AddNode(fmt.Sprintf("entry-%d", i+1), i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cell) putDocuments(ctx context.Context) error {
+	client := storehttp.New(c.Store.Address())
+	for id, source := range map[string][]byte{"vembanad": examples.Vembanad, "goldfields": examples.Goldfields} {
+		if _, err := client.Put(ctx, configsync.Prefix+id, source, 0, 0); err != nil {
+			return fault.Wrap(err, "document of %s", id)
+		}
+	}
+	return nil
+}
+
+func (c *Cell) zone(i int) ident.Zone { return c.settings.Zones[i%len(c.settings.Zones)] }
+
+func (c *Cell) addWorker(i int) error {
+	id := fmt.Sprintf("worker-%02d", i+1)
+	rack := ident.Rack(fmt.Sprintf("%s-rack-%d", c.zone(i), i/len(c.settings.Zones)/WorkersPerRack+1))
+	var observe func(worker.Observation)
+	if c.settings.Observe != nil {
+		observe = func(o worker.Observation) { c.settings.Observe(ident.WorkerID(id), o) }
+	}
+	w, err := worker.Start("127.0.0.1:0", worker.Settings{
+		Capacity: c.settings.Capacity, Zone: c.zone(i), Rack: rack,
+	}, observe)
+	if err != nil {
+		return err
+	}
+	c.Workers = append(c.Workers, w)
+	c.list(vmlisthttp.VM{
+		ID: id, Role: string(port.RoleWorker), Address: w.Address(), Zone: string(c.zone(i)), Rack: string(rack),
+	})
+	return nil
+}
+
+// list adds a VM to the VM list.
+func (c *Cell) list(vm vmlisthttp.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows = append(c.rows, vm)
+	c.VMs.Set(append([]vmlisthttp.VM(nil), c.rows...))
+}
+
+// Unlist removes a VM from the VM list.
+func (c *Cell) Unlist(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var kept []vmlisthttp.VM
+	for _, vm := range c.rows {
+		if vm.ID != id {
+			kept = append(kept, vm)
+		}
+	}
+	c.rows = kept
+	c.VMs.Set(append([]vmlisthttp.VM(nil), kept...))
+}
+
+// AddNode starts an entry process in the zone with the index and lists it.
+func (c *Cell) AddNode(id string, zone int) (*Node, error) {
+	caller := "127.0.0.1:0"
+	if len(c.Nodes) == 0 && c.settings.CallerAddress != "" {
+		caller = c.settings.CallerAddress
+	}
+	n, err := node.New(node.Settings{
+		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
+		StoreAddress: c.Store.Address(), VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
+		TimelineSize: 20_000,
+	}, c.settings.Log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &Node{Node: n, ID: ident.ProcessID(id), stop: cancel, done: make(chan struct{})}
+	c.Nodes = append(c.Nodes, running)
+	c.list(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: n.PeerAddress(), Zone: string(c.zone(zone))})
+	go func() {
+		defer close(running.done)
+		if err := n.Run(ctx); err != nil {
+			c.settings.Log.Error("process ended", "process", id, "error", err)
+		}
+	}()
+	return running, nil
+}
+
+// Stop drains the process and waits for its end.
+func (n *Node) Stop() {
+	n.stop()
+	<-n.done
+}
+
+// readyRetry is the pause between questions whether a process is ready.
+const readyRetry = 50 * time.Millisecond
+
+// AwaitReady waits until every process is ready and every worker is owned.
+func (c *Cell) AwaitReady(ctx context.Context) error {
+	for _, n := range c.Nodes {
+		client := callerhttp.NewClient(n.CallerAddress(), "")
+		for client.Ready(ctx) != nil {
+			if !pause.For(ctx, readyRetry) {
+				return fault.New(fault.NotReady, "process %s is not ready", n.ID)
+			}
+		}
+	}
+	for c.owned(ctx) < len(c.Workers) {
+		if !pause.For(ctx, readyRetry) {
+			return fault.New(fault.NotReady, "%d of %d workers are owned", c.owned(ctx), len(c.Workers))
+		}
+	}
+	return nil
+}
+
+func (c *Cell) owned(ctx context.Context) int {
+	statuses, _ := c.Nodes[0].Cell(ctx)
+	owned := 0
+	for _, s := range statuses {
+		owned += len(s.Workers)
+	}
+	return owned
+}
+
+// Close ends every process and stand-in.
+func (c *Cell) Close() {
+	var running sync.WaitGroup
+	for _, n := range c.Nodes {
+		running.Go(n.Stop)
+	}
+	running.Wait()
+	for _, w := range c.Workers {
+		w.Close()
+	}
+	if c.VMs != nil {
+		c.VMs.Close()
+	}
+	if c.Store != nil {
+		c.Store.Close()
+	}
+}
--- /dev/null
+++ b/internal/domain/grant/grant.go
@@ -0,0 +1,263 @@
+// Package grant holds the rules that a worker applies to the commands of entry processes: who may command it, what fits,
+// and when running tasks must stop. The worker is the arbiter of its own control lease, so two processes that both
+// believe that they own it cannot both place work on it.
+package grant
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// Grant is the aggregate of one worker: its control lease, running tasks and outcomes not yet acknowledged.
+type Grant struct {
+	mu        sync.Mutex
+	capacity  resource.Vector
+	zone      ident.Zone
+	rack      ident.Rack
+	holder    ident.ProcessID // empty when released
+	epoch     ident.Epoch     // highest epoch granted
+	renewed   time.Time
+	lease     time.Duration
+	taskLease time.Duration
+	draining  bool
+	running   map[ident.TaskID]work.Start
+	started   map[ident.TaskID]time.Time
+	attempts  map[ident.TaskID]ident.Attempt // highest attempt started
+	outcomes  []numbered
+	sequence  uint64
+}
+
+type numbered struct {
+	sequence uint64
+	outcome  work.Outcome
+}
+
+// New returns the grant of a worker that nobody has claimed.
+func New(capacity resource.Vector, zone ident.Zone, rack ident.Rack) *Grant {
+	return &Grant{
+		capacity: capacity, zone: zone, rack: rack,
+		running:  map[ident.TaskID]work.Start{},
+		started:  map[ident.TaskID]time.Time{},
+		attempts: map[ident.TaskID]ident.Attempt{},
+	}
+}
+
+// Claim grants the control lease or refuses with StaleEpoch. A refusal's inventory has only the highest
+// epoch granted and the holder.
+func (g *Grant) Claim(now time.Time, claim work.Claim) (work.Inventory, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if claim.Epoch <= g.epoch {
+		return g.refusal(now), fault.New(fault.StaleEpoch,
+			"claim with epoch %d; epoch %d was granted before", claim.Epoch, g.epoch)
+	}
+	if g.held(now) && g.holder != claim.Process && !claim.Supersede {
+		return g.refusal(now), fault.New(fault.StaleEpoch, "control lease held by %s", g.holder)
+	}
+	g.holder, g.epoch, g.renewed = claim.Process, claim.Epoch, now
+	g.lease, g.taskLease = claim.Lease, claim.TaskLease
+	return g.inventory(now), nil
+}
+
+func (g *Grant) refusal(now time.Time) work.Inventory {
+	inv := work.Inventory{Epoch: g.epoch}
+	if g.held(now) {
+		inv.Holder = g.holder
+	}
+	return inv
+}
+
+func (g *Grant) held(now time.Time) bool {
+	return g.holder != "" && now.Before(g.renewed.Add(g.lease))
+}
+
+func (g *Grant) inventory(now time.Time) work.Inventory {
+	inv := work.Inventory{
+		Epoch: g.epoch, Holder: g.holder, Capacity: g.capacity, Zone: g.zone, Rack: g.rack, Draining: g.draining,
+	}
+	for id, start := range g.running {
+		inv.Running = append(inv.Running, work.Running{
+			Task: id, Attempt: start.Attempt, Kind: start.Kind, Class: start.Class, Size: start.Size,
+			Started: now.Sub(g.started[id]),
+		})
+	}
+	sort.Slice(inv.Running, func(i, j int) bool {
+		return inv.Running[i].Task.String() < inv.Running[j].Task.String()
+	})
+	for _, n := range g.outcomes {
+		inv.Outcomes = append(inv.Outcomes, n.outcome)
+	}
+	return inv
+}
+
+func (g *Grant) check(epoch ident.Epoch) error {
+	if epoch != g.epoch || g.holder == "" {
+		return fault.New(fault.StaleEpoch, "epoch %d does not hold the control lease; epoch %d was granted last",
+			epoch, g.epoch)
+	}
+	return nil
+}
+
+// Sync renews the control lease, forgets acknowledged outcomes and returns those after the sequence.
+func (g *Grant) Sync(now time.Time, sync work.Sync) (work.SyncReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(sync.Epoch); err != nil {
+		return work.SyncReply{}, err
+	}
+	g.renewed = now
+	g.acknowledge(sync.Acknowledge)
+	reply := work.SyncReply{Last: sync.After, Draining: g.draining}
+	for _, n := range g.outcomes {
+		if n.sequence > sync.After {
+			reply.Outcomes = append(reply.Outcomes, n.outcome)
+			reply.Last = n.sequence
+		}
+	}
+	return reply, nil
+}
+
+func (g *Grant) acknowledge(tasks []ident.TaskID) {
+	if len(tasks) == 0 {
+		return
+	}
+	done := make(map[ident.TaskID]bool, len(tasks))
+	for _, id := range tasks {
+		done[id] = true
+	}
+	kept := g.outcomes[:0]
+	for _, n := range g.outcomes {
+		if !done[n.outcome.Task] {
+			kept = append(kept, n)
+		}
+	}
+	g.outcomes = kept
+}
+
+// Release gives the control lease back, so that any process may claim it at once.
+func (g *Grant) Release(epoch ident.Epoch) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(epoch); err != nil {
+		return err
+	}
+	g.holder = ""
+	return nil
+}
+
+// Start admits an attempt. It returns false if the same attempt was admitted before. sent is when the start was sent, by
+// the worker's clock as far as it can tell.
+func (g *Grant) Start(now, sent time.Time, start work.Start) (bool, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(start.Epoch); err != nil {
+		return false, err
+	}
+	if last := g.attempts[start.Task]; last == start.Attempt {
+		return false, nil
+	} else if start.Attempt < last {
+		return false, fault.New(fault.StaleEpoch, "attempt %d of %s; attempt %d was started before",
+			start.Attempt, start.Task, last)
+	}
+	if err := g.admit(now, sent, start); err != nil {
+		return false, err
+	}
+	g.running[start.Task] = start
+	g.started[start.Task] = now
+	g.attempts[start.Task] = start.Attempt
+	return true, nil
+}
+
+func (g *Grant) admit(now, sent time.Time, start work.Start) error {
+	if _, ok := g.running[start.Task]; ok {
+		return fault.New(fault.Conflict, "%s runs with an earlier attempt", start.Task)
+	}
+	if g.draining {
+		return fault.New(fault.Draining, "the worker is leaving")
+	}
+	if start.Expiry > 0 && now.Sub(sent) > start.Expiry {
+		return fault.New(fault.DeadlineExceeded, "the start of %s expired", start.Task)
+	}
+	if free := g.capacity.Sub(g.used()); !start.Size.Fits(free) {
+		return fault.New(fault.NoCapacity, "%s needs %s; free: %s", start.Task, start.Size, free)
+	}
+	return nil
+}
+
+func (g *Grant) used() resource.Vector {
+	var sum resource.Vector
+	for _, start := range g.running {
+		sum = sum.Add(start.Size)
+	}
+	return sum
+}
+
+// Finish records the outcome of a running attempt. It returns false if that attempt does not run.
+func (g *Grant) Finish(outcome work.Outcome) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.finish(outcome)
+}
+
+func (g *Grant) finish(outcome work.Outcome) bool {
+	start, ok := g.running[outcome.Task]
+	if !ok || start.Attempt != outcome.Attempt {
+		return false
+	}
+	delete(g.running, outcome.Task)
+	delete(g.started, outcome.Task)
+	g.sequence++
+	g.outcomes = append(g.outcomes, numbered{g.sequence, outcome})
+	return true
+}
+
+// Stop ends a running task, with an outcome that says so. It returns the attempt stopped, or 0 if the task does not run.
+func (g *Grant) Stop(epoch ident.Epoch, task ident.TaskID) (ident.Attempt, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(epoch); err != nil {
+		return 0, err
+	}
+	start, ok := g.running[task]
+	if !ok {
+		return 0, nil
+	}
+	g.finish(work.Outcome{Task: task, Attempt: start.Attempt, Message: work.StoppedMessage})
+	return start.Attempt, nil
+}
+
+// Expire stops every task when nobody renewed the control lease for the task lease, and returns the tasks stopped.
+func (g *Grant) Expire(now time.Time) []ident.TaskID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.taskLease == 0 || now.Before(g.renewed.Add(g.taskLease)) {
+		return nil
+	}
+	var stopped []ident.TaskID
+	for id, start := range g.running {
+		stopped = append(stopped, id)
+		g.finish(work.Outcome{Task: id, Attempt: start.Attempt, Message: work.LeaseExpiredMessage})
+	}
+	sort.Slice(stopped, func(i, j int) bool { return stopped[i].String() < stopped[j].String() })
+	return stopped
+}
+
+// Drain makes the worker refuse further starts.
+func (g *Grant) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// Epoch returns the highest epoch granted.
+func (g *Grant) Epoch() ident.Epoch {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.epoch
+}
--- /dev/null
+++ b/internal/domain/resource/resource.go
@@ -0,0 +1,84 @@
+// Package resource holds the vector of resources that a task needs and a worker has.
+package resource
+
+import (
+	"fmt"
+
+	"skylarkstall/internal/fault"
+)
+
+// Vector counts resources.
+type Vector struct {
+	MilliCores   int64 `json:"milli_cores"`  // thousandths of a processor core
+	MemoryBytes  int64 `json:"memory_bytes"` // bytes
+	Accelerators int64 `json:"accelerators"` // whole devices
+	Slots        int64 `json:"slots"`        // concurrent tasks
+}
+
+// Add returns v + o.
+func (v Vector) Add(o Vector) Vector {
+	return Vector{
+		v.MilliCores + o.MilliCores, v.MemoryBytes + o.MemoryBytes,
+		v.Accelerators + o.Accelerators, v.Slots + o.Slots,
+	}
+}
+
+// Sub returns v - o, which may be negative.
+func (v Vector) Sub(o Vector) Vector {
+	return Vector{
+		v.MilliCores - o.MilliCores, v.MemoryBytes - o.MemoryBytes,
+		v.Accelerators - o.Accelerators, v.Slots - o.Slots,
+	}
+}
+
+// Scale returns v times n.
+func (v Vector) Scale(n int64) Vector {
+	return Vector{v.MilliCores * n, v.MemoryBytes * n, v.Accelerators * n, v.Slots * n}
+}
+
+// Max returns the larger of v and o in each resource.
+func (v Vector) Max(o Vector) Vector {
+	return Vector{
+		max(v.MilliCores, o.MilliCores), max(v.MemoryBytes, o.MemoryBytes),
+		max(v.Accelerators, o.Accelerators), max(v.Slots, o.Slots),
+	}
+}
+
+// Fits reports whether v is at most o in each resource.
+func (v Vector) Fits(o Vector) bool {
+	return v.MilliCores <= o.MilliCores && v.MemoryBytes <= o.MemoryBytes &&
+		v.Accelerators <= o.Accelerators && v.Slots <= o.Slots
+}
+
+// IsZero reports whether no resource is counted.
+func (v Vector) IsZero() bool { return v == Vector{} }
+
+// DominantShare returns the largest share that v takes of any resource of total, from 0 to 1 where v fits.
+func (v Vector) DominantShare(total Vector) float64 {
+	return max(share(v.MilliCores, total.MilliCores), share(v.MemoryBytes, total.MemoryBytes),
+		share(v.Accelerators, total.Accelerators), share(v.Slots, total.Slots))
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Check refuses negative counts and a size without a slot. The error names the field.
+func (v Vector) Check(field string) error {
+	switch {
+	case v.MilliCores < 0 || v.MemoryBytes < 0 || v.Accelerators < 0:
+		return fault.New(fault.Invalid, "%s: a resource is negative", field)
+	case v.Slots < 1:
+		return fault.New(fault.Invalid, "%s.slots is %d; the least is 1", field, v.Slots)
+	}
+	return nil
+}
+
+// String returns the vector for people.
+func (v Vector) String() string {
+	return fmt.Sprintf("%dm cores, %d MiB, %d accelerators, %d slots",
+		v.MilliCores, v.MemoryBytes>>20, v.Accelerators, v.Slots)
+}
--- /dev/null
+++ b/internal/domain/tenure/tenure.go
@@ -0,0 +1,113 @@
+// Package tenure keeps, for an owner of workers, which home may place tasks of each partition, and which of those tasks
+// the owner holds. It fences a former home without the store: once an owner has told a new home what it holds, it takes
+// nothing more from the former one.
+package tenure
+
+import (
+	"sort"
+	"sync"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/fault"
+)
+
+// Task is an attempt that waits or runs at the owner.
+type Task struct {
+	ID      ident.TaskID
+	Attempt ident.Attempt
+	Worker  ident.WorkerID // empty while the task waits
+}
+
+// Holdings is the aggregate of one owner's homes and held tasks.
+type Holdings struct {
+	mu    sync.Mutex
+	homes [ident.Partitions]ident.HomeEpoch
+	tasks [ident.Partitions]map[ident.TaskID]Task
+}
+
+// New returns holdings without homes or tasks.
+func New() *Holdings {
+	h := &Holdings{}
+	for i := range h.tasks {
+		h.tasks[i] = map[ident.TaskID]Task{}
+	}
+	return h
+}
+
+// Take makes the home the one that may place tasks of the partition, and returns its epoch and the tasks held. When a
+// higher home epoch was seen, it changes nothing and returns only that epoch.
+func (h *Holdings) Take(partition ident.PartitionID, home ident.HomeEpoch) (ident.HomeEpoch, []Task) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if highest := h.homes[partition]; home.Less(highest) {
+		return highest, nil
+	}
+	h.homes[partition] = home
+	tasks := make([]Task, 0, len(h.tasks[partition]))
+	for _, t := range h.tasks[partition] {
+		tasks = append(tasks, t)
+	}
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].ID.String() < tasks[j].ID.String() })
+	return home, tasks
+}
+
+func stale(partition ident.PartitionID, home, highest ident.HomeEpoch) error {
+	return fault.New(fault.StaleEpoch, "partition %d: home epoch %d of %s; %d of %s was seen",
+		partition, home.Counter, home.Process, highest.Counter, highest.Process)
+}
+
+// Admit notes an attempt that a home places. It fails with StaleEpoch for a former home and with Conflict when the task
+// is held already.
+func (h *Holdings) Admit(home ident.HomeEpoch, task ident.TaskID, attempt ident.Attempt) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	partition := task.Work.Partition()
+	if highest := h.homes[partition]; home.Less(highest) {
+		return stale(partition, home, highest)
+	}
+	h.homes[partition] = home
+	if held, ok := h.tasks[partition][task]; ok {
+		return fault.New(fault.Conflict, "%s is held with attempt %d", task, held.Attempt)
+	}
+	h.tasks[partition][task] = Task{ID: task, Attempt: attempt}
+	return nil
+}
+
+// Adopt notes an attempt that a worker's inventory contains.
+func (h *Holdings) Adopt(task ident.TaskID, attempt ident.Attempt, worker ident.WorkerID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tasks[task.Work.Partition()][task] = Task{ID: task, Attempt: attempt, Worker: worker}
+}
+
+// Assign notes the worker of a held attempt.
+func (h *Holdings) Assign(task ident.TaskID, worker ident.WorkerID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	tasks := h.tasks[task.Work.Partition()]
+	if held, ok := tasks[task]; ok {
+		held.Worker = worker
+		tasks[task] = held
+	}
+}
+
+// Drop forgets an attempt that has ended or that the owner no longer speaks for.
+func (h *Holdings) Drop(task ident.TaskID, attempt ident.Attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	tasks := h.tasks[task.Work.Partition()]
+	if held, ok := tasks[task]; ok && held.Attempt == attempt {
+		delete(tasks, task)
+	}
+}
+
+// Count returns the number of tasks held.
+func (h *Holdings) Count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, tasks := range h.tasks {
+		n += len(tasks)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/domain/timeline/timeline.go
@@ -0,0 +1,160 @@
+// Package timeline records events of one process, stamped so that the events of all processes can be put in one order in
+// which a cause comes before its effect.
+package timeline
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+)
+
+// Stamp is a reading of a hybrid logical clock.
+type Stamp struct {
+	Wall    int64  // nanoseconds since the Unix epoch
+	Logical uint32 // orders stamps of the same wall time
+}
+
+// Before reports whether s orders before o.
+func (s Stamp) Before(o Stamp) bool {
+	return s.Wall < o.Wall || s.Wall == o.Wall && s.Logical < o.Logical
+}
+
+// Kind is a kind of event.
+type Kind string
+
+// Kinds of events.
+const (
+	Received           Kind = "received"
+	Queued             Kind = "queued"
+	Placed             Kind = "placed"
+	Started            Kind = "started"
+	Finished           Kind = "finished"
+	Refused            Kind = "refused"
+	Answered           Kind = "answered"
+	CancelRequested    Kind = "cancel requested"
+	Moved              Kind = "moved"
+	Claimed            Kind = "claimed"
+	TakenOver          Kind = "taken over"
+	LeaseLost          Kind = "lease lost"
+	ReleasedLease      Kind = "released"
+	PartitionTaken     Kind = "partition taken over"
+	PartitionLost      Kind = "partition lost"
+	RevisionInForce    Kind = "revision in force"
+	PeerUp             Kind = "peer up"
+	PeerDown           Kind = "peer down"
+	ConnectionReplaced Kind = "connection replaced"
+	DrainStarted       Kind = "drain started"
+	StoreFailed        Kind = "store failed"
+	StoreRecovered     Kind = "store recovered"
+)
+
+// Event is one thing that happened in one process.
+type Event struct {
+	At      Stamp
+	Process ident.ProcessID
+	Kind    Kind
+	Work    ident.WorkID // zero when the event is not about work
+	Task    string       // task index and attempt for people; empty when the event is not about a task
+	Worker  ident.WorkerID
+	Detail  string
+}
+
+// String returns one line for people.
+func (e Event) String() string {
+	line := fmt.Sprintf("%s %-10s %-20s", time.Unix(0, e.At.Wall).UTC().Format("15:04:05.000"), e.Process, e.Kind)
+	if e.Work.Request != "" {
+		line += " " + e.Work.String() + e.Task
+	}
+	if e.Worker != "" {
+		line += " on " + string(e.Worker)
+	}
+	if e.Detail != "" {
+		line += " (" + e.Detail + ")"
+	}
+	return line
+}
+
+// Recorder is the aggregate of one process's clock and ring of events.
+type Recorder struct {
+	mu      sync.Mutex
+	process ident.ProcessID
+	last    Stamp
+	ring    []Event
+	next    int
+	full    bool
+}
+
+// NewRecorder returns a recorder that keeps the last size events, at least 1.
+func NewRecorder(process ident.ProcessID, size int) *Recorder {
+	return &Recorder{process: process, ring: make([]Event, max(size, 1))}
+}
+
+// Now advances the clock and returns a stamp, for a message to a peer.
+func (r *Recorder) Now(now time.Time) Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.advance(now, Stamp{})
+}
+
+// Observe moves the clock past the stamp of a received message.
+func (r *Recorder) Observe(now time.Time, remote Stamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance(now, remote)
+}
+
+func (r *Recorder) advance(now time.Time, remote Stamp) Stamp {
+	next := Stamp{Wall: max(now.UnixNano(), r.last.Wall, remote.Wall)}
+	if next.Wall == r.last.Wall {
+		next.Logical = r.last.Logical + 1
+	}
+	if next.Wall == remote.Wall {
+		next.Logical = max(next.Logical, remote.Logical+1)
+	}
+	r.last = next
+	return next
+}
+
+// Record stamps the event and keeps it in place of the oldest.
+func (r *Recorder) Record(now time.Time, event Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	event.At = r.advance(now, Stamp{})
+	event.Process = r.process
+	r.ring[r.next] = event
+	r.next = (r.next + 1) % len(r.ring)
+	r.full = r.full || r.next == 0
+}
+
+// Filter selects events; zero fields select all.
+type Filter struct {
+	Work   ident.WorkID
+	Worker ident.WorkerID
+	Since  time.Time
+}
+
+// Match reports whether the filter selects the event.
+func (f Filter) Match(e Event) bool {
+	return (f.Work == ident.WorkID{} || f.Work == e.Work) &&
+		(f.Worker == "" || f.Worker == e.Worker) &&
+		(f.Since.IsZero() || e.At.Wall >= f.Since.UnixNano())
+}
+
+// Select returns the kept events that match, oldest first.
+func (r *Recorder) Select(filter Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	start, count := 0, r.next
+	if r.full {
+		start, count = r.next, len(r.ring)
+	}
+	var events []Event
+	for i := range count {
+		if e := r.ring[(start+i)%len(r.ring)]; filter.Match(e) {
+			events = append(events, e)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/internal/domain/work/work.go
@@ -0,0 +1,137 @@
+// Package work holds the value types that describe a task to every aggregate that handles it.
+package work
+
+import (
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/fault"
+)
+
+// Class orders work by how soon it must start.
+type Class uint8
+
+// Classes, most urgent first.
+const (
+	Request  Class = iota // short; the caller waits
+	Gang                  // all tasks at once
+	Batch                 // many independent tasks
+	Standing              // runs for a shift or a season
+	ClassCount
+)
+
+var classNames = [ClassCount]string{"request", "gang", "batch", "standing"}
+
+// String returns the name used in documents.
+func (c Class) String() string {
+	if c >= ClassCount {
+		return "unknown"
+	}
+	return classNames[c]
+}
+
+// ParseClass is the inverse of Class.String. It fails with Invalid.
+func ParseClass(name string) (Class, error) {
+	for i, n := range classNames {
+		if n == name {
+			return Class(i), nil
+		}
+	}
+	return 0, fault.New(fault.Invalid, "class %q: want request, gang, batch or standing", name)
+}
+
+// Spec describes one attempt of a task to the process that places it.
+type Spec struct {
+	ID         ident.TaskID
+	Attempt    ident.Attempt
+	Kind       string // kind of work within the team's document
+	Class      Class
+	Repeatable bool
+	Size       resource.Vector
+	Expected   time.Duration // declared run time; zero when unknown
+	Deadline   time.Time     // latest start for batch, gang and standing; latest answer for requests
+	Payload    []byte
+	Weight     int // the team's share, at least 1
+}
+
+// Outcome is the end of one attempt.
+type Outcome struct {
+	Task    ident.TaskID
+	Attempt ident.Attempt
+	OK      bool
+	Output  []byte
+	Message string // why it failed; empty when OK
+	RunTime time.Duration
+}
+
+// Messages of outcomes that the worker itself decides.
+const (
+	StoppedMessage      = "stopped on request"
+	LeaseExpiredMessage = "stopped: no process renewed the control lease"
+)
+
+// Running is one attempt in a worker's inventory.
+type Running struct {
+	Task    ident.TaskID
+	Attempt ident.Attempt
+	Kind    string
+	Class   Class
+	Size    resource.Vector
+	Started time.Duration // how long ago it started
+}
+
+// Usage is what a worker measured for a running task, with a lag.
+type Usage struct {
+	Task ident.TaskID
+	Used resource.Vector
+}
+
+// Claim asks a worker for its control lease.
+type Claim struct {
+	Process   ident.ProcessID
+	Epoch     ident.Epoch
+	Supersede bool          // membership declared the holder dead
+	Lease     time.Duration // control lease
+	TaskLease time.Duration // tasks stop when no claimant renews for this long
+}
+
+// Inventory is what a worker tells its new claimant. A refusal has only the epoch and the holder.
+type Inventory struct {
+	Epoch    ident.Epoch
+	Holder   ident.ProcessID // holder of the control lease; empty when there is none
+	Capacity resource.Vector
+	Zone     ident.Zone
+	Rack     ident.Rack
+	Running  []Running
+	Outcomes []Outcome // finished and not acknowledged
+	Draining bool
+}
+
+// Sync renews the control lease of a worker.
+type Sync struct {
+	Epoch       ident.Epoch
+	After       uint64         // sequence of the last outcome received; 0 for none
+	Acknowledge []ident.TaskID // outcomes that the worker may forget
+	Wait        time.Duration  // how long to wait for an outcome
+}
+
+// SyncReply is the answer to a Sync.
+type SyncReply struct {
+	Outcomes []Outcome
+	Last     uint64 // sequence of the last outcome returned
+	Draining bool
+	Usage    []Usage
+}
+
+// Start asks a worker to start one attempt of a task.
+type Start struct {
+	Epoch   ident.Epoch
+	Task    ident.TaskID
+	Attempt ident.Attempt
+	Kind    string
+	Class   Class
+	Size    resource.Vector
+	Expiry  time.Duration // the worker refuses the start this long after it was sent
+	Payload []byte
+}
--- /dev/null
+++ b/internal/node/handler.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"skylarkstall/internal/app/entry"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/team"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/port"
+)
+
+// gatherTimeout bounds a call to every process of the cell.
+const gatherTimeout = 2 * time.Second
+
+// HandleExecute implements port.PeerHandler.
+func (n *Node) HandleExecute(ctx context.Context, call port.Execute) (work.Outcome, error) {
+	return n.home.HandleExecute(ctx, call)
+}
+
+// HandlePlace implements port.PeerHandler.
+func (n *Node) HandlePlace(ctx context.Context, call port.Place) (work.Outcome, error) {
+	return n.owner.HandlePlace(ctx, call)
+}
+
+// HandleTakeHome implements port.PeerHandler.
+func (n *Node) HandleTakeHome(ctx context.Context, call port.TakeHome) (port.Held, error) {
+	return n.owner.HandleTakeHome(ctx, call)
+}
+
+// HandleReport implements port.PeerHandler.
+func (n *Node) HandleReport(ctx context.Context, call port.Report) error {
+	return n.home.HandleReport(ctx, call)
+}
+
+// HandleCancel implements port.PeerHandler.
+func (n *Node) HandleCancel(ctx context.Context, task ident.TaskID) (bool, error) {
+	return n.owner.HandleCancel(ctx, task)
+}
+
+// HandleSettle implements port.PeerHandler.
+func (n *Node) HandleSettle(_ context.Context, _ []ident.TaskID) error { return nil }
+
+// HandleDocuments implements port.PeerHandler.
+func (n *Node) HandleDocuments(ctx context.Context, after ident.Revision) (port.Documents, error) {
+	return n.config.HandleDocuments(ctx, after)
+}
+
+// HandleEvents implements port.PeerHandler.
+func (n *Node) HandleEvents(_ context.Context, filter timeline.Filter) ([]timeline.Event, error) {
+	return n.recorder.Select(filter), nil
+}
+
+// HandleStatus implements port.PeerHandler.
+func (n *Node) HandleStatus(context.Context) (port.Status, error) {
+	now := time.Now()
+	return port.Status{
+		Heartbeat: n.peers.Heartbeat(now), Ready: n.Ready() == nil, Started: n.started,
+		Partitions: n.home.Partitions(), Workers: n.owner.Status(now),
+	}, nil
+}
+
+// RunRequest implements callerhttp.API.
+func (n *Node) RunRequest(ctx context.Context, request entry.Request) (work.Outcome, error) {
+	return n.entry.Run(ctx, request)
+}
+
+// Authorize implements callerhttp.API.
+func (n *Node) Authorize(id ident.TeamID, token string) (team.Stored, error) {
+	return n.catalog.Authorize(id, token)
+}
+
+// Apply implements callerhttp.API.
+func (n *Node) Apply(
+	ctx context.Context, id ident.TeamID, source []byte, expect ident.Revision,
+) (ident.Revision, error) {
+	return n.config.Apply(ctx, id, source, expect)
+}
+
+// Cell returns the status of each live process, and those that did not answer.
+func (n *Node) Cell(ctx context.Context) ([]port.Status, []ident.ProcessID) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	return gather(n.listed(), func(id ident.ProcessID) (port.Status, error) { return n.calls.Status(ctx, id) })
+}
+
+// Events returns the events of every process in one order, and the processes that did not answer.
+func (n *Node) Events(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.ProcessID) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	parts, silent := gather(n.listed(), func(id ident.ProcessID) ([]timeline.Event, error) {
+		return n.calls.Events(ctx, id, filter)
+	})
+	var events []timeline.Event
+	for _, part := range parts {
+		events = append(events, part...)
+	}
+	sort.SliceStable(events, func(i, j int) bool { return events[i].At.Before(events[j].At) })
+	return events, silent
+}
+
+// listed returns this process and every entry process of the VM list.
+func (n *Node) listed() []ident.ProcessID {
+	ids := []ident.ProcessID{n.settings.ID}
+	for _, vm := range n.dir.VMs(port.RoleEntry) {
+		if id := ident.ProcessID(vm.ID); id != n.settings.ID {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// gather asks every process at once.
+func gather[T any](ids []ident.ProcessID, ask func(ident.ProcessID) (T, error)) (answers []T, silent []ident.ProcessID) {
+	type answer struct {
+		value T
+		err   error
+	}
+	channels := make([]chan answer, len(ids))
+	for i, id := range ids {
+		channels[i] = make(chan answer, 1)
+		go func() {
+			value, err := ask(id)
+			channels[i] <- answer{value, err}
+		}()
+	}
+	for i, id := range ids {
+		if a := <-channels[i]; a.err == nil {
+			answers = append(answers, a.value)
+		} else {
+			silent = append(silent, id)
+		}
+	}
+	return answers, silent
+}
+
+// localPeers answers calls to this process without a connection.
+type localPeers struct {
+	port.Peers
+	self    ident.ProcessID
+	handler port.PeerHandler
+}
+
+// Execute implements port.Peers.
+func (l *localPeers) Execute(ctx context.Context, to ident.ProcessID, call port.Execute) (work.Outcome, error) {
+	if to == l.self {
+		return l.handler.HandleExecute(ctx, call)
+	}
+	return l.Peers.Execute(ctx, to, call)
+}
+
+// Place implements port.Peers.
+func (l *localPeers) Place(ctx context.Context, to ident.ProcessID, call port.Place) (work.Outcome, error) {
+	if to == l.self {
+		return l.handler.HandlePlace(ctx, call)
+	}
+	return l.Peers.Place(ctx, to, call)
+}
+
+// TakeHome implements port.Peers.
+func (l *localPeers) TakeHome(ctx context.Context, to ident.ProcessID, call port.TakeHome) (port.Held, error) {
+	if to == l.self {
+		return l.handler.HandleTakeHome(ctx, call)
+	}
+	return l.Peers.TakeHome(ctx, to, call)
+}
+
+// Report implements port.Peers.
+func (l *localPeers) Report(ctx context.Context, to ident.ProcessID, call port.Report) error {
+	if to == l.self {
+		return l.handler.HandleReport(ctx, call)
+	}
+	return l.Peers.Report(ctx, to, call)
+}
+
+// Cancel implements port.Peers.
+func (l *localPeers) Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error) {
+	if to == l.self {
+		return l.handler.HandleCancel(ctx, task)
+	}
+	return l.Peers.Cancel(ctx, to, task)
+}
+
+// Settle implements port.Peers.
+func (l *localPeers) Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error {
+	if to == l.self {
+		return l.handler.HandleSettle(ctx, tasks)
+	}
+	return l.Peers.Settle(ctx, to, tasks)
+}
+
+// Events implements port.Peers.
+func (l *localPeers) Events(
+	ctx context.Context, to ident.ProcessID, filter timeline.Filter,
+) ([]timeline.Event, error) {
+	if to == l.self {
+		return l.handler.HandleEvents(ctx, filter)
+	}
+	return l.Peers.Events(ctx, to, filter)
+}
+
+// Status implements port.Peers.
+func (l *localPeers) Status(ctx context.Context, to ident.ProcessID) (port.Status, error) {
+	if to == l.self {
+		return l.handler.HandleStatus(ctx)
+	}
+	return l.Peers.Status(ctx, to)
+}
--- /dev/null
+++ b/internal/port/peer.go
@@ -0,0 +1,118 @@
+package port
+
+import (
+	"context"
+	"time"
+
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+)
+
+// Execute asks the home of a request id to run the request and return its outcome.
+type Execute struct {
+	Spec   work.Spec
+	Digest uint64 // of the caller's content, to tell a retry from a reused id
+}
+
+// Place asks an owner to run one attempt on one of its workers and to return its outcome.
+type Place struct {
+	Attach    bool // only wait for an attempt that the owner holds; NotFound when it holds none
+	Partition ident.PartitionID
+	Home      ident.HomeEpoch
+	Spec      work.Spec
+}
+
+// TakeHome tells an owner that the sender is the home of a partition from now on.
+type TakeHome struct {
+	Partition ident.PartitionID
+	Home      ident.HomeEpoch
+}
+
+// Held is what an owner knows of a partition. It is empty but for Highest when the owner has seen a higher home epoch
+// than the caller's.
+type Held struct {
+	Highest     ident.HomeEpoch
+	Tasks       []HeldTask
+	Workers     []ident.WorkerID // owned by the process
+	Unreachable []ident.WorkerID // not reached by the process for the task lease bound
+}
+
+// HeldTask is an attempt that waits or runs at an owner.
+type HeldTask struct {
+	Task    ident.TaskID
+	Attempt ident.Attempt
+	Worker  ident.WorkerID // empty while the task waits
+}
+
+// Report tells a home of an attempt that no call of the home waits for.
+type Report struct {
+	Process ident.ProcessID
+	Running []HeldTask
+	Ended   []work.Outcome
+}
+
+// Heartbeat is what processes tell each other every second.
+type Heartbeat struct {
+	Peer   membership.Peer
+	Digest fleet.Digest
+}
+
+// Document is a team's document as the store holds it.
+type Document struct {
+	Key      string
+	Source   []byte
+	Revision ident.Revision
+}
+
+// Documents is the answer to a request for documents.
+type Documents struct {
+	Documents []Document
+	Revision  ident.Revision // the store's revision up to which the sender is current
+}
+
+// Status is one process's part of the cell report.
+type Status struct {
+	Heartbeat  Heartbeat
+	Ready      bool
+	Started    time.Time
+	Partitions []ident.PartitionID
+	Workers    []WorkerStatus
+}
+
+// WorkerStatus is a worker in a cell report.
+type WorkerStatus struct {
+	Row     fleet.Row
+	Epoch   ident.Epoch
+	Running int
+	Usable  bool
+}
+
+// Peers calls other processes of the cell. Calls fail with Unavailable when nothing was sent and with Interrupted
+// when a call broke off; otherwise with the error that the peer returned.
+type Peers interface {
+	Execute(ctx context.Context, to ident.ProcessID, call Execute) (work.Outcome, error)
+	Place(ctx context.Context, to ident.ProcessID, call Place) (work.Outcome, error)
+	TakeHome(ctx context.Context, to ident.ProcessID, call TakeHome) (Held, error)
+	Report(ctx context.Context, to ident.ProcessID, call Report) error
+	Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error)
+	Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error
+	Documents(ctx context.Context, to ident.ProcessID, after ident.Revision) (Documents, error)
+	Events(ctx context.Context, to ident.ProcessID, filter timeline.Filter) ([]timeline.Event, error)
+	Status(ctx context.Context, to ident.ProcessID) (Status, error)
+}
+
+// PeerHandler answers the calls of other processes.
+type PeerHandler interface {
+	HandleExecute(ctx context.Context, call Execute) (work.Outcome, error)
+	HandlePlace(ctx context.Context, call Place) (work.Outcome, error)
+	HandleTakeHome(ctx context.Context, call TakeHome) (Held, error)
+	HandleReport(ctx context.Context, call Report) error
+	HandleCancel(ctx context.Context, task ident.TaskID) (bool, error)
+	HandleSettle(ctx context.Context, tasks []ident.TaskID) error
+	HandleDocuments(ctx context.Context, after ident.Revision) (Documents, error)
+	HandleEvents(ctx context.Context, filter timeline.Filter) ([]timeline.Event, error)
+	HandleStatus(ctx context.Context) (Status, error)
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,306 @@
+// Package store is a stand-in for the platform's key-value service, with faults on command and a count of its calls.
+package store
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/adapter/storehttp"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/notify"
+)
+
+// MaxValue is the largest value in bytes.
+const MaxValue = 1 << 20
+
+// Faults is how the stand-in misbehaves.
+type Faults struct {
+	Down       bool          // every call fails without effect
+	Slow       time.Duration // added to every call
+	LoseAnswer bool          // writes take effect and then fail
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type item struct {
+	storehttp.Entry
+	lease uint64
+}
+
+// Store is a stand-in that listens for calls.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []storehttp.Entry // every change, in revision order
+	leases   map[uint64]lease
+	faults   Faults
+	calls    map[string]int
+	changed  notify.Broadcast
+	ctx      context.Context
+	cancel   context.CancelFunc
+	server   *http.Server
+	listener net.Listener
+}
+
+// Start returns an empty stand-in that listens on the address.
+func Start(address string) (*Store, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.As(fault.Unavailable, err, "listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Store{
+		items: map[string]item{}, leases: map[uint64]lease{}, calls: map[string]int{},
+		ctx: ctx, cancel: cancel, listener: listener,
+	}
+	s.server = httpjson.NewServer(s.routes())
+	go func() { _ = s.server.Serve(listener) }() // returns when the server is closed
+	return s, nil
+}
+
+// Address returns host:port.
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// Close ends the stand-in.
+func (s *Store) Close() {
+	s.cancel()
+	_ = s.server.Close() // nothing to do about a failed close
+}
+
+// SetFaults changes how the stand-in misbehaves.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	s.faults = faults
+	s.mu.Unlock()
+	s.changed.Signal()
+}
+
+// Calls returns the calls counted so far, by path.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for path, n := range s.calls {
+		calls[path] = n
+	}
+	return calls
+}
+
+type handler func(context.Context, storehttp.Call) (storehttp.Reply, error)
+
+func (s *Store) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+storehttp.PathGet, s.serve(s.get))
+	mux.HandleFunc("POST "+storehttp.PathPut, s.serve(s.put))
+	mux.HandleFunc("POST "+storehttp.PathDelete, s.serve(s.remove))
+	mux.HandleFunc("POST "+storehttp.PathList, s.serve(s.list))
+	mux.HandleFunc("POST "+storehttp.PathWatch, s.serve(s.watch))
+	mux.HandleFunc("POST "+storehttp.PathGrant, s.serve(s.grant))
+	mux.HandleFunc("POST "+storehttp.PathKeepAlive, s.serve(s.keepAlive))
+	return mux
+}
+
+func (s *Store) serve(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		faults := s.count(r.URL.Path)
+		if !sleep(r.Context(), faults.Slow) {
+			return
+		}
+		if faults.Down {
+			httpjson.WriteError(w, fault.New(fault.StoreUnavailable, "the store is down"))
+			return
+		}
+		var call storehttp.Call
+		if err := httpjson.Read(w, r, &call); err != nil {
+			httpjson.WriteError(w, err)
+			return
+		}
+		reply, err := h(r.Context(), call)
+		if err == nil && faults.LoseAnswer && isWrite(r.URL.Path) {
+			err = fault.New(fault.StoreUnavailable, "the answer was lost")
+		}
+		if err != nil {
+			httpjson.WriteError(w, err)
+			return
+		}
+		httpjson.Write(w, reply)
+	}
+}
+
+func isWrite(path string) bool {
+	return path == storehttp.PathPut || path == storehttp.PathDelete
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Store) count(path string) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[path]++
+	s.expireLeases(time.Now())
+	return s.faults
+}
+
+func (s *Store) expireLeases(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, it := range s.items {
+			if it.lease == id {
+				s.change(key, nil, 0)
+			}
+		}
+	}
+}
+
+// change applies a write and appends it to the history. The caller holds the lock.
+func (s *Store) change(key string, value []byte, leaseID uint64) uint64 {
+	s.revision++
+	entry := storehttp.Entry{Key: key, Value: value, Revision: s.revision}
+	if value == nil {
+		delete(s.items, key)
+	} else {
+		s.items[key] = item{entry, leaseID}
+	}
+	s.history = append(s.history, entry)
+	s.changed.Signal()
+	return s.revision
+}
+
+func (s *Store) get(_ context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[call.Key]
+	if !ok {
+		return storehttp.Reply{}, fault.New(fault.NotFound, "key %s is absent", call.Key)
+	}
+	return storehttp.Reply{Entries: []storehttp.Entry{it.Entry}, Revision: s.revision}, nil
+}
+
+func (s *Store) put(_ context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(call.Value) > MaxValue {
+		return storehttp.Reply{}, fault.New(fault.TooLarge, "the value is over %d bytes", MaxValue)
+	}
+	if revision := s.items[call.Key].Revision; revision != call.Expect {
+		return storehttp.Reply{}, fault.New(fault.Conflict, "key %s has revision %d, not %d",
+			call.Key, revision, call.Expect)
+	}
+	if _, ok := s.leases[call.Lease]; call.Lease != 0 && !ok {
+		return storehttp.Reply{}, fault.New(fault.NotFound, "lease %d has lapsed", call.Lease)
+	}
+	value := call.Value
+	if value == nil {
+		value = []byte{}
+	}
+	return storehttp.Reply{Revision: s.change(call.Key, value, call.Lease)}, nil
+}
+
+func (s *Store) remove(_ context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[call.Key]
+	if !ok {
+		return storehttp.Reply{}, fault.New(fault.NotFound, "key %s is absent", call.Key)
+	}
+	if it.Revision != call.Expect {
+		return storehttp.Reply{}, fault.New(fault.Conflict, "key %s has revision %d, not %d",
+			call.Key, it.Revision, call.Expect)
+	}
+	return storehttp.Reply{Revision: s.change(call.Key, nil, 0)}, nil
+}
+
+func (s *Store) list(_ context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := storehttp.Reply{Revision: s.revision}
+	for key, it := range s.items {
+		if strings.HasPrefix(key, call.Prefix) {
+			reply.Entries = append(reply.Entries, it.Entry)
+		}
+	}
+	sort.Slice(reply.Entries, func(i, j int) bool { return reply.Entries[i].Key < reply.Entries[j].Key })
+	return reply, nil
+}
+
+func (s *Store) watch(ctx context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.TTLMS)*time.Millisecond)
+	defer cancel()
+	for {
+		changed := s.changed.Changed()
+		reply, down := s.since(call)
+		switch {
+		case down:
+			return storehttp.Reply{}, fault.New(fault.StoreUnavailable, "the store is down")
+		case len(reply.Entries) > 0:
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return reply, nil
+		case <-s.ctx.Done():
+			return storehttp.Reply{}, fault.New(fault.StoreUnavailable, "the store is closing")
+		}
+	}
+}
+
+func (s *Store) since(call storehttp.Call) (storehttp.Reply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := storehttp.Reply{Revision: s.revision}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > call.After })
+	for _, e := range s.history[first:] {
+		if strings.HasPrefix(e.Key, call.Prefix) {
+			reply.Entries = append(reply.Entries, e)
+		}
+	}
+	return reply, s.faults.Down
+}
+
+func (s *Store) grant(_ context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ttl := time.Duration(call.TTLMS) * time.Millisecond
+	id := uint64(len(s.leases)) + s.revision + 1
+	s.revision++
+	s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return storehttp.Reply{Lease: id}, nil
+}
+
+func (s *Store) keepAlive(_ context.Context, call storehttp.Call) (storehttp.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[call.Lease]
+	if !ok {
+		return storehttp.Reply{}, fault.New(fault.NotFound, "lease %d has lapsed", call.Lease)
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[call.Lease] = l
+	return storehttp.Reply{}, nil
+}
