--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -30,6 +30,7 @@
 	Digest    func(time.Time) fleet.Digest
 	Dir       *directory.Directory
 	Peers     port.Peers
+	Journal   Journal
 	Recorder  *timeline.Recorder
 	Log       *slog.Logger
 	LostAfter time.Duration // when an attempt that nobody holds has certainly ended: the task lease bound
--- /dev/null
+++ b/internal/app/home/journal.go
@@ -0,0 +1,29 @@
+package home
+
+import (
+	"context"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/journal"
+	"skylarkstall/internal/fault"
+)
+
+// Journal makes records last.
+type Journal interface {
+	// Append returns once the records are stored. It fails with StoreUnavailable when they certainly are not, with
+	// StaleEpoch when another home writes the partition's journal, and with Interrupted when it could not find out.
+	Append(ctx context.Context, partition ident.PartitionID, records ...journal.Record) error
+	// Take makes this process the writer of the partition's journal and returns the records that have not expired.
+	Take(ctx context.Context, partition ident.PartitionID) ([]journal.Record, error)
+}
+
+// NoJournal refuses every append.
+type NoJournal struct{}
+
+// Append implements Journal.
+func (NoJournal) Append(context.Context, ident.PartitionID, ...journal.Record) error {
+	return fault.New(fault.StoreUnavailable, "there is no journal")
+}
+
+// Take implements Journal.
+func (NoJournal) Take(context.Context, ident.PartitionID) ([]journal.Record, error) { return nil, nil }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
 		Beats: n.peers.Heartbeats, Digest: n.owner.Digest, Dir: n.dir, Peers: n.calls, Recorder: n.recorder, Log: n.log,
-		LostAfter: owner.TaskLeaseBound,
+		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: storehttp.New(n.settings.StoreAddress), Peers: n.calls, Beats: n.peers.Heartbeats,
