--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -67,6 +68,7 @@
 			if err != nil {
 				return err
 			}
+			fmt.Fprintf(a.out, "callers reach %s, peers reach %s\n", n.CallerAddress(), n.PeerAddress())
 			return n.Run(ctx)
 		},
 	}
