--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,9 +34,9 @@
 	}
 }
 
-// announce prints the address that a stand-in listens on and waits for the end.
-func (a *app) announce(ctx context.Context, address string) {
-	fmt.Fprintf(a.out, "listening on %s\n", address)
+// announce prints the addresses that stand-ins listen on and waits for the end.
+func (a *app) announce(ctx context.Context, addresses ...string) {
+	fmt.Fprintf(a.out, "listening on %s\n", strings.Join(addresses, " "))
 	<-ctx.Done()
 }
 
@@ -121,21 +122,27 @@
 	accelerators := fs.Int64("accelerators", 0, "accelerators")
 	slots := fs.Int64("slots", 8, "tasks at once")
 	failAll := fs.Bool("fail-all", false, "fail every task")
+	count := fs.Int("count", 1, "workers in this process; with more than one, let --address have the port 0")
 	return &ffcli.Command{
 		Name: "worker", ShortUsage: "skylarkstall standin worker [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "A worker whose tasks only wait; prints a line at each start and end.",
 		Exec: func(ctx context.Context, _ []string) error {
-			w, err := worker.Start(*address, worker.Settings{
+			settings := worker.Settings{
 				Capacity: resource.Vector{
 					MilliCores: *cores * 1000, MemoryBytes: *memory << 30, Accelerators: *accelerators, Slots: *slots,
 				},
 				Zone: ident.Zone(*zone), Rack: ident.Rack(*rack), FailAll: *failAll,
-			}, a.printObservation())
-			if err != nil {
-				return err
 			}
-			defer w.Close()
-			a.announce(ctx, w.Address())
+			var addresses []string
+			for range *count {
+				w, err := worker.Start(*address, settings, a.printObservation())
+				if err != nil {
+					return err
+				}
+				defer w.Close()
+				addresses = append(addresses, w.Address())
+			}
+			a.announce(ctx, addresses...)
 			return nil
 		},
 	}
--- a/internal/processtest/cell_test.go
+++ b/internal/processtest/cell_test.go
@@ -92,6 +92,13 @@
 	_ = p.cmd.Wait()
 }
 
+// close ends the entry processes before the cell's test ends, so that they use nothing while the next cell is measured.
+func (c *cell) close() {
+	for _, p := range append(c.entries, c.workers...) {
+		p.kill()
+	}
+}
+
 func (p *process) output() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,6 +119,7 @@
 	vmList  string
 	file    string
 	rows    []vmlisthttp.VM
+	caller  *callerhttp.Client // one connection to the first entry process, for measurements
 }
 
 func startCell(ctx context.Context, t *testing.T, entries, workers int) *cell {
