Hold membership to its rules under pauses, restarts and a lagging VM list

Cause: heartbeats 10 s apart counted as "in a row", because a dead peer's row was reset only when a live peer expired. A process that had been paused took its own pause for the death of its peers and would have taken over every partition. A late heartbeat of a former incarnation replaced that of the running one. A live peer that left the lagging VM list lost its connection, and a dead one stayed in memory for ever.

Change: a missed heartbeat begins the row anew and heartbeats that arrive together count once; a restart before a peer counts as dead moves nothing, and a dead peer needs 3 heartbeats also with a new incarnation. A process whose timer is over 1 s late gives peers the whole time to be heard again; after a pause of 2 s or more it is no candidate in its own view until 3 heartbeats were exchanged. Peers named in settings are dialed beside those of the VM list. Dead peers that are not listed are forgotten.

Before and after: with the check of the late timer taken out, TestLateTimer fails ("after a pause: peer alive false, renewing false; want both"). With both in place the tests of membership, peering and devcell pass with the race detector.

--- a/internal/app/peering/peering.go
+++ b/internal/app/peering/peering.go
@@ -13,6 +13,7 @@
 	"skylarkstall/internal/domain/membership"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/notify"
+	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
 )
 
@@ -25,6 +26,7 @@
 type Service struct {
 	members  *membership.Membership
 	dir      *directory.Directory
+	seeds    []port.VM // processes named in settings
 	recorder *timeline.Recorder
 	log      *slog.Logger
 	revision func() ident.Revision
@@ -37,13 +39,13 @@
 	digests map[ident.ProcessID]port.Heartbeat
 }
 
-// New returns a service. revision and digest tell what heartbeats carry.
+// New returns a service. seeds are processes named in settings; revision and digest tell what heartbeats carry.
 func New(
-	members *membership.Membership, dir *directory.Directory, recorder *timeline.Recorder, log *slog.Logger,
+	members *membership.Membership, dir *directory.Directory, seeds []port.VM, recorder *timeline.Recorder, log *slog.Logger,
 	revision func() ident.Revision, digest func(time.Time) fleet.Digest,
 ) *Service {
 	return &Service{
-		members: members, dir: dir, recorder: recorder, log: log, revision: revision, digest: digest,
+		members: members, dir: dir, seeds: seeds, recorder: recorder, log: log, revision: revision, digest: digest,
 		digests: map[ident.ProcessID]port.Heartbeat{},
 	}
 }
@@ -57,10 +59,15 @@
 
 // HeartbeatReceived notes what a peer tells.
 func (s *Service) HeartbeatReceived(now time.Time, beat port.Heartbeat) {
+	change := s.members.Heartbeat(now, beat.Peer)
+	if change.Stale {
+		s.log.Info("heartbeat of a former incarnation ignored", "peer", beat.Peer.ID)
+		return
+	}
 	s.mu.Lock()
 	s.digests[beat.Peer.ID] = beat
 	s.mu.Unlock()
-	s.announce(now, s.members.Heartbeat(now, beat.Peer))
+	s.announce(now, change)
 	s.beats.Signal()
 }
 
@@ -69,6 +76,10 @@
 		s.log.Info("peer is alive", "peer", id)
 		s.recorder.Record(now, timeline.Event{Kind: timeline.PeerUp, Detail: string(id)})
 	}
+	for _, id := range change.Restarted {
+		s.log.Warn("peer restarted", "peer", id)
+		s.recorder.Record(now, timeline.Event{Kind: timeline.PeerUp, Detail: string(id) + " restarted"})
+	}
 	for _, id := range change.Down {
 		s.log.Warn("peer is dead or draining", "peer", id)
 		s.recorder.Record(now, timeline.Event{Kind: timeline.PeerDown, Detail: string(id)})
@@ -103,63 +114,101 @@
 	return beats
 }
 
-// Run marks silent peers dead until the context ends.
+// Times of the process's own timer.
+const (
+	tick       = 500 * time.Millisecond
+	pauseLimit = time.Second // a timer that is later than this means that the process was paused
+)
+
+// Run marks silent peers dead until the context ends. When its own timer is late, it first gives peers the time to be
+// heard again: what the process missed while it was paused is no evidence against them.
 func (s *Service) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		arrived := s.beats.Changed()
-		next, ok := s.members.NextExpiry()
-		if !ok {
-			select {
-			case <-arrived:
-			case <-ctx.Done():
-			}
-			continue
+		due := time.Now().Add(tick)
+		if next, ok := s.members.NextExpiry(); ok && next.Before(due) {
+			due = next
 		}
-		timer := time.NewTimer(time.Until(next))
-		select {
-		case <-timer.C:
-			now := time.Now()
-			s.announce(now, s.members.Expire(now))
-		case <-ctx.Done():
+		pause.For(ctx, time.Until(due))
+		s.wake(time.Now(), due)
+	}
+}
+
+// wake acts on the timer that was due.
+func (s *Service) wake(now, due time.Time) {
+	if late := now.Sub(due); late > pauseLimit {
+		s.log.Warn("the process was paused; it renews before it acts", "paused", late)
+		s.recorder.Record(now, timeline.Event{Kind: timeline.Paused, Detail: late.Round(time.Millisecond).String()})
+		s.announce(now, s.members.Resumed(now, late))
+	}
+	s.announce(now, s.members.Expire(now))
+	for _, id := range s.members.Forget(s.listed) {
+		s.mu.Lock()
+		delete(s.digests, id)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Service) listed(id ident.ProcessID) bool {
+	for _, vm := range s.candidates() {
+		if vm.ID == string(id) {
+			return true
 		}
-		timer.Stop()
 	}
+	return false
 }
 
-// RunConnections keeps one goroutine for each peer that this process dials: those with a higher id.
+// candidates returns the entry processes of the VM list and, for ids that it does not have, of the settings.
+func (s *Service) candidates() []port.VM {
+	vms := s.dir.VMs(port.RoleEntry)
+	known := map[string]bool{}
+	for _, vm := range vms {
+		known[vm.ID] = true
+	}
+	for _, vm := range s.seeds {
+		if !known[vm.ID] {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// dialed is a peer that this process keeps a connection to.
+type dialed struct {
+	address string
+	cancel  context.CancelFunc
+}
+
+// RunConnections keeps one goroutine for each peer that this process dials: those with a higher id. A peer that leaves
+// the VM list keeps its connection while it is alive, because the list lags and does not tell when a VM stopped.
 func (s *Service) RunConnections(ctx context.Context, connector Connector) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	type dialed struct {
-		address string
-		cancel  context.CancelFunc
-	}
-	peers := map[string]dialed{}
+	peers := map[ident.ProcessID]dialed{}
 	for ctx.Err() == nil {
-		changed := s.dir.Changed()
-		current := map[string]bool{}
-		for _, vm := range s.dir.VMs(port.RoleEntry) {
-			if ident.ProcessID(vm.ID) <= s.members.Self().ID {
+		changed, live := s.dir.Changed(), s.live.Changed()
+		current := map[ident.ProcessID]bool{}
+		for _, vm := range s.candidates() {
+			id := ident.ProcessID(vm.ID)
+			current[id] = true
+			if id <= s.members.Self().ID || peers[id].address == vm.Address {
 				continue
 			}
-			current[vm.ID] = true
-			if known, ok := peers[vm.ID]; ok && known.address == vm.Address {
-				continue
-			} else if ok {
-				known.cancel()
+			if old, ok := peers[id]; ok {
+				old.cancel()
 			}
 			peerCtx, cancel := context.WithCancel(ctx)
-			peers[vm.ID] = dialed{vm.Address, cancel}
-			running.Go(func() { connector.Connect(peerCtx, ident.ProcessID(vm.ID), vm.Address) })
+			peers[id] = dialed{vm.Address, cancel}
+			running.Go(func() { connector.Connect(peerCtx, id, vm.Address) })
 		}
 		for id, p := range peers {
-			if !current[id] {
+			if !current[id] && !s.members.Alive(id) {
 				p.cancel()
 				delete(peers, id)
 			}
 		}
 		select {
 		case <-changed:
+		case <-live:
 		case <-ctx.Done():
 		}
 	}
--- /dev/null
+++ b/internal/app/peering/peering_test.go
@@ -0,0 +1,97 @@
+package peering
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkstall/internal/app/directory"
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/port"
+)
+
+// list is a VM list that the test changes.
+type list struct{ vms atomic.Pointer[[]port.VM] }
+
+func (l *list) List(context.Context) ([]port.VM, error) { return *l.vms.Load(), nil }
+
+func (l *list) set(vms ...port.VM) { l.vms.Store(&vms) }
+
+// connector notes which connection is kept.
+type connector struct{ address atomic.Value }
+
+func (c *connector) Connect(ctx context.Context, _ ident.ProcessID, address string) {
+	c.address.Store(address)
+	<-ctx.Done()
+	c.address.CompareAndSwap(address, "")
+}
+
+func newService(vms port.VMList, seeds ...port.VM) (*Service, *directory.Directory) {
+	log := slog.New(slog.DiscardHandler)
+	dir := directory.New(vms, log)
+	members := membership.New(membership.Peer{ID: "a"}, membership.Settings{
+		Interval: time.Second, DeadAfter: 3 * time.Second, Rejoin: 3,
+	})
+	return New(members, dir, seeds, timeline.NewRecorder("a", 100), log,
+		func() ident.Revision { return 0 }, func(time.Time) fleet.Digest { return fleet.Digest{} }), dir
+}
+
+// TestLateTimer guards against a process that takes its own pause for the death of all its peers.
+func TestLateTimer(t *testing.T) {
+	s, _ := newService(&list{})
+	start := time.Unix(100, 0)
+	s.HeartbeatReceived(start, port.Heartbeat{Peer: membership.Peer{ID: "b"}})
+	s.wake(start.Add(10*time.Second), start.Add(500*time.Millisecond))
+	if !s.members.Alive("b") || !s.members.Renewing() {
+		t.Errorf("after a pause: peer alive %v, renewing %v; want both", s.members.Alive("b"), s.members.Renewing())
+	}
+	s.wake(start.Add(13*time.Second), start.Add(13*time.Second))
+	if s.members.Alive("b") {
+		t.Error("a peer that stays silent after the pause is alive")
+	}
+}
+
+// TestConnections guards the set of connections: a peer that moves is dialed at its new address, a live peer that leaves
+// the VM list keeps its connection until it is silent, and a seed is dialed without the VM list.
+func TestConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := &list{}
+		vms.set(port.VM{ID: "b", Role: port.RoleEntry, Address: "first"})
+		s, dir := newService(vms, port.VM{ID: "c", Role: port.RoleEntry, Address: "seed"})
+		ctx, cancel := context.WithCancel(t.Context())
+		byPeer := map[ident.ProcessID]*connector{"b": {}, "c": {}}
+		go dir.Run(ctx)
+		go s.Run(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); s.RunConnections(ctx, connectors(byPeer)) }()
+		expect := func(after time.Duration, peer ident.ProcessID, want string) {
+			t.Helper()
+			time.Sleep(after)
+			if got, _ := byPeer[peer].address.Load().(string); got != want {
+				t.Errorf("connection to %s is to %q; want %q", peer, got, want)
+			}
+		}
+		expect(time.Second, "b", "first")
+		expect(0, "c", "seed")
+		vms.set(port.VM{ID: "b", Role: port.RoleEntry, Address: "second"})
+		expect(3*time.Second, "b", "second")
+		s.HeartbeatReceived(time.Now(), port.Heartbeat{Peer: membership.Peer{ID: "b"}})
+		vms.set()
+		expect(2500*time.Millisecond, "b", "second")
+		expect(3*time.Second, "b", "")
+		cancel()
+		<-done
+	})
+}
+
+type connectors map[ident.ProcessID]*connector
+
+func (c connectors) Connect(ctx context.Context, peer ident.ProcessID, address string) {
+	c[peer].Connect(ctx, peer, address)
+}
--- a/internal/domain/membership/membership.go
+++ b/internal/domain/membership/membership.go
@@ -15,10 +15,14 @@
 
 // Settings are the times of failure detection.
 type Settings struct {
+	Interval  time.Duration // between heartbeats of a peer
 	DeadAfter time.Duration // a peer without a heartbeat for this long is dead
 	Rejoin    int           // heartbeats in a row after which a dead peer is alive again
 }
 
+// maxGap is how many intervals may pass between two heartbeats in a row: more means that one was missed.
+const maxGap = 2
+
 // Peer is what a heartbeat tells of a process.
 type Peer struct {
 	ID          ident.ProcessID
@@ -34,13 +38,16 @@
 	self     Peer
 	settings Settings
 	peers    map[ident.ProcessID]*member
+	renewing bool // the process was paused for so long that its peers may count it as dead
 }
 
 type member struct {
 	Peer
-	last  time.Time
-	row   int // heartbeats in a row
-	alive bool
+	last    time.Time // last heartbeat, or the end of the process's own pause
+	counted time.Time // last heartbeat that counts for the row
+	row     int       // heartbeats in a row, none missed
+	renewed int       // heartbeats since the process's own pause
+	alive   bool
 }
 
 // New returns a view with only the process itself.
@@ -50,28 +57,91 @@
 
 // Change is what a heartbeat or the passing of time did to the set of live processes.
 type Change struct {
-	Up   []ident.ProcessID
-	Down []ident.ProcessID
+	Up        []ident.ProcessID
+	Down      []ident.ProcessID
+	Restarted []ident.ProcessID // alive before and after, with a new incarnation: what it held is lost
+	Self      bool              // the process itself became a candidate again, or stopped being one
+	Stale     bool              // the heartbeat is of a former incarnation and was ignored
 }
 
-// Changed reports whether the set of live processes changed.
-func (c Change) Changed() bool { return len(c.Up)+len(c.Down) > 0 }
+// Changed reports whether the choice of homes and owners, or what a live process holds, may have changed.
+func (c Change) Changed() bool { return len(c.Up)+len(c.Down)+len(c.Restarted) > 0 || c.Self }
 
-// Heartbeat notes a heartbeat. A new peer or a new incarnation is alive at once; a peer that was dead needs several in a
-// row, so that a process that pauses often does not make ownership flap.
+// Heartbeat notes a heartbeat. A peer that was never heard of is alive at once. A dead peer needs several heartbeats in a
+// row, also with a new incarnation, so that a process that pauses or restarts often does not make ownership flap. A
+// peer that restarts before it counts as dead stays alive. A heartbeat of a former incarnation is ignored while the
+// later one is alive.
 func (m *Membership) Heartbeat(now time.Time, peer Peer) Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known, ok := m.peers[peer.ID]
-	if !ok || known.Incarnation != peer.Incarnation {
-		known = &member{row: m.settings.Rejoin}
+	if !ok {
+		known = &member{Peer: peer, row: m.settings.Rejoin}
 		m.peers[peer.ID] = known
 	}
-	wasEligible := known.alive && !known.Draining
+	if known.alive && peer.Incarnation < known.Incarnation {
+		return Change{Stale: true}
+	}
+	wasEligible, restarted := known.alive && !known.Draining, known.alive && peer.Incarnation != known.Incarnation
+	m.count(now, known)
 	known.Peer, known.last = peer, now
-	known.row++
 	known.alive = known.alive || known.row >= m.settings.Rejoin
-	return change(peer.ID, wasEligible, known.alive && !known.Draining)
+	c := change(peer.ID, wasEligible, known.alive && !known.Draining)
+	if restarted && !c.Changed() {
+		c.Restarted = []ident.ProcessID{peer.ID}
+	}
+	if m.renewing && known.renewed >= m.settings.Rejoin {
+		m.renewing, c.Self = false, true
+	}
+	return c
+}
+
+// count adds a heartbeat to the row. A missed heartbeat begins the row anew; heartbeats that arrive together, as from a
+// connection that was stuck, count once.
+func (m *Membership) count(now time.Time, p *member) {
+	gap := now.Sub(p.counted)
+	if gap < m.settings.Interval/2 {
+		return
+	}
+	if gap > maxGap*m.settings.Interval && !p.counted.IsZero() {
+		p.row = 0
+	}
+	p.counted = now
+	p.row++
+	p.renewed++
+}
+
+// Resumed notes that the process itself was paused. Peers get the whole time to be heard again before they count as
+// dead. If the pause was so long that peers may count the process as dead, it is no candidate in its own view either
+// until it has exchanged as many heartbeats as peers ask of it, unless it is alone.
+func (m *Membership) Resumed(now time.Time, paused time.Duration) Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.alive {
+			p.last = now
+		}
+		p.renewed = 0
+	}
+	if paused < m.settings.DeadAfter-m.settings.Interval || m.renewing {
+		return Change{}
+	}
+	m.renewing = true
+	return Change{Self: true}
+}
+
+// Forget removes the dead peers that are not listed, and returns them.
+func (m *Membership) Forget(listed func(ident.ProcessID) bool) []ident.ProcessID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var gone []ident.ProcessID
+	for id, p := range m.peers {
+		if !p.alive && !listed(id) {
+			delete(m.peers, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
 }
 
 func change(id ident.ProcessID, before, after bool) Change {
@@ -132,6 +202,13 @@
 	return m.self
 }
 
+// Renewing reports whether the process was paused and has not exchanged enough heartbeats since.
+func (m *Membership) Renewing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.renewing
+}
+
 // Alive reports whether the process is the view's own or a live peer.
 func (m *Membership) Alive(id ident.ProcessID) bool {
 	m.mu.Lock()
@@ -167,8 +244,9 @@
 // candidates returns the live processes that are not draining, those in the zone if there are any.
 func (m *Membership) candidates(zone ident.Zone) []string {
 	var all, local []string
+	self, renewing := m.Self().ID, m.Renewing()
 	for _, p := range m.Live() {
-		if p.Draining {
+		if p.Draining || p.ID == self && renewing {
 			continue
 		}
 		all = append(all, string(p.ID))
--- a/internal/domain/timeline/timeline.go
+++ b/internal/domain/timeline/timeline.go
@@ -48,6 +48,7 @@
 	DrainStarted       Kind = "drain started"
 	StoreFailed        Kind = "store failed"
 	StoreRecovered     Kind = "store recovered"
+	Paused             Kind = "process was paused"
 )
 
 // Event is one thing that happened in one process.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,10 +35,11 @@
 type Settings struct {
 	ID            ident.ProcessID
 	Zone          ident.Zone
-	CallerAddress string // host:port for callers and operators
-	PeerAddress   string // host:port for peers
-	StoreAddress  string // host:port of the key-value service
-	VMListAddress string // host:port of the VM list
+	CallerAddress string    // host:port for callers and operators
+	PeerAddress   string    // host:port for peers
+	StoreAddress  string    // host:port of the key-value service
+	VMListAddress string    // host:port of the VM list
+	Peers         []port.VM // processes to contact beside those of the VM list
 	DrainTimeout  time.Duration
 	TimelineSize  int // events kept
 }
@@ -92,13 +93,15 @@
 		dir:      directory.New(vmlisthttp.New(settings.VMListAddress), log),
 	}
 	self := membership.Peer{ID: settings.ID, Zone: settings.Zone, Incarnation: uint64(n.started.UnixNano())}
-	n.members = membership.New(self, membership.Settings{DeadAfter: deadAfter, Rejoin: rejoinRow})
+	n.members = membership.New(self, membership.Settings{
+		Interval: peerwire.HeartbeatInterval, DeadAfter: deadAfter, Rejoin: rejoinRow,
+	})
 	n.wire()
 	return n, nil
 }
 
 func (n *Node) wire() {
-	n.peers = peering.New(n.members, n.dir, n.recorder, n.log, n.catalog.Revision,
+	n.peers = peering.New(n.members, n.dir, n.settings.Peers, n.recorder, n.log, n.catalog.Revision,
 		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
 	n.transport = peerwire.New(n.settings.ID, n.peer, n.peers, n, n.recorder, n.log)
 	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n}
