Replace silent peer connections in time and refuse wrong answers

Cause: a connection that went silent right after a heartbeat was replaced after 4 s, when the peer already counted as dead. A reply of another kind, or of another task, was taken for an outcome that failed. An error kind over 255 was cut to a byte and could turn into a kind that tells "not run". Malformed bytes were logged for each call while their session went on, and nothing bounded the calls, handshakes and sessions of a peer.

A reply must have the kind and the task of its call, otherwise the call is interrupted. Malformed messages end the session with one log line. Bytes and messages are counted for the metrics.

--- a/internal/adapter/peerwire/calls.go
+++ b/internal/adapter/peerwire/calls.go
@@ -14,19 +14,36 @@
 
 func revision(n uint64) ident.Revision { return ident.Revision(n) }
 
+// ask makes a call and returns the body of the reply that get takes from it. A reply of another kind counts as none.
+func ask[T any](
+	ctx context.Context, t *Transport, to ident.ProcessID, call *peerpb.Call, get func(*peerpb.Reply) *T,
+) (*T, error) {
+	reply, err := t.call(ctx, to, call)
+	if err != nil {
+		return nil, err
+	}
+	body := get(reply)
+	if body == nil {
+		return nil, fault.New(fault.Interrupted, "process %s answered with %T", to, reply.GetBody())
+	}
+	return body, nil
+}
+
 func (t *Transport) call(ctx context.Context, to ident.ProcessID, call *peerpb.Call) (*peerpb.Reply, error) {
 	s, err := t.session(to)
 	if err != nil {
 		return nil, err
 	}
 	call.Stamp = t.stamp()
+	t.traffic.messagesOut.Add(1)
 	reply, err := s.roundTrip(ctx, call)
 	if err != nil {
 		return nil, err
 	}
+	t.traffic.messagesIn.Add(1)
 	t.clock.Observe(time.Now(), decodeStamp(reply.GetStamp()))
 	if failure := reply.GetFailure(); failure != nil {
-		return nil, fault.New(fault.Kind(failure.GetKind()), "%s", failure.GetMessage())
+		return nil, fault.New(decodeKind(failure.GetKind()), "%s", failure.GetMessage())
 	}
 	return reply, nil
 }
@@ -34,8 +51,17 @@
 // Execute implements port.Peers.
 func (t *Transport) Execute(ctx context.Context, to ident.ProcessID, call port.Execute) (work.Outcome, error) {
 	body := &peerpb.Execute{Spec: encodeSpec(call.Spec), Digest: call.Digest}
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Execute{Execute: body}})
-	return decodeOutcome(reply.GetOutcome()), err
+	reply, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Execute{Execute: body}}, (*peerpb.Reply).GetOutcome)
+	return outcomeOf(reply, call.Spec, err)
+}
+
+// outcomeOf refuses an outcome of another task.
+func outcomeOf(reply *peerpb.Outcome, spec work.Spec, err error) (work.Outcome, error) {
+	outcome := decodeOutcome(reply)
+	if err == nil && outcome.Task != spec.ID {
+		return work.Outcome{}, fault.New(fault.Interrupted, "the answer for %s is of task %s", spec.ID, outcome.Task)
+	}
+	return outcome, err
 }
 
 // Place implements port.Peers.
@@ -44,34 +70,34 @@
 		Partition: uint32(call.Partition), Home: encodeHome(call.Home), Spec: encodeSpec(call.Spec),
 		Attach: call.Attach,
 	}
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Place{Place: body}})
-	return decodeOutcome(reply.GetOutcome()), err
+	reply, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Place{Place: body}}, (*peerpb.Reply).GetOutcome)
+	return outcomeOf(reply, call.Spec, err)
 }
 
 // TakeHome implements port.Peers.
 func (t *Transport) TakeHome(ctx context.Context, to ident.ProcessID, call port.TakeHome) (port.Held, error) {
 	body := &peerpb.TakeHome{Partition: uint32(call.Partition), Home: encodeHome(call.Home)}
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_TakeHome{TakeHome: body}})
-	return decodeHeld(reply.GetHeld()), err
+	reply, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_TakeHome{TakeHome: body}}, (*peerpb.Reply).GetHeld)
+	return decodeHeld(reply), err
 }
 
 // Report implements port.Peers.
 func (t *Transport) Report(ctx context.Context, to ident.ProcessID, call port.Report) error {
-	_, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Report{Report: encodeReport(call)}})
+	_, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Report{Report: encodeReport(call)}}, (*peerpb.Reply).GetDone)
 	return err
 }
 
 // Cancel implements port.Peers.
 func (t *Transport) Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error) {
 	body := &peerpb.Cancel{Task: encodeTask(task)}
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Cancel{Cancel: body}})
-	return reply.GetCanceled().GetFound(), err
+	reply, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Cancel{Cancel: body}}, (*peerpb.Reply).GetCanceled)
+	return reply.GetFound(), err
 }
 
 // Settle implements port.Peers.
 func (t *Transport) Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error {
 	body := &peerpb.Settle{Tasks: encodeTasks(tasks)}
-	_, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Settle{Settle: body}})
+	_, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Settle{Settle: body}}, (*peerpb.Reply).GetDone)
 	return err
 }
 
@@ -80,20 +106,23 @@
 	ctx context.Context, to ident.ProcessID, after ident.Revision,
 ) (port.Documents, error) {
 	body := &peerpb.FetchDocuments{After: uint64(after)}
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_FetchDocuments{FetchDocuments: body}})
-	return decodeDocuments(reply.GetDocuments()), err
+	fetch := &peerpb.Call{Body: &peerpb.Call_FetchDocuments{FetchDocuments: body}}
+	reply, err := ask(ctx, t, to, fetch, (*peerpb.Reply).GetDocuments)
+	return decodeDocuments(reply), err
 }
 
 // Events implements port.Peers.
 func (t *Transport) Events(
 	ctx context.Context, to ident.ProcessID, filter timeline.Filter,
 ) ([]timeline.Event, error) {
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_FetchEvents{FetchEvents: encodeFilter(filter)}})
-	return decodeEvents(reply.GetEvents()), err
+	fetch := &peerpb.Call{Body: &peerpb.Call_FetchEvents{FetchEvents: encodeFilter(filter)}}
+	reply, err := ask(ctx, t, to, fetch, (*peerpb.Reply).GetEvents)
+	return decodeEvents(reply), err
 }
 
 // Status implements port.Peers.
 func (t *Transport) Status(ctx context.Context, to ident.ProcessID) (port.Status, error) {
-	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_FetchStatus{FetchStatus: &peerpb.FetchStatus{}}})
-	return decodeStatus(reply.GetStatus()), err
+	fetch := &peerpb.Call{Body: &peerpb.Call_FetchStatus{FetchStatus: &peerpb.FetchStatus{}}}
+	reply, err := ask(ctx, t, to, fetch, (*peerpb.Reply).GetStatus)
+	return decodeStatus(reply), err
 }
--- a/internal/adapter/peerwire/convert.go
+++ b/internal/adapter/peerwire/convert.go
@@ -14,6 +14,14 @@
 	"skylarkstall/internal/port"
 )
 
+// decodeKind returns Internal for a number that this process does not know.
+func decodeKind(number uint32) fault.Kind {
+	if number >= uint32(len(fault.Kinds())) {
+		return fault.Internal
+	}
+	return fault.Kind(number)
+}
+
 func encodeStamp(s timeline.Stamp) *peerpb.Stamp {
 	return &peerpb.Stamp{Wall: s.Wall, Logical: s.Logical}
 }
--- /dev/null
+++ b/internal/adapter/peerwire/dial.go
@@ -0,0 +1,115 @@
+package peerwire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"skylarkstall/internal/adapter/peerwire/peerpb"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+)
+
+// Connect keeps a session to the peer at the address until the context ends. Exactly one process of a pair calls it. A
+// session that lasted is replaced at once, so that the peer does not count as dead meanwhile.
+func (t *Transport) Connect(ctx context.Context, peer ident.ProcessID, address string) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		if err := t.connectOnce(ctx, peer, address); err != nil && ctx.Err() == nil {
+			t.log.Info("peer not connected", "peer", peer, "error", err)
+		}
+		if time.Since(began) < HeartbeatInterval+HeartbeatTimeout {
+			pause.For(ctx, HeartbeatInterval)
+		}
+	}
+}
+
+// connectOnce returns an error when no session came about, and nil when the session has ended.
+func (t *Transport) connectOnce(ctx context.Context, peer ident.ProcessID, address string) error {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fault.As(fault.Unavailable, err, "dial")
+	}
+	defer conn.Close()
+	s, beats, err := t.open(conn, peer)
+	if err != nil {
+		return err
+	}
+	defer s.mux.Close()
+	if err := t.add(s); err != nil {
+		return err
+	}
+	defer t.remove(s)
+	t.running.Go(func() { t.serveCalls(ctx, s) })
+	s.end(t.sendHeartbeats(ctx, s, beats))
+	return nil
+}
+
+// open makes a session of a connection that this process dialed.
+func (t *Transport) open(conn net.Conn, peer ident.ProcessID) (*session, *yamux.Stream, error) {
+	counted := countedConn{conn, &t.traffic}
+	reader := bufio.NewReader(counted)
+	hello, err := handshake(counted, reader, t.hello())
+	if err != nil {
+		return nil, nil, err
+	}
+	if id := hello.GetPeer().GetId(); id != string(peer) {
+		return nil, nil, fault.New(fault.Invalid, "process %q answers at the address of %q", id, peer)
+	}
+	mux, err := yamux.Client(bufferedConn{counted, reader}, sessionConfig())
+	if err != nil {
+		return nil, nil, fault.As(fault.Unavailable, err, "session")
+	}
+	beats, err := mux.OpenStream()
+	if err != nil {
+		_ = mux.Close() // not used
+		return nil, nil, fault.As(fault.Unavailable, err, "heartbeat stream")
+	}
+	return newSession(hello, conn, mux, t.log), beats, nil
+}
+
+// sendHeartbeats sends one heartbeat each interval until one stays unanswered.
+func (t *Transport) sendHeartbeats(ctx context.Context, s *session, stream *yamux.Stream) error {
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	reader := bufio.NewReader(stream)
+	for ctx.Err() == nil {
+		if err := stream.SetDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
+			return fault.As(fault.Unavailable, err, "heartbeat")
+		}
+		call := &peerpb.Call{
+			Stamp: t.stamp(),
+			Body:  &peerpb.Call_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
+		}
+		if err := writeFrame(stream, call); err != nil {
+			return fault.As(fault.Unavailable, err, "heartbeat")
+		}
+		reply := &peerpb.Reply{}
+		if err := readFrame(reader, reply); err != nil {
+			return err
+		}
+		if err := t.heartbeatReceived(s, reply.GetStamp(), reply.GetHeartbeat()); err != nil {
+			return err
+		}
+		pause.For(ctx, HeartbeatInterval)
+	}
+	return ctx.Err()
+}
+
+func (t *Transport) heartbeatReceived(s *session, stamp *peerpb.Stamp, beat *peerpb.Heartbeat) error {
+	if beat == nil {
+		return malformed{fault.New(fault.Invalid, "a message without a heartbeat on the stream of heartbeats")}
+	}
+	t.traffic.messagesIn.Add(1)
+	t.traffic.messagesOut.Add(1)
+	now := time.Now()
+	t.clock.Observe(now, decodeStamp(stamp))
+	decoded := decodeHeartbeat(beat)
+	decoded.Peer.ID = s.peer
+	t.local.HeartbeatReceived(now, decoded)
+	return nil
+}
--- a/internal/adapter/peerwire/frame.go
+++ b/internal/adapter/peerwire/frame.go
@@ -6,16 +6,16 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"skylarkstall/internal/fault"
 )
 
-// MaxFrame is the largest message in bytes: a payload or output of 1 MB and its description.
-const MaxFrame = 2 << 20
-
+// writeFrame fails with TooLarge before anything was sent.
 func writeFrame(w io.Writer, m proto.Message) error {
 	if size := proto.Size(m); size > MaxFrame {
 		return fault.New(fault.TooLarge, "message of %d bytes; the limit is %d", size, MaxFrame)
@@ -24,11 +24,39 @@
 	return err
 }
 
+// malformed is an error of readFrame: the peer sent bytes that are no message.
+type malformed struct{ error }
+
+func isMalformed(err error) bool {
+	var m malformed
+	return errors.As(err, &m)
+}
+
+// readFrame reads one message of at most MaxFrame bytes.
 func readFrame(r *bufio.Reader, m proto.Message) error {
 	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
-	var tooLarge *protodelim.SizeTooLargeError
-	if errors.As(err, &tooLarge) {
-		return fault.As(fault.TooLarge, err, "read a message")
+	if err == nil || isTransport(err) {
+		return err
 	}
-	return err
+	return malformed{err}
+}
+
+// isTransport reports whether the error comes from the connection and not from the bytes.
+func isTransport(err error) bool {
+	var network net.Error
+	var stream *yamux.NetError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) ||
+		errors.As(err, &stream) || errors.Is(err, net.ErrClosed) || isYamux(err)
+}
+
+func isYamux(err error) bool {
+	for _, known := range []error{
+		yamux.ErrSessionShutdown, yamux.ErrStreamClosed, yamux.ErrConnectionReset, yamux.ErrTimeout,
+		yamux.ErrConnectionWriteTimeout, yamux.ErrStreamsExhausted, yamux.ErrKeepAliveTimeout, yamux.ErrRemoteGoAway,
+	} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/adapter/peerwire/session.go
+++ b/internal/adapter/peerwire/session.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -15,19 +17,6 @@
 	"skylarkstall/internal/fault"
 )
 
-// Times of a session.
-const (
-	// HeartbeatInterval is how often the dialing side sends a heartbeat; the reply is the other side's.
-	HeartbeatInterval = time.Second
-	// HeartbeatTimeout is how long a heartbeat may stay unanswered. A silent connection is replaced within three
-	// intervals.
-	HeartbeatTimeout = 2 * time.Second
-	// handshakeTimeout bounds the exchange of the first messages.
-	handshakeTimeout = 3 * time.Second
-	// ackBacklog is how many streams may wait to be accepted.
-	ackBacklog = 1024
-)
-
 // protocolVersion changes when processes of two versions cannot work together.
 const protocolVersion = 1
 
@@ -43,13 +32,49 @@
 
 // session is one connection to a peer.
 type session struct {
-	peer ident.ProcessID
-	mux  *yamux.Session
+	peer        ident.ProcessID
+	incarnation uint64
+	conn        net.Conn // below TLS and yamux
+	mux         *yamux.Session
+	log         *slog.Logger
+	calling     chan struct{} // one element for each call to the peer in progress
+	serving     chan struct{} // one element for each call of the peer in progress
+	reading     chan struct{} // one element for each call of the peer that is being read
+	ended       sync.Once
+}
+
+func newSession(hello *peerpb.Hello, conn net.Conn, mux *yamux.Session, log *slog.Logger) *session {
+	id := ident.ProcessID(hello.GetPeer().GetId())
+	return &session{
+		peer: id, incarnation: hello.GetPeer().GetIncarnation(), conn: conn, mux: mux, log: log.With("peer", id),
+		calling: make(chan struct{}, maxStreams), serving: make(chan struct{}, maxStreams),
+		reading: make(chan struct{}, maxReading),
+	}
+}
+
+// end closes the session and logs the first reason. The connection is closed below yamux and TLS first, because both
+// would try to send a last message on a connection that may be stuck.
+func (s *session) end(err error) {
+	s.ended.Do(func() {
+		if isMalformed(err) {
+			s.log.Warn("malformed message; peer session ended", "error", err)
+		} else {
+			s.log.Info("peer session ended", "error", err)
+		}
+		_ = s.conn.Close()
+		_ = s.mux.Close()
+	})
 }
 
-// roundTrip sends a call on a stream of its own and reads the reply. It fails with Unavailable when nothing was sent and
-// with Interrupted when the reply did not arrive.
+// roundTrip sends a call on a stream of its own and reads the reply. It fails with Unavailable when nothing was sent,
+// Overloaded when too many calls to the peer are in progress, and Interrupted when the reply did not arrive.
 func (s *session) roundTrip(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error) {
+	select {
+	case s.calling <- struct{}{}:
+		defer func() { <-s.calling }()
+	default:
+		return nil, fault.New(fault.Overloaded, "%d calls to %s are in progress; that is the limit", maxStreams, s.peer)
+	}
 	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, fault.As(fault.Unavailable, err, "open a stream to "+string(s.peer))
@@ -62,11 +87,15 @@
 	}
 	reply := &peerpb.Reply{}
 	if err := readFrame(bufio.NewReader(stream), reply); err != nil {
+		if isMalformed(err) {
+			s.end(err)
+		}
 		return nil, callError(ctx, err, s.peer)
 	}
 	return reply, nil
 }
 
+// callError tells of a call that may have taken effect. Only a call that is too large was certainly not sent.
 func callError(ctx context.Context, err error, peer ident.ProcessID) error {
 	if fault.Is(err, fault.TooLarge) {
 		return err
@@ -79,7 +108,7 @@
 
 // handshake exchanges hello messages on the first stream.
 func handshake(conn net.Conn, reader *bufio.Reader, self *peerpb.Hello) (*peerpb.Hello, error) {
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return nil, fault.As(fault.Unavailable, err, "handshake")
 	}
 	if err := writeFrame(conn, self); err != nil {
