Keep configuration complete and moving forward through peers, races and outages

Cause: a deleted document stayed in force for ever. A process that caught up through a peer skipped what that peer had refused as invalid, and one reply carried every document, so that a cell with over 2 MB of documents could not catch up. A document stored under another team's key was accepted. A store restored to an older state was not noticed, and an apply to it was accepted without taking effect. A lost answer with an unchanged revision ended as interrupted instead of being written again. Nobody could write the first document of a team, and cell quotas did not exist.

Change: the catalog keeps deletions and refused texts and passes them on in pages ordered by revision; its revision moves after the last page, which names all documents that exist. Apply reads first, tells a conflict with the difference (tokens hidden), settles lost answers by reading back and writing again, and refuses a store that went back. document/_cell limits each team's quota; Catalog.Get returns the limited quota. The cell's token changes it and writes first documents. Counts of a document are bounded before they are converted.

A process that starts while the store holds only an invalid text of a team has no document of that team in force until the team mends it.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -26,8 +26,8 @@
 // API is what the interface needs of the process.
 type API interface {
 	RunRequest(ctx context.Context, request entry.Request) (work.Outcome, error)
-	Authorize(team ident.TeamID, token string) (team.Stored, error)
-	Apply(ctx context.Context, team ident.TeamID, source []byte, expect ident.Revision) (ident.Revision, error)
+	Document(name, token string) (team.Entry, error)
+	Apply(ctx context.Context, name, token string, source []byte, expect ident.Revision) (ident.Revision, error)
 	Cell(ctx context.Context) ([]port.Status, []ident.ProcessID)
 	Events(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.ProcessID)
 	Ready() error
@@ -134,26 +134,22 @@
 }
 
 func (s *Server) getDocument(ctx iris.Context) {
-	stored, err := s.api.Authorize(ident.TeamID(ctx.Params().Get("team")), token(ctx))
+	entry, err := s.api.Document(ctx.Params().Get("team"), token(ctx))
 	if err != nil {
 		fail(ctx, err)
 		return
 	}
-	httpjson.Write(ctx.ResponseWriter(), Document{Source: string(stored.Source), Revision: uint64(stored.Revision)})
+	httpjson.Write(ctx.ResponseWriter(), Document{Source: string(entry.Source), Revision: uint64(entry.Revision)})
 }
 
 func (s *Server) putDocument(ctx iris.Context) {
-	id := ident.TeamID(ctx.Params().Get("team"))
-	if _, err := s.api.Authorize(id, token(ctx)); err != nil {
-		fail(ctx, err)
-		return
-	}
 	var doc Document
 	if err := httpjson.Read(ctx.ResponseWriter(), ctx.Request(), &doc); err != nil {
 		fail(ctx, err)
 		return
 	}
-	revision, err := s.api.Apply(ctx.Request().Context(), id, []byte(doc.Source), ident.Revision(doc.Revision))
+	name, expect := ctx.Params().Get("team"), ident.Revision(doc.Revision)
+	revision, err := s.api.Apply(ctx.Request().Context(), name, token(ctx), []byte(doc.Source), expect)
 	if err != nil {
 		fail(ctx, err)
 		return
--- a/internal/adapter/document/document.go
+++ b/internal/adapter/document/document.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
+	"sort"
 	"strings"
 	"time"
 
@@ -49,26 +51,45 @@
 	Slots        int64   `yaml:"slots"`
 }
 
-func (s size) vector() resource.Vector {
+// Largest counts that a document may name; they keep sums of many sizes far from an overflow.
+const (
+	maxCores     = 1e9
+	maxMemoryMiB = 1 << 40
+	maxCount     = 1 << 40
+)
+
+// vector converts the counts. Those that are out of range become faults below the path.
+func (s size) vector(path string) (resource.Vector, []team.Fault) {
+	var faults []team.Fault
+	bound := func(field string, outside bool) {
+		if outside {
+			faults = append(faults, team.Fault{Field: path + "." + field, Message: "is out of range"})
+		}
+	}
+	bound("cores", !(s.Cores >= -maxCores && s.Cores <= maxCores)) // false for a value that is not a number
+	bound("memory_mib", s.MemoryMiB < -maxMemoryMiB || s.MemoryMiB > maxMemoryMiB)
+	bound("accelerators", s.Accelerators < -maxCount || s.Accelerators > maxCount)
+	bound("slots", s.Slots < -maxCount || s.Slots > maxCount)
+	if len(faults) > 0 {
+		return resource.Vector{Slots: 1}, faults
+	}
 	return resource.Vector{
-		MilliCores: int64(s.Cores * 1000), MemoryBytes: s.MemoryMiB << 20,
+		MilliCores: int64(math.Round(s.Cores * 1000)), MemoryBytes: s.MemoryMiB << 20,
 		Accelerators: s.Accelerators, Slots: s.Slots,
-	}
+	}, nil
+}
+
+// cell is the schema of the document of cell quotas.
+type cell struct {
+	Version int             `yaml:"version"`
+	Quotas  map[string]size `yaml:"quotas"`
 }
 
 // Decode reads a document and checks it. It fails with Invalid or TooLarge; the error names every fault with its line.
 func Decode(source []byte) (team.Document, error) {
-	if len(source) > MaxSize {
-		return team.Document{}, fault.New(fault.TooLarge, "the document has %d bytes; the limit is %d", len(source), MaxSize)
-	}
-	decoder := yaml.NewDecoder(bytes.NewReader(source))
-	decoder.KnownFields(true)
 	var raw document
-	if err := decoder.Decode(&raw); err != nil {
-		return team.Document{}, syntaxError(err)
-	}
-	if err := decoder.Decode(new(any)); !errors.Is(err, io.EOF) {
-		return team.Document{}, fault.New(fault.Invalid, "the file has more than one document")
+	if err := decodeOne(source, &raw); err != nil {
+		return team.Document{}, err
 	}
 	doc, faults := convert(raw)
 	faults = append(faults, doc.Check()...)
@@ -78,6 +99,43 @@
 	return doc, nil
 }
 
+// DecodeCell reads the document of cell quotas, in the same way.
+func DecodeCell(source []byte) (team.Cell, error) {
+	var raw cell
+	if err := decodeOne(source, &raw); err != nil {
+		return team.Cell{}, err
+	}
+	out := team.Cell{Version: raw.Version, Quotas: map[ident.TeamID]resource.Vector{}}
+	var faults []team.Fault
+	for name, quota := range raw.Quotas {
+		vector, bad := quota.vector("quotas." + name)
+		out.Quotas[ident.TeamID(name)] = vector
+		faults = append(faults, bad...)
+	}
+	sort.Slice(faults, func(i, j int) bool { return faults[i].Field < faults[j].Field })
+	faults = append(faults, out.Check()...)
+	if len(faults) > 0 {
+		return team.Cell{}, faultsError(source, faults)
+	}
+	return out, nil
+}
+
+// decodeOne reads exactly one YAML document without unknown fields.
+func decodeOne(source []byte, raw any) error {
+	if len(source) > MaxSize {
+		return fault.New(fault.TooLarge, "the document has %d bytes; the limit is %d", len(source), MaxSize)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(source))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(raw); err != nil {
+		return syntaxError(err)
+	}
+	if err := decoder.Decode(new(any)); !errors.Is(err, io.EOF) {
+		return fault.New(fault.Invalid, "the file has more than one document")
+	}
+	return nil
+}
+
 func syntaxError(err error) error {
 	if errors.Is(err, io.EOF) {
 		return fault.New(fault.Invalid, "the document is empty")
@@ -90,11 +148,10 @@
 }
 
 func convert(raw document) (team.Document, []team.Fault) {
+	quota, faults := raw.Quota.vector("quota")
 	doc := team.Document{
-		Version: raw.Version, Team: ident.TeamID(raw.Team), Token: raw.Token, Weight: raw.Weight,
-		Quota: raw.Quota.vector(),
+		Version: raw.Version, Team: ident.TeamID(raw.Team), Token: raw.Token, Weight: raw.Weight, Quota: quota,
 	}
-	var faults []team.Fault
 	for i, k := range raw.Kinds {
 		converted, bad := convertKind(fmt.Sprintf("kinds[%d]", i), k)
 		doc.Kinds = append(doc.Kinds, converted)
@@ -104,7 +161,7 @@
 }
 
 func convertKind(path string, k kind) (team.Kind, []team.Fault) {
-	var faults []team.Fault
+	vector, faults := k.Size.vector(path + ".size")
 	class, err := work.ParseClass(k.Class)
 	if err != nil {
 		faults = append(faults, team.Fault{Field: path + ".class", Message: err.Error()})
@@ -122,7 +179,7 @@
 		return d
 	}
 	return team.Kind{
-		Name: k.Name, Class: class, Size: k.Size.vector(), Repeatable: k.Repeatable,
+		Name: k.Name, Class: class, Size: vector, Repeatable: k.Repeatable,
 		Expected: duration("expected", k.Expected), Deadline: duration("deadline", k.Deadline),
 		Retries: k.Retries, Spread: k.Spread, Region: k.Region,
 	}, faults
--- a/internal/adapter/peerwire/convert.go
+++ b/internal/adapter/peerwire/convert.go
@@ -252,20 +252,24 @@
 }
 
 func encodeDocuments(docs port.Documents) *peerpb.Documents {
-	out := &peerpb.Documents{Revision: uint64(docs.Revision)}
+	out := &peerpb.Documents{
+		Revision: uint64(docs.Revision), Names: docs.Names, Complete: docs.Complete,
+	}
 	for _, d := range docs.Documents {
 		out.Documents = append(out.Documents, &peerpb.Document{
-			Key: d.Key, Source: d.Source, Revision: uint64(d.Revision),
+			Key: d.Name, Source: d.Source, Revision: uint64(d.Revision), Deleted: d.Deleted,
 		})
 	}
 	return out
 }
 
 func decodeDocuments(docs *peerpb.Documents) port.Documents {
-	out := port.Documents{Revision: ident.Revision(docs.GetRevision())}
+	out := port.Documents{
+		Revision: ident.Revision(docs.GetRevision()), Names: docs.GetNames(), Complete: docs.GetComplete(),
+	}
 	for _, d := range docs.GetDocuments() {
 		out.Documents = append(out.Documents, port.Document{
-			Key: d.GetKey(), Source: d.GetSource(), Revision: ident.Revision(d.GetRevision()),
+			Name: d.GetKey(), Source: d.GetSource(), Revision: ident.Revision(d.GetRevision()), Deleted: d.GetDeleted(),
 		})
 	}
 	return out
--- a/internal/adapter/storehttp/storehttp.go
+++ b/internal/adapter/storehttp/storehttp.go
@@ -108,10 +108,14 @@
 	return decode(reply.Entries), ident.Revision(reply.Revision), err
 }
 
-// Watch implements port.Store. It returns no entry and no error when nothing changed for 30 s.
+// Watch implements port.Store. It returns no entry and no error when nothing changed for 28 s, and fails
+// with StoreUnavailable when the store is at a lower revision than after.
 func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision) ([]port.Entry, error) {
 	call := Call{Prefix: prefix, After: uint64(after), TTLMS: (watchTimeout - callTimeout).Milliseconds()}
 	reply, err := c.call(ctx, watchTimeout, PathWatch, call)
+	if err == nil && reply.Revision < call.After {
+		return nil, fault.New(fault.StoreUnavailable, "the store went back from revision %d to %d", after, reply.Revision)
+	}
 	return decode(reply.Entries), err
 }
 
--- a/internal/app/configsync/configsync.go
+++ b/internal/app/configsync/configsync.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -20,161 +21,163 @@
 // Prefix is where the store holds documents, by team.
 const Prefix = "document/"
 
-// retryInterval is the pause after a failed call to the store.
+// retryInterval is the mean pause after a failed call to the store. It is jittered, so that the processes of a cell do
+// not all come back to the store at the same moment.
 const retryInterval = time.Second
 
 // Config is what the service needs.
 type Config struct {
-	Self     ident.ProcessID
-	Store    port.Store
-	Peers    port.Peers
-	Beats    func() []port.Heartbeat // the last heartbeat of each live peer
-	Arrived  func() <-chan struct{}  // closed at the next heartbeat
-	Catalog  *team.Catalog
-	Decode   func([]byte) (team.Document, error)
-	Recorder *timeline.Recorder
-	Log      *slog.Logger
+	Self       ident.ProcessID
+	Store      port.Store
+	Peers      port.Peers
+	Beats      func() []port.Heartbeat // the last heartbeat of each live peer
+	Arrived    func() <-chan struct{}  // closed at the next heartbeat
+	Catalog    *team.Catalog
+	Decode     func([]byte) (team.Document, error)
+	DecodeCell func([]byte) (team.Cell, error)
+	Recorder   *timeline.Recorder
+	Log        *slog.Logger
 }
 
 // Service follows the store.
 type Service struct {
 	Config
+	failed   atomic.Bool // the last call to the store failed
+	pageSize int         // bytes
 }
 
 // New returns a service.
-func New(config Config) *Service { return &Service{config} }
+func New(config Config) *Service { return &Service{Config: config, pageSize: pageSize} }
 
 // Run follows the store until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := s.follow(ctx)
 		if ctx.Err() == nil {
-			s.Log.Warn("documents not read from the store", "error", err)
-			pause.For(ctx, retryInterval)
+			s.storeFailed(err)
+			pause.For(ctx, pause.Jitter(retryInterval))
 		}
 	}
 }
 
+func (s *Service) storeFailed(err error) {
+	if !s.failed.Swap(true) {
+		s.Log.Warn("documents not read from the store; peers are asked", "error", err)
+		s.Recorder.Record(time.Now(), timeline.Event{Kind: timeline.StoreFailed, Detail: fault.KindOf(err).String()})
+	}
+}
+
+func (s *Service) storeAnswered() {
+	if s.failed.Swap(false) {
+		s.Log.Info("documents are read from the store again")
+		s.Recorder.Record(time.Now(), timeline.Event{Kind: timeline.StoreRecovered})
+	}
+}
+
 // follow reads every document once and then each change. It returns when the store cannot be reached.
 func (s *Service) follow(ctx context.Context) error {
+	known := s.Catalog.Revision()
 	entries, revision, err := s.Store.List(ctx, Prefix)
 	if err != nil {
 		return err
 	}
+	s.storeAnswered()
+	s.accept(entries)
+	if revision >= known {
+		s.retain(names(entries), revision)
+	} else {
+		s.wentBack(known, revision)
+	}
+	s.Catalog.Advance(revision)
 	for {
+		if entries, err = s.Store.Watch(ctx, Prefix, revision); err != nil {
+			return err
+		}
 		s.accept(entries)
 		for _, e := range entries {
 			revision = max(revision, e.Revision)
 		}
 		s.Catalog.Advance(revision)
-		if entries, err = s.Store.Watch(ctx, Prefix, revision); err != nil {
-			return err
-		}
 	}
 }
 
-func (s *Service) accept(entries []port.Entry) {
-	for _, e := range entries {
-		if e.Value == nil {
-			continue
-		}
-		doc, err := s.Decode(e.Value)
-		if err != nil {
-			s.Log.Error("document in the store is not valid; the one in force stays", "key", e.Key, "error", err)
-			continue
-		}
-		stored := team.Stored{Document: doc, Revision: e.Revision, Source: e.Value}
-		if s.Catalog.Accept(stored) {
-			s.Recorder.Record(time.Now(), timeline.Event{
-				Kind: timeline.RevisionInForce, Work: ident.WorkID{Team: doc.Team},
-				Detail: fmt.Sprintf("%s revision %d", strings.TrimPrefix(e.Key, Prefix), e.Revision),
-			})
-		}
-	}
+// wentBack tells of a store that was restored to an older state. The documents in force stay, because an accepted change
+// never reverts; changes written to that store take effect once its revisions pass those in force.
+func (s *Service) wentBack(known, revision ident.Revision) {
+	s.Log.Error("the store went back to an older state; the documents in force stay",
+		"store_revision", revision, "revision_in_force", known)
+	s.Recorder.Record(time.Now(), timeline.Event{
+		Kind:   timeline.StoreFailed,
+		Detail: fmt.Sprintf("the store is at revision %d; %d is in force and stays", revision, known),
+	})
 }
 
-// RunPeers fetches documents from a peer whose heartbeat tells a higher revision, until the context ends.
-func (s *Service) RunPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		arrived := s.Arrived()
-		if peer, ok := s.ahead(); ok {
-			s.fetch(ctx, peer)
-		}
-		select {
-		case <-arrived:
-		case <-ctx.Done():
-		}
+func names(entries []port.Entry) []string {
+	out := make([]string, len(entries))
+	for i, e := range entries {
+		out[i] = strings.TrimPrefix(e.Key, Prefix)
 	}
+	return out
 }
 
-func (s *Service) ahead() (ident.ProcessID, bool) {
-	own := s.Catalog.Revision()
-	for _, beat := range s.Beats() {
-		if beat.Peer.Revision > own && beat.Peer.ID != s.Self {
-			return beat.Peer.ID, true
-		}
+// accept puts entries of the store in force.
+func (s *Service) accept(entries []port.Entry) {
+	for _, e := range entries {
+		s.acceptOne(team.Entry{
+			Name: strings.TrimPrefix(e.Key, Prefix), Revision: e.Revision, Source: e.Value, Deleted: e.Value == nil,
+		})
 	}
-	return "", false
 }
 
-func (s *Service) fetch(ctx context.Context, peer ident.ProcessID) {
-	docs, err := s.Peers.Documents(ctx, peer, s.Catalog.Revision())
+// acceptOne puts a change in force. A text that is not valid is only noted; the one in force stays.
+func (s *Service) acceptOne(e team.Entry) {
+	if e.Deleted {
+		if s.Catalog.Delete(e.Name, e.Revision) {
+			s.deleted(e.Name, e.Revision)
+		}
+		return
+	}
+	accepted, err := s.decode(e)
 	if err != nil {
-		s.Log.Info("documents not fetched from a peer", "peer", peer, "error", err)
+		if s.Catalog.Refuse(e) {
+			s.Log.Error("document is not valid; the one in force stays", "name", e.Name, "revision", e.Revision, "error", err)
+		}
 		return
 	}
-	entries := make([]port.Entry, len(docs.Documents))
-	for i, d := range docs.Documents {
-		entries[i] = port.Entry{Key: d.Key, Value: d.Source, Revision: d.Revision}
+	if accepted() {
+		s.record(e.Name, fmt.Sprintf("%s revision %d", e.Name, e.Revision))
 	}
-	s.accept(entries)
-	s.Catalog.Advance(docs.Revision)
 }
 
-// HandleDocuments returns the documents in force with a higher revision.
-func (s *Service) HandleDocuments(_ context.Context, after ident.Revision) (port.Documents, error) {
-	docs := port.Documents{Revision: s.Catalog.Revision()}
-	for _, stored := range s.Catalog.All() {
-		if stored.Revision > after {
-			docs.Documents = append(docs.Documents, port.Document{
-				Key: Prefix + string(stored.Document.Team), Source: stored.Source, Revision: stored.Revision,
-			})
-		}
+// decode checks a text and returns the step that puts it in force.
+func (s *Service) decode(e team.Entry) (func() bool, error) {
+	if e.Name == team.CellName {
+		cell, err := s.DecodeCell(e.Source)
+		stored := team.StoredCell{Cell: cell, Revision: e.Revision, Source: e.Source}
+		return func() bool { return s.Catalog.AcceptCell(stored) }, err
+	}
+	doc, err := s.Decode(e.Source)
+	if err == nil && string(doc.Team) != e.Name {
+		err = fault.New(fault.Invalid, "the document is of team %q, not %q", doc.Team, e.Name)
 	}
-	return docs, nil
+	stored := team.Stored{Document: doc, Revision: e.Revision, Source: e.Source}
+	return func() bool { return s.Catalog.Accept(stored) }, err
 }
 
-// Apply writes a document if the one in the store has the expected revision, 0 for none. It fails with Conflict when it
-// has another. A lost answer is settled by reading back.
-func (s *Service) Apply(ctx context.Context, id ident.TeamID, source []byte, expect ident.Revision) (ident.Revision, error) {
-	doc, err := s.Decode(source)
-	if err != nil {
-		return 0, err
-	}
-	if doc.Team != id {
-		return 0, fault.New(fault.Invalid, "the document is of team %q, not %q", doc.Team, id)
+// retain takes the documents out of force that do not exist at the revision.
+func (s *Service) retain(names []string, revision ident.Revision) {
+	for _, name := range s.Catalog.Retain(names, revision) {
+		s.deleted(name, revision)
 	}
-	key := Prefix + string(id)
-	revision, err := s.Store.Put(ctx, key, source, expect, 0)
-	if fault.Is(err, fault.StoreUnavailable) {
-		return s.settle(ctx, key, source, expect, err)
-	}
-	return revision, err
 }
 
-// settle finds out whether a write whose answer was lost took effect.
-func (s *Service) settle(
-	ctx context.Context, key string, source []byte, expect ident.Revision, cause error,
-) (ident.Revision, error) {
-	entry, err := s.Store.Get(ctx, key)
-	switch {
-	case err == nil && entry.Revision > expect && string(entry.Value) == string(source):
-		return entry.Revision, nil
-	case err == nil && entry.Revision != expect:
-		return 0, fault.New(fault.Conflict, "the document was changed by someone else; it has revision %d", entry.Revision)
-	case err == nil || fault.Is(err, fault.NotFound):
-		return 0, fault.As(fault.Interrupted, cause, "the change may still take effect")
-	default:
-		return 0, fault.As(fault.Interrupted, err, "the change may have taken effect")
-	}
+func (s *Service) deleted(name string, revision ident.Revision) {
+	s.Log.Info("document deleted", "name", name, "revision", revision)
+	s.record(name, fmt.Sprintf("%s deleted by revision %d", name, revision))
+}
+
+func (s *Service) record(name, detail string) {
+	s.Recorder.Record(time.Now(), timeline.Event{
+		Kind: timeline.RevisionInForce, Work: ident.WorkID{Team: ident.TeamID(name)}, Detail: detail,
+	})
 }
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -34,11 +34,16 @@
 	CallerAddress string          // of the first process; the others listen on free ports
 	Log           *slog.Logger
 	Observe       func(ident.WorkerID, worker.Observation) // may be nil
+	// StoreAddress tells where a process looks for the store; nil for the stand-in. It lets a test cut processes off.
+	StoreAddress func(id ident.ProcessID, standin string) string
 }
 
 // WorkersPerRack is how many workers share a rack.
 const WorkersPerRack = 8
 
+// CellToken is the secret of the cell's operators.
+const CellToken = "cell-dev-token"
+
 // DefaultCapacity is the size of a worker: 32 cores, 128 GB and 8 slots.
 var DefaultCapacity = resource.Vector{MilliCores: 32_000, MemoryBytes: 128 << 30, Slots: 8}
 
@@ -162,10 +167,14 @@
 	if len(c.Nodes) == 0 && c.settings.CallerAddress != "" {
 		caller = c.settings.CallerAddress
 	}
+	store := c.Store.Address()
+	if c.settings.StoreAddress != nil {
+		store = c.settings.StoreAddress(ident.ProcessID(id), store)
+	}
 	n, err := node.New(node.Settings{
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
-		StoreAddress: c.Store.Address(), VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
-		TimelineSize: 20_000,
+		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
+		TimelineSize: 20_000, CellToken: CellToken,
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
--- a/internal/domain/team/catalog.go
+++ b/internal/domain/team/catalog.go
@@ -2,12 +2,17 @@
 
 import (
 	"crypto/subtle"
+	"sort"
 	"sync"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/fault"
 )
 
+// CellName names the document of cell quotas. Names that begin with '_' are no teams.
+const CellName = "_cell"
+
 // Stored is a document with the revision that the store gave it. Source is the text that its team wrote.
 type Stored struct {
 	Document Document
@@ -15,63 +20,241 @@
 	Source   []byte
 }
 
+// StoredCell is the document of cell quotas with the revision that the store gave it.
+type StoredCell struct {
+	Cell     Cell
+	Revision ident.Revision
+	Source   []byte
+}
+
+// Entry is a change of a document as the store holds it, by the name of its team or CellName.
+type Entry struct {
+	Name     string
+	Revision ident.Revision
+	Source   []byte
+	Deleted  bool
+}
+
+// Page is part of a catalog for another process: the changes with a revision above the one asked for, in the order of
+// their revisions, and the names of all documents that exist at the revision up to which the catalog is complete. A
+// process that started after a deletion knows of it only by the name that is missing.
+type Page struct {
+	Entries  []Entry
+	Names    []string
+	Revision ident.Revision
+}
+
 // Catalog is the aggregate of the documents in force in a process. A document never goes back to a lower revision.
+//
+// The catalog is complete up to its revision: it knows every change up to there, also a deletion and a text that it
+// refused. So a process that takes over from another one everything above its own revision skips nothing.
 type Catalog struct {
 	mu        sync.Mutex
-	documents map[ident.TeamID]Stored
-	revision  ident.Revision // the store's revision up to which every change is in force
+	items     map[string]*item
+	cell      Cell
+	revision  ident.Revision
+	confirmed bool
+}
+
+// item is what is known of a document.
+type item struct {
+	inForce  Entry // Revision is 0 when none is in force
+	document Document
+	refused  Entry          // a later text that is not valid; Revision is 0 when there is none
+	deleted  ident.Revision // revision of the last deletion; 0 when there was none
 }
 
+// newest returns the highest revision of the texts known.
+func (i *item) newest() ident.Revision { return max(i.inForce.Revision, i.refused.Revision) }
+
+func (i *item) exists() bool { return i.newest() > 0 }
+
 // NewCatalog returns a catalog without documents.
 func NewCatalog() *Catalog {
-	return &Catalog{documents: map[ident.TeamID]Stored{}}
+	return &Catalog{items: map[string]*item{}}
+}
+
+func (c *Catalog) item(name string) *item {
+	i, ok := c.items[name]
+	if !ok {
+		i = &item{}
+		c.items[name] = i
+	}
+	return i
 }
 
-// Accept puts a document in force unless one of the same or a higher revision is. It reports whether it did.
+// Accept puts a document in force unless one of the same or a higher revision is, or was deleted. It reports whether it
+// did.
 func (c *Catalog) Accept(stored Stored) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old, ok := c.documents[stored.Document.Team]; ok && old.Revision >= stored.Revision {
+	i, ok := c.accept(Entry{Name: string(stored.Document.Team), Revision: stored.Revision, Source: stored.Source})
+	if ok {
+		i.document = stored.Document
+	}
+	return ok
+}
+
+// AcceptCell puts cell quotas in force, by the same rule.
+func (c *Catalog) AcceptCell(stored StoredCell) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.accept(Entry{Name: CellName, Revision: stored.Revision, Source: stored.Source})
+	if ok {
+		c.cell = stored.Cell
+	}
+	return ok
+}
+
+func (c *Catalog) accept(e Entry) (*item, bool) {
+	i := c.item(e.Name)
+	if e.Revision <= max(i.inForce.Revision, i.deleted) {
+		return i, false
+	}
+	i.inForce = e
+	if i.refused.Revision < e.Revision {
+		i.refused = Entry{}
+	}
+	return i, true
+}
+
+// Refuse notes a text that is not valid. The document in force stays. It reports whether the text is new.
+func (c *Catalog) Refuse(e Entry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := c.item(e.Name)
+	if e.Revision <= max(i.newest(), i.deleted) {
 		return false
 	}
-	c.documents[stored.Document.Team] = stored
+	i.refused = e
 	return true
 }
 
-// Advance notes that every change up to the revision is in force.
+// Delete takes the texts of a document out of force that are not newer than the deletion. It reports whether none is
+// left of those that there were.
+func (c *Catalog) Delete(name string, revision ident.Revision) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.delete(name, revision)
+}
+
+func (c *Catalog) delete(name string, revision ident.Revision) bool {
+	i := c.item(name)
+	existed := i.exists() && i.newest() <= revision
+	if i.inForce.Revision <= revision {
+		i.inForce, i.document = Entry{}, Document{}
+	}
+	if i.refused.Revision <= revision {
+		i.refused = Entry{}
+	}
+	if name == CellName && i.inForce.Revision == 0 {
+		c.cell = Cell{}
+	}
+	i.deleted = max(i.deleted, revision)
+	return existed
+}
+
+// Retain deletes the documents that are not among the names that exist at the revision, and returns their names.
+func (c *Catalog) Retain(names []string, revision ident.Revision) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	exists := map[string]bool{}
+	for _, name := range names {
+		exists[name] = true
+	}
+	var gone []string
+	for name := range c.items {
+		if !exists[name] && c.items[name].exists() && c.delete(name, revision) {
+			gone = append(gone, name)
+		}
+	}
+	sort.Strings(gone)
+	return gone
+}
+
+// Advance notes that the catalog is complete up to the revision.
 func (c *Catalog) Advance(revision ident.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision = max(c.revision, revision)
+	c.revision, c.confirmed = max(c.revision, revision), true
 }
 
-// Revision returns the store's revision up to which every change is in force; 0 when nothing was confirmed.
+// Revision returns the store's revision up to which the catalog is complete.
 func (c *Catalog) Revision() ident.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.revision
 }
 
-// Get returns the document in force for a team. It fails with NotFound.
+// Confirmed reports whether the store or a peer has confirmed the catalog once.
+func (c *Catalog) Confirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed
+}
+
+// Since returns what another process that is complete up to the revision lacks.
+func (c *Catalog) Since(revision ident.Revision) Page {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page := Page{Revision: c.revision}
+	for name, i := range c.items {
+		if i.exists() {
+			page.Names = append(page.Names, name)
+		}
+		for _, e := range []Entry{i.inForce, i.refused, {Name: name, Revision: i.deleted, Deleted: true}} {
+			if e.Revision > revision {
+				page.Entries = append(page.Entries, e)
+			}
+		}
+	}
+	sort.Strings(page.Names)
+	sort.Slice(page.Entries, func(i, j int) bool { return page.Entries[i].Revision < page.Entries[j].Revision })
+	return page
+}
+
+// Has reports whether a document is in force for a team or CellName.
+func (c *Catalog) Has(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i, ok := c.items[name]
+	return ok && i.inForce.Revision > 0
+}
+
+// InForce returns the text in force for a team or CellName. It fails with NotFound.
+func (c *Catalog) InForce(name string) (Entry, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i, ok := c.items[name]; ok && i.inForce.Revision > 0 {
+		return i.inForce, nil
+	}
+	return Entry{}, fault.New(fault.NotFound, "%q has no document", name)
+}
+
+// Get returns the document in force for a team, its quota limited by the cell's. It fails with NotFound.
 func (c *Catalog) Get(team ident.TeamID) (Stored, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, ok := c.documents[team]
-	if !ok {
+	i, ok := c.items[string(team)]
+	if !ok || i.inForce.Revision == 0 || team == CellName {
 		return Stored{}, fault.New(fault.NotFound, "team %q has no document", team)
 	}
-	return s, nil
+	doc := i.document
+	doc.Quota = c.cell.Limit(team, doc.Quota)
+	return Stored{Document: doc, Revision: i.inForce.Revision, Source: i.inForce.Source}, nil
 }
 
-// All returns every document in force.
-func (c *Catalog) All() []Stored {
+// Quotas returns the quota of each team with a document, limited by the cell's.
+func (c *Catalog) Quotas() map[ident.TeamID]resource.Vector {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := make([]Stored, 0, len(c.documents))
-	for _, s := range c.documents {
-		all = append(all, s)
+	quotas := map[ident.TeamID]resource.Vector{}
+	for name, i := range c.items {
+		if id := ident.TeamID(name); name != CellName && i.inForce.Revision > 0 {
+			quotas[id] = c.cell.Limit(id, i.document.Quota)
+		}
 	}
-	return all
+	return quotas
 }
 
 // Authorize returns the team's document if the token is the team's. It fails with Unauthorized, also for an unknown team,
--- a/internal/domain/team/team.go
+++ b/internal/domain/team/team.go
@@ -2,6 +2,7 @@
 package team
 
 import (
+	"strings"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -71,6 +72,9 @@
 		add("version", fault.New(fault.Invalid, "is %d; this program reads version %d", d.Version, Version))
 	}
 	add("team", ident.Check("team", string(d.Team)))
+	if strings.HasPrefix(string(d.Team), "_") {
+		add("team", fault.New(fault.Invalid, "%q begins with '_'; such names are kept for the cell", d.Team))
+	}
 	if d.Token == "" {
 		add("token", fault.New(fault.Invalid, "is empty; callers need a token"))
 	}
@@ -80,5 +84,6 @@
 	if len(d.Kinds) == 0 || len(d.Kinds) > MaxKinds {
 		add("kinds", fault.New(fault.Invalid, "has %d kinds; want 1 to %d", len(d.Kinds), MaxKinds))
 	}
+	faults = append(faults, checkQuota("quota", d.Quota)...)
 	return append(faults, checkKinds(d.Kinds)...)
 }
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"sort"
 	"time"
 
@@ -68,16 +69,34 @@
 	return n.entry.Run(ctx, request)
 }
 
-// Authorize implements callerhttp.API.
-func (n *Node) Authorize(id ident.TeamID, token string) (team.Stored, error) {
-	return n.catalog.Authorize(id, token)
+// Document returns the document in force for a team or the cell to the holder of its token. It fails with Unauthorized.
+func (n *Node) Document(name, token string) (team.Entry, error) {
+	if err := n.authorize(name, token); err != nil {
+		return team.Entry{}, err
+	}
+	return n.catalog.InForce(name)
 }
 
-// Apply implements callerhttp.API.
+// Apply writes the document of a team or the cell for the holder of its token. The cell's operators may write the
+// first document of a team.
 func (n *Node) Apply(
-	ctx context.Context, id ident.TeamID, source []byte, expect ident.Revision,
+	ctx context.Context, name, token string, source []byte, expect ident.Revision,
 ) (ident.Revision, error) {
-	return n.config.Apply(ctx, id, source, expect)
+	if err := n.authorize(name, token); err != nil {
+		return 0, err
+	}
+	return n.config.Apply(ctx, name, source, expect)
+}
+
+// authorize checks a token. The cell's token is valid for the cell's own document and for teams without a document.
+func (n *Node) authorize(name, token string) error {
+	secret := n.settings.CellToken
+	operator := secret != "" && subtle.ConstantTimeCompare([]byte(secret), []byte(token)) == 1
+	if operator && (name == team.CellName || !n.catalog.Has(name)) {
+		return nil
+	}
+	_, err := n.catalog.Authorize(ident.TeamID(name), token)
+	return err
 }
 
 // Cell returns the status of each live process, and those that did not answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,7 +41,8 @@
 	VMListAddress string    // host:port of the VM list
 	Peers         []port.VM // processes to contact beside those of the VM list
 	DrainTimeout  time.Duration
-	TimelineSize  int // events kept
+	TimelineSize  int    // events kept
+	CellToken     string // secret of the cell's operators; empty when nobody may change cell quotas or add teams
 }
 
 // Failure detection of peers.
@@ -116,7 +117,8 @@
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: storehttp.New(n.settings.StoreAddress), Peers: n.calls, Beats: n.peers.Heartbeats,
-		Arrived: n.peers.HeartbeatArrived, Catalog: n.catalog, Decode: document.Decode, Recorder: n.recorder, Log: n.log,
+		Arrived: n.peers.HeartbeatArrived, Catalog: n.catalog, Decode: document.Decode, DecodeCell: document.DecodeCell,
+		Recorder: n.recorder, Log: n.log,
 	})
 	n.entry = entry.New(entry.Config{
 		Self: n.settings.ID, Members: n.members, Catalog: n.catalog, Peers: n.calls, Recorder: n.recorder, Log: n.log,
@@ -206,7 +208,7 @@
 	switch {
 	case draining:
 		return fault.New(fault.Draining, "the process is draining")
-	case n.catalog.Revision() == 0:
+	case !n.catalog.Confirmed():
 		return fault.New(fault.NotReady, "no documents confirmed by the store or a peer")
 	case !n.dir.Known():
 		return fault.New(fault.NotReady, "the VM list was not read")
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -60,17 +60,20 @@
 	Digest fleet.Digest
 }
 
-// Document is a team's document as the store holds it.
+// Document is a change of a document as the store holds it. It may be one that the sender refused.
 type Document struct {
-	Key      string
+	Name     string // of its team, or of the document of cell quotas
 	Source   []byte
 	Revision ident.Revision
+	Deleted  bool
 }
 
-// Documents is the answer to a request for documents.
+// Documents is a page of the answer to a request for documents.
 type Documents struct {
-	Documents []Document
-	Revision  ident.Revision // the store's revision up to which the sender is current
+	Documents []Document     // in the order of their revisions
+	Names     []string       // of all documents that exist at the revision
+	Revision  ident.Revision // the store's revision up to which the sender is complete
+	Complete  bool           // no further page follows
 }
 
 // Status is one process's part of the cell report.
