Secure connections between processes with mutual TLS

Cause: connections between processes were plain and a process could claim any id.

Change: certificate, key and CA come from files named in settings. The certificate must name the process id on both sides. A test covers the bound on handshakes.

Conclusion: only processes whose certificate the cell's CA signed take part, each under its own id. Open sessions are not ended when a certificate expires or the CA changes.

--- a/internal/adapter/peerwire/accept.go
+++ b/internal/adapter/peerwire/accept.go
@@ -36,17 +36,23 @@
 
 // acceptSession makes a session of an accepted connection.
 func (t *Transport) acceptSession(ctx context.Context, conn net.Conn) (*session, *yamux.Stream, error) {
-	counted := countedConn{conn, &t.traffic}
-	reader := bufio.NewReader(counted)
-	hello, err := handshake(counted, reader, t.hello())
+	secured, err := t.secure(ctx, conn, "")
 	if err != nil {
 		return nil, nil, err
 	}
+	reader := bufio.NewReader(secured)
+	hello, err := handshake(secured, reader, t.hello())
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := checkPeer(secured, ident.ProcessID(hello.GetPeer().GetId())); err != nil {
+		return nil, nil, err
+	}
 	if id := ident.ProcessID(hello.GetPeer().GetId()); id >= t.self {
 		return nil, nil, fault.New(fault.Invalid, "process %q dials %q; of two processes the one with the lower id dials",
 			id, t.self)
 	}
-	mux, err := yamux.Server(bufferedConn{counted, reader}, sessionConfig())
+	mux, err := yamux.Server(bufferedConn{secured, reader}, sessionConfig())
 	if err != nil {
 		return nil, nil, fault.As(fault.Unavailable, err, "session")
 	}
--- a/internal/adapter/peerwire/dial.go
+++ b/internal/adapter/peerwire/dial.go
@@ -35,7 +35,7 @@
 		return fault.As(fault.Unavailable, err, "dial")
 	}
 	defer conn.Close()
-	s, beats, err := t.open(conn, peer)
+	s, beats, err := t.open(ctx, conn, peer)
 	if err != nil {
 		return err
 	}
@@ -50,17 +50,22 @@
 }
 
 // open makes a session of a connection that this process dialed.
-func (t *Transport) open(conn net.Conn, peer ident.ProcessID) (*session, *yamux.Stream, error) {
-	counted := countedConn{conn, &t.traffic}
-	reader := bufio.NewReader(counted)
-	hello, err := handshake(counted, reader, t.hello())
+func (t *Transport) open(
+	ctx context.Context, conn net.Conn, peer ident.ProcessID,
+) (*session, *yamux.Stream, error) {
+	secured, err := t.secure(ctx, conn, peer)
+	if err != nil {
+		return nil, nil, err
+	}
+	reader := bufio.NewReader(secured)
+	hello, err := handshake(secured, reader, t.hello())
 	if err != nil {
 		return nil, nil, err
 	}
 	if id := hello.GetPeer().GetId(); id != string(peer) {
 		return nil, nil, fault.New(fault.Invalid, "process %q answers at the address of %q", id, peer)
 	}
-	mux, err := yamux.Client(bufferedConn{counted, reader}, sessionConfig())
+	mux, err := yamux.Client(bufferedConn{secured, reader}, sessionConfig())
 	if err != nil {
 		return nil, nil, fault.As(fault.Unavailable, err, "session")
 	}
--- a/internal/adapter/peerwire/transport.go
+++ b/internal/adapter/peerwire/transport.go
@@ -32,6 +32,8 @@
 	listener net.Listener
 	traffic  traffic
 
+	credentials *Credentials // nil for plain connections
+
 	handshakes chan struct{} // one element for each accepted connection without a session
 
 	mu       sync.Mutex
@@ -39,13 +41,14 @@
 	running  sync.WaitGroup
 }
 
-// New returns a transport that accepts sessions on the listener once Run is called.
+// New returns a transport that accepts sessions on the listener once Run is called. Without credentials connections are
+// plain.
 func New(
-	self ident.ProcessID, listener net.Listener, local Local, handler port.PeerHandler,
+	self ident.ProcessID, listener net.Listener, credentials *Credentials, local Local, handler port.PeerHandler,
 	clock *timeline.Recorder, log *slog.Logger,
 ) *Transport {
 	return &Transport{
-		self: self, local: local, handler: handler, clock: clock, log: log, listener: listener,
+		self: self, credentials: credentials, local: local, handler: handler, clock: clock, log: log, listener: listener,
 		handshakes: make(chan struct{}, maxHandshakes), sessions: map[ident.ProcessID]*session{},
 	}
 }
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -92,7 +93,9 @@
 	return strings.Count(b.String(), text)
 }
 
-func startProcess(t *testing.T, id ident.ProcessID) *process {
+func startProcess(t *testing.T, id ident.ProcessID) *process { return startSecured(t, id, nil) }
+
+func startSecured(t *testing.T, id ident.ProcessID, credentials *Credentials) *process {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,7 +103,7 @@
 	}
 	p := &process{id: id, log: &buffer{}, release: make(chan struct{})}
 	log := slog.New(slog.NewTextHandler(p.log, nil))
-	p.Transport = New(id, listener, p, p, timeline.NewRecorder(id, 100), log)
+	p.Transport = New(id, listener, credentials, p, p, timeline.NewRecorder(id, 100), log)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = p.Run(ctx) }()
@@ -108,10 +111,11 @@
 	return p
 }
 
-func (p *process) connect(t *testing.T, to ident.ProcessID, address string) {
+// connect keeps a connection to process b.
+func (p *process) connect(t *testing.T, address string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); p.Connect(ctx, to, address) }()
+	go func() { defer close(done); p.Connect(ctx, "b", address) }()
 	t.Cleanup(func() { cancel(); <-done })
 }
 
@@ -136,7 +140,7 @@
 func TestSilentConnection(t *testing.T) {
 	a, b := startProcess(t, "a"), startProcess(t, "b")
 	r := newRelay(t, b.listener.Addr().String())
-	a.connect(t, "b", r.address())
+	a.connect(t, r.address())
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
 	eventually(t, 5*time.Second, "connected", func() bool {
@@ -171,7 +175,7 @@
 // each caller gets the answer to its own call.
 func TestAnswersOutOfOrder(t *testing.T) {
 	a, b := startProcess(t, "a"), startProcess(t, "b")
-	a.connect(t, "b", b.listener.Addr().String())
+	a.connect(t, b.listener.Addr().String())
 	eventually(t, 5*time.Second, "connected", func() bool { _, err := a.session("b"); return err == nil })
 	var calls sync.WaitGroup
 	for i := range 200 {
@@ -293,9 +297,43 @@
 		t.Errorf("%d lines tell of the end of the session; want 1:\n%s", lines, b.log.String())
 	}
 	c := startProcess(t, "a")
-	c.connect(t, "b", b.listener.Addr().String())
+	c.connect(t, b.listener.Addr().String())
 	eventually(t, 3*time.Second, "served", func() bool {
 		outcome, err := c.Execute(context.Background(), "b", spec("after", "after"))
 		return err == nil && string(outcome.Output) == "after"
 	})
 }
+
+// TestHandshakeBound guards against connections that say nothing: they are closed in time, those over the bound at once,
+// and a peer gets through.
+func TestHandshakeBound(t *testing.T) {
+	b := startProcess(t, "b")
+	var silent []net.Conn
+	for range maxHandshakes + 20 {
+		conn, err := net.Dial("tcp", b.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		silent = append(silent, conn)
+	}
+	eventually(t, time.Second, "refused", func() bool { return b.log.count("too many handshakes") == 20 })
+	a := startProcess(t, "a")
+	a.connect(t, b.listener.Addr().String())
+	eventually(t, 5*time.Second, "connected", func() bool { _, err := b.session("a"); return err == nil })
+	for _, conn := range silent {
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		for one := make([]byte, 64); ; {
+			if _, err := conn.Read(one); isTimeout(err) {
+				t.Fatal("a silent connection is still open")
+			} else if err != nil {
+				break
+			}
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"skylarkstall/internal/adapter/peerwire"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/node"
@@ -15,6 +16,8 @@
 type serveFlags struct {
 	id, zone, caller, peer, store, vmlist, level string
 
+	tls   peerwire.CredentialFiles
+	plain bool
 	drain time.Duration
 	ring  int
 }
@@ -24,6 +27,10 @@
 	fs.StringVar(&f.zone, "zone", "", "availability zone of this VM")
 	fs.StringVar(&f.caller, "caller-address", "127.0.0.1:7070", "host:port for callers and operators")
 	fs.StringVar(&f.peer, "peer-address", "127.0.0.1:7071", "host:port for other processes")
+	fs.StringVar(&f.tls.Certificate, "peer-tls-certificate", "", "PEM file with the certificate of this process for peers")
+	fs.StringVar(&f.tls.Key, "peer-tls-key", "", "PEM file with the key of the certificate")
+	fs.StringVar(&f.tls.CA, "peer-tls-ca", "", "PEM file with the certificates that sign those of peers")
+	fs.BoolVar(&f.plain, "peer-plain", false, "connections between processes without TLS")
 	fs.StringVar(&f.store, "store-address", "", "host:port of the key-value service")
 	fs.StringVar(&f.vmlist, "vm-list-address", "", "host:port of the VM list")
 	fs.DurationVar(&f.drain, "drain-timeout", time.Minute, "longest graceful shutdown")
@@ -43,7 +50,7 @@
 	}
 	return node.Settings{
 		ID: ident.ProcessID(f.id), Zone: ident.Zone(f.zone), CallerAddress: f.caller, PeerAddress: f.peer,
-		StoreAddress: f.store, VMListAddress: f.vmlist, DrainTimeout: f.drain, TimelineSize: f.ring,
+		PeerPlain: f.plain, PeerTLS: f.tls, StoreAddress: f.store, VMListAddress: f.vmlist, DrainTimeout: f.drain, TimelineSize: f.ring,
 	}, nil
 }
 
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -174,7 +174,7 @@
 	n, err := node.New(node.Settings{
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
 		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
-		TimelineSize: 20_000, CellToken: CellToken,
+		TimelineSize: 20_000, CellToken: CellToken, PeerPlain: true,
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,10 +35,12 @@
 type Settings struct {
 	ID            ident.ProcessID
 	Zone          ident.Zone
-	CallerAddress string    // host:port for callers and operators
-	PeerAddress   string    // host:port for peers
-	StoreAddress  string    // host:port of the key-value service
-	VMListAddress string    // host:port of the VM list
+	CallerAddress string // host:port for callers and operators
+	PeerAddress   string // host:port for peers
+	StoreAddress  string // host:port of the key-value service
+	VMListAddress string // host:port of the VM list
+	PeerPlain     bool   // connections between processes without TLS
+	PeerTLS       peerwire.CredentialFiles
 	Peers         []port.VM // processes to contact beside those of the VM list
 	DrainTimeout  time.Duration
 	TimelineSize  int    // events kept
@@ -54,22 +56,23 @@
 
 // Node is one entry process.
 type Node struct {
-	settings  Settings
-	log       *slog.Logger
-	started   time.Time
-	members   *membership.Membership
-	catalog   *team.Catalog
-	recorder  *timeline.Recorder
-	dir       *directory.Directory
-	peers     *peering.Service
-	owner     *owner.Service
-	home      *home.Service
-	config    *configsync.Service
-	entry     *entry.Service
-	transport *peerwire.Transport
-	calls     port.Peers
-	caller    net.Listener
-	peer      net.Listener
+	settings    Settings
+	log         *slog.Logger
+	started     time.Time
+	members     *membership.Membership
+	catalog     *team.Catalog
+	recorder    *timeline.Recorder
+	dir         *directory.Directory
+	peers       *peering.Service
+	owner       *owner.Service
+	home        *home.Service
+	config      *configsync.Service
+	entry       *entry.Service
+	transport   *peerwire.Transport
+	credentials *peerwire.Credentials // nil for plain connections
+	calls       port.Peers
+	caller      net.Listener
+	peer        net.Listener
 
 	mu       sync.Mutex
 	draining bool
@@ -77,6 +80,14 @@
 
 // New returns a process that listens but does not serve yet.
 func New(settings Settings, log *slog.Logger) (*Node, error) {
+	log = log.With("process", settings.ID)
+	var credentials *peerwire.Credentials
+	if !settings.PeerPlain {
+		var err error
+		if credentials, err = peerwire.LoadCredentials(settings.PeerTLS, log); err != nil {
+			return nil, err
+		}
+	}
 	caller, err := net.Listen("tcp", settings.CallerAddress)
 	if err != nil {
 		return nil, fault.As(fault.Unavailable, err, "caller address")
@@ -86,9 +97,8 @@
 		_ = caller.Close() // the process does not start
 		return nil, fault.As(fault.Unavailable, err, "peer address")
 	}
-	log = log.With("process", settings.ID)
 	n := &Node{
-		settings: settings, log: log, started: time.Now(), caller: caller, peer: peer,
+		settings: settings, log: log, credentials: credentials, started: time.Now(), caller: caller, peer: peer,
 		catalog:  team.NewCatalog(),
 		recorder: timeline.NewRecorder(settings.ID, settings.TimelineSize),
 		dir:      directory.New(vmlisthttp.New(settings.VMListAddress), log),
@@ -104,7 +114,7 @@
 func (n *Node) wire() {
 	n.peers = peering.New(n.members, n.dir, n.settings.Peers, n.recorder, n.log, n.catalog.Revision,
 		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
-	n.transport = peerwire.New(n.settings.ID, n.peer, n.peers, n, n.recorder, n.log)
+	n.transport = peerwire.New(n.settings.ID, n.peer, n.credentials, n.peers, n, n.recorder, n.log)
 	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n}
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workerhttp.Dialer{},
