--- a/internal/adapter/peerwire/convert.go
+++ b/internal/adapter/peerwire/convert.go
@@ -14,6 +14,14 @@
 	"skylarkstall/internal/port"
 )
 
+// decodeKind returns Internal for a number that this process does not know.
+func decodeKind(number uint32) fault.Kind {
+	if number >= uint32(len(fault.Kinds())) {
+		return fault.Internal
+	}
+	return fault.Kind(number)
+}
+
 func encodeStamp(s timeline.Stamp) *peerpb.Stamp {
 	return &peerpb.Stamp{Wall: s.Wall, Logical: s.Logical}
 }
@@ -244,20 +252,24 @@
 }
 
 func encodeDocuments(docs port.Documents) *peerpb.Documents {
-	out := &peerpb.Documents{Revision: uint64(docs.Revision)}
+	out := &peerpb.Documents{
+		Revision: uint64(docs.Revision), Names: docs.Names, Complete: docs.Complete,
+	}
 	for _, d := range docs.Documents {
 		out.Documents = append(out.Documents, &peerpb.Document{
-			Key: d.Key, Source: d.Source, Revision: uint64(d.Revision),
+			Key: d.Name, Source: d.Source, Revision: uint64(d.Revision), Deleted: d.Deleted,
 		})
 	}
 	return out
 }
 
 func decodeDocuments(docs *peerpb.Documents) port.Documents {
-	out := port.Documents{Revision: ident.Revision(docs.GetRevision())}
+	out := port.Documents{
+		Revision: ident.Revision(docs.GetRevision()), Names: docs.GetNames(), Complete: docs.GetComplete(),
+	}
 	for _, d := range docs.GetDocuments() {
 		out.Documents = append(out.Documents, port.Document{
-			Key: d.GetKey(), Source: d.GetSource(), Revision: ident.Revision(d.GetRevision()),
+			Name: d.GetKey(), Source: d.GetSource(), Revision: ident.Revision(d.GetRevision()), Deleted: d.GetDeleted(),
 		})
 	}
 	return out
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,8 +39,12 @@
 	PeerAddress   string // host:port for peers
 	StoreAddress  string // host:port of the key-value service
 	VMListAddress string // host:port of the VM list
+	PeerPlain     bool   // connections between processes without TLS
+	PeerTLS       peerwire.CredentialFiles
+	Peers         []port.VM // processes to contact beside those of the VM list
 	DrainTimeout  time.Duration
-	TimelineSize  int // events kept
+	TimelineSize  int    // events kept
+	CellToken     string // secret of the cell's operators; empty when nobody may change cell quotas or add teams
 }
 
 // Failure detection of peers.
@@ -52,22 +56,23 @@
 
 // Node is one entry process.
 type Node struct {
-	settings  Settings
-	log       *slog.Logger
-	started   time.Time
-	members   *membership.Membership
-	catalog   *team.Catalog
-	recorder  *timeline.Recorder
-	dir       *directory.Directory
-	peers     *peering.Service
-	owner     *owner.Service
-	home      *home.Service
-	config    *configsync.Service
-	entry     *entry.Service
-	transport *peerwire.Transport
-	calls     port.Peers
-	caller    net.Listener
-	peer      net.Listener
+	settings    Settings
+	log         *slog.Logger
+	started     time.Time
+	members     *membership.Membership
+	catalog     *team.Catalog
+	recorder    *timeline.Recorder
+	dir         *directory.Directory
+	peers       *peering.Service
+	owner       *owner.Service
+	home        *home.Service
+	config      *configsync.Service
+	entry       *entry.Service
+	transport   *peerwire.Transport
+	credentials *peerwire.Credentials // nil for plain connections
+	calls       port.Peers
+	caller      net.Listener
+	peer        net.Listener
 
 	mu       sync.Mutex
 	draining bool
@@ -75,6 +80,14 @@
 
 // New returns a process that listens but does not serve yet.
 func New(settings Settings, log *slog.Logger) (*Node, error) {
+	log = log.With("process", settings.ID)
+	var credentials *peerwire.Credentials
+	if !settings.PeerPlain {
+		var err error
+		if credentials, err = peerwire.LoadCredentials(settings.PeerTLS, log); err != nil {
+			return nil, err
+		}
+	}
 	caller, err := net.Listen("tcp", settings.CallerAddress)
 	if err != nil {
 		return nil, fault.As(fault.Unavailable, err, "caller address")
@@ -84,23 +97,24 @@
 		_ = caller.Close() // the process does not start
 		return nil, fault.As(fault.Unavailable, err, "peer address")
 	}
-	log = log.With("process", settings.ID)
 	n := &Node{
-		settings: settings, log: log, started: time.Now(), caller: caller, peer: peer,
+		settings: settings, log: log, credentials: credentials, started: time.Now(), caller: caller, peer: peer,
 		catalog:  team.NewCatalog(),
 		recorder: timeline.NewRecorder(settings.ID, settings.TimelineSize),
 		dir:      directory.New(vmlisthttp.New(settings.VMListAddress), log),
 	}
 	self := membership.Peer{ID: settings.ID, Zone: settings.Zone, Incarnation: uint64(n.started.UnixNano())}
-	n.members = membership.New(self, membership.Settings{DeadAfter: deadAfter, Rejoin: rejoinRow})
+	n.members = membership.New(self, membership.Settings{
+		Interval: peerwire.HeartbeatInterval, DeadAfter: deadAfter, Rejoin: rejoinRow,
+	})
 	n.wire()
 	return n, nil
 }
 
 func (n *Node) wire() {
-	n.peers = peering.New(n.members, n.dir, n.recorder, n.log, n.catalog.Revision,
+	n.peers = peering.New(n.members, n.dir, n.settings.Peers, n.recorder, n.log, n.catalog.Revision,
 		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
-	n.transport = peerwire.New(n.settings.ID, n.peer, n.peers, n, n.recorder, n.log)
+	n.transport = peerwire.New(n.settings.ID, n.peer, n.credentials, n.peers, n, n.recorder, n.log)
 	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n}
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workerhttp.Dialer{},
@@ -113,7 +127,8 @@
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: storehttp.New(n.settings.StoreAddress), Peers: n.calls, Beats: n.peers.Heartbeats,
-		Arrived: n.peers.HeartbeatArrived, Catalog: n.catalog, Decode: document.Decode, Recorder: n.recorder, Log: n.log,
+		Arrived: n.peers.HeartbeatArrived, Catalog: n.catalog, Decode: document.Decode, DecodeCell: document.DecodeCell,
+		Recorder: n.recorder, Log: n.log,
 	})
 	n.entry = entry.New(entry.Config{
 		Self: n.settings.ID, Members: n.members, Catalog: n.catalog, Peers: n.calls, Recorder: n.recorder, Log: n.log,
@@ -203,7 +218,7 @@
 	switch {
 	case draining:
 		return fault.New(fault.Draining, "the process is draining")
-	case n.catalog.Revision() == 0:
+	case !n.catalog.Confirmed():
 		return fault.New(fault.NotReady, "no documents confirmed by the store or a peer")
 	case !n.dir.Known():
 		return fault.New(fault.NotReady, "the VM list was not read")
