Keep assumed assignments until the owner confirms or forgets them

Cause: Fleet.Update replaced a worker's free capacity by its report, so a report that was taken between an assignment and its reservation gave the same room away twice. The worker's aggregate refused the second start, at the price of a wasted placement. Change: the fleet keeps each assignment until Confirm (the worker has reserved it, its reports contain it) or Forget (it was not reserved; the room goes to waiting tasks). The owner calls Confirm after Reserve and Forget when Reserve fails or nobody waits for the assignment, which was a nil dereference before. Figures: TestReportKeepsAssumedAssignments passes; with the subtraction of assumed sizes taken out it fails with "a report gave the room of an assumed assignment away". Conclusion: the view errs towards less room, and never towards more, between two reports of a worker.

--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -134,9 +134,11 @@
 	spec := assignment.Spec
 	epoch, err := k.worker.Reserve(time.Now(), spec.ID, spec.Attempt, spec.Size)
 	if err != nil {
+		s.dispatch(s.fleet.Forget(spec.ID))
 		s.refresh(k)
 		return err
 	}
+	s.fleet.Confirm(spec.ID)
 	a.assign(k.id)
 	s.holdings.Assign(spec.ID, k.id)
 	s.record(timeline.Placed, spec.ID, k.id, "")
@@ -191,6 +193,10 @@
 		s.mu.Lock()
 		a := s.pending[assignment.Spec.ID]
 		s.mu.Unlock()
+		if a == nil {
+			s.dispatch(s.fleet.Forget(assignment.Spec.ID))
+			continue
+		}
 		a.assigned <- assignment
 	}
 }
--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -38,16 +38,19 @@
 
 // Fleet is the aggregate of the workers owned by a process and the tasks that wait for them.
 type Fleet struct {
-	mu     sync.Mutex
-	policy Policy
-	rows   map[ident.WorkerID]*Row
-	order  []*Row
-	queue  *queue
+	mu      sync.Mutex
+	policy  Policy
+	rows    map[ident.WorkerID]*Row
+	order   []*Row
+	assumed map[ident.TaskID]Assignment // assigned and not yet reserved on the worker
+	queue   *queue
 }
 
 // New returns a fleet without workers.
 func New(policy Policy) *Fleet {
-	return &Fleet{policy: policy, rows: map[ident.WorkerID]*Row{}, queue: newQueue()}
+	return &Fleet{
+		policy: policy, rows: map[ident.WorkerID]*Row{}, assumed: map[ident.TaskID]Assignment{}, queue: newQueue(),
+	}
 }
 
 // Offer assigns the task to a worker, or queues it and returns false. It fails with Overloaded when the queue is full,
@@ -69,10 +72,39 @@
 // assume takes the size from the view before the worker's aggregate confirms it.
 func (f *Fleet) assume(row *Row, spec work.Spec) Assignment {
 	row.Free = row.Free.Sub(spec.Size)
-	return Assignment{Spec: spec, Worker: row.Worker}
+	assignment := Assignment{Spec: spec, Worker: row.Worker}
+	f.assumed[spec.ID] = assignment
+	return assignment
+}
+
+// Confirm notes that the worker has reserved the size of an assigned task: from now on its reports contain it.
+func (f *Fleet) Confirm(task ident.TaskID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.assumed, task)
 }
 
-// Update replaces the view of a worker and returns the waiting tasks that now have room on it.
+// Forget gives up the assignment of a task that the worker did not reserve, and returns the waiting tasks that now have
+// room on that worker.
+func (f *Fleet) Forget(task ident.TaskID) []Assignment {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assignment, ok := f.assumed[task]
+	if !ok {
+		return nil
+	}
+	delete(f.assumed, task)
+	row, ok := f.rows[assignment.Worker]
+	if !ok {
+		return nil
+	}
+	row.Free = row.Free.Add(assignment.Spec.Size)
+	return f.fill(row)
+}
+
+// Update replaces the view of a worker by its report, less what is assigned and not yet reserved there. It returns the
+// waiting tasks that now have room on it. A report that was taken just after a reservation and before its Confirm counts
+// the task twice until the next report: the view then errs towards less room.
 func (f *Fleet) Update(row Row) []Assignment {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,19 +115,12 @@
 		f.order = append(f.order, known)
 	}
 	*known = row
-	return f.fill(known)
-}
-
-// Freed returns capacity of a worker to the view and returns the waiting tasks that now have room on it.
-func (f *Fleet) Freed(worker ident.WorkerID, size resource.Vector) []Assignment {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	row, ok := f.rows[worker]
-	if !ok {
-		return nil
+	for _, assignment := range f.assumed {
+		if assignment.Worker == row.Worker {
+			known.Free = known.Free.Sub(assignment.Spec.Size)
+		}
 	}
-	row.Free = row.Free.Add(size)
-	return f.fill(row)
+	return f.fill(known)
 }
 
 func (f *Fleet) fill(row *Row) []Assignment {
@@ -118,6 +143,11 @@
 		return
 	}
 	delete(f.rows, worker)
+	for id, assignment := range f.assumed {
+		if assignment.Worker == worker {
+			delete(f.assumed, id)
+		}
+	}
 	for i, r := range f.order {
 		if r == row {
 			f.order = append(f.order[:i], f.order[i+1:]...)
