Add a replay of arrivals through the placement decisions, and the baseline policy

Cause: nothing measured the decisions, and the queue mixed class order into what should be the baseline. A fleet takes a named policy; "first-fit" is first in first out over all classes with the first worker that has room. The fleet keeps running tasks and answers with decisions (assigned, refused); the owner tells it of ends (Finished, Forget). TestEveryProfileIsRepeatable: equal seeds give equal reports.

--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -134,7 +134,7 @@
 	spec := assignment.Spec
 	epoch, err := k.worker.Reserve(time.Now(), spec.ID, spec.Attempt, spec.Size)
 	if err != nil {
-		s.dispatch(s.fleet.Forget(spec.ID))
+		s.dispatch(s.fleet.Forget(time.Now(), spec.ID))
 		s.refresh(k)
 		return err
 	}
@@ -152,6 +152,7 @@
 		return nil
 	case fault.KindOf(err).Answer().Ran == fault.RanNo:
 		k.worker.Release(spec.ID, spec.Attempt)
+		s.fleet.Forget(time.Now(), spec.ID)
 		a.assign("")
 		s.refresh(k)
 		return err
@@ -184,17 +185,26 @@
 
 // refresh replaces the view of a worker with its true state.
 func (s *Service) refresh(k *keeper) {
-	s.dispatch(s.fleet.Update(rowOf(k.worker.Snapshot(time.Now()))))
+	now := time.Now()
+	s.dispatch(s.fleet.Update(now, rowOf(k.worker.Snapshot(now))))
 }
 
-// dispatch hands assignments of the queue to the goroutines that wait for them.
-func (s *Service) dispatch(assignments []fleet.Assignment) {
-	for _, assignment := range assignments {
+// dispatch hands assignments of the queue to the goroutines that wait for them, and ends the attempts that it gave up.
+func (s *Service) dispatch(decisions fleet.Decisions) {
+	for _, refusal := range decisions.Refused {
+		s.mu.Lock()
+		a := s.pending[refusal.Task]
+		s.mu.Unlock()
+		if a != nil {
+			s.finish(a, work.Outcome{}, refusal.Err)
+		}
+	}
+	for _, assignment := range decisions.Assigned {
 		s.mu.Lock()
 		a := s.pending[assignment.Spec.ID]
 		s.mu.Unlock()
 		if a == nil {
-			s.dispatch(s.fleet.Forget(assignment.Spec.ID))
+			s.dispatch(s.fleet.Forget(time.Now(), assignment.Spec.ID))
 			continue
 		}
 		a.assigned <- assignment
@@ -205,6 +215,9 @@
 func (s *Service) finish(a *attempt, outcome work.Outcome, err error) {
 	a.end(outcome, err)
 	s.holdings.Drop(a.task, a.number)
+	if err != nil {
+		s.dispatch(s.fleet.Forget(time.Now(), a.task))
+	}
 	if err != nil && fault.KindOf(err).Answer().Ran == fault.RanNo {
 		s.forget(a)
 		return
--- /dev/null
+++ b/internal/cli/replay.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/replay"
+)
+
+type replayFlags struct {
+	profile, variants, arrivals, record string
+
+	shape       replay.Shape
+	stale       time.Duration
+	load        float64
+	seeds       int
+	withoutLong bool
+	json        bool
+}
+
+func (f *replayFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.profile, "profile", "rush", strings.Join(replay.ProfileNames(), ", "))
+	fs.StringVar(&f.variants, "variants", strings.Join(fleet.PolicyNames(), ","),
+		"policies to compare, each as policy or policy@owners")
+	fs.StringVar(&f.arrivals, "arrivals", "", "file of recorded arrivals, one JSON object a line; empty to generate them")
+	fs.StringVar(&f.record, "record", "", "file to write the generated arrivals of the first seed to")
+	fs.IntVar(&f.shape.Workers, "workers", replay.Small.Workers, "workers of the cell")
+	fs.IntVar(&f.shape.Owners, "owners", replay.Small.Owners, "owner processes")
+	fs.IntVar(&f.shape.Zones, "zones", replay.Small.Zones, "availability zones")
+	fs.DurationVar(&f.stale, "stale", time.Second, "age at which digests are replaced")
+	fs.Float64Var(&f.load, "load", 1, "rate of requests relative to the profile")
+	fs.IntVar(&f.seeds, "seeds", 5, "seeds to replay")
+	fs.BoolVar(&f.withoutLong, "without-long", false, "replay the requests alone")
+	fs.BoolVar(&f.json, "json", false, "print the report as JSON")
+}
+
+func (f *replayFlags) comparison() (replay.Comparison, error) {
+	profile, err := replay.ProfileNamed(f.profile)
+	if err != nil {
+		return replay.Comparison{}, err
+	}
+	if f.shape.Workers < 1 || f.shape.Owners < 1 || f.shape.Zones < 1 || f.seeds < 1 || f.stale <= 0 || f.load <= 0 {
+		return replay.Comparison{}, fault.New(fault.Invalid, "workers, owners, zones, seeds, stale and load must be above 0")
+	}
+	c := replay.Comparison{
+		Profile: profile, Shape: f.shape, Stale: f.stale, Load: f.load, WithoutLong: f.withoutLong, Seeds: f.seeds,
+	}
+	for _, name := range strings.Split(f.variants, ",") {
+		v, err := replay.ParseVariant(name)
+		if err != nil {
+			return replay.Comparison{}, err
+		}
+		c.Variants = append(c.Variants, v)
+	}
+	if f.arrivals != "" {
+		c.Arrivals, err = readArrivals(f.arrivals)
+	}
+	return c, err
+}
+
+func readArrivals(name string) ([]replay.Arrival, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, fault.As(fault.NotFound, err, "arrivals")
+	}
+	defer func() { _ = file.Close() }() // nothing was written
+	return replay.Read(file)
+}
+
+func writeArrivals(name string, arrivals []replay.Arrival) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return fault.As(fault.Invalid, err, "record")
+	}
+	if err := replay.Write(file, arrivals); err != nil {
+		_ = file.Close() // the file is incomplete already
+		return err
+	}
+	return fault.As(fault.Internal, file.Close(), "record")
+}
+
+func (a *app) replay() *ffcli.Command {
+	fs := a.flags("skylarkstall replay")
+	var f replayFlags
+	f.register(fs)
+	return &ffcli.Command{
+		Name: "replay", ShortUsage: "skylarkstall replay [flags]", FlagSet: fs, Options: options(),
+		ShortHelp: "Compare placement policies on a list of arrivals, with a virtual clock.",
+		Exec: func(context.Context, []string) error {
+			c, err := f.comparison()
+			if err != nil {
+				return err
+			}
+			if f.record != "" {
+				if err := writeArrivals(f.record, c.Profile.Arrivals(c.Shape, 1, c.Load)); err != nil {
+					return err
+				}
+			}
+			report, err := c.Run()
+			if err != nil {
+				return err
+			}
+			if f.json {
+				return report.WriteJSON(a.out)
+			}
+			return report.WriteTable(a.out)
+		},
+	}
+}
--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -12,21 +12,24 @@
 	"skylarkstall/internal/fault"
 )
 
-// Row is the view of one owned worker.
-type Row struct {
-	Worker   ident.WorkerID
-	Zone     ident.Zone
-	Rack     ident.Rack
-	Capacity resource.Vector
-	Free     resource.Vector
-}
-
 // Assignment pairs a task with the worker chosen for it.
 type Assignment struct {
 	Spec   work.Spec
 	Worker ident.WorkerID
 }
 
+// Refusal ends a waiting task that is not going to run.
+type Refusal struct {
+	Task ident.TaskID
+	Err  error // Overloaded or DeadlineExceeded
+}
+
+// Decisions are for the caller to carry out.
+type Decisions struct {
+	Assigned []Assignment
+	Refused  []Refusal
+}
+
 // Digest is what other processes learn of a fleet.
 type Digest struct {
 	Free       resource.Vector
@@ -38,118 +41,166 @@
 
 // Fleet is the aggregate of the workers owned by a process and the tasks that wait for them.
 type Fleet struct {
-	mu      sync.Mutex
-	policy  Policy
-	rows    map[ident.WorkerID]*Row
-	order   []*Row
-	assumed map[ident.TaskID]Assignment // assigned and not yet reserved on the worker
-	queue   *queue
+	mu       sync.Mutex
+	policy   Policy
+	rows     map[ident.WorkerID]*row
+	order    []*row // as they came, so that equal input gives equal decisions
+	index    index
+	tasks    map[ident.TaskID]*held
+	queue    queue
+	capacity resource.Vector
+	free     resource.Vector
 }
 
 // New returns a fleet without workers.
 func New(policy Policy) *Fleet {
 	return &Fleet{
-		policy: policy, rows: map[ident.WorkerID]*Row{}, assumed: map[ident.TaskID]Assignment{}, queue: newQueue(),
+		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{},
+		index: &scan{}, queue: newArrivalQueue(),
 	}
 }
 
-// Offer assigns the task to a worker, or queues it and returns false. It fails with Overloaded when the queue is full,
-// Conflict when the task waits already, and DeadlineExceeded when its deadline has passed.
+// Offer assigns the task to a worker, or queues it and returns false. It fails with Overloaded when the queue is full or
+// the task would wait too long, Conflict when the task waits or runs already, and DeadlineExceeded when its deadline has
+// passed.
 func (f *Fleet) Offer(now time.Time, spec work.Spec) (Assignment, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !spec.Deadline.IsZero() && !now.Before(spec.Deadline) {
-		return Assignment{}, false, fault.New(fault.DeadlineExceeded, "the deadline of %s has passed", spec.ID)
+	if err := f.check(now, spec); err != nil {
+		return Assignment{}, false, err
 	}
-	if f.queue.mayStart(spec) {
-		if row := f.policy.Choose(f.order, spec); row != nil {
-			return f.assume(row, spec), true, nil
+	if f.queue.mayOvertake(spec) {
+		if r := f.index.choose(spec, f.admits); r != nil {
+			return f.assume(now, r, spec), true, nil
 		}
 	}
-	return Assignment{}, false, f.queue.push(now, spec)
+	f.queue.push(&waiting{spec: spec, since: now})
+	return Assignment{}, false, nil
+}
+
+func (f *Fleet) check(now time.Time, spec work.Spec) error {
+	if !spec.Deadline.IsZero() && !now.Before(spec.Deadline) {
+		return fault.New(fault.DeadlineExceeded, "the deadline of %s has passed", spec.ID)
+	}
+	if _, ok := f.tasks[spec.ID]; ok || f.queue.has(spec.ID) {
+		return fault.New(fault.Conflict, "%s waits or runs already", spec.ID)
+	}
+	if n := f.queue.len(); n >= MaxQueued {
+		return fault.New(fault.Overloaded, "%d tasks wait; the limit is %d", n, MaxQueued)
+	}
+	return nil
+}
+
+// admits reports whether the task may go on the row.
+func (f *Fleet) admits(r *row, spec work.Spec) bool {
+	return spec.Size.Fits(r.Free)
 }
 
 // assume takes the size from the view before the worker's aggregate confirms it.
-func (f *Fleet) assume(row *Row, spec work.Spec) Assignment {
-	row.Free = row.Free.Sub(spec.Size)
-	assignment := Assignment{Spec: spec, Worker: row.Worker}
-	f.assumed[spec.ID] = assignment
-	return assignment
+func (f *Fleet) assume(now time.Time, r *row, spec work.Spec) Assignment {
+	h := &held{spec: spec, row: r, since: now, assumed: true}
+	f.tasks[spec.ID] = h
+	r.tasks[spec.ID] = h
+	r.assumed = r.assumed.Add(spec.Size)
+	f.setFree(r, r.Free.Sub(spec.Size))
+	return Assignment{Spec: spec, Worker: r.Worker}
+}
+
+func (f *Fleet) setFree(r *row, free resource.Vector) {
+	f.free = f.free.Sub(r.Free).Add(free)
+	r.Free = free
+	f.index.changed(r)
 }
 
 // Confirm notes that the worker has reserved the size of an assigned task: from now on its reports contain it.
 func (f *Fleet) Confirm(task ident.TaskID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.assumed, task)
+	if h, ok := f.tasks[task]; ok && h.assumed {
+		h.assumed = false
+		h.row.assumed = h.row.assumed.Sub(h.spec.Size)
+	}
 }
 
-// Forget gives up the assignment of a task that the worker did not reserve, and returns the waiting tasks that now have
-// room on that worker.
-func (f *Fleet) Forget(task ident.TaskID) []Assignment {
+// Forget gives up a task that the worker did not reserve or did not start. The room of an assumed task goes to waiting
+// tasks; that of a confirmed one returns with the worker's next report.
+func (f *Fleet) Forget(now time.Time, task ident.TaskID) Decisions {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assignment, ok := f.assumed[task]
+	h, ok := f.tasks[task]
 	if !ok {
-		return nil
+		return Decisions{}
 	}
-	delete(f.assumed, task)
-	row, ok := f.rows[assignment.Worker]
-	if !ok {
-		return nil
+	f.drop(h)
+	if !h.assumed {
+		return Decisions{}
 	}
-	row.Free = row.Free.Add(assignment.Spec.Size)
-	return f.fill(row)
+	h.row.assumed = h.row.assumed.Sub(h.spec.Size)
+	f.setFree(h.row, h.row.Free.Add(h.spec.Size))
+	return f.fill(now, h.row)
+}
+
+func (f *Fleet) drop(h *held) {
+	delete(f.tasks, h.spec.ID)
+	delete(h.row.tasks, h.spec.ID)
 }
 
-// Update replaces the view of a worker by its report, less what is assigned and not yet reserved there. It returns the
-// waiting tasks that now have room on it. A report that was taken just after a reservation and before its Confirm counts
-// the task twice until the next report: the view then errs towards less room.
-func (f *Fleet) Update(row Row) []Assignment {
+// Finished notes the end of a task that ran for the given time. Its room returns with the worker's next report.
+func (f *Fleet) Finished(_ time.Time, task ident.TaskID, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, ok := f.rows[row.Worker]
+	if h, ok := f.tasks[task]; ok {
+		f.drop(h)
+	}
+}
+
+// Update replaces the view of a worker by its report, less what is assigned and not yet reserved there. It decides which
+// waiting tasks now have room. A report that was taken just after a reservation and before its Confirm counts the task
+// twice until the next report: the view then errs towards less room.
+func (f *Fleet) Update(now time.Time, report Row) Decisions {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.rows[report.Worker]
 	if !ok {
-		known = &Row{}
-		f.rows[row.Worker] = known
-		f.order = append(f.order, known)
-	}
-	*known = row
-	for _, assignment := range f.assumed {
-		if assignment.Worker == row.Worker {
-			known.Free = known.Free.Sub(assignment.Spec.Size)
-		}
+		r = &row{Row: Row{Worker: report.Worker}, tasks: map[ident.TaskID]*held{}}
+		f.rows[report.Worker] = r
+		f.order = append(f.order, r)
+		f.index.add(r)
 	}
-	return f.fill(known)
+	f.capacity = f.capacity.Sub(r.Capacity).Add(report.Capacity)
+	r.Zone, r.Rack, r.Capacity = report.Zone, report.Rack, report.Capacity
+	f.setFree(r, report.Free.Sub(r.assumed))
+	return f.fill(now, r)
 }
 
-func (f *Fleet) fill(row *Row) []Assignment {
-	var assignments []Assignment
+func (f *Fleet) fill(now time.Time, r *row) Decisions {
+	var d Decisions
 	for {
-		spec, ok := f.queue.pop(func(s work.Spec) bool { return f.policy.Admits(row, s) })
-		if !ok {
-			return assignments
+		w := f.queue.pop(func(w *waiting) bool { return f.admits(r, w.spec) })
+		if w == nil {
+			return d
 		}
-		assignments = append(assignments, f.assume(row, spec))
+		d.Assigned = append(d.Assigned, f.assume(now, r, w.spec))
 	}
 }
 
-// Remove forgets a worker that this process no longer owns.
+// Remove forgets a worker that this process no longer owns, and what is held on it.
 func (f *Fleet) Remove(worker ident.WorkerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	row, ok := f.rows[worker]
+	r, ok := f.rows[worker]
 	if !ok {
 		return
 	}
-	delete(f.rows, worker)
-	for id, assignment := range f.assumed {
-		if assignment.Worker == worker {
-			delete(f.assumed, id)
-		}
+	for _, h := range r.tasks {
+		f.drop(h)
 	}
-	for i, r := range f.order {
-		if r == row {
+	f.setFree(r, resource.Vector{})
+	f.capacity = f.capacity.Sub(r.Capacity)
+	f.index.remove(r)
+	delete(f.rows, worker)
+	for i, other := range f.order {
+		if other == r {
 			f.order = append(f.order[:i], f.order[i+1:]...)
 			return
 		}
@@ -167,23 +218,10 @@
 func (f *Fleet) Digest(now time.Time) Digest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var d Digest
-	for _, row := range f.order {
-		d.Free = d.Free.Add(row.Free)
-		d.Capacity = d.Capacity.Add(row.Capacity)
-		d.LargestFit = d.LargestFit.Max(row.Free)
+	d := Digest{Free: f.free, Capacity: f.capacity}
+	for _, r := range f.order {
+		d.LargestFit = d.LargestFit.Max(r.Free)
 	}
 	d.Queued, d.Oldest = f.queue.load(now)
 	return d
 }
-
-// Rows returns a copy of the view.
-func (f *Fleet) Rows() []Row {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	rows := make([]Row, len(f.order))
-	for i, r := range f.order {
-		rows[i] = *r
-	}
-	return rows
-}
--- a/internal/domain/fleet/fleet_test.go
+++ b/internal/domain/fleet/fleet_test.go
@@ -27,18 +27,18 @@
 // TestReportKeepsAssumedAssignments guards against a worker's report that does not contain an assignment yet: the room
 // would be given away twice.
 func TestReportKeepsAssumedAssignments(t *testing.T) {
-	f := fleet.New(fleet.FirstFit{})
+	f := fleet.New(fleet.FirstFit)
 	row := workerRow("w1", 2)
-	f.Update(row)
+	f.Update(start, row)
 	first := taskOf("a", "1", work.Request, 2)
 	if _, placed, err := f.Offer(start, first); !placed || err != nil {
 		t.Fatalf("first: placed %v, error %v", placed, err)
 	}
-	f.Update(row)
+	f.Update(start, row)
 	if _, placed, _ := f.Offer(start, taskOf("a", "2", work.Request, 1)); placed {
 		t.Fatal("a report gave the room of an assumed assignment away")
 	}
-	if freed := f.Forget(first.ID); len(freed) != 1 || freed[0].Spec.ID.Work.Request != "2" {
+	if freed := f.Forget(start, first.ID).Assigned; len(freed) != 1 || freed[0].Spec.ID.Work.Request != "2" {
 		t.Fatalf("Forget assigned %v; want the waiting task", freed)
 	}
 }
--- a/internal/domain/fleet/policy.go
+++ b/internal/domain/fleet/policy.go
@@ -1,29 +1,37 @@
 package fleet
 
-import "skylarkstall/internal/domain/work"
+import (
+	"sort"
+	"strings"
 
-// Policy chooses workers. It is pure: the same view and task give the same choice.
-type Policy interface {
-	// Choose returns the row to place the task on, or nil.
-	Choose(rows []*Row, spec work.Spec) *Row
-	// Admits reports whether the task may go on the row.
-	Admits(row *Row, spec work.Spec) bool
+	"skylarkstall/internal/fault"
+)
+
+// Policy selects the rules by which a fleet decides. Each rule is on or off, so that its effect can be measured alone.
+type Policy struct {
+	Name string
 }
 
-// FirstFit is the baseline policy: the first worker with room.
-type FirstFit struct{}
+// FirstFit is the baseline: first in first out over all classes, on the first worker with room.
+var FirstFit = Policy{Name: "first-fit"}
+
+var policies = map[string]Policy{FirstFit.Name: FirstFit}
 
-// Choose returns the first row that has room.
-func (p FirstFit) Choose(rows []*Row, spec work.Spec) *Row {
-	for _, row := range rows {
-		if p.Admits(row, spec) {
-			return row
-		}
+// PolicyNames returns the names that PolicyNamed knows, sorted.
+func PolicyNames() []string {
+	names := make([]string, 0, len(policies))
+	for name := range policies {
+		names = append(names, name)
 	}
-	return nil
+	sort.Strings(names)
+	return names
 }
 
-// Admits reports whether the size fits.
-func (FirstFit) Admits(row *Row, spec work.Spec) bool {
-	return spec.Size.Fits(row.Free)
+// PolicyNamed returns the policy with the name. It fails with Invalid.
+func PolicyNamed(name string) (Policy, error) {
+	p, ok := policies[name]
+	if !ok {
+		return Policy{}, fault.New(fault.Invalid, "policy %q: want %s", name, strings.Join(PolicyNames(), " or "))
+	}
+	return p, nil
 }
--- a/internal/domain/fleet/queue.go
+++ b/internal/domain/fleet/queue.go
@@ -1,87 +1,82 @@
 package fleet
 
 import (
+	"container/list"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/work"
-	"skylarkstall/internal/fault"
 )
 
 // MaxQueued is the number of tasks that may wait in one process. At 2 KB a task it bounds the queue to 32 MB.
 const MaxQueued = 16_384
 
-// queue holds waiting tasks by class, oldest first.
-type queue struct {
-	classes [work.ClassCount][]waiting
-	ids     map[ident.TaskID]work.Class
-}
-
+// waiting is a task in the queue.
 type waiting struct {
 	spec  work.Spec
 	since time.Time
 }
 
-func newQueue() *queue {
-	return &queue{ids: map[ident.TaskID]work.Class{}}
+// queue orders waiting tasks. Its methods cost no more than a scan of the teams and kinds that wait, but for pop of the
+// baseline.
+type queue interface {
+	push(w *waiting)
+	remove(task ident.TaskID) bool
+	has(task ident.TaskID) bool
+	len() int
+	// mayOvertake reports whether the task may start while others wait.
+	mayOvertake(spec work.Spec) bool
+	// pop removes the first task that fits.
+	pop(fits func(*waiting) bool) *waiting
+	load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration)
 }
 
-// mayStart reports whether no task of the same class waits before the task.
-func (q *queue) mayStart(spec work.Spec) bool {
-	return len(q.classes[spec.Class]) == 0
+// arrivalQueue is first in first out over all classes. A task that does not fit is passed over.
+type arrivalQueue struct {
+	order *list.List
+	ids   map[ident.TaskID]*list.Element
 }
 
-func (q *queue) push(now time.Time, spec work.Spec) error {
-	if _, ok := q.ids[spec.ID]; ok {
-		return fault.New(fault.Conflict, "%s waits already", spec.ID)
-	}
-	if len(q.ids) >= MaxQueued {
-		return fault.New(fault.Overloaded, "%d tasks wait; the limit is %d", len(q.ids), MaxQueued)
-	}
-	q.ids[spec.ID] = spec.Class
-	q.classes[spec.Class] = append(q.classes[spec.Class], waiting{spec, now})
-	return nil
+func newArrivalQueue() *arrivalQueue {
+	return &arrivalQueue{order: list.New(), ids: map[ident.TaskID]*list.Element{}}
 }
 
-// pop removes the first task that fits, most urgent class first.
-func (q *queue) pop(fits func(work.Spec) bool) (work.Spec, bool) {
-	for class := range q.classes {
-		for i, w := range q.classes[class] {
-			if fits(w.spec) {
-				q.removeAt(work.Class(class), i)
-				return w.spec, true
-			}
-		}
-	}
-	return work.Spec{}, false
-}
+func (q *arrivalQueue) push(w *waiting) { q.ids[w.spec.ID] = q.order.PushBack(w) }
 
-func (q *queue) removeAt(class work.Class, i int) {
-	list := q.classes[class]
-	delete(q.ids, list[i].spec.ID)
-	q.classes[class] = append(list[:i], list[i+1:]...)
+func (q *arrivalQueue) has(task ident.TaskID) bool {
+	_, ok := q.ids[task]
+	return ok
 }
 
-func (q *queue) remove(task ident.TaskID) bool {
-	class, ok := q.ids[task]
+func (q *arrivalQueue) len() int { return len(q.ids) }
+
+func (q *arrivalQueue) mayOvertake(work.Spec) bool { return len(q.ids) == 0 }
+
+func (q *arrivalQueue) remove(task ident.TaskID) bool {
+	e, ok := q.ids[task]
 	if !ok {
 		return false
 	}
-	for i, w := range q.classes[class] {
-		if w.spec.ID == task {
-			q.removeAt(class, i)
-			return true
+	q.order.Remove(e)
+	delete(q.ids, task)
+	return true
+}
+
+func (q *arrivalQueue) pop(fits func(*waiting) bool) *waiting {
+	for e := q.order.Front(); e != nil; e = e.Next() {
+		if w := e.Value.(*waiting); fits(w) {
+			q.remove(w.spec.ID)
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
-func (q *queue) load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration) {
-	for class, list := range q.classes {
-		counts[class] = len(list)
-		if len(list) > 0 {
-			oldest[class] = now.Sub(list[0].since)
-		}
+func (q *arrivalQueue) load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration) {
+	for e := q.order.Back(); e != nil; e = e.Prev() {
+		w := e.Value.(*waiting)
+		counts[w.spec.Class]++
+		oldest[w.spec.Class] = now.Sub(w.since)
 	}
 	return counts, oldest
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n}
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workerhttp.Dialer{},
-		Peers: n.calls, Policy: fleet.FirstFit{}, Recorder: n.recorder, Log: n.log,
+		Peers: n.calls, Policy: fleet.FirstFit, Recorder: n.recorder, Log: n.log,
 	})
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
--- /dev/null
+++ b/internal/replay/arrival.go
@@ -0,0 +1,82 @@
+// Package replay measures the placement and queueing decisions: it feeds a list of arrivals to the fleets and the routing
+// of a cell, with a virtual clock. Processes, networks and failures are not part of it.
+package replay
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// Arrival is one piece of work of a list: a task, or a gang of equal tasks.
+type Arrival struct {
+	At         time.Duration   `json:"at_ns"`
+	Team       string          `json:"team"`
+	Request    string          `json:"request"`
+	Kind       string          `json:"kind"`
+	Class      work.Class      `json:"class"`
+	Size       resource.Vector `json:"size"` // declared
+	Used       resource.Vector `json:"used"` // in truth
+	Run        time.Duration   `json:"run_ns"`
+	Expected   time.Duration   `json:"expected_ns"` // declared run time; 0 when unknown
+	Deadline   time.Duration   `json:"deadline_ns"` // after At; 0 for none
+	Repeatable bool            `json:"repeatable"`
+	Weight     int             `json:"weight"`
+	Quota      resource.Vector `json:"quota"`     // of the team over the cell; zero for none
+	Tasks      int             `json:"tasks"`     // size of a gang; 0 or 1 for single tasks
+	CancelAt   time.Duration   `json:"cancel_ns"` // when its caller cancels it; 0 for never
+}
+
+func (a Arrival) spec(index int, epoch time.Time) work.Spec {
+	s := work.Spec{
+		ID: ident.TaskID{
+			Work:  ident.WorkID{Team: ident.TeamID(a.Team), Request: ident.RequestID(a.Request)},
+			Index: uint32(index),
+		},
+		Attempt: 1, Kind: a.Kind, Class: a.Class, Repeatable: a.Repeatable, Size: a.Size, Expected: a.Expected,
+		Weight: a.Weight,
+	}
+	if a.Deadline > 0 {
+		s.Deadline = epoch.Add(a.At + a.Deadline)
+	}
+	return s
+}
+
+// Write writes a list as JSON, one arrival a line.
+func Write(w io.Writer, arrivals []Arrival) error {
+	buffered := bufio.NewWriter(w)
+	encoder := json.NewEncoder(buffered)
+	for i := range arrivals {
+		if err := encoder.Encode(&arrivals[i]); err != nil {
+			return fault.As(fault.Internal, err, "write arrivals")
+		}
+	}
+	return fault.As(fault.Internal, buffered.Flush(), "write arrivals")
+}
+
+// Read reads a list that Write wrote. It fails with Invalid and the number of the arrival.
+func Read(r io.Reader) ([]Arrival, error) {
+	decoder := json.NewDecoder(bufio.NewReader(r))
+	var arrivals []Arrival
+	for {
+		var a Arrival
+		err := decoder.Decode(&a)
+		if errors.Is(err, io.EOF) {
+			return arrivals, nil
+		}
+		if err != nil {
+			return nil, fault.Wrap(fault.As(fault.Invalid, err, "arrival"), "number %d", len(arrivals)+1)
+		}
+		if a.Class >= work.ClassCount || a.Run <= 0 {
+			return nil, fault.New(fault.Invalid, "arrival %d: the class or the run time is out of range", len(arrivals)+1)
+		}
+		arrivals = append(arrivals, a)
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,71 @@
+package replay_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/replay"
+)
+
+// TestEveryProfileIsRepeatable guards against decisions that depend on the order of a map or on the real clock: equal
+// arrivals and seeds must give equal figures. Run also fails when a worker is given more than it holds.
+func TestEveryProfileIsRepeatable(t *testing.T) {
+	for _, name := range replay.ProfileNames() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			profile, err := replay.ProfileNamed(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			profile.Length, profile.Warm = 35*time.Second, 5*time.Second
+			c := replay.Comparison{
+				Profile: profile, Shape: replay.Shape{Workers: 24, Owners: 4, Zones: 2}, Stale: time.Second, Load: 1, Seeds: 1,
+			}
+			for _, name := range fleet.PolicyNames() {
+				v, err := replay.ParseVariant(name)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.Variants = append(c.Variants, v)
+			}
+			if first, second := report(t, c), report(t, c); !bytes.Equal(first, second) {
+				t.Errorf("two replays differ:\n%s\n%s", first, second)
+			}
+		})
+	}
+}
+
+func report(t *testing.T, c replay.Comparison) []byte {
+	t.Helper()
+	r, err := c.Run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := r.WriteJSON(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+// TestRecordedArrivalsAreReadBack guards the format of recorded lists.
+func TestRecordedArrivalsAreReadBack(t *testing.T) {
+	profile, err := replay.ProfileNamed("cancel")
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrivals := profile.Arrivals(replay.Small, 3, 1)
+	var file bytes.Buffer
+	if err := replay.Write(&file, arrivals); err != nil {
+		t.Fatal(err)
+	}
+	read, err := replay.Read(&file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(read) != len(arrivals) || read[len(read)-1] != arrivals[len(arrivals)-1] {
+		t.Errorf("read %d arrivals of %d", len(read), len(arrivals))
+	}
+}
--- /dev/null
+++ b/internal/replay/report.go
@@ -0,0 +1,196 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// Variant is a policy on the cell, or on the cell's workers under another number of owners.
+type Variant struct {
+	Policy fleet.Policy
+	Owners int // 0 for those of the cell
+}
+
+// ParseVariant reads policy, or policy@owners. It fails with Invalid.
+func ParseVariant(s string) (Variant, error) {
+	name, owners, found := strings.Cut(s, "@")
+	policy, err := fleet.PolicyNamed(name)
+	if err != nil {
+		return Variant{}, err
+	}
+	v := Variant{Policy: policy}
+	if !found {
+		return v, nil
+	}
+	if v.Owners, err = strconv.Atoi(owners); err != nil || v.Owners < 1 {
+		return Variant{}, fault.New(fault.Invalid, "variant %q: want policy or policy@owners", s)
+	}
+	return v, nil
+}
+
+func (v Variant) String() string {
+	if v.Owners == 0 {
+		return v.Policy.Name
+	}
+	return fmt.Sprintf("%s@%d", v.Policy.Name, v.Owners)
+}
+
+// Comparison replays the same arrivals with several variants, for several seeds.
+type Comparison struct {
+	Profile     Profile
+	Shape       Shape
+	Stale       time.Duration
+	Load        float64
+	WithoutLong bool // requests alone
+	Seeds       int
+	Variants    []Variant
+	Arrivals    []Arrival // recorded; nil to generate them from the profile and the seed
+}
+
+// Report is the outcome of a comparison.
+type Report struct {
+	Profile     string             `json:"profile"`
+	Shape       Shape              `json:"shape"`
+	StaleMS     int64              `json:"stale_ms"`
+	Load        float64            `json:"load"`
+	WithoutLong bool               `json:"without_long"`
+	Seeds       int                `json:"seeds"`
+	Results     map[string]Results `json:"results"`
+	variants    []string
+}
+
+// Results are those of one variant, one for each seed.
+type Results []Result
+
+// Run replays every seed with every variant in turn. It fails as Run does.
+func (c Comparison) Run() (Report, error) {
+	report := Report{
+		Profile: c.Profile.Name, Shape: c.Shape, StaleMS: c.Stale.Milliseconds(), Load: c.Load, WithoutLong: c.WithoutLong,
+		Seeds: c.Seeds, Results: map[string]Results{},
+	}
+	for _, v := range c.Variants {
+		report.variants = append(report.variants, v.String())
+	}
+	for seed := range uint64(c.Seeds) {
+		arrivals := c.arrivals(seed + 1)
+		for _, v := range c.Variants {
+			shape := c.Shape
+			if v.Owners > 0 {
+				shape.Owners = v.Owners
+			}
+			result, err := Run(Options{
+				Shape: shape, Policy: v.Policy, Seed: seed + 1, Stale: c.Stale, Length: c.Profile.Length, Warm: c.Profile.Warm,
+			}, arrivals)
+			if err != nil {
+				return Report{}, fault.Wrap(err, "variant %s, seed %d", v, seed+1)
+			}
+			report.Results[v.String()] = append(report.Results[v.String()], result)
+		}
+	}
+	return report, nil
+}
+
+func (c Comparison) arrivals(seed uint64) []Arrival {
+	all := c.Arrivals
+	if all == nil {
+		all = c.Profile.Arrivals(c.Shape, seed, c.Load)
+	}
+	if !c.WithoutLong {
+		return all
+	}
+	var short []Arrival
+	for _, a := range all {
+		if a.Class == work.Request {
+			short = append(short, a)
+		}
+	}
+	return short
+}
+
+// WriteJSON writes the whole report.
+func (r Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return fault.As(fault.Internal, encoder.Encode(r), "write report")
+}
+
+// WriteTable writes the median over the seeds of each figure, with the least and the most.
+func (r Report) WriteTable(out io.Writer) error {
+	fmt.Fprintf(out, "profile %s, %d workers, %d owners, digests %d ms old, load %g, %d seeds: median (least..most)\n",
+		r.Profile, r.Shape.Workers, r.Shape.Owners, r.StaleMS, r.Load, r.Seeds)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "policy\tclass\ttasks\trefused\texpired\twait p50 ms\tp99\tp99.9\tresponse p99\tslowdown p99\tgoodput/s")
+	for _, name := range r.variants {
+		for class := range work.ClassCount {
+			r.writeClass(w, name, int(class))
+		}
+	}
+	fmt.Fprintln(w, "\npolicy\tcores\tmemory\tslots\tdominant\tused cores\tmoved\twasted")
+	for _, name := range r.variants {
+		results := r.Results[name]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", name,
+			results.spread(func(x Result) float64 { return x.Packing.Cores }),
+			results.spread(func(x Result) float64 { return x.Packing.Memory }),
+			results.spread(func(x Result) float64 { return x.Packing.Slots }),
+			results.spread(func(x Result) float64 { return x.Packing.Dominant }),
+			results.spread(func(x Result) float64 { return x.Packing.Used }),
+			results.spread(func(x Result) float64 { return float64(x.Moved) }),
+			results.spread(func(x Result) float64 { return x.Wasted }))
+	}
+	r.writeTeams(w)
+	return fault.As(fault.Internal, w.Flush(), "write table")
+}
+
+func (r Report) writeClass(w io.Writer, name string, class int) {
+	results := r.Results[name]
+	of := func(figure func(ClassResult) float64) string {
+		return results.spread(func(x Result) float64 { return figure(x.Classes[class]) })
+	}
+	if results[0].Classes[class].Tasks == 0 {
+		return
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", name, work.Class(class),
+		of(func(c ClassResult) float64 { return float64(c.Tasks) }),
+		of(func(c ClassResult) float64 { return float64(c.Refused) }),
+		of(func(c ClassResult) float64 { return float64(c.Expired) }),
+		of(func(c ClassResult) float64 { return c.WaitMS.P50 }), of(func(c ClassResult) float64 { return c.WaitMS.P99 }),
+		of(func(c ClassResult) float64 { return c.WaitMS.P999 }), of(func(c ClassResult) float64 { return c.Response.P99 }),
+		of(func(c ClassResult) float64 { return c.Slowdown.P99 }), of(func(c ClassResult) float64 { return c.Goodput }))
+}
+
+func (r Report) writeTeams(w io.Writer) {
+	for _, name := range r.variants {
+		results := r.Results[name]
+		for i, team := range results[0].Teams {
+			fmt.Fprintf(w, "\n%s\t%s\trequest wait p99 ms %s\tshare of the cell %s\tstarted %s", name, team.Team,
+				results.spread(func(x Result) float64 { return x.Teams[i].P99MS }),
+				results.spread(func(x Result) float64 { return x.Teams[i].Share }),
+				results.spread(func(x Result) float64 { return x.Teams[i].InRun }))
+		}
+	}
+	fmt.Fprintln(w)
+}
+
+// spread returns the median over the seeds, with the least and the most where they differ.
+func (results Results) spread(figure func(Result) float64) string {
+	values := make([]float64, len(results))
+	for i, x := range results {
+		values[i] = figure(x)
+	}
+	sort.Float64s(values)
+	median, least, most := values[len(values)/2], values[0], values[len(values)-1]
+	if least == most {
+		return fmt.Sprintf("%.4g", median)
+	}
+	return fmt.Sprintf("%.4g (%.4g..%.4g)", median, least, most)
+}
