Serve classes by urgency and teams by weighted share, and shed early

Cause: with first in first out a request waited behind every batch task that came before it, and one team could fill the queue for all; nothing was refused before its deadline. Change: the policy fair-share orders classes by urgency and, within a class, teams by dominant share over weight, those that hold more than their quota last. Waiting tasks are grouped by team, kind and size: push and cancel cost the same at any length, pop looks once at each group. Requests that would wait longer than 1 s are refused with "not run", new ones of a kind once its oldest has waited 0.5 s; work whose deadline cannot be met does not start. Run times are learned per team and kind from the last 32 outcomes. Conclusion: waits are bounded and fair, but requests in a cell full of batch work are still refused for want of room.

--- a/internal/app/owner/outcome.go
+++ b/internal/app/owner/outcome.go
@@ -29,7 +29,7 @@
 func (s *Service) ended(k *keeper, outcome work.Outcome) {
 	s.record(timeline.Finished, outcome.Task, k.id, outcome.Message)
 	k.worker.Release(outcome.Task, outcome.Attempt)
-	s.fleet.Finished(time.Now(), outcome.Task, outcome.RunTime)
+	s.fleet.Finished(outcome)
 	s.refresh(k)
 	s.mu.Lock()
 	a, ok := s.pending[outcome.Task]
--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -47,6 +47,8 @@
 	order    []*row // as they came, so that equal input gives equal decisions
 	index    index
 	tasks    map[ident.TaskID]*held
+	teams    map[ident.TeamID]*team
+	times    runTimes
 	queue    queue
 	capacity resource.Vector
 	free     resource.Vector
@@ -54,10 +56,14 @@
 
 // New returns a fleet without workers.
 func New(policy Policy) *Fleet {
-	return &Fleet{
-		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{},
-		index: &scan{}, queue: newArrivalQueue(),
+	f := &Fleet{
+		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{}, index: &scan{},
+		teams: map[ident.TeamID]*team{}, times: runTimes{kinds: map[kindKey]*runTimeSample{}}, queue: newArrivalQueue(),
 	}
+	if policy.Fair {
+		f.queue = newFairQueue()
+	}
+	return f
 }
 
 // Offer assigns the task to a worker, or queues it and returns false. It fails with Overloaded when the queue is full or
@@ -74,10 +80,24 @@
 			return f.assume(now, r, spec), true, nil
 		}
 	}
-	f.queue.push(&waiting{spec: spec, since: now})
+	if err := f.overloaded(now, spec); err != nil {
+		return Assignment{}, false, err
+	}
+	f.queue.push(&waiting{spec: spec, team: f.team(spec), since: now})
 	return Assignment{}, false, nil
 }
 
+// team returns the team of the task, with the weight and the quota that the task brings.
+func (f *Fleet) team(spec work.Spec) *team {
+	t, ok := f.teams[spec.ID.Work.Team]
+	if !ok {
+		t = &team{}
+		f.teams[spec.ID.Work.Team] = t
+	}
+	t.weight, t.quota = spec.Weight, spec.Quota
+	return t
+}
+
 func (f *Fleet) check(now time.Time, spec work.Spec) error {
 	if !spec.Deadline.IsZero() && !now.Before(spec.Deadline) {
 		return fault.New(fault.DeadlineExceeded, "the deadline of %s has passed", spec.ID)
@@ -98,7 +118,8 @@
 
 // assume takes the size from the view before the worker's aggregate confirms it.
 func (f *Fleet) assume(now time.Time, r *row, spec work.Spec) Assignment {
-	h := &held{spec: spec, row: r, since: now, assumed: true}
+	h := &held{spec: spec, row: r, team: f.team(spec), since: now, assumed: true}
+	h.team.account(spec.Size, f.capacity)
 	f.tasks[spec.ID] = h
 	r.tasks[spec.ID] = h
 	r.assumed = r.assumed.Add(spec.Size)
@@ -141,16 +162,22 @@
 }
 
 func (f *Fleet) drop(h *held) {
+	h.team.account(resource.Vector{}.Sub(h.spec.Size), f.capacity)
 	delete(f.tasks, h.spec.ID)
 	delete(h.row.tasks, h.spec.ID)
 }
 
-// Finished notes the end of a task that ran for the given time. Its room returns with the worker's next report.
-func (f *Fleet) Finished(_ time.Time, task ident.TaskID, _ time.Duration) {
+// Finished notes the end of a task. Its room returns with the worker's next report.
+func (f *Fleet) Finished(outcome work.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h, ok := f.tasks[task]; ok {
-		f.drop(h)
+	h, ok := f.tasks[outcome.Task]
+	if !ok {
+		return
+	}
+	f.drop(h)
+	if f.policy.Learn && outcome.OK {
+		f.times.observe(h.spec, outcome.RunTime)
 	}
 }
 
@@ -176,11 +203,25 @@
 func (f *Fleet) fill(now time.Time, r *row) Decisions {
 	var d Decisions
 	for {
-		w := f.queue.pop(func(w *waiting) bool { return f.admits(r, w.spec) })
-		if w == nil {
+		next, late := f.queue.pop(func(w *waiting) verdict { return f.judge(now, r, w) })
+		for _, w := range late {
+			d.Refused = append(d.Refused, Refusal{Task: w.spec.ID, Err: f.late(now, w)})
+		}
+		if next == nil {
 			return d
 		}
-		d.Assigned = append(d.Assigned, f.assume(now, r, w.spec))
+		d.Assigned = append(d.Assigned, f.assume(now, r, next.spec))
+	}
+}
+
+func (f *Fleet) judge(now time.Time, r *row, w *waiting) verdict {
+	switch {
+	case f.late(now, w) != nil:
+		return tooLate
+	case f.admits(r, w.spec):
+		return fits
+	default:
+		return noRoom
 	}
 }
 
--- a/internal/domain/fleet/queue.go
+++ b/internal/domain/fleet/queue.go
@@ -14,11 +14,20 @@
 // waiting is a task in the queue.
 type waiting struct {
 	spec  work.Spec
+	team  *team
 	since time.Time
 }
 
-// queue orders waiting tasks. Its methods cost no more than a scan of the teams and kinds that wait, but for pop of the
-// baseline.
+// verdict is what a fleet says of a waiting task.
+type verdict uint8
+
+const (
+	noRoom verdict = iota
+	fits
+	tooLate // to be refused
+)
+
+// queue orders waiting tasks.
 type queue interface {
 	push(w *waiting)
 	remove(task ident.TaskID) bool
@@ -26,8 +35,10 @@
 	len() int
 	// mayOvertake reports whether the task may start while others wait.
 	mayOvertake(spec work.Spec) bool
-	// pop removes the first task that fits.
-	pop(fits func(*waiting) bool) *waiting
+	// pop removes the next task that fits, and the tasks that are too late that it came by.
+	pop(judge func(*waiting) verdict) (next *waiting, late []*waiting)
+	// waits returns how long the oldest waiting task of the same team, kind and size has waited.
+	waits(now time.Time, spec work.Spec) time.Duration
 	load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration)
 }
 
@@ -62,16 +73,18 @@
 	return true
 }
 
-func (q *arrivalQueue) pop(fits func(*waiting) bool) *waiting {
+func (q *arrivalQueue) pop(judge func(*waiting) verdict) (*waiting, []*waiting) {
 	for e := q.order.Front(); e != nil; e = e.Next() {
-		if w := e.Value.(*waiting); fits(w) {
+		if w := e.Value.(*waiting); judge(w) == fits {
 			q.remove(w.spec.ID)
-			return w
+			return w, nil
 		}
 	}
-	return nil
+	return nil, nil
 }
 
+func (q *arrivalQueue) waits(time.Time, work.Spec) time.Duration { return 0 }
+
 func (q *arrivalQueue) load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration) {
 	for e := q.order.Back(); e != nil; e = e.Prev() {
 		w := e.Value.(*waiting)
--- a/internal/domain/fleet/view.go
+++ b/internal/domain/fleet/view.go
@@ -21,6 +21,7 @@
 type held struct {
 	spec    work.Spec
 	row     *row
+	team    *team
 	since   time.Time
 	assumed bool
 }
--- a/internal/domain/work/work.go
+++ b/internal/domain/work/work.go
@@ -52,7 +52,8 @@
 	Expected   time.Duration // declared run time; zero when unknown
 	Deadline   time.Time     // latest start for batch, gang and standing; latest answer for requests
 	Payload    []byte
-	Weight     int // the team's share, at least 1
+	Weight     int             // the team's share, at least 1
+	Quota      resource.Vector // what falls to the placing process of the team's quota; zero for none; not sent to peers
 }
 
 // Outcome is the end of one attempt.
--- a/internal/replay/events.go
+++ b/internal/replay/events.go
@@ -13,6 +13,7 @@
 	publish                  // an owner tells its digest to the others
 	cancel                   // the caller cancels
 	expire                   // the deadline of a request passes
+	renew                    // an owner has reports of its workers
 	sample                   // the state of the cell is measured
 )
 
--- a/internal/replay/profiles.go
+++ b/internal/replay/profiles.go
@@ -73,10 +73,13 @@
 	}
 }
 
-// cancelWave queues 10,000 tasks of one team and cancels them at once.
+// waveTasks is the size of a cancellation wave in a cell of today's size or larger.
+const waveTasks = 10_000
+
+// cancelWave queues many tasks of one team and cancels them at once.
 func cancelWave(g *generator) {
 	overnight(g)
-	for range 10_000 {
+	for range waveTasks * min(g.shape.Workers, Small.Workers) / Small.Workers {
 		g.batch("team-wave", 5*time.Second, 20*time.Minute)
 		g.out[len(g.out)-1].CancelAt = 30 * time.Second
 	}
@@ -148,6 +151,6 @@
 	const mean = 10 * time.Second
 	g.poisson(g.slots/mean.Seconds()*1.5, 0, g.length, func(at time.Duration) { g.batch("flooding", at, mean) })
 	g.poisson(g.slots/mean.Seconds()*0.1, 0, g.length, func(at time.Duration) { g.batch("quiet", at, mean) })
-	g.poisson(g.quoteRate()*10, 0, g.length, func(at time.Duration) { g.quote("flooding", at) })
-	g.poisson(g.quoteRate(), 0, g.length, func(at time.Duration) { g.quote("quiet", at) })
+	g.poisson(g.slots*0.66, 0, g.length, func(at time.Duration) { g.quote("flooding", at) })
+	g.poisson(g.slots*0.066, 0, g.length, func(at time.Duration) { g.quote("quiet", at) })
 }
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -7,6 +7,7 @@
 
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/routing"
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
@@ -25,6 +26,8 @@
 const (
 	hop         = time.Millisecond // from one process to another
 	sampleEvery = time.Second
+	// renewEvery is how often an owner has a report of each worker when nothing ends there.
+	renewEvery = 2 * time.Second
 	// retryAfter is the mean pause before a home offers refused work again.
 	retryAfter = time.Second
 )
@@ -110,6 +113,7 @@
 		})
 		offset := r.Stale * time.Duration(o) / time.Duration(r.Shape.Owners)
 		r.agenda.add(event{at: offset, kind: publish, owner: o})
+		r.agenda.add(event{at: renewEvery / time.Duration(o+2), kind: renew, owner: o})
 	}
 	for i := range r.Shape.Workers {
 		w := &worker{row: r.Shape.row(i), owner: r.Shape.owner(i)}
@@ -127,6 +131,7 @@
 	j := &job{Arrival: a, refused: map[ident.ProcessID]bool{}}
 	for i := range max(a.Tasks, 1) {
 		t := &task{job: j, spec: a.spec(i, r.epoch)}
+		t.spec.Quota = portion(a.Quota, r.Shape.Owners)
 		j.tasks = append(j.tasks, t)
 		r.tasks[t.spec.ID] = t
 	}
@@ -140,12 +145,22 @@
 	}
 }
 
+// portion is what falls to one of n owners.
+func portion(v resource.Vector, n int) resource.Vector {
+	return resource.Vector{
+		MilliCores: v.MilliCores / int64(n), MemoryBytes: v.MemoryBytes / int64(n),
+		Accelerators: v.Accelerators / int64(n), Slots: v.Slots / int64(n),
+	}
+}
+
 func (r *run) handle(e event) error {
 	switch e.kind {
 	case arrive:
 		return r.offer(e.job)
 	case finish:
 		return r.finish(e)
+	case renew:
+		return r.renew(e.owner)
 	case publish:
 		o := r.owners[e.owner]
 		o.digest = o.fleet.Digest(r.clock())
@@ -221,6 +236,20 @@
 	return 0, false
 }
 
+// renew brings a report of every worker of an owner.
+func (r *run) renew(o int) error {
+	for _, w := range r.order {
+		if w.owner != o {
+			continue
+		}
+		if err := r.apply(r.owners[o].fleet.Update(r.clock(), w.row)); err != nil {
+			return err
+		}
+	}
+	r.agenda.add(event{at: r.now + renewEvery, kind: renew, owner: o})
+	return nil
+}
+
 // refused lets the home try another owner.
 func (r *run) refused(j *job, o int, err error) error {
 	if fault.Is(err, fault.Conflict) {
@@ -285,7 +314,7 @@
 	w.row.Free = w.row.Free.Add(t.spec.Size)
 	r.stats.holds(t, -1)
 	f := r.owners[w.owner].fleet
-	f.Finished(r.clock(), t.spec.ID, r.now-t.began)
+	f.Finished(work.Outcome{Task: t.spec.ID, Attempt: t.spec.Attempt, OK: t.ended, RunTime: r.now - t.began})
 	return r.apply(f.Update(r.clock(), w.row))
 }
 
