Leave headroom for the demand of requests, and let long work give way

Cause: in a cell full of batch work a request waited for a batch task to end, or was refused. Change: a fleet follows the demand of requests (arrivals times learned run time in windows of 1 s, the peak halved every minute) and other classes may not take the room that this demand needs, counted in requests that fit on the workers. When requests wait all the same, Reclaim names repeatable batch and standing tasks to checkpoint, of teams over quota and with the largest share first; an action without effect for 2 s is followed by throttle and then by stop, within a budget of 0.3 of the slots a minute. Stragglers (4 times the run time that nine of ten of their kind do not exceed) are asked to give way when they hold more than a tenth of the slots while others wait.

--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -50,8 +50,14 @@
 	teams    map[ident.TeamID]*team
 	times    runTimes
 	queue    queue
+	demand   demand
+	budget   budget
+	room     int64                // how many requests fit on all workers
+	held     [work.ClassCount]int // tasks assigned or running
 	capacity resource.Vector
 	free     resource.Vector
+
+	reclaimed time.Time // when Reclaim last looked
 }
 
 // New returns a fleet without workers.
@@ -75,8 +81,9 @@
 	if err := f.check(now, spec); err != nil {
 		return Assignment{}, false, err
 	}
+	f.noteDemand(now, spec)
 	if f.queue.mayOvertake(spec) {
-		if r := f.index.choose(spec, f.admits); r != nil {
+		if r := f.choose(now, spec); r != nil {
 			return f.assume(now, r, spec), true, nil
 		}
 	}
@@ -111,15 +118,20 @@
 	return nil
 }
 
+func (f *Fleet) choose(now time.Time, spec work.Spec) *row {
+	return f.index.choose(spec, func(r *row) bool { return f.admits(now, r, spec) })
+}
+
 // admits reports whether the task may go on the row.
-func (f *Fleet) admits(r *row, spec work.Spec) bool {
-	return spec.Size.Fits(r.Free)
+func (f *Fleet) admits(now time.Time, r *row, spec work.Spec) bool {
+	return spec.Size.Fits(r.Free) && f.leavesHeadroom(now, r, spec)
 }
 
 // assume takes the size from the view before the worker's aggregate confirms it.
 func (f *Fleet) assume(now time.Time, r *row, spec work.Spec) Assignment {
 	h := &held{spec: spec, row: r, team: f.team(spec), since: now, assumed: true}
 	h.team.account(spec.Size, f.capacity)
+	f.held[spec.Class]++
 	f.tasks[spec.ID] = h
 	r.tasks[spec.ID] = h
 	r.assumed = r.assumed.Add(spec.Size)
@@ -130,6 +142,9 @@
 func (f *Fleet) setFree(r *row, free resource.Vector) {
 	f.free = f.free.Sub(r.Free).Add(free)
 	r.Free = free
+	units := f.demand.units(free)
+	f.room += units - r.units
+	r.units = units
 	f.index.changed(r)
 }
 
@@ -163,6 +178,7 @@
 
 func (f *Fleet) drop(h *held) {
 	h.team.account(resource.Vector{}.Sub(h.spec.Size), f.capacity)
+	f.held[h.spec.Class]--
 	delete(f.tasks, h.spec.ID)
 	delete(h.row.tasks, h.spec.ID)
 }
@@ -218,7 +234,7 @@
 	switch {
 	case f.late(now, w) != nil:
 		return tooLate
-	case f.admits(r, w.spec):
+	case f.admits(now, r, w.spec):
 		return fits
 	default:
 		return noRoom
--- a/internal/domain/fleet/gang.go
+++ b/internal/domain/fleet/gang.go
@@ -19,7 +19,7 @@
 	}
 	assignments := make([]Assignment, 0, len(gang))
 	for _, spec := range gang {
-		r := f.index.choose(spec, f.admits)
+		r := f.choose(now, spec)
 		if r == nil {
 			f.undo(assignments)
 			return nil, fault.New(fault.NoCapacity, "%d of the gang's %d tasks have room", len(assignments), len(gang))
--- a/internal/domain/fleet/policy.go
+++ b/internal/domain/fleet/policy.go
@@ -9,26 +9,30 @@
 
 // Policy selects the rules by which a fleet decides. Each rule is on or off, so that its effect can be measured alone.
 type Policy struct {
-	Name  string
-	Fair  bool // classes in order of urgency, weighted fair sharing between teams within a class
-	Learn bool // run times from outcomes instead of declared ones
-	Shed  bool // refuse work early that would wait too long or miss its deadline
+	Name     string
+	Fair     bool // classes in order of urgency, weighted fair sharing between teams within a class
+	Learn    bool // run times from outcomes instead of declared ones
+	Shed     bool // refuse work early that would wait too long or miss its deadline
+	Headroom bool // other work leaves room for the demand of requests
+	Preempt  bool // long work gives way to requests that wait, and stragglers to other work
 }
 
 var (
 	// FirstFit is the baseline: first in first out over all classes, on the first worker with room.
 	FirstFit = Policy{Name: "first-fit"}
 	// FairShare is the policy for use: all rules.
-	FairShare = Policy{Name: "fair-share", Fair: true, Learn: true, Shed: true}
+	FairShare = Policy{Name: "fair-share", Fair: true, Learn: true, Shed: true, Headroom: true, Preempt: true}
 )
 
 var policies = map[string]Policy{FirstFit.Name: FirstFit, FairShare.Name: FairShare}
 
 // rules are the rules that a name can take out of a policy, for measurements.
 var rules = map[string]func(*Policy) *bool{
-	"fair":  func(p *Policy) *bool { return &p.Fair },
-	"learn": func(p *Policy) *bool { return &p.Learn },
-	"shed":  func(p *Policy) *bool { return &p.Shed },
+	"fair":     func(p *Policy) *bool { return &p.Fair },
+	"learn":    func(p *Policy) *bool { return &p.Learn },
+	"shed":     func(p *Policy) *bool { return &p.Shed },
+	"headroom": func(p *Policy) *bool { return &p.Headroom },
+	"preempt":  func(p *Policy) *bool { return &p.Preempt },
 }
 
 // PolicyNames returns the names of the complete policies, sorted.
--- a/internal/domain/fleet/view.go
+++ b/internal/domain/fleet/view.go
@@ -24,12 +24,15 @@
 	team    *team
 	since   time.Time
 	assumed bool
+	asked   time.Time // when it was last asked to give way; zero if never
+	action  Action    // the last one
 }
 
 // row is a worker with what is held on it.
 type row struct {
 	Row
 	assumed resource.Vector
+	units   int64 // how many requests fit
 	tasks   map[ident.TaskID]*held
 }
 
@@ -40,7 +43,7 @@
 	// changed is called after the free capacity of a row has changed.
 	changed(r *row)
 	// choose returns the row to place the task on, or nil.
-	choose(spec work.Spec, admits func(*row, work.Spec) bool) *row
+	choose(spec work.Spec, admits func(*row) bool) *row
 }
 
 // scan is the index of the baseline: all workers in the order in which they came.
@@ -61,9 +64,9 @@
 	}
 }
 
-func (s *scan) choose(spec work.Spec, admits func(*row, work.Spec) bool) *row {
+func (s *scan) choose(spec work.Spec, admits func(*row) bool) *row {
 	for _, r := range s.rows {
-		if admits(r, spec) {
+		if admits(r) {
 			return r
 		}
 	}
--- a/internal/replay/events.go
+++ b/internal/replay/events.go
@@ -10,6 +10,7 @@
 const (
 	arrive  eventKind = iota // work reaches its home
 	finish                   // a task ends on its worker
+	move                     // a task that gave way has ended
 	publish                  // an owner tells its digest to the others
 	cancel                   // the caller cancels
 	expire                   // the deadline of a request passes
--- a/internal/replay/profiles.go
+++ b/internal/replay/profiles.go
@@ -38,11 +38,11 @@
 
 // stragglers has heavy-tailed run times in requests and in batch.
 func stragglers(g *generator) {
-	for i := range int(1.2 * g.slots) {
+	for i := range int(1.5 * g.slots) {
 		g.heavy(g.team(i), 0)
 	}
 	i := 0
-	g.poisson(g.slots/20, 0, g.length, func(at time.Duration) {
+	g.poisson(g.slots/15, 0, g.length, func(at time.Duration) {
 		g.heavy(g.team(i), at)
 		i++
 	})
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -135,17 +135,16 @@
 			r.writeClass(w, name, int(class))
 		}
 	}
-	fmt.Fprintln(w, "\npolicy\tcores\tmemory\tslots\tdominant\tused cores\tmoved\twasted")
+	fmt.Fprintln(w, "\npolicy\tcores\tmemory\tslots\tdominant\tused cores\tmoved")
 	for _, name := range r.variants {
 		results := r.Results[name]
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", name,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", name,
 			results.spread(func(x Result) float64 { return x.Packing.Cores }),
 			results.spread(func(x Result) float64 { return x.Packing.Memory }),
 			results.spread(func(x Result) float64 { return x.Packing.Slots }),
 			results.spread(func(x Result) float64 { return x.Packing.Dominant }),
 			results.spread(func(x Result) float64 { return x.Packing.Used }),
-			results.spread(func(x Result) float64 { return float64(x.Moved) }),
-			results.spread(func(x Result) float64 { return x.Wasted }))
+			results.spread(func(x Result) float64 { return float64(x.Moved) }))
 	}
 	r.writeTeams(w)
 	return fault.As(fault.Internal, w.Flush(), "write table")
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -50,6 +50,7 @@
 	starts int
 	began  time.Duration // of the last start
 	first  time.Duration // of the first start
+	done   time.Duration // run time of former attempts that was saved
 	ended  bool
 }
 
@@ -161,6 +162,8 @@
 		return r.finish(e)
 	case renew:
 		return r.renew(e.owner)
+	case move:
+		return r.move(e)
 	case publish:
 		o := r.owners[e.owner]
 		o.digest = o.fleet.Digest(r.clock())
@@ -178,7 +181,7 @@
 
 // offer sends the job to the owner that its home chooses.
 func (r *run) offer(j *job) error {
-	if j.over {
+	if j.over || j.tasks[0].worker != nil {
 		return nil
 	}
 	o, ok := r.choose(j)
@@ -198,6 +201,7 @@
 	case placed:
 		return r.start(t, assignment.Worker)
 	}
+	r.reclaim(o)
 	return nil
 }
 
@@ -246,10 +250,37 @@
 			return err
 		}
 	}
+	r.reclaim(o)
 	r.agenda.add(event{at: r.now + renewEvery, kind: renew, owner: o})
 	return nil
 }
 
+// checkpointTime is how long a worker takes to save the progress of a task and to end it.
+const checkpointTime = 100 * time.Millisecond
+
+// reclaim lets tasks give way. The replay has only workers that checkpoint in time.
+func (r *run) reclaim(o int) {
+	for _, p := range r.owners[o].fleet.Reclaim(r.clock()) {
+		t := r.tasks[p.Task]
+		r.agenda.add(event{at: r.now + checkpointTime, kind: move, task: t, start: t.starts})
+	}
+}
+
+// move ends an attempt that gave way; its home offers the rest of the work again.
+func (r *run) move(e event) error {
+	t := e.task
+	if t.worker == nil || t.starts != e.start {
+		return nil
+	}
+	t.done += r.now - t.began
+	t.spec.Attempt++
+	r.stats.moved++
+	if err := r.vacate(t); err != nil {
+		return err
+	}
+	return r.offer(t.job)
+}
+
 // refused lets the home try another owner.
 func (r *run) refused(j *job, o int, err error) error {
 	if fault.Is(err, fault.Conflict) {
@@ -293,7 +324,7 @@
 	t.starts++
 	r.owners[t.owner].fleet.Confirm(t.spec.ID)
 	r.stats.holds(t, 1)
-	r.agenda.add(event{at: r.now + t.job.Run, kind: finish, task: t, start: t.starts})
+	r.agenda.add(event{at: r.now + t.job.Run - t.done, kind: finish, task: t, start: t.starts})
 	return nil
 }
 
--- a/internal/replay/stats.go
+++ b/internal/replay/stats.go
@@ -56,7 +56,6 @@
 	Packing Packing       `json:"packing"`
 	Teams   []TeamResult  `json:"teams,omitempty"` // only of lists with few teams
 	Moved   int           `json:"moved"`           // attempts ended for other work
-	Wasted  float64       `json:"wasted"`          // share of the started tasks' run time that was done again
 }
 
 // maxTeams is the most teams that are reported one by one.
@@ -92,8 +91,6 @@
 	packing  Packing
 	samples  int
 	moved    int
-	wasted   time.Duration
-	ran      time.Duration
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(24*time.Hour/unit), 3) }
@@ -157,7 +154,6 @@
 }
 
 func (s *stats) finished(r *run, t *task) {
-	s.ran += r.now - t.began
 	if !s.counts(t.job) {
 		return
 	}
@@ -233,9 +229,6 @@
 		p := &out.Packing
 		p.Cores, p.Memory, p.Slots, p.Dominant, p.Used = p.Cores/n, p.Memory/n, p.Slots/n, p.Dominant/n, p.Used/n
 	}
-	if s.ran > 0 {
-		out.Wasted = float64(s.wasted) / float64(s.ran)
-	}
 	if len(s.names) <= maxTeams {
 		for _, name := range s.names {
 			t := s.teams[name]
