--- a/internal/processtest/cell_test.go
+++ b/internal/processtest/cell_test.go
@@ -165,7 +165,7 @@
 func (c *cell) addEntry(i int) {
 	id, zone := fmt.Sprintf("entry-%d", i), zones[i%len(zones)]
 	p := start(c.t, id, c.binary, "serve", "--id", id, "--zone", zone, "--caller-address", "127.0.0.1:0",
-		"--peer-address", "127.0.0.1:0", "--store-address", c.store, "--vm-list-address", c.vmList)
+		"--peer-address", "127.0.0.1:0", "--peer-plain", "--store-address", c.store, "--vm-list-address", c.vmList)
 	c.entries = append(c.entries, p)
 	c.rows = append(c.rows, vmlisthttp.VM{ID: id, Role: "entry", Address: p.addresses()[1], Zone: zone})
 }
