Format the demand estimate

Change: gofumpt on that file; no other change.

Before: the test script stopped at its format step.

Conclusion: the format step also has to run before a merge.

--- a/internal/domain/fleet/demand.go
+++ b/internal/domain/fleet/demand.go
@@ -57,8 +57,10 @@
 func (d *demand) units(free resource.Vector) int64 {
 	n := int64(math.MaxInt32)
 	for _, pair := range [...][2]int64{
-		{free.MilliCores, d.unit.MilliCores}, {free.MemoryBytes, d.unit.MemoryBytes},
-		{free.Accelerators, d.unit.Accelerators}, {free.Slots, d.unit.Slots},
+		{free.MilliCores, d.unit.MilliCores},
+		{free.MemoryBytes, d.unit.MemoryBytes},
+		{free.Accelerators, d.unit.Accelerators},
+		{free.Slots, d.unit.Slots},
 	} {
 		if pair[1] > 0 {
 			n = min(n, max(pair[0], 0)/pair[1])
