Assemble a process without its listeners

Change: node.Assemble takes the store, the VM list, the workers and the peers as ports; node.New passes the HTTP and yamux adapters to the same wiring. RunServices runs everything but the connections.

Before and after: the cell tests pass; no behaviour changed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,27 +97,49 @@
 		_ = caller.Close() // the process does not start
 		return nil, fault.As(fault.Unavailable, err, "peer address")
 	}
+	n := prepare(settings, vmlisthttp.New(settings.VMListAddress), log)
+	n.credentials, n.caller, n.peer = credentials, caller, peer
+	n.transport = peerwire.New(settings.ID, peer, credentials, n.peers, n, n.recorder, n.log)
+	n.wire(storehttp.New(settings.StoreAddress), workerhttp.Dialer{}, n.transport)
+	return n, nil
+}
+
+// Platform is what a process reaches outside itself.
+type Platform struct {
+	Store   port.Store
+	VMs     port.VMList
+	Workers port.WorkerDialer
+	Peers   port.Peers
+}
+
+// Assemble returns a process that reaches the given platform and listens on no address. Run its services with
+// RunServices.
+func Assemble(settings Settings, platform Platform, log *slog.Logger) *Node {
+	n := prepare(settings, platform.VMs, log.With("process", settings.ID))
+	n.wire(platform.Store, platform.Workers, platform.Peers)
+	return n
+}
+
+// prepare makes the parts that every other part refers to.
+func prepare(settings Settings, vms port.VMList, log *slog.Logger) *Node {
 	n := &Node{
-		settings: settings, log: log, credentials: credentials, started: time.Now(), caller: caller, peer: peer,
-		catalog:  team.NewCatalog(),
-		recorder: timeline.NewRecorder(settings.ID, settings.TimelineSize),
-		dir:      directory.New(vmlisthttp.New(settings.VMListAddress), log),
+		settings: settings, log: log, started: time.Now(), catalog: team.NewCatalog(),
+		recorder: timeline.NewRecorder(settings.ID, settings.TimelineSize), dir: directory.New(vms, log),
 	}
 	self := membership.Peer{ID: settings.ID, Zone: settings.Zone, Incarnation: uint64(n.started.UnixNano())}
 	n.members = membership.New(self, membership.Settings{
 		Interval: peerwire.HeartbeatInterval, DeadAfter: deadAfter, Rejoin: rejoinRow,
 	})
-	n.wire()
-	return n, nil
+	n.peers = peering.New(n.members, n.dir, settings.Peers, n.recorder, log, n.catalog.Revision,
+		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
+	return n
 }
 
-func (n *Node) wire() {
-	n.peers = peering.New(n.members, n.dir, n.settings.Peers, n.recorder, n.log, n.catalog.Revision,
-		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
-	n.transport = peerwire.New(n.settings.ID, n.peer, n.credentials, n.peers, n, n.recorder, n.log)
-	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n}
+// wire makes the services.
+func (n *Node) wire(store port.Store, workers port.WorkerDialer, peers port.Peers) {
+	n.calls = &localPeers{Peers: peers, self: n.settings.ID, handler: n}
 	n.owner = owner.New(owner.Config{
-		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workerhttp.Dialer{},
+		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
 		Peers: n.calls, Policy: fleet.FirstFit, Recorder: n.recorder, Log: n.log,
 	})
 	n.home = home.New(home.Config{
@@ -126,7 +148,7 @@
 		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
 	})
 	n.config = configsync.New(configsync.Config{
-		Self: n.settings.ID, Store: storehttp.New(n.settings.StoreAddress), Peers: n.calls, Beats: n.peers.Heartbeats,
+		Self: n.settings.ID, Store: store, Peers: n.calls, Beats: n.peers.Heartbeats,
 		Arrived: n.peers.HeartbeatArrived, Catalog: n.catalog, Decode: document.Decode, DecodeCell: document.DecodeCell,
 		Recorder: n.recorder, Log: n.log,
 	})
@@ -152,13 +174,9 @@
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	running.Go(func() { n.dir.Run(inner) })
 	running.Go(func() { _ = n.transport.Run(inner) }) // ends with the context
-	running.Go(func() { n.peers.Run(inner) })
 	running.Go(func() { n.peers.RunConnections(inner, n.transport) })
-	running.Go(func() { n.config.Run(inner) })
-	running.Go(func() { n.config.RunPeers(inner) })
-	running.Go(func() { n.runOwnership(inner) })
+	running.Go(func() { n.RunServices(inner) })
 	drained := context.AfterFunc(ctx, func() { n.drain(server, stop) })
 	defer drained()
 	err = callerhttp.Serve(server, n.caller)
@@ -169,6 +187,20 @@
 	return err
 }
 
+// RunServices runs everything but the connections to callers and peers until the context ends.
+func (n *Node) RunServices(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { n.dir.Run(ctx) })
+	running.Go(func() { n.peers.Run(ctx) })
+	running.Go(func() { n.config.Run(ctx) })
+	running.Go(func() { n.config.RunPeers(ctx) })
+	running.Go(func() { n.runOwnership(ctx) })
+	running.Wait()
+}
+
+// Peering returns the service that sends and takes heartbeats.
+func (n *Node) Peering() *peering.Service { return n.peers }
+
 // runOwnership claims workers and partitions once the peers had time to make themselves known.
 func (n *Node) runOwnership(ctx context.Context) {
 	n.awaitPeers(ctx)
