--- a/internal/adapter/storehttp/storehttp.go
+++ b/internal/adapter/storehttp/storehttp.go
@@ -54,16 +54,24 @@
 // watchTimeout bounds a waiting watch, so that a silent connection is found.
 const watchTimeout = 30 * time.Second
 
+// Caller makes a call; httpjson.Client is one.
+type Caller interface {
+	Call(ctx context.Context, method, path string, in, out any) error
+}
+
 // Client implements port.Store.
 type Client struct {
-	http *httpjson.Client
+	http Caller
 }
 
 // New returns a client for the service at host:port.
 func New(address string) *Client {
-	return &Client{http: httpjson.NewClient(address)}
+	return NewWith(httpjson.NewClient(address))
 }
 
+// NewWith returns a client that makes its calls through the caller.
+func NewWith(caller Caller) *Client { return &Client{http: caller} }
+
 func (c *Client) call(ctx context.Context, timeout time.Duration, path string, call Call) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkstall/internal/app/directory"
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
@@ -40,14 +42,11 @@
 type Service struct {
 	Config
 	partitions [ident.Partitions]*partition
-
-	mu     sync.Mutex
-	random *rand.Rand
 }
 
 // New returns a service that is the home of nothing yet.
 func New(config Config) *Service {
-	s := &Service{Config: config, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	s := &Service{Config: config}
 	for i := range s.partitions {
 		s.partitions[i] = newPartition(s, ident.PartitionID(i))
 	}
@@ -108,9 +107,7 @@
 			open = append(open, c)
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	owner, ok := routing.Choose(s.random, open, spec, s.Zone)
+	owner, ok := routing.Choose(choiceOf(spec), open, spec, s.Zone)
 	if !ok {
 		return "", fault.New(fault.NoCapacity, "no process owns a worker that may take %s", spec.ID)
 	}
@@ -120,3 +117,9 @@
 func (s *Service) record(kind timeline.Kind, task ident.TaskID, detail string) {
 	s.Recorder.Record(time.Now(), timeline.Event{Kind: kind, Work: task.Work, Detail: detail})
 }
+
+// choiceOf returns the random numbers for one attempt. They depend only on the task and the attempt, so that a session
+// replays.
+func choiceOf(spec work.Spec) *rand.Rand {
+	return rand.New(rand.NewPCG(xxhash.Sum64String(spec.ID.String()), uint64(spec.Attempt)))
+}
--- /dev/null
+++ b/internal/standin/local/worker.go
@@ -0,0 +1,213 @@
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkstall/internal/domain/grant"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/notify"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+	"skylarkstall/internal/standin/worker"
+)
+
+// Workers holds the workers by address.
+type Workers struct {
+	mu      sync.Mutex
+	workers map[string]*Worker
+}
+
+// NewWorkers returns a set without workers.
+func NewWorkers() *Workers { return &Workers{workers: map[string]*Worker{}} }
+
+// Link is a process's way to the workers. It implements port.WorkerDialer.
+type Link struct {
+	process ident.ProcessID
+	workers *Workers
+	cut     atomic.Bool
+}
+
+// Link returns a process's way to the workers.
+func (w *Workers) Link(process ident.ProcessID) *Link { return &Link{process: process, workers: w} }
+
+// Cut makes every call of the process fail, as when the process is killed.
+func (l *Link) Cut() { l.cut.Store(true) }
+
+// Dial implements port.WorkerDialer.
+func (l *Link) Dial(id ident.WorkerID, address string) port.WorkerClient {
+	l.workers.mu.Lock()
+	defer l.workers.mu.Unlock()
+	return &client{Worker: l.workers.workers[address], id: id, link: l}
+}
+
+type client struct {
+	*Worker
+	id   ident.WorkerID
+	link *Link
+}
+
+// reach takes the time of a message and fails when the link is cut or the worker is down.
+func (c *client) reach(ctx context.Context) error {
+	if !pause.For(ctx, latency(string(c.link.process), string(c.id))) {
+		return fault.As(fault.Interrupted, ctx.Err(), "call to a worker")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down || c.link.cut.Load() {
+		return fault.New(fault.Unavailable, "the worker does not answer")
+	}
+	return nil
+}
+
+// Worker is a worker whose tasks only wait, under the rules of the grant aggregate.
+type Worker struct {
+	ctx     context.Context
+	grant   *grant.Grant
+	changed notify.Broadcast
+
+	mu      sync.Mutex
+	down    bool
+	cancels map[ident.TaskID]context.CancelFunc
+}
+
+// Add makes a worker that runs until the context ends.
+func (w *Workers) Add(
+	ctx context.Context, address string, capacity resource.Vector, zone ident.Zone, rack ident.Rack,
+) *Worker {
+	added := &Worker{
+		ctx: ctx, grant: grant.New(capacity, zone, rack), cancels: map[ident.TaskID]context.CancelFunc{},
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[address] = added
+	return added
+}
+
+// Kill makes every call to the worker fail and ends its tasks without an outcome.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = true
+	for _, cancel := range w.cancels {
+		cancel()
+	}
+	w.changed.Signal()
+}
+
+// Drain makes the worker refuse further starts.
+func (w *Worker) Drain() { w.grant.Drain() }
+
+// Claim implements port.WorkerClient.
+func (c *client) Claim(ctx context.Context, claim work.Claim) (work.Inventory, error) {
+	if err := c.reach(ctx); err != nil {
+		return work.Inventory{}, err
+	}
+	return c.grant.Claim(time.Now(), claim)
+}
+
+// Sync implements port.WorkerClient.
+func (c *client) Sync(ctx context.Context, sync work.Sync) (work.SyncReply, error) {
+	if err := c.reach(ctx); err != nil {
+		return work.SyncReply{}, err
+	}
+	timer := time.NewTimer(sync.Wait)
+	defer timer.Stop()
+	for {
+		changed := c.changed.Changed()
+		reply, err := c.grant.Sync(time.Now(), sync)
+		if err != nil || len(reply.Outcomes) > 0 {
+			return reply, err
+		}
+		select {
+		case <-changed:
+			if err := c.reach(ctx); err != nil {
+				return work.SyncReply{}, err
+			}
+		case <-timer.C:
+			return reply, nil
+		case <-ctx.Done():
+			return work.SyncReply{}, fault.As(fault.Interrupted, ctx.Err(), "sync")
+		}
+	}
+}
+
+// Release implements port.WorkerClient.
+func (c *client) Release(ctx context.Context, epoch ident.Epoch) error {
+	if err := c.reach(ctx); err != nil {
+		return err
+	}
+	return c.grant.Release(epoch)
+}
+
+// Start implements port.WorkerClient.
+func (c *client) Start(ctx context.Context, start work.Start) error {
+	sent := time.Now()
+	if err := c.reach(ctx); err != nil {
+		return err
+	}
+	fresh, err := c.grant.Start(time.Now(), sent, start)
+	if err != nil || !fresh {
+		return err
+	}
+	taskCtx, cancel := context.WithCancel(c.ctx)
+	c.mu.Lock()
+	c.cancels[start.Task] = cancel
+	c.mu.Unlock()
+	go c.run(taskCtx, start)
+	return nil
+}
+
+func (w *Worker) run(ctx context.Context, start work.Start) {
+	payload := worker.Payload{RunMS: worker.DefaultRun.Milliseconds()}
+	_ = json.Unmarshal(start.Payload, &payload) // another payload runs with the defaults
+	duration := time.Duration(payload.RunMS) * time.Millisecond
+	if !pause.For(ctx, duration) {
+		return
+	}
+	outcome := work.Outcome{
+		Task: start.Task, Attempt: start.Attempt, OK: !payload.Fail, Output: []byte(payload.Echo), RunTime: duration,
+	}
+	if payload.Fail {
+		outcome.Message = "the task exited with status 1"
+	}
+	if w.grant.Finish(outcome) {
+		w.changed.Signal()
+	}
+}
+
+// Stop implements port.WorkerClient.
+func (c *client) Stop(ctx context.Context, epoch ident.Epoch, task ident.TaskID) error {
+	if err := c.reach(ctx); err != nil {
+		return err
+	}
+	if _, err := c.grant.Stop(epoch, task); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	if cancel, ok := c.cancels[task]; ok {
+		cancel()
+	}
+	c.mu.Unlock()
+	c.changed.Signal()
+	return nil
+}
+
+// Checkpoint implements port.WorkerClient.
+func (c *client) Checkpoint(ctx context.Context, epoch ident.Epoch, task ident.TaskID) ([]byte, error) {
+	return []byte("checkpoint"), c.Stop(ctx, epoch, task)
+}
+
+// Throttle implements port.WorkerClient.
+func (c *client) Throttle(ctx context.Context, _ ident.Epoch, _ ident.TaskID, _ resource.Vector) error {
+	return c.reach(ctx)
+}
+
+// Close implements port.WorkerClient.
+func (c *client) Close() error { return nil }
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -14,6 +14,7 @@
 	"skylarkstall/internal/adapter/storehttp"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/notify"
+	"skylarkstall/internal/pause"
 )
 
 // MaxValue is the largest value in bytes.
@@ -52,17 +53,22 @@
 	listener net.Listener
 }
 
+// New returns an empty stand-in that is reached only through Direct.
+func New() *Store {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Store{
+		items: map[string]item{}, leases: map[uint64]lease{}, calls: map[string]int{}, ctx: ctx, cancel: cancel,
+	}
+}
+
 // Start returns an empty stand-in that listens on the address.
 func Start(address string) (*Store, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.As(fault.Unavailable, err, "listen")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &Store{
-		items: map[string]item{}, leases: map[uint64]lease{}, calls: map[string]int{},
-		ctx: ctx, cancel: cancel, listener: listener,
-	}
+	s := New()
+	s.listener = listener
 	s.server = httpjson.NewServer(s.routes())
 	go func() { _ = s.server.Serve(listener) }() // returns when the server is closed
 	return s, nil
@@ -74,7 +80,9 @@
 // Close ends the stand-in.
 func (s *Store) Close() {
 	s.cancel()
-	_ = s.server.Close() // nothing to do about a failed close
+	if s.server != nil {
+		_ = s.server.Close() // nothing to do about a failed close
+	}
 }
 
 // SetFaults changes how the stand-in misbehaves.
@@ -100,35 +108,20 @@
 
 func (s *Store) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+storehttp.PathGet, s.serve(s.get))
-	mux.HandleFunc("POST "+storehttp.PathPut, s.serve(s.put))
-	mux.HandleFunc("POST "+storehttp.PathDelete, s.serve(s.remove))
-	mux.HandleFunc("POST "+storehttp.PathList, s.serve(s.list))
-	mux.HandleFunc("POST "+storehttp.PathWatch, s.serve(s.watch))
-	mux.HandleFunc("POST "+storehttp.PathGrant, s.serve(s.grant))
-	mux.HandleFunc("POST "+storehttp.PathKeepAlive, s.serve(s.keepAlive))
+	for path, h := range s.handlers() {
+		mux.HandleFunc("POST "+path, s.serve(h))
+	}
 	return mux
 }
 
 func (s *Store) serve(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		faults := s.count(r.URL.Path)
-		if !sleep(r.Context(), faults.Slow) {
-			return
-		}
-		if faults.Down {
-			httpjson.WriteError(w, fault.New(fault.StoreUnavailable, "the store is down"))
-			return
-		}
 		var call storehttp.Call
 		if err := httpjson.Read(w, r, &call); err != nil {
 			httpjson.WriteError(w, err)
 			return
 		}
-		reply, err := h(r.Context(), call)
-		if err == nil && faults.LoseAnswer && isWrite(r.URL.Path) {
-			err = fault.New(fault.StoreUnavailable, "the answer was lost")
-		}
+		reply, err := s.answer(r.Context(), r.URL.Path, call, h)
 		if err != nil {
 			httpjson.WriteError(w, err)
 			return
@@ -137,22 +130,21 @@
 	}
 }
 
-func isWrite(path string) bool {
-	return path == storehttp.PathPut || path == storehttp.PathDelete
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
+// answer counts the call and misbehaves as it was told to.
+func (s *Store) answer(ctx context.Context, path string, call storehttp.Call, h handler) (storehttp.Reply, error) {
+	faults := s.count(path)
+	if !pause.For(ctx, faults.Slow) || faults.Down {
+		return storehttp.Reply{}, fault.New(fault.StoreUnavailable, "the store is down")
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	reply, err := h(ctx, call)
+	if err == nil && faults.LoseAnswer && isWrite(path) {
+		err = fault.New(fault.StoreUnavailable, "the answer was lost")
 	}
+	return reply, err
+}
+
+func isWrite(path string) bool {
+	return path == storehttp.PathPut || path == storehttp.PathDelete
 }
 
 func (s *Store) count(path string) Faults {
