--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -101,9 +102,14 @@
 		fail(ctx, err)
 		return
 	}
+	deadline, err := milliseconds("deadline_ms", call.DeadlineMS)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
 	outcome, err := s.api.RunRequest(ctx.Request().Context(), entry.Request{
 		Team: ident.TeamID(call.Team), Token: token(ctx), ID: ident.RequestID(call.RequestID), Kind: call.Kind,
-		Deadline: time.Duration(call.DeadlineMS) * time.Millisecond, Payload: call.Payload,
+		Deadline: deadline, Payload: call.Payload,
 	})
 	if err != nil {
 		fail(ctx, err)
@@ -115,6 +121,17 @@
 	})
 }
 
+// maxMilliseconds is the largest time that a body may state; beyond it a time.Duration overflows.
+const maxMilliseconds = math.MaxInt64 / int64(time.Millisecond)
+
+// milliseconds converts a time of a body. It fails with Invalid when the time is out of range.
+func milliseconds(field string, n int64) (time.Duration, error) {
+	if n > maxMilliseconds || n < -maxMilliseconds {
+		return 0, fault.New(fault.Invalid, "%s is %d; the limit is %d", field, n, maxMilliseconds)
+	}
+	return time.Duration(n) * time.Millisecond, nil
+}
+
 // Digest returns the digest of an output as answers carry it.
 func Digest(output []byte) string {
 	sum := xxhash.New()
--- a/internal/adapter/httpjson/httpjson.go
+++ b/internal/adapter/httpjson/httpjson.go
@@ -133,11 +133,15 @@
 	return Failure{Kind: answer.Name, Message: err.Error(), Ran: answer.Ran.String(), Retry: answer.Retryable}
 }
 
-// Read decodes a request body of at most MaxBody bytes and refuses unknown fields. It fails with Invalid or TooLarge.
+// Read decodes a request body of one JSON value in at most MaxBody bytes and refuses unknown fields. It fails with
+// Invalid or TooLarge.
 func Read(w http.ResponseWriter, r *http.Request, in any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(in)
+	if err == nil {
+		err = checkEnd(decoder)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -148,6 +152,16 @@
 	return nil
 }
 
+// checkEnd refuses a second value: a caller that sends two would not learn that one was ignored.
+func checkEnd(decoder *json.Decoder) error {
+	if _, err := decoder.Token(); errors.Is(err, io.EOF) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	return errors.New("more than one JSON value")
+}
+
 // Write sends a success with out as JSON.
 func Write(w http.ResponseWriter, out any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/domain/timeline/timeline.go
+++ b/internal/domain/timeline/timeline.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -99,8 +100,15 @@
 	return r.advance(now, Stamp{})
 }
 
+// maxAhead is how far a peer's clock may be ahead. A stamp further ahead is ignored: one peer with a wrong clock would
+// otherwise move the clocks of the whole cell there for good.
+const maxAhead = time.Minute
+
 // Observe moves the clock past the stamp of a received message.
 func (r *Recorder) Observe(now time.Time, remote Stamp) {
+	if remote.Wall > now.Add(maxAhead).UnixNano() {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.advance(now, remote)
@@ -108,11 +116,19 @@
 
 func (r *Recorder) advance(now time.Time, remote Stamp) Stamp {
 	next := Stamp{Wall: max(now.UnixNano(), r.last.Wall, remote.Wall)}
+	var before uint32
 	if next.Wall == r.last.Wall {
-		next.Logical = r.last.Logical + 1
+		before = r.last.Logical
 	}
 	if next.Wall == remote.Wall {
-		next.Logical = max(next.Logical, remote.Logical+1)
+		before = max(before, remote.Logical)
+	}
+	switch {
+	case next.Wall != r.last.Wall && next.Wall != remote.Wall: // the wall clock moved on
+	case before == math.MaxUint32:
+		next.Wall++
+	default:
+		next.Logical = before + 1
 	}
 	r.last = next
 	return next
