Show metrics at /metrics and limit log lines of repeated failures

Cause: operators saw nothing of waits, queues, refusals, lease losses, takeovers, calls to the store or what the process costs its VM. While the store was down each process logged the same lines again and again.

Change: internal/app/meter decorates the store, the calls between processes and their handler, and hears the events of the time line; the services are unchanged. internal/adapter/metrics reads its counts once a second, registers everything with tally in one file and writes the text format of Prometheus itself, since the library for it is not among those in use. A log handler lets 3 equal failures through and then one each 10 s, with the number left out.

Before and after: no handler was registered for /metrics.

Conclusion: wait counts from when the call to place an attempt reaches its owner until the worker starts it; the way there is not in it. Retries count refusals that another attempt may follow.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -39,10 +39,13 @@
 	api API
 }
 
-// New returns the handler of every path.
-func New(api API, metrics http.Handler) (http.Handler, error) {
+// New returns the handler of every path. refused hears the kind of each answer that is an error; it may be nil.
+func New(api API, metrics http.Handler, refused func(fault.Kind)) (http.Handler, error) {
 	s := &Server{api}
 	app := iris.New()
+	if refused != nil {
+		app.UseRouter(hearRefusals(refused))
+	}
 	app.Configure(iris.WithoutBanner, iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
 	app.Logger().SetLevel("disable")
 	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") }) // the connection broke
@@ -65,7 +68,20 @@
 	return app, nil
 }
 
+// failureKey is where fail leaves the kind of the error.
+const failureKey = "skylarkstall.failure"
+
+func hearRefusals(refused func(fault.Kind)) iris.Handler {
+	return func(ctx iris.Context) {
+		ctx.Next()
+		if kind, ok := ctx.Values().Get(failureKey).(fault.Kind); ok {
+			refused(kind)
+		}
+	}
+}
+
 func fail(ctx iris.Context, err error) {
+	ctx.Values().Set(failureKey, fault.KindOf(err))
 	httpjson.WriteError(ctx.ResponseWriter(), err)
 }
 
--- a/internal/adapter/callerhttp/fuzz_test.go
+++ b/internal/adapter/callerhttp/fuzz_test.go
@@ -38,7 +38,7 @@
 	f.Add([]byte(`{"team":"a"} {"team":"b"}`))
 	f.Add([]byte(`{"source":"version: 1","revision":18446744073709551615}`))
 	api := &recorder{}
-	handler, err := New(api, nil)
+	handler, err := New(api, nil, nil)
 	if err != nil {
 		f.Fatal(err)
 	}
--- /dev/null
+++ b/internal/adapter/metrics/metrics_test.go
@@ -0,0 +1,51 @@
+package metrics
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"skylarkstall/internal/adapter/peerwire"
+	"skylarkstall/internal/app/meter"
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// TestScrape guards the names, the labels and the totals that operators' rules refer to: counts read twice are not
+// counted twice, and a queue that empties goes to 0.
+func TestScrape(t *testing.T) {
+	m := New()
+	counts := meter.New(m)
+	counts.Refused(fault.Overloaded)
+	counts.Event(time.Unix(0, 0), timeline.Event{Kind: timeline.LeaseLost})
+	reading := counts.Reading()
+	reading.Retries = 2
+	reading.Waiting[meter.Queue{Class: work.Batch, Team: "goldfields"}] = 3
+	reading.Store[meter.Call{Name: "watch", Outcome: "ok"}] = 4
+	m.Waited(work.Request, 3*time.Millisecond)
+	m.Waited(work.Request, time.Hour)
+	sources := Sources{
+		Counts: func() meter.Reading { return reading },
+		Digest: func(time.Time) fleet.Digest {
+			return fleet.Digest{Capacity: resource.Vector{Slots: 8}, Free: resource.Vector{Slots: 2}}
+		},
+		Traffic:  func() peerwire.Traffic { return peerwire.Traffic{BytesIn: 100, Sessions: 6} },
+		Live:     func() int { return 7 },
+		Revision: func() ident.Revision { return 42 },
+	}
+	m.collect(time.Unix(0, 0), sources)
+	reading.Waiting = map[meter.Queue]int{}
+	reading.Retries = 5
+	m.collect(time.Unix(1, 0), sources)
+	m.gauge("process_cpu_seconds", 0) // differ with each run
+	m.gauge("process_resident_bytes", 0)
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "scrape", []byte(m.exporter.text()))
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"skylarkstall/internal/fault"
+	"skylarkstall/internal/ratelog"
 )
 
 // envPrefix starts the name of every environment variable: the flag --peer-address is SKYLARKSTALL_PEER_ADDRESS.
@@ -75,5 +76,6 @@
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, fault.New(fault.Invalid, "log-level %q: want debug, info, warn or error", level)
 	}
-	return slog.New(slog.NewTextHandler(a.err, &slog.HandlerOptions{Level: l})), nil
+	text := slog.NewTextHandler(a.err, &slog.HandlerOptions{Level: l})
+	return slog.New(ratelog.New(text)), nil
 }
--- a/internal/domain/timeline/timeline.go
+++ b/internal/domain/timeline/timeline.go
@@ -86,6 +86,7 @@
 	ring    []Event
 	next    int
 	full    bool
+	hear    func(time.Time, Event) // may be nil
 }
 
 // NewRecorder returns a recorder that keeps the last size events, at least 1.
@@ -93,6 +94,9 @@
 	return &Recorder{process: process, ring: make([]Event, max(size, 1))}
 }
 
+// Hear makes the recorder tell each event that it records. Call it before the recorder is used.
+func (r *Recorder) Hear(hear func(time.Time, Event)) { r.hear = hear }
+
 // Now advances the clock and returns a stamp, for a message to a peer.
 func (r *Recorder) Now(now time.Time) Stamp {
 	r.mu.Lock()
@@ -136,6 +140,9 @@
 
 // Record stamps the event and keeps it in place of the oldest.
 func (r *Recorder) Record(now time.Time, event Event) {
+	if r.hear != nil {
+		r.hear(now, event)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	event.At = r.advance(now, Stamp{})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"skylarkstall/internal/adapter/callerhttp"
 	"skylarkstall/internal/adapter/document"
 	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/adapter/metrics"
 	"skylarkstall/internal/adapter/peerwire"
 	"skylarkstall/internal/adapter/storehttp"
 	"skylarkstall/internal/adapter/vmlisthttp"
@@ -20,6 +21,7 @@
 	"skylarkstall/internal/app/directory"
 	"skylarkstall/internal/app/entry"
 	"skylarkstall/internal/app/home"
+	"skylarkstall/internal/app/meter"
 	"skylarkstall/internal/app/owner"
 	"skylarkstall/internal/app/peering"
 	"skylarkstall/internal/domain/fleet"
@@ -61,6 +63,8 @@
 	started     time.Time
 	members     *membership.Membership
 	catalog     *team.Catalog
+	metrics     *metrics.Metrics
+	meter       *meter.Meter
 	recorder    *timeline.Recorder
 	dir         *directory.Directory
 	peers       *peering.Service
@@ -97,9 +101,10 @@
 		_ = caller.Close() // the process does not start
 		return nil, fault.As(fault.Unavailable, err, "peer address")
 	}
-	n := prepare(settings, vmlisthttp.New(settings.VMListAddress), log)
-	n.credentials, n.caller, n.peer = credentials, caller, peer
-	n.transport = peerwire.New(settings.ID, peer, credentials, n.peers, n, n.recorder, n.log)
+	exported := metrics.New()
+	n := prepare(settings, vmlisthttp.New(settings.VMListAddress), exported, log)
+	n.metrics, n.credentials, n.caller, n.peer = exported, credentials, caller, peer
+	n.transport = peerwire.New(settings.ID, peer, credentials, n.peers, n.meter.Handler(n), n.recorder, n.log)
 	n.wire(storehttp.New(settings.StoreAddress), workerhttp.Dialer{}, n.transport)
 	return n, nil
 }
@@ -115,16 +120,17 @@
 // Assemble returns a process that reaches the given platform and listens on no address. Run its services with
 // RunServices.
 func Assemble(settings Settings, platform Platform, log *slog.Logger) *Node {
-	n := prepare(settings, platform.VMs, log.With("process", settings.ID))
+	n := prepare(settings, platform.VMs, meter.Discard{}, log.With("process", settings.ID))
 	n.wire(platform.Store, platform.Workers, platform.Peers)
 	return n
 }
 
 // prepare makes the parts that every other part refers to.
-func prepare(settings Settings, vms port.VMList, log *slog.Logger) *Node {
+func prepare(settings Settings, vms port.VMList, sink meter.Sink, log *slog.Logger) *Node {
 	n := &Node{
 		settings: settings, log: log, started: time.Now(), catalog: team.NewCatalog(),
 		recorder: timeline.NewRecorder(settings.ID, settings.TimelineSize), dir: directory.New(vms, log),
+		meter: meter.New(sink),
 	}
 	self := membership.Peer{ID: settings.ID, Zone: settings.Zone, Incarnation: uint64(n.started.UnixNano())}
 	n.members = membership.New(self, membership.Settings{
@@ -137,7 +143,8 @@
 
 // wire makes the services.
 func (n *Node) wire(store port.Store, workers port.WorkerDialer, peers port.Peers) {
-	n.calls = &localPeers{Peers: peers, self: n.settings.ID, handler: n}
+	n.calls = n.meter.Peers(&localPeers{Peers: peers, self: n.settings.ID, handler: n.meter.Handler(n)})
+	n.recorder.Hear(n.meter.Event)
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
 		Peers: n.calls, Policy: fleet.FirstFit, Recorder: n.recorder, Log: n.log,
@@ -148,7 +155,7 @@
 		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
 	})
 	n.config = configsync.New(configsync.Config{
-		Self: n.settings.ID, Store: store, Peers: n.calls, Beats: n.peers.Heartbeats,
+		Self: n.settings.ID, Store: n.meter.Store(store), Peers: n.calls, Beats: n.peers.Heartbeats,
 		Arrived: n.peers.HeartbeatArrived, Catalog: n.catalog, Decode: document.Decode, DecodeCell: document.DecodeCell,
 		Recorder: n.recorder, Log: n.log,
 	})
@@ -166,7 +173,7 @@
 // Run serves until the context ends, then drains: it takes no new connections, gives back workers and partitions and
 // finishes what runs, for at most the drain timeout.
 func (n *Node) Run(ctx context.Context) error {
-	handler, err := callerhttp.New(n, nil)
+	handler, err := callerhttp.New(n, n.metrics.Handler(), n.meter.Refused)
 	if err != nil {
 		return err
 	}
@@ -174,6 +181,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
+	running.Go(func() { n.runMetrics(inner) })
 	running.Go(func() { _ = n.transport.Run(inner) }) // ends with the context
 	running.Go(func() { n.peers.RunConnections(inner, n.transport) })
 	running.Go(func() { n.RunServices(inner) })
@@ -201,6 +209,16 @@
 // Peering returns the service that sends and takes heartbeats.
 func (n *Node) Peering() *peering.Service { return n.peers }
 
+func (n *Node) runMetrics(ctx context.Context) {
+	n.metrics.Run(ctx, metrics.Sources{
+		Counts: n.meter.Reading, Digest: n.owner.Digest, Traffic: n.transport.Traffic,
+		Live: func() int { return len(n.members.Live()) }, Revision: n.catalog.Revision,
+	})
+	if err := n.metrics.Close(); err != nil {
+		n.log.Warn("metrics not closed", "error", err)
+	}
+}
+
 // runOwnership claims workers and partitions once the peers had time to make themselves known.
 func (n *Node) runOwnership(ctx context.Context) {
 	n.awaitPeers(ctx)
