Add the commands for operators and check settings all at once

Cause: operators had only run and dev. The first wrong setting hid the others, a wrong flag and a fault inside the program ended with the same exit code, and nothing told which settings were in force.

Apply shows the difference, writes by compare-and-swap and waits until every process has the revision in force, or names those that lag. History tells from the time lines when revisions came into force, and says that the store keeps no former text.

With the default of timeline-size changed TestSettingsPage fails. TestLagging sees "entry-2 (revision 8), entry-3 (no answer)" and a failure.

Conclusion: an operator can do everything in the document's life from the command line; secrets are never printed but by document get, which its team needs to edit the document.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -21,25 +21,34 @@
 
 // app is what the commands share.
 type app struct {
-	out io.Writer
-	err io.Writer
+	out  io.Writer
+	err  io.Writer
+	args []string // of the command line
 }
 
 // Main runs the command line and returns the exit code of the error table.
 func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
-	a := &app{out: out, err: errOut}
+	a := &app{out: out, err: errOut, args: args}
 	root := a.root()
-	err := root.ParseAndRun(ctx, args)
-	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
+	err := root.Parse(args)
+	if err != nil {
+		err = asInvalid(err)
+	} else {
+		err = root.Run(ctx)
+	}
+	if err == nil || errors.Is(err, flag.ErrHelp) {
 		return 0
-	case fault.KindOf(err) == fault.Internal && root.FlagSet.Parsed():
-		fmt.Fprintf(errOut, "skylarkstall: %v\n", err)
-		return fault.Invalid.Answer().Exit
-	default:
-		fmt.Fprintf(errOut, "skylarkstall: %v\n", err)
-		return fault.KindOf(err).Answer().Exit
 	}
+	fmt.Fprintf(errOut, "skylarkstall: %v\n", err)
+	return fault.KindOf(err).Answer().Exit
+}
+
+// asInvalid gives a wrong flag its kind; a call for help stays one.
+func asInvalid(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return fault.As(fault.Invalid, err, "flags")
 }
 
 func (a *app) root() *ffcli.Command {
@@ -50,6 +59,7 @@
 		FlagSet:    a.flags("skylarkstall"),
 		Subcommands: []*ffcli.Command{
 			a.serve(), a.dev(), a.run(), a.standin(), a.replay(),
+			a.cell(), a.timeline(), a.document(), a.version(),
 		},
 	}
 	root.Exec = func(_ context.Context, args []string) error {
@@ -71,10 +81,18 @@
 	return []ff.Option{ff.WithEnvVarPrefix(envPrefix)}
 }
 
-func (a *app) logger(level string) (*slog.Logger, error) {
+func logLevel(level string) (slog.Level, error) {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
-		return nil, fault.New(fault.Invalid, "log-level %q: want debug, info, warn or error", level)
+		return l, fault.New(fault.Invalid, "log-level %q: want debug, info, warn or error", level)
+	}
+	return l, nil
+}
+
+func (a *app) logger(level string) (*slog.Logger, error) {
+	l, err := logLevel(level)
+	if err != nil {
+		return nil, err
 	}
 	text := slog.NewTextHandler(a.err, &slog.HandlerOptions{Level: l})
 	return slog.New(ratelog.New(text)), nil
--- /dev/null
+++ b/internal/cli/document.go
@@ -0,0 +1,174 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"skylarkstall/internal/adapter/callerhttp"
+	"skylarkstall/internal/adapter/document"
+	"skylarkstall/internal/app/configsync"
+	"skylarkstall/internal/domain/team"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/textdiff"
+)
+
+func (a *app) document() *ffcli.Command {
+	fs := a.flags("skylarkstall document")
+	return &ffcli.Command{
+		Name: "document", ShortUsage: "skylarkstall document <command> [flags]", FlagSet: fs,
+		ShortHelp: "Check, show and change the document of a team, or the cell quotas.",
+		Subcommands: []*ffcli.Command{
+			a.documentCheck(), a.documentDiff(), a.documentApply(), a.documentGet(), a.documentHistory(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return fault.New(fault.Invalid, "unknown command %q; see skylarkstall document --help", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+// draft is a document in a file.
+type draft struct {
+	name   string // team or team.CellName
+	token  string // that the file states; empty for cell quotas
+	source []byte
+}
+
+// readDraft reads and checks a file. It fails with NotFound, Invalid or TooLarge.
+func readDraft(path string, cell bool) (draft, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return draft{}, fault.As(fault.NotFound, err, "document")
+	}
+	if cell {
+		_, err := document.DecodeCell(source)
+		return draft{name: team.CellName, source: source}, fault.Wrap(err, "%s", path)
+	}
+	doc, err := document.Decode(source)
+	return draft{string(doc.Team), doc.Token, source}, fault.Wrap(err, "%s", path)
+}
+
+// documentFlags are the flags of the commands about a document in a file.
+type documentFlags struct {
+	operatorFlags
+	cell bool
+}
+
+func (f *documentFlags) register(fs *flag.FlagSet) {
+	f.operatorFlags.register(fs, "table", "json")
+	f.registerToken(fs)
+	fs.BoolVar(&f.cell, "cell", false, "the file holds cell quotas instead of a team's document")
+}
+
+// load reads the file and the document in force. Without a token the one that the file states is presented. The
+// revision is 0 when no document is in force.
+func (f *documentFlags) load(ctx context.Context, path string) (draft, callerhttp.Document, error) {
+	d, err := readDraft(path, f.cell)
+	if err != nil {
+		return d, callerhttp.Document{}, err
+	}
+	if f.token == "" {
+		f.token = d.token
+	}
+	current, err := f.client().Document(ctx, d.name)
+	if fault.Is(err, fault.NotFound) {
+		return d, callerhttp.Document{}, nil
+	}
+	return d, current, err
+}
+
+func (a *app) documentCheck() *ffcli.Command {
+	fs := a.flags("skylarkstall document check")
+	f := documentFlags{operatorFlags: operatorFlags{formats: []string{"table", "json"}}}
+	fs.StringVar(&f.output, "output", "table", "table or json")
+	fs.BoolVar(&f.cell, "cell", false, "the file holds cell quotas instead of a team's document")
+	return &ffcli.Command{
+		Name: "check", ShortUsage: "skylarkstall document check [flags] FILE", FlagSet: fs, Options: options(),
+		ShortHelp: "Check a document without a process.",
+		LongHelp: help("Check a document without a process. Fails and names every fault with its line when the document is not "+
+			"valid, and when the file cannot be read.", "skylarkstall document check vembanad.yaml"),
+		Exec: func(_ context.Context, args []string) error {
+			if err := f.check(args, "FILE"); err != nil {
+				return err
+			}
+			d, err := readDraft(args[0], f.cell)
+			if err != nil {
+				return err
+			}
+			if f.output == "json" {
+				return printJSON(a.out, map[string]any{"name": d.name, "valid": true})
+			}
+			fmt.Fprintf(a.out, "%s: the document of %s is valid\n", args[0], d.name)
+			return nil
+		},
+	}
+}
+
+func (a *app) documentDiff() *ffcli.Command {
+	fs := a.flags("skylarkstall document diff")
+	var f documentFlags
+	f.register(fs)
+	return &ffcli.Command{
+		Name: "diff", ShortUsage: "skylarkstall document diff [flags] FILE", FlagSet: fs, Options: options(),
+		ShortHelp: "Show the difference between the document in force and a file.",
+		LongHelp: help("Show the difference between the document in force and a file; tokens are hidden. Fails when the file is "+
+			"not valid or the token is wrong.", "skylarkstall document diff --token T vembanad.yaml"),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := f.check(args, "FILE"); err != nil {
+				return err
+			}
+			d, current, err := f.load(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			difference := difference(current, d)
+			switch {
+			case f.output == "json":
+				return printJSON(a.out, map[string]any{"revision": current.Revision, "difference": difference})
+			case difference == "":
+				fmt.Fprintf(a.out, "no difference from revision %d\n", current.Revision)
+			default:
+				fmt.Fprintf(a.out, "from revision %d to %s:\n%s", current.Revision, args[0], difference)
+			}
+			return nil
+		},
+	}
+}
+
+func difference(current callerhttp.Document, d draft) string {
+	return textdiff.Lines(current.Source, string(d.source), configsync.IsSecret)
+}
+
+func (a *app) documentGet() *ffcli.Command {
+	fs := a.flags("skylarkstall document get")
+	var f operatorFlags
+	f.register(fs, "table", "json")
+	f.registerToken(fs)
+	return &ffcli.Command{
+		Name: "get", ShortUsage: "skylarkstall document get [flags] TEAM", FlagSet: fs, Options: options(),
+		ShortHelp: "Print the document in force for a team.",
+		LongHelp: help("Print the document in force for a team, with its token, so that it can be edited; "+team.CellName+
+			" stands for the cell quotas. Fails when the token is wrong or no document is in force.",
+			"skylarkstall document get --token T vembanad > vembanad.yaml"),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := f.check(args, "TEAM"); err != nil {
+				return err
+			}
+			reply, err := f.client().Document(ctx, args[0])
+			switch {
+			case err != nil:
+				return err
+			case f.output == "json":
+				return printJSON(a.out, reply)
+			}
+			fmt.Fprint(a.out, reply.Source)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/document_apply_test.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"skylarkstall/internal/adapter/callerhttp"
+	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/fault"
+)
+
+// TestLagging guards against a change that is reported as in force while a process lags or does not answer: both are
+// named, and the command fails.
+func TestLagging(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, callerhttp.Cell{
+			Processes: []callerhttp.Process{{ID: "entry-1", Revision: 9}, {ID: "entry-2", Revision: 8}},
+			Silent:    []string{"entry-3"},
+		})
+	}))
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	for revision, want := range map[uint64]string{
+		9: "entry-2 (revision 8), entry-3 (no answer)", 8: "entry-3 (no answer)",
+	} {
+		var out bytes.Buffer
+		a := &app{out: &out}
+		f := &documentFlags{operatorFlags: operatorFlags{
+			address: strings.TrimPrefix(server.URL, "http://"), output: "table",
+		}}
+		err := a.awaitInForce(t.Context(), f, &applied{Revision: revision}, 300*time.Millisecond)
+		if !fault.Is(err, fault.NotReady) || !strings.Contains(err.Error(), want) {
+			t.Errorf("revision %d: %v; want not_ready and %q", revision, err, want)
+		}
+		if !strings.Contains(out.String(), "of 3") {
+			t.Errorf("printed %q", out.String())
+		}
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -10,13 +10,14 @@
 
 	"skylarkstall/internal/adapter/peerwire"
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/fault"
 	"skylarkstall/internal/node"
 )
 
 type serveFlags struct {
 	id, zone, caller, peer, store, vmlist, level string
 
+	peers, cellToken string
+
 	tls   peerwire.CredentialFiles
 	plain bool
 	drain time.Duration
@@ -32,6 +33,8 @@
 	fs.StringVar(&f.tls.Key, "peer-tls-key", "", "PEM file with the key of the certificate")
 	fs.StringVar(&f.tls.CA, "peer-tls-ca", "", "PEM file with the certificates that sign those of peers")
 	fs.BoolVar(&f.plain, "peer-plain", false, "connections between processes without TLS")
+	fs.StringVar(&f.peers, "peers", "", "further processes to contact, as id=host:port separated by commas")
+	fs.StringVar(&f.cellToken, "cell-token", "", "secret that allows to change cell quotas and add teams; nobody may when empty")
 	fs.StringVar(&f.store, "store-address", "", "host:port of the key-value service")
 	fs.StringVar(&f.vmlist, "vm-list-address", "", "host:port of the VM list")
 	fs.DurationVar(&f.drain, "drain-timeout", time.Minute, "longest graceful shutdown")
@@ -39,44 +42,71 @@
 	fs.StringVar(&f.level, "log-level", "info", "debug, info, warn or error")
 }
 
+// settings returns the checked settings. It fails with Invalid and every fault.
 func (f *serveFlags) settings() (node.Settings, error) {
-	if err := ident.Check("id", f.id); err != nil {
-		return node.Settings{}, err
-	}
-	if err := ident.Check("zone", f.zone); err != nil {
+	if err := f.check(); err != nil {
 		return node.Settings{}, err
 	}
-	if f.store == "" || f.vmlist == "" {
-		return node.Settings{}, fault.New(fault.Invalid, "set --store-address and --vm-list-address")
-	}
+	peers, err := parsePeers(f.peers)
 	return node.Settings{
 		ID: ident.ProcessID(f.id), Zone: ident.Zone(f.zone), CallerAddress: f.caller, PeerAddress: f.peer,
-		PeerPlain: f.plain, PeerTLS: f.tls, StoreAddress: f.store, VMListAddress: f.vmlist, DrainTimeout: f.drain, TimelineSize: f.ring,
-	}, nil
+		PeerPlain: f.plain, PeerTLS: f.tls, Peers: peers, StoreAddress: f.store, VMListAddress: f.vmlist,
+		DrainTimeout: f.drain, TimelineSize: f.ring, CellToken: f.cellToken,
+	}, err
 }
 
 func (a *app) serve() *ffcli.Command {
 	fs := a.flags("skylarkstall serve")
 	var f serveFlags
 	f.register(fs)
+	show := fs.Bool("print-settings", false, "print the settings in force and where they come from, and stop")
+	output := operatorFlags{formats: []string{"table", "json"}}
+	fs.StringVar(&output.output, "output", "table", "of --print-settings: table or json")
 	return &ffcli.Command{
 		Name: "serve", ShortUsage: "skylarkstall serve [flags]", ShortHelp: "Run one entry process.",
+		LongHelp: help("Run one entry process until it is told to stop; then it drains. Fails at the start and names every fault "+
+			"when settings are not valid or files for TLS cannot be read.",
+			"skylarkstall serve --id entry-1 --zone kochi-a --store-address 10.0.0.2:2379 --vm-list-address 10.0.0.3:80 "+
+				"--peer-tls-certificate entry-1.pem --peer-tls-key entry-1.key --peer-tls-ca cell.pem"),
 		FlagSet: fs, Options: options(),
-		Exec: func(ctx context.Context, _ []string) error {
-			settings, err := f.settings()
-			if err != nil {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := output.check(args); err != nil {
 				return err
 			}
-			log, err := a.logger(f.level)
-			if err != nil {
-				return err
+			if *show {
+				return a.printSettings(fs, output.output)
 			}
-			n, err := node.New(settings, log)
+			settings, err := f.settings()
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(a.out, "callers reach %s, peers reach %s\n", n.CallerAddress(), n.PeerAddress())
-			return n.Run(ctx)
+			return a.runNode(ctx, settings, f.level)
 		},
 	}
 }
+
+// printSettings prints also settings that are not valid, so that an operator sees where they come from.
+func (a *app) printSettings(fs *flag.FlagSet, format string) error {
+	rows := settingRows(fs, a.args)
+	if format == "table" {
+		return printTable(a.out, rows)
+	}
+	var list []map[string]string
+	for _, row := range rows[1:] {
+		list = append(list, map[string]string{"setting": row[0], "value": row[1], "from": row[2]})
+	}
+	return printJSON(a.out, list)
+}
+
+func (a *app) runNode(ctx context.Context, settings node.Settings, level string) error {
+	log, err := a.logger(level)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(settings, log)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(a.out, "callers reach %s, peers reach %s\n", n.CallerAddress(), n.PeerAddress())
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/cli/settings_test.go
@@ -0,0 +1,37 @@
+package cli
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// TestSettingsPage guards docs/settings.md against settings that it does not tell of, or tells of wrongly.
+// "go test ./internal/cli -run SettingsPage -update" writes it again.
+func TestSettingsPage(t *testing.T) {
+	var page strings.Builder
+	page.WriteString(`# Settings of a process
+
+Settings of ` + "`skylarkstall serve`" + ` are flags or environment variables; a flag goes before the variable.
+` + "`skylarkstall serve --print-settings`" + ` prints what is in force and where it comes from; secrets are hidden. All settings
+are checked at the start, and every fault is told at once. Files for TLS are read again when they change; every other
+change needs a restart.
+
+| flag | environment variable | default | meaning |
+|---|---|---|---|
+`)
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	var f serveFlags
+	f.register(fs)
+	fs.VisitAll(func(f *flag.Flag) {
+		value := f.DefValue
+		if value == "" {
+			value = "none"
+		}
+		fmt.Fprintf(&page, "| `--%s` | `%s` | %s | %s |\n", f.Name, envName(f.Name), value, f.Usage)
+	})
+	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "settings", []byte(page.String()))
+}
