--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -38,10 +39,13 @@
 	api API
 }
 
-// New returns the handler of every path.
-func New(api API, metrics http.Handler) (http.Handler, error) {
+// New returns the handler of every path. refused hears the kind of each answer that is an error; it may be nil.
+func New(api API, metrics http.Handler, refused func(fault.Kind)) (http.Handler, error) {
 	s := &Server{api}
 	app := iris.New()
+	if refused != nil {
+		app.UseRouter(hearRefusals(refused))
+	}
 	app.Configure(iris.WithoutBanner, iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
 	app.Logger().SetLevel("disable")
 	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") }) // the connection broke
@@ -64,7 +68,20 @@
 	return app, nil
 }
 
+// failureKey is where fail leaves the kind of the error.
+const failureKey = "skylarkstall.failure"
+
+func hearRefusals(refused func(fault.Kind)) iris.Handler {
+	return func(ctx iris.Context) {
+		ctx.Next()
+		if kind, ok := ctx.Values().Get(failureKey).(fault.Kind); ok {
+			refused(kind)
+		}
+	}
+}
+
 func fail(ctx iris.Context, err error) {
+	ctx.Values().Set(failureKey, fault.KindOf(err))
 	httpjson.WriteError(ctx.ResponseWriter(), err)
 }
 
@@ -101,9 +118,14 @@
 		fail(ctx, err)
 		return
 	}
+	deadline, err := milliseconds("deadline_ms", call.DeadlineMS)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
 	outcome, err := s.api.RunRequest(ctx.Request().Context(), entry.Request{
 		Team: ident.TeamID(call.Team), Token: token(ctx), ID: ident.RequestID(call.RequestID), Kind: call.Kind,
-		Deadline: time.Duration(call.DeadlineMS) * time.Millisecond, Payload: call.Payload,
+		Deadline: deadline, Payload: call.Payload,
 	})
 	if err != nil {
 		fail(ctx, err)
@@ -115,6 +137,17 @@
 	})
 }
 
+// maxMilliseconds is the largest time that a body may state; beyond it a time.Duration overflows.
+const maxMilliseconds = math.MaxInt64 / int64(time.Millisecond)
+
+// milliseconds converts a time of a body. It fails with Invalid when the time is out of range.
+func milliseconds(field string, n int64) (time.Duration, error) {
+	if n > maxMilliseconds || n < -maxMilliseconds {
+		return 0, fault.New(fault.Invalid, "%s is %d; the limit is %d", field, n, maxMilliseconds)
+	}
+	return time.Duration(n) * time.Millisecond, nil
+}
+
 // Digest returns the digest of an output as answers carry it.
 func Digest(output []byte) string {
 	sum := xxhash.New()
