Add an open-loop load generator and a report page

Cause: waits under load were only known from the replay of decisions, not from real processes.

Change: `skylarkstall load` sends a named profile at times fixed by a seed, measures from the intended start with HDR histograms, watches the cell each second and writes a JSON result; `skylarkstall report` turns results into one HTML page whose plots are drawn by gonum/plot and need no network.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -60,6 +60,7 @@
 		Subcommands: []*ffcli.Command{
 			a.serve(), a.dev(), a.run(), a.standin(), a.replay(),
 			a.cell(), a.timeline(), a.document(), a.version(),
+			a.load(), a.report(),
 		},
 	}
 	root.Exec = func(_ context.Context, args []string) error {
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,148 @@
+// Package report turns the results of load runs into one HTML page with plots that needs no network.
+package report
+
+import (
+	"bytes"
+	_ "embed" // for the page's template
+	"html/template"
+	"io"
+	"sort"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/load"
+)
+
+//go:embed report.html
+var page string
+
+const (
+	width  = 6.5 * vg.Inch
+	height = 3 * vg.Inch
+)
+
+type row struct {
+	Label string
+	Name  string
+	*load.Kind
+}
+
+type content struct {
+	Results []*load.Result
+	Rows    []row
+	Plots   []template.HTML
+}
+
+// Write writes the page that compares the results. It fails with Invalid when there is none.
+func Write(w io.Writer, results []*load.Result) error {
+	if len(results) == 0 {
+		return fault.New(fault.Invalid, "no result to report")
+	}
+	parsed, err := template.New("report").Parse(page)
+	if err != nil {
+		return fault.As(fault.Internal, err, "template")
+	}
+	c := content{Results: results}
+	for _, name := range kinds(results) {
+		for _, r := range results {
+			if k, ok := r.Kinds[name]; ok {
+				c.Rows = append(c.Rows, row{r.Label, name, k})
+			}
+		}
+		if c.Plots, err = appendPlot(c.Plots, "Wait of "+name, "wait (ms)", "share of requests", waits(results, name)); err != nil {
+			return err
+		}
+	}
+	for _, series := range secondSeries {
+		lines := map[string]plotter.XYs{}
+		for _, r := range results {
+			lines[r.Label] = overTime(r, series.value)
+		}
+		if c.Plots, err = appendPlot(c.Plots, series.title, "time (s)", series.unit, lines); err != nil {
+			return err
+		}
+	}
+	return fault.Wrap(parsed.Execute(w, c), "write the page")
+}
+
+var secondSeries = []struct {
+	title, unit string
+	value       func(load.Second) float64
+}{
+	{"Reserved slots", "share", func(s load.Second) float64 { return s.Reserved }},
+	{"Queued tasks", "tasks", func(s load.Second) float64 { return float64(s.Queued) }},
+}
+
+func kinds(results []*load.Result) []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, r := range results {
+		for name := range r.Kinds {
+			if !seen[name] {
+				seen[name] = true
+				names = append(names, name)
+			}
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func waits(results []*load.Result, kind string) map[string]plotter.XYs {
+	lines := map[string]plotter.XYs{}
+	for _, r := range results {
+		k, ok := r.Kinds[kind]
+		if !ok {
+			continue
+		}
+		points := make(plotter.XYs, len(k.Curve))
+		for i, p := range k.Curve {
+			points[i] = plotter.XY{X: p.MS, Y: p.Share}
+		}
+		lines[r.Label] = points
+	}
+	return lines
+}
+
+func overTime(r *load.Result, value func(load.Second) float64) plotter.XYs {
+	points := make(plotter.XYs, len(r.Seconds))
+	for i, s := range r.Seconds {
+		points[i] = plotter.XY{X: s.At, Y: value(s)}
+	}
+	return points
+}
+
+func appendPlot(
+	plots []template.HTML, title, x, y string, lines map[string]plotter.XYs,
+) ([]template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	labels := make([]string, 0, len(lines))
+	for label := range lines {
+		labels = append(labels, label)
+	}
+	sort.Strings(labels)
+	for i, label := range labels {
+		line, err := plotter.NewLine(lines[label])
+		if err != nil {
+			return nil, fault.As(fault.Invalid, err, "plot of "+label)
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(label, line)
+	}
+	writer, err := p.WriterTo(width, height, "svg")
+	if err != nil {
+		return nil, fault.As(fault.Internal, err, "plot")
+	}
+	var svg bytes.Buffer
+	if _, err := writer.WriteTo(&svg); err != nil {
+		return nil, fault.As(fault.Internal, err, "plot")
+	}
+	body := svg.Bytes()[max(0, bytes.Index(svg.Bytes(), []byte("<svg"))):]
+	return append(plots, template.HTML(body)), nil // the plot library escapes the labels
+}
