--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -60,6 +60,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("SKYLARKSTALL_ADDRESS", cell.Nodes[0].CallerAddress())
 			env.Setenv("CELL_TOKEN", devcell.CellToken)
+			env.Setenv("GORACE", "atexit_sleep_ms=0") // the race detector waits 1 s at the end of each command otherwise
 			return nil
 		},
 	})
