--- a/internal/adapter/peerwire/dial.go
+++ b/internal/adapter/peerwire/dial.go
@@ -14,17 +14,16 @@
 	"skylarkstall/internal/pause"
 )
 
-// Connect keeps a session to the peer at the address until the context ends. Exactly one process of a pair calls it. A
-// session that lasted is replaced at once, so that the peer does not count as dead meanwhile.
+// Connect keeps a session to the peer at the address until the context ends. Exactly one process of a pair calls it.
+// Attempts are at least one interval apart. A session that went silent has lasted longer and is replaced at once, so that
+// the peer does not count as dead meanwhile.
 func (t *Transport) Connect(ctx context.Context, peer ident.ProcessID, address string) {
 	for ctx.Err() == nil {
 		began := time.Now()
 		if err := t.connectOnce(ctx, peer, address); err != nil && ctx.Err() == nil {
 			t.log.Info("peer not connected", "peer", peer, "error", err)
 		}
-		if time.Since(began) < HeartbeatInterval+HeartbeatTimeout {
-			pause.For(ctx, HeartbeatInterval)
-		}
+		pause.For(ctx, HeartbeatInterval-time.Since(began))
 	}
 }
 
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -24,6 +24,7 @@
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
+	"skylarkstall/internal/standin/relay"
 )
 
 // process is one end of the wire.
@@ -139,8 +140,12 @@
 // peer counts as dead, and the calls on it must end as interrupted.
 func TestSilentConnection(t *testing.T) {
 	a, b := startProcess(t, "a"), startProcess(t, "b")
-	r := newRelay(t, b.listener.Addr().String())
-	a.connect(t, r.address())
+	r, err := relay.Start(b.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	a.connect(t, r.Address())
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
 	eventually(t, 5*time.Second, "connected", func() bool {
@@ -155,7 +160,7 @@
 	}()
 	time.Sleep(100 * time.Millisecond)
 	froze := time.Now()
-	r.freeze()
+	r.Freeze()
 	if err := <-broken; !fault.Is(err, fault.Interrupted) {
 		t.Errorf("call in progress: %v; want interrupted", err)
 	}
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -36,6 +36,8 @@
 	Observe       func(ident.WorkerID, worker.Observation) // may be nil
 	// StoreAddress tells where a process looks for the store; nil for the stand-in. It lets a test cut processes off.
 	StoreAddress func(id ident.ProcessID, standin string) string
+	// ListedAddress tells the address for peers that the VM list shows; nil for the process's own.
+	ListedAddress func(id ident.ProcessID, own string) string
 }
 
 // WorkersPerRack is how many workers share a rack.
@@ -182,7 +184,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &Node{Node: n, ID: ident.ProcessID(id), stop: cancel, done: make(chan struct{})}
 	c.Nodes = append(c.Nodes, running)
-	c.list(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: n.PeerAddress(), Zone: string(c.zone(zone))})
+	listed := n.PeerAddress()
+	if c.settings.ListedAddress != nil {
+		listed = c.settings.ListedAddress(ident.ProcessID(id), listed)
+	}
+	c.list(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: listed, Zone: string(c.zone(zone))})
 	go func() {
 		defer close(running.done)
 		if err := n.Run(ctx); err != nil {
--- /dev/null
+++ b/internal/standin/relay/relay.go
@@ -0,0 +1,89 @@
+// Package relay is a stand-in for the network between two processes: it passes TCP connections on and can make the open
+// ones silent while new ones work.
+package relay
+
+import (
+	"net"
+	"sync"
+
+	"skylarkstall/internal/fault"
+)
+
+// Relay is a relay that listens.
+type Relay struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	frozen chan struct{} // closed when the connections that are open now become silent
+	closed chan struct{}
+}
+
+// Start returns a relay on a free port of loopback that passes connections on to the target.
+func Start(target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fault.As(fault.Unavailable, err, "listen")
+	}
+	r := &Relay{listener: listener, target: target, frozen: make(chan struct{}), closed: make(chan struct{})}
+	go r.run()
+	return r, nil
+}
+
+// Address returns host:port.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Close ends the relay and all its connections.
+func (r *Relay) Close() {
+	close(r.closed)
+	_ = r.listener.Close()
+}
+
+// Freeze makes the open connections silent: they stay open and carry nothing more.
+func (r *Relay) Freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.frozen)
+	r.frozen = make(chan struct{})
+}
+
+func (r *Relay) run() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		r.mu.Lock()
+		frozen := r.frozen
+		r.mu.Unlock()
+		go r.pass(near, far, frozen)
+		go r.pass(far, near, frozen)
+	}
+}
+
+// pass copies until the connection ends. A frozen one is held open until the relay is closed.
+func (r *Relay) pass(from, to net.Conn, frozen <-chan struct{}) {
+	defer from.Close()
+	defer to.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-frozen:
+			<-r.closed
+			return
+		default:
+		}
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
