Wait in a test cell until the processes reach each other

Cause: the script of the cell command failed once while the machine was busy: "no match for entry-3". The first process had read the VM list before the third one was in it, and reads it every 2 s; it was ready and showed a cell of two.

Change: AwaitReady of the test cell also waits until every process reaches all others.

Conclusion: the fault was in the start of the test cell. A process of a real cell shows another one at most 2 s after the VM list does.

--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -207,7 +207,8 @@
 // readyRetry is the pause between questions whether a process is ready.
 const readyRetry = 50 * time.Millisecond
 
-// AwaitReady waits until every process is ready and every worker is owned.
+// AwaitReady waits until every process is ready and reaches all others, and every worker is owned. A process that read
+// the VM list before the others were in it is ready, but does not know them yet.
 func (c *Cell) AwaitReady(ctx context.Context) error {
 	for _, n := range c.Nodes {
 		client := callerhttp.NewClient(n.CallerAddress(), "")
@@ -217,6 +218,13 @@
 			}
 		}
 	}
+	for _, n := range c.Nodes {
+		for !c.reachesAll(ctx, n) {
+			if !pause.For(ctx, readyRetry) {
+				return fault.New(fault.NotReady, "process %s does not reach all others", n.ID)
+			}
+		}
+	}
 	for c.owned(ctx) < len(c.Workers) {
 		if !pause.For(ctx, readyRetry) {
 			return fault.New(fault.NotReady, "%d of %d workers are owned", c.owned(ctx), len(c.Workers))
@@ -225,6 +233,11 @@
 	return nil
 }
 
+func (c *Cell) reachesAll(ctx context.Context, n *Node) bool {
+	statuses, _ := n.Cell(ctx)
+	return len(statuses) == len(c.Nodes)
+}
+
 func (c *Cell) owned(ctx context.Context) int {
 	statuses, _ := c.Nodes[0].Cell(ctx)
 	owned := 0
