Index free capacity and waiting sizes, and score the tightest workers

Change: waiting groups are kept by size in heaps ordered by team share, deadlines in a heap of their own, free capacity in a treap that knows the largest free amount below each node. A task goes to the best of the 8 tightest workers by named scores (tightness, balance; spread over zones and racks for standing work); workers with free accelerators come last for other work. Reclaim sorts only when requests lack room and counts stragglers once a second. best-fit is the reference for packing. The headroom is the peak and one standard deviation of arrivals in place of two.

--- a/internal/domain/fleet/demand.go
+++ b/internal/domain/fleet/demand.go
@@ -45,12 +45,12 @@
 	d.load, d.window = 0, now
 }
 
-// need returns how many requests at once there is to be room for: the peak, and twice the deviation that arrivals at
-// random have.
+// need returns how many requests at once there is to be room for: the peak, and the standard deviation of arrivals at
+// random.
 func (d *demand) need(now time.Time) int {
 	d.roll(now)
 	peak := max(d.peak, d.load)
-	return int(math.Ceil(peak + 2*math.Sqrt(peak)))
+	return int(math.Ceil(peak + math.Sqrt(peak)))
 }
 
 // units returns how many requests fit into the free capacity.
@@ -101,6 +101,6 @@
 	if !f.policy.Headroom || spec.Class == work.Request || f.demand.unit.IsZero() {
 		return true
 	}
-	after := f.room - r.units + f.demand.units(r.Free.Sub(spec.Size))
-	return after >= f.headroom(now)
+	takes := r.units - f.demand.units(r.Free.Sub(spec.Size))
+	return takes == 0 || f.room-takes >= f.headroom(now)
 }
--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -47,6 +47,7 @@
 	order    []*row // as they came, so that equal input gives equal decisions
 	index    index
 	tasks    map[ident.TaskID]*held
+	places   places
 	teams    map[ident.TeamID]*team
 	times    runTimes
 	queue    queue
@@ -57,18 +58,25 @@
 	capacity resource.Vector
 	free     resource.Vector
 
-	reclaimed time.Time // when Reclaim last looked
+	assignments uint64    // made so far
+	asked       []*held   // running tasks that were asked to give way
+	reclaimed   time.Time // when Reclaim last looked
+	bounded     time.Time // when it last counted stragglers
 }
 
 // New returns a fleet without workers.
 func New(policy Policy) *Fleet {
 	f := &Fleet{
-		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{}, index: &scan{},
+		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{}, places: places{},
 		teams: map[ident.TeamID]*team{}, times: runTimes{kinds: map[kindKey]*runTimeSample{}}, queue: newArrivalQueue(),
 	}
 	if policy.Fair {
 		f.queue = newFairQueue()
 	}
+	f.index = &scan{tight: policy.Place == TightRow}
+	if policy.Place == IndexedRow {
+		f.index = &tree{score: f.scoring}
+	}
 	return f
 }
 
@@ -90,7 +98,7 @@
 	if err := f.overloaded(now, spec); err != nil {
 		return Assignment{}, false, err
 	}
-	f.queue.push(&waiting{spec: spec, team: f.team(spec), since: now})
+	f.queue.push(&waiting{spec: spec, team: f.team(spec), since: now, latest: f.latest(now, spec)})
 	return Assignment{}, false, nil
 }
 
@@ -98,7 +106,7 @@
 func (f *Fleet) team(spec work.Spec) *team {
 	t, ok := f.teams[spec.ID.Work.Team]
 	if !ok {
-		t = &team{}
+		t = &team{groups: map[*group]bool{}}
 		f.teams[spec.ID.Work.Team] = t
 	}
 	t.weight, t.quota = spec.Weight, spec.Quota
@@ -129,8 +137,11 @@
 
 // assume takes the size from the view before the worker's aggregate confirms it.
 func (f *Fleet) assume(now time.Time, r *row, spec work.Spec) Assignment {
-	h := &held{spec: spec, row: r, team: f.team(spec), since: now, assumed: true}
+	f.assignments++
+	h := &held{spec: spec, row: r, team: f.team(spec), since: now, number: f.assignments, assumed: true}
 	h.team.account(spec.Size, f.capacity)
+	f.queue.reorder(h.team)
+	f.places.add(h, 1)
 	f.held[spec.Class]++
 	f.tasks[spec.ID] = h
 	r.tasks[spec.ID] = h
@@ -178,6 +189,8 @@
 
 func (f *Fleet) drop(h *held) {
 	h.team.account(resource.Vector{}.Sub(h.spec.Size), f.capacity)
+	f.queue.reorder(h.team)
+	f.places.add(h, -1)
 	f.held[h.spec.Class]--
 	delete(f.tasks, h.spec.ID)
 	delete(h.row.tasks, h.spec.ID)
@@ -217,28 +230,22 @@
 }
 
 func (f *Fleet) fill(now time.Time, r *row) Decisions {
-	var d Decisions
-	for {
-		next, late := f.queue.pop(func(w *waiting) verdict { return f.judge(now, r, w) })
-		for _, w := range late {
-			d.Refused = append(d.Refused, Refusal{Task: w.spec.ID, Err: f.late(now, w)})
-		}
+	d := Decisions{Refused: f.expire(now)}
+	for r.Free.Slots > 0 {
+		next := f.queue.pop(func(w *waiting) verdict { return f.judge(now, r, w) })
 		if next == nil {
-			return d
+			break
 		}
 		d.Assigned = append(d.Assigned, f.assume(now, r, next.spec))
 	}
+	return d
 }
 
 func (f *Fleet) judge(now time.Time, r *row, w *waiting) verdict {
-	switch {
-	case f.late(now, w) != nil:
-		return tooLate
-	case f.admits(now, r, w.spec):
+	if f.admits(now, r, w.spec) {
 		return fits
-	default:
-		return noRoom
 	}
+	return noRoom
 }
 
 // Remove forgets a worker that this process no longer owns, and what is held on it.
@@ -275,10 +282,7 @@
 func (f *Fleet) Digest(now time.Time) Digest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := Digest{Free: f.free, Capacity: f.capacity}
-	for _, r := range f.order {
-		d.LargestFit = d.LargestFit.Max(r.Free)
-	}
+	d := Digest{Free: f.free, Capacity: f.capacity, LargestFit: f.index.largest()}
 	d.Queued, d.Oldest = f.queue.load(now)
 	return d
 }
--- a/internal/domain/fleet/policy.go
+++ b/internal/domain/fleet/policy.go
@@ -15,24 +15,38 @@
 	Shed     bool // refuse work early that would wait too long or miss its deadline
 	Headroom bool // other work leaves room for the demand of requests
 	Preempt  bool // long work gives way to requests that wait, and stragglers to other work
+	Place    Placement
 }
 
+// Placement is how a worker is chosen.
+type Placement uint8
+
+// Placements.
+const (
+	FirstRow   Placement = iota // the first worker with room
+	TightRow                    // the worker with the least room, after a look at each
+	IndexedRow                  // by scores among the tightest workers, found by an index
+)
+
 var (
 	// FirstFit is the baseline: first in first out over all classes, on the first worker with room.
 	FirstFit = Policy{Name: "first-fit"}
 	// FairShare is the policy for use: all rules.
-	FairShare = Policy{Name: "fair-share", Fair: true, Learn: true, Shed: true, Headroom: true, Preempt: true}
+	FairShare = Policy{Name: "fair-share", Fair: true, Learn: true, Shed: true, Headroom: true, Preempt: true, Place: IndexedRow}
+	// BestFit is the reference for packing: first in first out on the worker with the least room.
+	BestFit = Policy{Name: "best-fit", Place: TightRow}
 )
 
-var policies = map[string]Policy{FirstFit.Name: FirstFit, FairShare.Name: FairShare}
+var policies = map[string]Policy{FirstFit.Name: FirstFit, FairShare.Name: FairShare, BestFit.Name: BestFit}
 
 // rules are the rules that a name can take out of a policy, for measurements.
-var rules = map[string]func(*Policy) *bool{
-	"fair":     func(p *Policy) *bool { return &p.Fair },
-	"learn":    func(p *Policy) *bool { return &p.Learn },
-	"shed":     func(p *Policy) *bool { return &p.Shed },
-	"headroom": func(p *Policy) *bool { return &p.Headroom },
-	"preempt":  func(p *Policy) *bool { return &p.Preempt },
+var rules = map[string]func(*Policy){
+	"fair":     func(p *Policy) { p.Fair = false },
+	"learn":    func(p *Policy) { p.Learn = false },
+	"shed":     func(p *Policy) { p.Shed = false },
+	"headroom": func(p *Policy) { p.Headroom = false },
+	"preempt":  func(p *Policy) { p.Preempt = false },
+	"index":    func(p *Policy) { p.Place = FirstRow },
 }
 
 // PolicyNames returns the names of the complete policies, sorted.
@@ -55,11 +69,11 @@
 	}
 	p.Name = name
 	for _, rule := range strings.FieldsFunc(rest, func(r rune) bool { return r == '~' }) {
-		field, ok := rules[rule]
+		leaveOut, ok := rules[rule]
 		if !ok {
 			return Policy{}, fault.New(fault.Invalid, "policy %q: the rule %q is unknown", name, rule)
 		}
-		*field(&p) = false
+		leaveOut(&p)
 	}
 	return p, nil
 }
--- a/internal/domain/fleet/preempt.go
+++ b/internal/domain/fleet/preempt.go
@@ -35,6 +35,8 @@
 const (
 	// reclaimEvery bounds how often the running tasks are looked through.
 	reclaimEvery = 50 * time.Millisecond
+	// boundEvery bounds how often stragglers are counted; they last for long.
+	boundEvery = time.Second
 	// actionTimeout is how long an action may take before the next one is tried.
 	actionTimeout = 2 * time.Second
 	// preemptShare is the share of the slots that may be taken back within budgetPeriod.
@@ -75,45 +77,77 @@
 	if counts[work.Request] == 0 && counts[work.Batch] == 0 {
 		return nil
 	}
-	var out []Preemption
-	asked := int64(0)
-	for _, h := range f.byRank(now) {
-		if !h.asked.IsZero() {
-			asked += max(f.demand.units(h.spec.Size), 1)
-			out = append(out, h.escalate(now)...)
-		}
-	}
+	out, asked := f.escalate(now)
 	if counts[work.Request] > 0 {
 		out = append(out, f.makeRoom(now, asked)...)
 	}
-	return append(out, f.boundStragglers(now)...)
+	if now.Sub(f.bounded) >= boundEvery {
+		f.bounded = now
+		out = append(out, f.boundStragglers(now)...)
+	}
+	return out
+}
+
+// escalate goes on to the next action where the last one had no effect in time. It also returns how many requests will
+// have room when all that was asked is done.
+func (f *Fleet) escalate(now time.Time) (out []Preemption, asked int64) {
+	running := f.asked[:0]
+	for _, h := range f.asked {
+		if f.tasks[h.spec.ID] != h {
+			continue
+		}
+		running = append(running, h)
+		asked += max(f.demand.units(h.spec.Size), 1)
+		if now.Sub(h.asked) >= actionTimeout && h.action != Stop {
+			h.asked = now
+			h.action++
+			out = append(out, h.preemption())
+		}
+	}
+	clear(f.asked[len(running):])
+	f.asked = running
+	return out, asked
 }
 
 // makeRoom asks as many tasks to give way as the demand for requests exceeds the room.
 func (f *Fleet) makeRoom(now time.Time, asked int64) []Preemption {
 	short := int64(f.demand.need(now)) - int64(f.held[work.Request]) - f.room - asked
+	if short <= 0 || f.budget.tokens < 1 {
+		return nil
+	}
+	yielding := f.running((*held).givesWay)
+	sort.Slice(yielding, func(i, j int) bool { return yielding[i].givesWayBefore(yielding[j]) })
 	var out []Preemption
-	for _, h := range f.byRank(now) {
+	for _, h := range yielding {
 		if short <= 0 || f.budget.tokens < 1 {
 			break
 		}
-		if !h.asked.IsZero() || !h.givesWay() {
-			continue
-		}
 		short -= max(f.demand.units(h.spec.Size), 1)
 		out = append(out, f.ask(now, h))
 	}
 	return out
 }
 
+// running returns the running tasks that the condition selects and that were not asked yet, in no order.
+func (f *Fleet) running(selects func(*held) bool) []*held {
+	var out []*held
+	for _, h := range f.tasks {
+		if !h.assumed && h.asked.IsZero() && selects(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // givesWay reports whether the task may be ended for requests: repeatable long work that is not part of a gang.
 func (h *held) givesWay() bool {
-	return !h.assumed && h.spec.Repeatable && (h.spec.Class == work.Batch || h.spec.Class == work.Standing)
+	return h.spec.Repeatable && (h.spec.Class == work.Batch || h.spec.Class == work.Standing)
 }
 
 func (f *Fleet) ask(now time.Time, h *held) Preemption {
 	f.budget.tokens--
 	h.asked, h.action = now, Checkpoint
+	f.asked = append(f.asked, h)
 	return h.preemption()
 }
 
@@ -126,31 +160,8 @@
 	return p
 }
 
-// escalate goes on to the next action when the last one had no effect in time.
-func (h *held) escalate(now time.Time) []Preemption {
-	if now.Sub(h.asked) < actionTimeout || h.action == Stop {
-		return nil
-	}
-	h.asked = now
-	h.action++
-	return []Preemption{h.preemption()}
-}
-
-// byRank returns the running tasks that may be asked, the first to give way first: those of teams over their quota, of
-// the teams with the largest share, batch before standing, and the youngest, which lose least.
-func (f *Fleet) byRank(now time.Time) []*held {
-	var all []*held
-	for _, r := range f.order {
-		for _, h := range r.tasks {
-			if h.givesWay() || f.isStraggler(now, h) {
-				all = append(all, h)
-			}
-		}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].givesWayBefore(all[j]) })
-	return all
-}
-
+// givesWayBefore orders the tasks that may be asked: first those of teams over their quota, then of the teams with the
+// largest share, batch before standing, and the youngest, which lose least.
 func (h *held) givesWayBefore(o *held) bool {
 	switch {
 	case h.team.over != o.team.over:
@@ -162,13 +173,13 @@
 	case !h.since.Equal(o.since):
 		return h.since.After(o.since)
 	default:
-		return h.spec.ID.String() < o.spec.ID.String()
+		return h.number > o.number
 	}
 }
 
 // isStraggler reports whether the task runs far longer than its kind does.
 func (f *Fleet) isStraggler(now time.Time, h *held) bool {
-	if h.assumed || !h.spec.Repeatable || h.spec.Class == work.Standing || h.spec.Class == work.Gang {
+	if !h.spec.Repeatable || h.spec.Class == work.Standing || h.spec.Class == work.Gang {
 		return false
 	}
 	_, high := f.times.estimate(h.spec)
@@ -177,17 +188,12 @@
 
 // boundStragglers asks the longest running stragglers to give way when together they hold more than their share.
 func (f *Fleet) boundStragglers(now time.Time) []Preemption {
-	var stragglers []*held
-	for _, h := range f.byRank(now) {
-		if h.asked.IsZero() && f.isStraggler(now, h) {
-			stragglers = append(stragglers, h)
-		}
-	}
+	stragglers := f.running(func(h *held) bool { return f.isStraggler(now, h) })
 	excess := len(stragglers) - int(math.Ceil(stragglerShare*float64(f.capacity.Slots)))
 	if excess <= 0 {
 		return nil
 	}
-	sort.SliceStable(stragglers, func(i, j int) bool { return stragglers[i].since.Before(stragglers[j].since) })
+	sort.Slice(stragglers, func(i, j int) bool { return stragglers[i].number < stragglers[j].number })
 	var out []Preemption
 	for _, h := range stragglers[:excess] {
 		if f.budget.tokens < 1 {
--- a/internal/domain/fleet/queue.go
+++ b/internal/domain/fleet/queue.go
@@ -13,18 +13,24 @@
 
 // waiting is a task in the queue.
 type waiting struct {
-	spec  work.Spec
-	team  *team
-	since time.Time
+	spec   work.Spec
+	team   *team
+	since  time.Time
+	latest time.Time // start; zero for no limit
+
+	group    *group
+	inGroup  *list.Element
+	inClass  *list.Element
+	inExpiry int
 }
 
 // verdict is what a fleet says of a waiting task.
 type verdict uint8
 
 const (
-	noRoom verdict = iota
+	noRoom verdict = iota // no task of this class and size may start
 	fits
-	tooLate // to be refused
+	notYet // another kind of this class and size may start
 )
 
 // queue orders waiting tasks.
@@ -35,8 +41,12 @@
 	len() int
 	// mayOvertake reports whether the task may start while others wait.
 	mayOvertake(spec work.Spec) bool
-	// pop removes the next task that fits, and the tasks that are too late that it came by.
-	pop(judge func(*waiting) verdict) (next *waiting, late []*waiting)
+	// pop removes the next task that fits.
+	pop(judge func(*waiting) verdict) *waiting
+	// expired removes a task whose latest start has passed.
+	expired(now time.Time) *waiting
+	// reorder is called after the share of a team has changed.
+	reorder(t *team)
 	// waits returns how long the oldest waiting task of the same team, kind and size has waited.
 	waits(now time.Time, spec work.Spec) time.Duration
 	load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration)
@@ -44,15 +54,19 @@
 
 // arrivalQueue is first in first out over all classes. A task that does not fit is passed over.
 type arrivalQueue struct {
-	order *list.List
-	ids   map[ident.TaskID]*list.Element
+	order  *list.List
+	ids    map[ident.TaskID]*list.Element
+	counts [work.ClassCount]int
 }
 
 func newArrivalQueue() *arrivalQueue {
 	return &arrivalQueue{order: list.New(), ids: map[ident.TaskID]*list.Element{}}
 }
 
-func (q *arrivalQueue) push(w *waiting) { q.ids[w.spec.ID] = q.order.PushBack(w) }
+func (q *arrivalQueue) push(w *waiting) {
+	q.ids[w.spec.ID] = q.order.PushBack(w)
+	q.counts[w.spec.Class]++
+}
 
 func (q *arrivalQueue) has(task ident.TaskID) bool {
 	_, ok := q.ids[task]
@@ -69,27 +83,40 @@
 		return false
 	}
 	q.order.Remove(e)
+	q.counts[e.Value.(*waiting).spec.Class]--
 	delete(q.ids, task)
 	return true
 }
 
-func (q *arrivalQueue) pop(judge func(*waiting) verdict) (*waiting, []*waiting) {
+func (q *arrivalQueue) pop(judge func(*waiting) verdict) *waiting {
 	for e := q.order.Front(); e != nil; e = e.Next() {
 		if w := e.Value.(*waiting); judge(w) == fits {
 			q.remove(w.spec.ID)
-			return w, nil
+			return w
 		}
 	}
-	return nil, nil
+	return nil
 }
 
+func (q *arrivalQueue) expired(time.Time) *waiting { return nil }
+
+func (q *arrivalQueue) reorder(*team) {}
+
 func (q *arrivalQueue) waits(time.Time, work.Spec) time.Duration { return 0 }
 
 func (q *arrivalQueue) load(now time.Time) (counts [work.ClassCount]int, oldest [work.ClassCount]time.Duration) {
-	for e := q.order.Back(); e != nil; e = e.Prev() {
+	missing := 0
+	for _, n := range q.counts {
+		if n > 0 {
+			missing++
+		}
+	}
+	for e := q.order.Front(); missing > 0; e = e.Next() {
 		w := e.Value.(*waiting)
-		counts[w.spec.Class]++
-		oldest[w.spec.Class] = now.Sub(w.since)
+		if oldest[w.spec.Class] == 0 {
+			oldest[w.spec.Class] = max(now.Sub(w.since), 1)
+			missing--
+		}
 	}
-	return counts, oldest
+	return q.counts, oldest
 }
--- a/internal/domain/fleet/shed.go
+++ b/internal/domain/fleet/shed.go
@@ -26,24 +26,34 @@
 	return nil
 }
 
-// late returns why a waiting task is not going to run: its deadline cannot be met or it has waited too long.
-func (f *Fleet) late(now time.Time, w *waiting) error {
+// latest returns until when a task may start: to meet its deadline, and not to wait longer than its class may.
+func (f *Fleet) latest(now time.Time, spec work.Spec) time.Time {
 	if !f.policy.Shed {
-		return nil
-	}
-	if limit := maxWait[w.spec.Class]; limit > 0 && now.Sub(w.since) > limit {
-		return fault.New(fault.Overloaded, "%s waited for %v; the limit is %v", w.spec.ID, now.Sub(w.since), limit)
-	}
-	if w.spec.Deadline.IsZero() {
-		return nil
+		return time.Time{}
 	}
-	latest := w.spec.Deadline
-	if w.spec.Class == work.Request {
-		usual, _ := f.times.estimate(w.spec)
+	latest := spec.Deadline
+	if spec.Class == work.Request && !latest.IsZero() {
+		usual, _ := f.times.estimate(spec)
 		latest = latest.Add(-usual)
 	}
-	if now.After(latest) {
-		return fault.New(fault.DeadlineExceeded, "%s cannot meet its deadline", w.spec.ID)
+	if limit := maxWait[spec.Class]; limit > 0 && (latest.IsZero() || now.Add(limit).Before(latest)) {
+		latest = now.Add(limit)
+	}
+	return latest
+}
+
+// expire refuses the waiting tasks whose latest start has passed.
+func (f *Fleet) expire(now time.Time) []Refusal {
+	var out []Refusal
+	for {
+		w := f.queue.expired(now)
+		if w == nil {
+			return out
+		}
+		kind := fault.Overloaded
+		if limit := maxWait[w.spec.Class]; limit == 0 || w.latest.Before(w.since.Add(limit)) {
+			kind = fault.DeadlineExceeded
+		}
+		out = append(out, Refusal{w.spec.ID, fault.New(kind, "%s waited for %v", w.spec.ID, now.Sub(w.since))})
 	}
-	return nil
 }
--- a/internal/domain/fleet/view.go
+++ b/internal/domain/fleet/view.go
@@ -23,6 +23,7 @@
 	row     *row
 	team    *team
 	since   time.Time
+	number  uint64 // grows with each assignment of the fleet
 	assumed bool
 	asked   time.Time // when it was last asked to give way; zero if never
 	action  Action    // the last one
@@ -31,6 +32,7 @@
 // row is a worker with what is held on it.
 type row struct {
 	Row
+	node
 	assumed resource.Vector
 	units   int64 // how many requests fit
 	tasks   map[ident.TaskID]*held
@@ -44,11 +46,14 @@
 	changed(r *row)
 	// choose returns the row to place the task on, or nil.
 	choose(spec work.Spec, admits func(*row) bool) *row
+	// largest returns the largest free amount of each resource on one row.
+	largest() resource.Vector
 }
 
-// scan is the index of the baseline: all workers in the order in which they came.
+// scan is the index of the baselines: all workers in the order in which they came.
 type scan struct {
-	rows []*row
+	rows  []*row
+	tight bool // look at each for the one with the least room
 }
 
 func (s *scan) add(r *row) { s.rows = append(s.rows, r) }
@@ -64,11 +69,26 @@
 	}
 }
 
-func (s *scan) choose(spec work.Spec, admits func(*row) bool) *row {
+func (s *scan) choose(_ work.Spec, admits func(*row) bool) *row {
+	var best *row
 	for _, r := range s.rows {
-		if admits(r) {
+		if !admits(r) {
+			continue
+		}
+		if !s.tight {
 			return r
 		}
+		if best == nil || roomKey(r) < roomKey(best) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (s *scan) largest() resource.Vector {
+	var largest resource.Vector
+	for _, r := range s.rows {
+		largest = largest.Max(r.Free)
 	}
-	return nil
+	return largest
 }
