--- /dev/null
+++ b/internal/domain/fleet/property_test.go
@@ -0,0 +1,241 @@
+package fleet_test
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+// model is a cell of few workers that follows every decision of a fleet and checks it.
+type model struct {
+	fleet   *fleet.Fleet
+	now     time.Time
+	rows    map[ident.WorkerID]*fleet.Row
+	waiting map[ident.TaskID]work.Spec
+	running map[ident.TaskID]fleet.Assignment
+	log     []string // every decision, to compare two fleets
+	next    int
+}
+
+func newModel(policy fleet.Policy) *model {
+	m := &model{
+		fleet: fleet.New(policy), now: start, rows: map[ident.WorkerID]*fleet.Row{},
+		waiting: map[ident.TaskID]work.Spec{}, running: map[ident.TaskID]fleet.Assignment{},
+	}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		row := workerRow(id, 8)
+		row.Rack = ident.Rack(id)
+		m.rows[row.Worker] = &row
+		m.fleet.Update(m.now, row)
+	}
+	return m
+}
+
+// step does one of the things that happen to a fleet. op and arg choose what.
+func (m *model) step(op, arg int) error {
+	m.now = m.now.Add(time.Duration(arg) * 100 * time.Millisecond)
+	switch op {
+	case 0, 1, 2:
+		return m.offer(arg)
+	case 3:
+		return m.end(arg)
+	case 4:
+		return m.cancel(arg)
+	default:
+		for _, p := range m.fleet.Reclaim(m.now) {
+			if a, ok := m.running[p.Task]; !ok || !a.Spec.Repeatable {
+				return fmt.Errorf("%v is to give way and does not run or is not repeatable", p.Task)
+			}
+			m.log = append(m.log, "reclaim "+p.Task.String())
+		}
+		return nil
+	}
+}
+
+func (m *model) offer(arg int) error {
+	m.next++
+	spec := taskOf(fmt.Sprintf("team-%d", arg%3), fmt.Sprint(m.next), work.Class(arg%int(work.ClassCount)), int64(1+arg%5))
+	spec.Expected, spec.Deadline, spec.Repeatable = time.Second, m.now.Add(time.Duration(1+arg)*time.Second), arg%2 == 0
+	a, placed, err := m.fleet.Offer(m.now, spec)
+	switch {
+	case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.DeadlineExceeded):
+		return nil // refused: it neither waits nor runs
+	case err != nil:
+		return err
+	case placed:
+		m.waiting[spec.ID] = spec
+		return m.apply(fleet.Decisions{Assigned: []fleet.Assignment{a}})
+	}
+	m.waiting[spec.ID] = spec
+	return nil
+}
+
+func (m *model) apply(d fleet.Decisions) error {
+	for _, refusal := range d.Refused {
+		if _, ok := m.waiting[refusal.Task]; !ok {
+			return fmt.Errorf("%v was refused and did not wait", refusal.Task)
+		}
+		delete(m.waiting, refusal.Task)
+		m.log = append(m.log, "refused "+refusal.Task.String())
+	}
+	for _, a := range d.Assigned {
+		if _, ok := m.waiting[a.Spec.ID]; !ok {
+			return fmt.Errorf("%v was assigned and did not wait", a.Spec.ID)
+		}
+		row := m.rows[a.Worker]
+		if !a.Spec.Size.Fits(row.Free) {
+			return fmt.Errorf("%v needs %v; worker %s has %v", a.Spec.ID, a.Spec.Size, a.Worker, row.Free)
+		}
+		row.Free = row.Free.Sub(a.Spec.Size)
+		delete(m.waiting, a.Spec.ID)
+		m.running[a.Spec.ID] = a
+		m.fleet.Confirm(a.Spec.ID)
+		m.log = append(m.log, a.Spec.ID.String()+" on "+string(a.Worker))
+	}
+	return nil
+}
+
+// pick returns the task with the lowest number at or above arg, so that equal steps choose equal tasks.
+func pick[V any](tasks map[ident.TaskID]V, arg, last int) (ident.TaskID, bool) {
+	for i := arg; i <= arg+last; i++ {
+		for id := range tasks {
+			if string(id.Work.Request) == fmt.Sprint(i) {
+				return id, true
+			}
+		}
+	}
+	return ident.TaskID{}, false
+}
+
+func (m *model) end(arg int) error {
+	id, ok := pick(m.running, arg, m.next)
+	if !ok {
+		return nil
+	}
+	a := m.running[id]
+	delete(m.running, id)
+	row := m.rows[a.Worker]
+	row.Free = row.Free.Add(a.Spec.Size)
+	m.fleet.Finished(work.Outcome{Task: id, OK: true, RunTime: time.Second})
+	return m.apply(m.fleet.Update(m.now, *row))
+}
+
+func (m *model) cancel(arg int) error {
+	id, ok := pick(m.waiting, arg, m.next)
+	if !ok {
+		return nil
+	}
+	if !m.fleet.Cancel(id) {
+		return fmt.Errorf("%v waits and was not found", id)
+	}
+	delete(m.waiting, id)
+	return nil
+}
+
+func (m *model) check() error {
+	queued := 0
+	for _, n := range m.fleet.Digest(m.now).Queued {
+		queued += n
+	}
+	if queued != len(m.waiting) {
+		return fmt.Errorf("%d tasks wait; the fleet holds %d", len(m.waiting), queued)
+	}
+	return nil
+}
+
+// TestFleetKeepsItsRules guards against a worker that is given more than it has free, a queued task that is lost or
+// assigned twice, and decisions that differ between equal inputs.
+func TestFleetKeepsItsRules(t *testing.T) {
+	for _, name := range fleet.PolicyNames() {
+		policy, err := fleet.PolicyNamed(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				a, b := newModel(policy), newModel(policy)
+				steps := rapid.SliceOfN(rapid.IntRange(0, 239), 1, 150).Draw(t, "steps")
+				for _, s := range steps {
+					err := errors.Join(a.step(s%6, s/6), b.step(s%6, s/6), a.check())
+					if err != nil {
+						t.Fatal(err)
+					}
+				}
+				if !reflect.DeepEqual(a.log, b.log) {
+					t.Fatalf("two fleets decided differently:\n%v\n%v", a.log, b.log)
+				}
+			})
+		})
+	}
+}
+
+// TestTeamsShareByWeight guards the bound of fairness: while both teams wait, their shares over weight differ by no more
+// than one task.
+func TestTeamsShareByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleet.New(fleet.FairShare)
+		weights := []int{rapid.IntRange(1, 4).Draw(t, "weight a"), rapid.IntRange(1, 4).Draw(t, "weight b")}
+		row := workerRow("w1", 64)
+		row.Capacity.Slots, row.Free = 64, resource.Vector{}
+		f.Update(start, row)
+		for i := range 200 {
+			spec := taskOf(fmt.Sprintf("team-%d", i%2), fmt.Sprint(i), work.Batch, 1)
+			spec.Weight = weights[i%2]
+			if _, _, err := f.Offer(start, spec); err != nil {
+				t.Fatal(err)
+			}
+		}
+		row.Free = resource.Vector{MilliCores: 40_000, MemoryBytes: 40 << 32, Slots: 40}
+		held := make([]float64, 2)
+		for _, a := range f.Update(start, row).Assigned {
+			if a.Spec.ID.Work.Team == "team-0" {
+				held[0]++
+			} else {
+				held[1]++
+			}
+		}
+		a, b := held[0]/float64(weights[0]), held[1]/float64(weights[1])
+		if held[0]+held[1] != 40 || max(a, b)-min(a, b) > 1 {
+			t.Fatalf("weights %v hold %v of 40", weights, held)
+		}
+	})
+}
+
+// TestFeasible guards the answer to work that can never run.
+func TestFeasible(t *testing.T) {
+	small := resource.Vector{MilliCores: 32_000, MemoryBytes: 64 << 30, Slots: 8}
+	accelerated := resource.Vector{MilliCores: 16_000, MemoryBytes: 32 << 30, Accelerators: 4, Slots: 4}
+	for _, c := range []struct {
+		name          string
+		size, nearest resource.Vector
+		fits          bool
+	}{
+		{"fits", resource.Vector{MilliCores: 1000, Slots: 1}, resource.Vector{MilliCores: 1000, Slots: 1}, true},
+		{"fits beside accelerators", resource.Vector{Accelerators: 4, Slots: 1}, resource.Vector{Accelerators: 4, Slots: 1}, true},
+		{"too many processors", resource.Vector{MilliCores: 64_000, Slots: 1}, resource.Vector{MilliCores: 32_000, Slots: 1}, false},
+		{
+			"accelerators on the smaller worker",
+			resource.Vector{MilliCores: 20_000, Accelerators: 4, Slots: 1},
+			resource.Vector{MilliCores: 16_000, Accelerators: 4, Slots: 1},
+			false,
+		},
+	} {
+		nearest, fits := fleet.Feasible(c.size, []resource.Vector{small, accelerated})
+		if nearest != c.nearest || fits != c.fits {
+			t.Errorf("%s: nearest %v, fits %v; want %v, %v", c.name, nearest, fits, c.nearest, c.fits)
+		}
+	}
+	if nearest, fits := fleet.Feasible(small, nil); fits || !nearest.IsZero() {
+		t.Errorf("no capacity known: nearest %v, fits %v", nearest, fits)
+	}
+}
--- a/internal/domain/fleet/tree.go
+++ b/internal/domain/fleet/tree.go
@@ -59,7 +59,7 @@
 	if t.root == nil {
 		return resource.Vector{}
 	}
-	return t.root.node.largest
+	return t.root.largest
 }
 
 // below orders rows by room; the id decides between equals.
