Run the fair-share policy in a process, and carry out preemption

Cause: processes ran the baseline policy, and nothing carried out what the fleet decides to preempt. When a request has to wait, and with each sync of a worker, the owner asks the fleet which tasks give way and calls checkpoint, throttle or stop on their workers. The attempt ends with no_capacity once the worker reports it stopped, so that its home places it again; an outcome that the task reached before counts instead, and a cancellation is never taken for a preemption. Conclusion: the policy is in force; the state that a checkpoint saves is not yet handed to the next attempt.

--- a/internal/app/owner/attempt.go
+++ b/internal/app/owner/attempt.go
@@ -21,8 +21,10 @@
 	worker  ident.WorkerID // empty while the task waits
 	adopted bool           // taken over with a worker; no placement waits for it
 	ended   bool
-	outcome work.Outcome
-	err     error
+
+	yielding bool // asked to give way to other work
+	outcome  work.Outcome
+	err      error
 }
 
 func newAttempt(task ident.TaskID, number ident.Attempt, size resource.Vector) *attempt {
--- a/internal/app/owner/keeper.go
+++ b/internal/app/owner/keeper.go
@@ -154,6 +154,7 @@
 			sync.After = reply.Last
 			sync.Acknowledge = k.outcomes(reply.Outcomes)
 			k.service.refresh(k)
+			k.service.reclaim(ctx)
 		case fault.Is(err, fault.StaleEpoch) || !k.worker.Snapshot(time.Now()).Held:
 			k.lose(err)
 			return
--- a/internal/app/owner/outcome.go
+++ b/internal/app/owner/outcome.go
@@ -35,7 +35,7 @@
 	a, ok := s.pending[outcome.Task]
 	s.mu.Unlock()
 	if ok && a.number == outcome.Attempt {
-		s.finish(a, outcome, nil)
+		s.finish(a, outcome, a.yielded(outcome))
 	}
 	if !ok || a.adopted {
 		s.report(outcome)
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -101,6 +101,7 @@
 		return assignment, err
 	}
 	s.record(timeline.Queued, spec.ID, "", "")
+	s.reclaim(ctx)
 	ctx, cancel := withDeadline(ctx, spec.Deadline)
 	defer cancel()
 	select {
@@ -246,6 +247,7 @@
 		s.finish(a, work.Outcome{}, fault.New(fault.Canceled, "%s was canceled before it started", task))
 		return true, nil
 	}
+	a.setYielding(false)
 	k, err := s.keeper(a.on())
 	if err != nil {
 		return false, err
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"skylarkstall/internal/adapter/callerhttp"
 	"skylarkstall/internal/devcell"
+	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/standin/worker"
 )
@@ -22,6 +24,7 @@
 	address := fs.String("caller-address", "127.0.0.1:7070", "host:port of the first process")
 	processes := fs.Int("processes", 3, "entry processes")
 	workers := fs.Int("workers", 6, "worker stand-ins")
+	policy := fs.String("policy", fleet.FairShare.Name, "placement policy: "+strings.Join(fleet.PolicyNames(), ", "))
 	demo := fs.Bool("demo", false, "submit work of every kind, print the answers and the time line, and stop")
 	level := fs.String("log-level", "warn", "debug, info, warn or error")
 	return &ffcli.Command{
@@ -32,8 +35,12 @@
 			if err != nil {
 				return err
 			}
+			placement, err := fleet.PolicyNamed(*policy)
+			if err != nil {
+				return err
+			}
 			cell, err := devcell.Start(ctx, devcell.Settings{
-				Processes: *processes, Workers: *workers, CallerAddress: *address, Log: log,
+				Processes: *processes, Workers: *workers, CallerAddress: *address, Policy: placement, Log: log,
 			})
 			if err != nil {
 				return err
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,11 +4,13 @@
 	"context"
 	"flag"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"skylarkstall/internal/adapter/peerwire"
+	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/node"
 )
@@ -16,7 +18,7 @@
 type serveFlags struct {
 	id, zone, caller, peer, store, vmlist, level string
 
-	peers, cellToken string
+	peers, cellToken, policy string
 
 	tls   peerwire.CredentialFiles
 	plain bool
@@ -39,6 +41,7 @@
 	fs.StringVar(&f.vmlist, "vm-list-address", "", "host:port of the VM list")
 	fs.DurationVar(&f.drain, "drain-timeout", time.Minute, "longest graceful shutdown")
 	fs.IntVar(&f.ring, "timeline-size", 20000, "events kept for the time line")
+	fs.StringVar(&f.policy, "policy", fleet.FairShare.Name, "placement policy: "+strings.Join(fleet.PolicyNames(), ", "))
 	fs.StringVar(&f.level, "log-level", "info", "debug, info, warn or error")
 }
 
@@ -47,11 +50,15 @@
 	if err := f.check(); err != nil {
 		return node.Settings{}, err
 	}
+	policy, err := fleet.PolicyNamed(f.policy)
+	if err != nil {
+		return node.Settings{}, err
+	}
 	peers, err := parsePeers(f.peers)
 	return node.Settings{
 		ID: ident.ProcessID(f.id), Zone: ident.Zone(f.zone), CallerAddress: f.caller, PeerAddress: f.peer,
 		PeerPlain: f.plain, PeerTLS: f.tls, Peers: peers, StoreAddress: f.store, VMListAddress: f.vmlist,
-		DrainTimeout: f.drain, TimelineSize: f.ring, CellToken: f.cellToken,
+		DrainTimeout: f.drain, TimelineSize: f.ring, Policy: policy, CellToken: f.cellToken,
 	}, err
 }
 
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"skylarkstall/internal/adapter/peerwire"
+	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -64,6 +65,8 @@
 	faults.require(f.ring >= 1 && f.ring <= maxTimeline, "timeline-size", "is %d; want 1 to %d", f.ring, maxTimeline)
 	_, err := logLevel(f.level)
 	faults.add("log-level", err)
+	_, err = fleet.PolicyNamed(f.policy)
+	faults.add("policy", err)
 	_, err = parsePeers(f.peers)
 	faults.add("peers", err)
 	f.checkTLS(&faults)
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -14,6 +14,7 @@
 	"skylarkstall/internal/adapter/storehttp"
 	"skylarkstall/internal/adapter/vmlisthttp"
 	"skylarkstall/internal/app/configsync"
+	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/fault"
@@ -32,6 +33,7 @@
 	Zones         []ident.Zone
 	Capacity      resource.Vector // of each worker
 	CallerAddress string          // of the first process; the others listen on free ports
+	Policy        fleet.Policy    // zero for fleet.FairShare
 	Log           *slog.Logger
 	Observe       func(ident.WorkerID, worker.Observation) // may be nil
 	// StoreAddress tells where a process looks for the store; nil for the stand-in. It lets a test cut processes off.
@@ -174,7 +176,7 @@
 	n, err := node.New(node.Settings{
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
 		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
-		TimelineSize: 20_000, CellToken: CellToken, PeerPlain: true,
+		TimelineSize: 20_000, Policy: c.settings.Policy, CellToken: CellToken, PeerPlain: true,
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,8 +45,9 @@
 	PeerTLS       peerwire.CredentialFiles
 	Peers         []port.VM // processes to contact beside those of the VM list
 	DrainTimeout  time.Duration
-	TimelineSize  int    // events kept
-	CellToken     string // secret of the cell's operators; empty when nobody may change cell quotas or add teams
+	TimelineSize  int          // events kept
+	Policy        fleet.Policy // zero for fleet.FairShare
+	CellToken     string       // secret of the cell's operators; empty when nobody may change cell quotas or add teams
 }
 
 // Failure detection of peers.
@@ -82,6 +83,13 @@
 	draining bool
 }
 
+func (s Settings) policy() fleet.Policy {
+	if s.Policy == (fleet.Policy{}) {
+		return fleet.FairShare
+	}
+	return s.Policy
+}
+
 // New returns a process that listens but does not serve yet.
 func New(settings Settings, log *slog.Logger) (*Node, error) {
 	log = log.With("process", settings.ID)
@@ -147,7 +155,7 @@
 	n.recorder.Hear(n.meter.Event)
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
-		Peers: n.calls, Policy: fleet.FirstFit, Recorder: n.recorder, Log: n.log,
+		Peers: n.calls, Policy: n.settings.policy(), Recorder: n.recorder, Log: n.log,
 	})
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
