Queue gangs with a promised start that other work does not delay

Cause: a gang was refused unless all its tasks had room at once; in a full cell single tasks took every slot that became free, and no gang ever started. Change: a fleet queues gangs in order of arrival. The first has a promised start, found from the learned run times of what runs, and the workers that it will need; on those only requests and work that ends before the promise may start. Reservations between processes are not part of this: the decision is that of one owner. TestGangStartsAsPromised: with keepsPromise taken out, the hour-long task is assigned on the gang's worker.

--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -52,12 +52,15 @@
 	times    runTimes
 	queue    queue
 	demand   demand
+	gangs    []*gang            // that wait
+	promised map[*row]time.Time // start of the first gang on the workers that it needs
 	budget   budget
 	room     int64                // how many requests fit on all workers
 	held     [work.ClassCount]int // tasks assigned or running
 	capacity resource.Vector
 	free     resource.Vector
 
+	queuedGang  int       // tasks of waiting gangs
 	assignments uint64    // made so far
 	asked       []*held   // running tasks that were asked to give way
 	reclaimed   time.Time // when Reclaim last looked
@@ -68,7 +71,8 @@
 func New(policy Policy) *Fleet {
 	f := &Fleet{
 		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{}, places: places{},
-		teams: map[ident.TeamID]*team{}, times: runTimes{kinds: map[kindKey]*runTimeSample{}}, queue: newArrivalQueue(),
+		promised: map[*row]time.Time{},
+		teams:    map[ident.TeamID]*team{}, times: runTimes{kinds: map[kindKey]*runTimeSample{}}, queue: newArrivalQueue(),
 	}
 	if policy.Fair {
 		f.queue = newFairQueue()
@@ -117,7 +121,7 @@
 	if !spec.Deadline.IsZero() && !now.Before(spec.Deadline) {
 		return fault.New(fault.DeadlineExceeded, "the deadline of %s has passed", spec.ID)
 	}
-	if _, ok := f.tasks[spec.ID]; ok || f.queue.has(spec.ID) {
+	if _, ok := f.tasks[spec.ID]; ok || f.queue.has(spec.ID) || len(f.gangs) > 0 && f.gangOf(spec.ID) >= 0 {
 		return fault.New(fault.Conflict, "%s waits or runs already", spec.ID)
 	}
 	if n := f.queue.len(); n >= MaxQueued {
@@ -132,7 +136,7 @@
 
 // admits reports whether the task may go on the row.
 func (f *Fleet) admits(now time.Time, r *row, spec work.Spec) bool {
-	return spec.Size.Fits(r.Free) && f.leavesHeadroom(now, r, spec)
+	return spec.Size.Fits(r.Free) && f.leavesHeadroom(now, r, spec) && f.keepsPromise(now, r, spec)
 }
 
 // assume takes the size from the view before the worker's aggregate confirms it.
@@ -230,7 +234,8 @@
 }
 
 func (f *Fleet) fill(now time.Time, r *row) Decisions {
-	d := Decisions{Refused: f.expire(now)}
+	d := f.fillGangs(now)
+	d.Refused = append(d.Refused, f.expire(now)...)
 	for r.Free.Slots > 0 {
 		next := f.queue.pop(func(w *waiting) verdict { return f.judge(now, r, w) })
 		if next == nil {
@@ -242,10 +247,14 @@
 }
 
 func (f *Fleet) judge(now time.Time, r *row, w *waiting) verdict {
-	if f.admits(now, r, w.spec) {
+	switch {
+	case f.admits(now, r, w.spec):
 		return fits
+	case f.keepsPromise(now, r, w.spec):
+		return noRoom
+	default:
+		return notYet
 	}
-	return noRoom
 }
 
 // Remove forgets a worker that this process no longer owns, and what is held on it.
@@ -262,6 +271,7 @@
 	f.setFree(r, resource.Vector{})
 	f.capacity = f.capacity.Sub(r.Capacity)
 	f.index.remove(r)
+	delete(f.promised, r)
 	delete(f.rows, worker)
 	for i, other := range f.order {
 		if other == r {
@@ -271,10 +281,14 @@
 	}
 }
 
-// Cancel removes a waiting task. It returns false if the task does not wait.
+// Cancel removes a waiting task, or the waiting gang that it belongs to. It returns false if the task does not wait.
 func (f *Fleet) Cancel(task ident.TaskID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if i := f.gangOf(task); i >= 0 {
+		f.dropGang(i)
+		return true
+	}
 	return f.queue.remove(task)
 }
 
@@ -284,5 +298,9 @@
 	defer f.mu.Unlock()
 	d := Digest{Free: f.free, Capacity: f.capacity, LargestFit: f.index.largest()}
 	d.Queued, d.Oldest = f.queue.load(now)
+	d.Queued[work.Gang] += f.queuedGang
+	if len(f.gangs) > 0 {
+		d.Oldest[work.Gang] = max(d.Oldest[work.Gang], now.Sub(f.gangs[0].since))
+	}
 	return d
 }
--- a/internal/domain/fleet/fleet_test.go
+++ b/internal/domain/fleet/fleet_test.go
@@ -42,3 +42,47 @@
 		t.Fatalf("Forget assigned %v; want the waiting task", freed)
 	}
 }
+
+// TestGangStartsAsPromised guards against work that keeps a gang waiting: long batch tasks that would take each slot that
+// becomes free on a worker that the gang needs, and a gang that starts in part.
+func TestGangStartsAsPromised(t *testing.T) {
+	f := fleet.New(fleet.FairShare)
+	row := workerRow("w1", 4)
+	f.Update(start, row)
+	running := []work.Spec{taskOf("a", "1", work.Batch, 1), taskOf("a", "2", work.Batch, 3)}
+	for i, spec := range running {
+		spec.Expected = time.Duration(1+i) * time.Minute
+		if _, placed, err := f.Offer(start, spec); !placed || err != nil {
+			t.Fatalf("batch %d: placed %v, error %v", i, placed, err)
+		}
+		f.Confirm(spec.ID)
+	}
+	gang := []work.Spec{taskOf("b", "g", work.Gang, 2), taskOf("b", "g", work.Gang, 2)}
+	gang[1].ID.Index = 1
+	if _, placed, err := f.OfferGang(start, gang); placed || err != nil {
+		t.Fatalf("gang: placed %v, error %v", placed, err)
+	}
+	long, short := taskOf("c", "long", work.Batch, 1), taskOf("c", "short", work.Batch, 1)
+	long.Expected, short.Expected = time.Hour, 10*time.Second
+	long.Kind, short.Kind = "long", "short"
+	for _, spec := range []work.Spec{long, short} {
+		if _, placed, err := f.Offer(start, spec); placed || err != nil {
+			t.Fatalf("%v: placed %v, error %v", spec.ID, placed, err)
+		}
+	}
+	f.Finished(work.Outcome{Task: running[0].ID, OK: true, RunTime: time.Minute})
+	row.Free = resource.Vector{MilliCores: 1000, MemoryBytes: 4 << 32, Slots: 7}
+	now := start.Add(time.Minute)
+	got := f.Update(now, row).Assigned
+	if len(got) != 1 || got[0].Spec.ID != short.ID {
+		t.Fatalf("assigned %v; want only the task that ends before the gang starts", got)
+	}
+	f.Confirm(short.ID)
+	f.Finished(work.Outcome{Task: short.ID, OK: true, RunTime: 10 * time.Second})
+	f.Finished(work.Outcome{Task: running[1].ID, OK: true, RunTime: 2 * time.Minute})
+	row.Free = row.Capacity
+	got = f.Update(start.Add(2*time.Minute), row).Assigned
+	if len(got) != 2 || got[0].Spec.Class != work.Gang || got[1].Spec.Class != work.Gang {
+		t.Fatalf("assigned %v; want both tasks of the gang", got)
+	}
+}
--- a/internal/domain/fleet/policy.go
+++ b/internal/domain/fleet/policy.go
@@ -15,6 +15,7 @@
 	Shed     bool // refuse work early that would wait too long or miss its deadline
 	Headroom bool // other work leaves room for the demand of requests
 	Preempt  bool // long work gives way to requests that wait, and stragglers to other work
+	Promise  bool // a waiting gang has a promised start that other work does not delay
 	Place    Placement
 }
 
@@ -32,7 +33,7 @@
 	// FirstFit is the baseline: first in first out over all classes, on the first worker with room.
 	FirstFit = Policy{Name: "first-fit"}
 	// FairShare is the policy for use: all rules.
-	FairShare = Policy{Name: "fair-share", Fair: true, Learn: true, Shed: true, Headroom: true, Preempt: true, Place: IndexedRow}
+	FairShare = Policy{Name: "fair-share", Fair: true, Learn: true, Shed: true, Headroom: true, Preempt: true, Promise: true, Place: IndexedRow}
 	// BestFit is the reference for packing: first in first out on the worker with the least room.
 	BestFit = Policy{Name: "best-fit", Place: TightRow}
 )
@@ -46,6 +47,7 @@
 	"shed":     func(p *Policy) { p.Shed = false },
 	"headroom": func(p *Policy) { p.Headroom = false },
 	"preempt":  func(p *Policy) { p.Preempt = false },
+	"promise":  func(p *Policy) { p.Promise = false },
 	"index":    func(p *Policy) { p.Place = FirstRow },
 }
 
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -210,7 +210,7 @@
 	for i, t := range j.tasks {
 		specs[i], t.owner = t.spec, o
 	}
-	assignments, err := r.owners[o].fleet.OfferGang(r.clock(), specs)
+	assignments, _, err := r.owners[o].fleet.OfferGang(r.clock(), specs)
 	if err != nil {
 		return r.refused(j, o, err)
 	}
@@ -351,7 +351,9 @@
 
 func (r *run) apply(d fleet.Decisions) error {
 	for _, refusal := range d.Refused {
-		r.refuse(r.tasks[refusal.Task].job)
+		if refusal.Task.Index == 0 { // once for all tasks of a gang
+			r.refuse(r.tasks[refusal.Task].job)
+		}
 	}
 	for _, a := range d.Assigned {
 		if err := r.start(r.tasks[a.Spec.ID], a.Worker); err != nil {
