--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -47,28 +47,40 @@
 	order    []*row // as they came, so that equal input gives equal decisions
 	index    index
 	tasks    map[ident.TaskID]*held
+	places   places
 	teams    map[ident.TeamID]*team
 	times    runTimes
 	queue    queue
 	demand   demand
+	gangs    []*gang            // that wait
+	promised map[*row]time.Time // start of the first gang on the workers that it needs
 	budget   budget
 	room     int64                // how many requests fit on all workers
 	held     [work.ClassCount]int // tasks assigned or running
 	capacity resource.Vector
 	free     resource.Vector
 
-	reclaimed time.Time // when Reclaim last looked
+	queuedGang  int       // tasks of waiting gangs
+	assignments uint64    // made so far
+	asked       []*held   // running tasks that were asked to give way
+	reclaimed   time.Time // when Reclaim last looked
+	bounded     time.Time // when it last counted stragglers
 }
 
 // New returns a fleet without workers.
 func New(policy Policy) *Fleet {
 	f := &Fleet{
-		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{}, index: &scan{},
-		teams: map[ident.TeamID]*team{}, times: runTimes{kinds: map[kindKey]*runTimeSample{}}, queue: newArrivalQueue(),
+		policy: policy, rows: map[ident.WorkerID]*row{}, tasks: map[ident.TaskID]*held{}, places: places{},
+		promised: map[*row]time.Time{},
+		teams:    map[ident.TeamID]*team{}, times: runTimes{kinds: map[kindKey]*runTimeSample{}}, queue: newArrivalQueue(),
 	}
 	if policy.Fair {
 		f.queue = newFairQueue()
 	}
+	f.index = &scan{tight: policy.Place == TightRow}
+	if policy.Place == IndexedRow {
+		f.index = &tree{score: f.scoring}
+	}
 	return f
 }
 
@@ -90,7 +102,7 @@
 	if err := f.overloaded(now, spec); err != nil {
 		return Assignment{}, false, err
 	}
-	f.queue.push(&waiting{spec: spec, team: f.team(spec), since: now})
+	f.queue.push(&waiting{spec: spec, team: f.team(spec), since: now, latest: f.latest(now, spec)})
 	return Assignment{}, false, nil
 }
 
@@ -98,7 +110,7 @@
 func (f *Fleet) team(spec work.Spec) *team {
 	t, ok := f.teams[spec.ID.Work.Team]
 	if !ok {
-		t = &team{}
+		t = &team{groups: map[*group]bool{}}
 		f.teams[spec.ID.Work.Team] = t
 	}
 	t.weight, t.quota = spec.Weight, spec.Quota
@@ -109,7 +121,7 @@
 	if !spec.Deadline.IsZero() && !now.Before(spec.Deadline) {
 		return fault.New(fault.DeadlineExceeded, "the deadline of %s has passed", spec.ID)
 	}
-	if _, ok := f.tasks[spec.ID]; ok || f.queue.has(spec.ID) {
+	if _, ok := f.tasks[spec.ID]; ok || f.queue.has(spec.ID) || len(f.gangs) > 0 && f.gangOf(spec.ID) >= 0 {
 		return fault.New(fault.Conflict, "%s waits or runs already", spec.ID)
 	}
 	if n := f.queue.len(); n >= MaxQueued {
@@ -124,13 +136,16 @@
 
 // admits reports whether the task may go on the row.
 func (f *Fleet) admits(now time.Time, r *row, spec work.Spec) bool {
-	return spec.Size.Fits(r.Free) && f.leavesHeadroom(now, r, spec)
+	return spec.Size.Fits(r.Free) && f.leavesHeadroom(now, r, spec) && f.keepsPromise(now, r, spec)
 }
 
 // assume takes the size from the view before the worker's aggregate confirms it.
 func (f *Fleet) assume(now time.Time, r *row, spec work.Spec) Assignment {
-	h := &held{spec: spec, row: r, team: f.team(spec), since: now, assumed: true}
+	f.assignments++
+	h := &held{spec: spec, row: r, team: f.team(spec), since: now, number: f.assignments, assumed: true}
 	h.team.account(spec.Size, f.capacity)
+	f.queue.reorder(h.team)
+	f.places.add(h, 1)
 	f.held[spec.Class]++
 	f.tasks[spec.ID] = h
 	r.tasks[spec.ID] = h
@@ -178,6 +193,8 @@
 
 func (f *Fleet) drop(h *held) {
 	h.team.account(resource.Vector{}.Sub(h.spec.Size), f.capacity)
+	f.queue.reorder(h.team)
+	f.places.add(h, -1)
 	f.held[h.spec.Class]--
 	delete(f.tasks, h.spec.ID)
 	delete(h.row.tasks, h.spec.ID)
@@ -217,27 +234,26 @@
 }
 
 func (f *Fleet) fill(now time.Time, r *row) Decisions {
-	var d Decisions
-	for {
-		next, late := f.queue.pop(func(w *waiting) verdict { return f.judge(now, r, w) })
-		for _, w := range late {
-			d.Refused = append(d.Refused, Refusal{Task: w.spec.ID, Err: f.late(now, w)})
-		}
+	d := f.fillGangs(now)
+	d.Refused = append(d.Refused, f.expire(now)...)
+	for r.Free.Slots > 0 {
+		next := f.queue.pop(func(w *waiting) verdict { return f.judge(now, r, w) })
 		if next == nil {
-			return d
+			break
 		}
 		d.Assigned = append(d.Assigned, f.assume(now, r, next.spec))
 	}
+	return d
 }
 
 func (f *Fleet) judge(now time.Time, r *row, w *waiting) verdict {
 	switch {
-	case f.late(now, w) != nil:
-		return tooLate
 	case f.admits(now, r, w.spec):
 		return fits
-	default:
+	case f.keepsPromise(now, r, w.spec):
 		return noRoom
+	default:
+		return notYet
 	}
 }
 
@@ -255,6 +271,7 @@
 	f.setFree(r, resource.Vector{})
 	f.capacity = f.capacity.Sub(r.Capacity)
 	f.index.remove(r)
+	delete(f.promised, r)
 	delete(f.rows, worker)
 	for i, other := range f.order {
 		if other == r {
@@ -264,10 +281,14 @@
 	}
 }
 
-// Cancel removes a waiting task. It returns false if the task does not wait.
+// Cancel removes a waiting task, or the waiting gang that it belongs to. It returns false if the task does not wait.
 func (f *Fleet) Cancel(task ident.TaskID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if i := f.gangOf(task); i >= 0 {
+		f.dropGang(i)
+		return true
+	}
 	return f.queue.remove(task)
 }
 
@@ -275,10 +296,11 @@
 func (f *Fleet) Digest(now time.Time) Digest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := Digest{Free: f.free, Capacity: f.capacity}
-	for _, r := range f.order {
-		d.LargestFit = d.LargestFit.Max(r.Free)
-	}
+	d := Digest{Free: f.free, Capacity: f.capacity, LargestFit: f.index.largest()}
 	d.Queued, d.Oldest = f.queue.load(now)
+	d.Queued[work.Gang] += f.queuedGang
+	if len(f.gangs) > 0 {
+		d.Oldest[work.Gang] = max(d.Oldest[work.Gang], now.Sub(f.gangs[0].since))
+	}
 	return d
 }
