Add the aggregate of one job

Change: the aggregate decides which tasks may be attempted, what the end of an attempt means, and when the job is complete. An end counts for callers only once it is recorded. A gang is attempted in rounds: a round begins only when every task of the last one has certainly ended. Conclusion: the home can drive jobs by carrying out the decisions of this aggregate.

--- /dev/null
+++ b/internal/domain/job/job_test.go
@@ -0,0 +1,251 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
+	"skylarkstall/internal/domain/journal"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var id = ident.WorkID{Team: "vembanad", Request: "job-1"}
+
+func plan(class work.Class, tasks uint32) journal.Job {
+	return journal.Job{
+		Kind: "k", Class: class, Tasks: tasks, Repeatable: true, Retries: 1, Deadline: start.Add(time.Hour),
+	}
+}
+
+func ok(spec work.Spec) job.End {
+	return job.End{Outcome: work.Outcome{Task: spec.ID, Attempt: spec.Attempt, OK: true}}
+}
+
+var (
+	failed  = job.End{Outcome: work.Outcome{Message: "exit 1"}}
+	stopped = job.End{Outcome: work.Outcome{Message: work.StoppedMessage}}
+	refused = job.End{Err: fault.New(fault.NoCapacity, "full")}
+	late    = job.End{Err: fault.New(fault.DeadlineExceeded, "late")}
+	lost    = job.End{Err: fault.New(fault.NoCapacity, "gone"), Lost: true}
+)
+
+// record notes every record of the decision as appended.
+func record(j *job.Job, d job.Decision) {
+	for _, r := range d.Records {
+		j.Recorded(r.Index)
+	}
+}
+
+// TestEndOfAttempt guards against a task that is retried beyond its limit, is not retried after the system ended it, or,
+// when it is not repeatable, is started twice.
+func TestEndOfAttempt(t *testing.T) {
+	tests := []struct {
+		name       string
+		class      work.Class
+		repeatable bool
+		ends       []job.End
+		attempts   int
+		state      job.State
+	}{
+		{"success", work.Batch, true, []job.End{{Outcome: work.Outcome{OK: true}}}, 1, job.Succeeded},
+		{"failure within retries", work.Batch, true, []job.End{failed, {Outcome: work.Outcome{OK: true}}}, 2, job.Succeeded},
+		{"failure beyond retries", work.Batch, true, []job.End{failed, failed}, 2, job.Failed},
+		{"system's end is free", work.Batch, true, []job.End{lost, stopped, refused, failed, failed}, 5, job.Failed},
+		{"past its deadline", work.Batch, true, []job.End{refused, late}, 2, job.Failed},
+		{"not repeatable failure", work.Batch, false, []job.End{failed}, 1, job.Failed},
+		{"not repeatable stopped", work.Batch, false, []job.End{stopped}, 1, job.Failed},
+		{"not repeatable lost", work.Batch, false, []job.End{lost}, 1, job.Unknown},
+		{"not repeatable refused", work.Batch, false, []job.End{refused, lost}, 2, job.Unknown},
+		{"standing goes on", work.Standing, true, []job.End{failed, failed, lost, {Outcome: work.Outcome{OK: true}}}, 5, job.Running},
+		{"gang counts rounds", work.Gang, true, []job.End{lost, refused, refused}, 3, job.Failed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := plan(test.class, 1)
+			p.Repeatable = test.repeatable
+			j := job.New(id, 1, p, 1)
+			now := start
+			for i := 0; ; i++ {
+				now = now.Add(time.Minute)
+				step := j.Next(now)
+				if step.Complete || i == len(test.ends) {
+					break
+				}
+				if len(step.Start) != 1 {
+					t.Fatalf("attempt %d: %d starts", i+1, len(step.Start))
+				}
+				record(j, j.Ended(now, 1, step.Start[0].Attempt, test.ends[i]))
+			}
+			status := j.Status(0)
+			if status.State() != test.state || int(status.Attempts) != test.attempts {
+				t.Errorf("state %v after %d attempts; want %v after %d", status.State(), status.Attempts, test.state, test.attempts)
+			}
+		})
+	}
+}
+
+// TestStragglerHoldsNothing guards against a window that moves only when its oldest task has ended.
+func TestStragglerHoldsNothing(t *testing.T) {
+	j := job.New(id, 1, plan(work.Batch, 3*job.Window), 1)
+	var straggler work.Spec
+	for done := 0; done < 3*job.Window-1; {
+		specs := j.Next(start).Start
+		if len(specs) == 0 {
+			t.Fatalf("no task starts after %d ended", done)
+		}
+		for _, spec := range specs {
+			if straggler.Attempt == 0 {
+				straggler = spec
+				continue
+			}
+			record(j, j.Ended(start, spec.ID.Index, spec.Attempt, ok(spec)))
+			done++
+		}
+	}
+	if j.Next(start).Complete {
+		t.Error("complete although the straggler runs")
+	}
+	record(j, j.Ended(start, straggler.ID.Index, straggler.Attempt, ok(straggler)))
+	if !j.Next(start).Complete {
+		t.Error("not complete after the last task")
+	}
+}
+
+// TestEndCountsOnceRecorded guards against a caller that is told of an end which a new home would not know.
+func TestEndCountsOnceRecorded(t *testing.T) {
+	j := job.New(id, 1, plan(work.Batch, 1), 1)
+	spec := j.Next(start).Start[0]
+	d := j.Ended(start, 1, spec.Attempt, ok(spec))
+	if s := j.Status(1); s.Succeeded != 0 || len(s.Results) != 0 || s.Complete {
+		t.Errorf("told before it was recorded: %+v", s)
+	}
+	record(j, d)
+	if s := j.Status(1); s.Succeeded != 1 || len(s.Results) != 1 || !s.Complete {
+		t.Errorf("not told after it was recorded: %+v", s)
+	}
+}
+
+// TestGangAllOrNone guards against a gang of which some tasks go on after another one did not start, and against a round
+// that begins while a task of the last one runs.
+func TestGangAllOrNone(t *testing.T) {
+	j := job.New(id, 1, plan(work.Gang, 3), 1)
+	specs := j.Next(start).Start
+	if len(specs) != 3 {
+		t.Fatalf("%d starts; want 3", len(specs))
+	}
+	d := j.Ended(start, 1, specs[0].Attempt, refused)
+	if len(d.Stop) != 2 {
+		t.Fatalf("%d tasks are stopped; want 2", len(d.Stop))
+	}
+	j.Ended(start, 2, specs[1].Attempt, stopped)
+	if step := j.Next(start.Add(time.Minute)); len(step.Start) != 0 {
+		t.Fatal("a round began while a task of the last one ran")
+	}
+	j.Ended(start, 3, specs[2].Attempt, stopped)
+	now := start.Add(time.Minute)
+	specs = j.Next(now).Start
+	if len(specs) != 3 {
+		t.Fatalf("%d starts in the second round; want 3", len(specs))
+	}
+	var last job.Decision
+	for _, spec := range specs {
+		last = j.Ended(now, spec.ID.Index, spec.Attempt, ok(spec))
+	}
+	if len(last.Records) != 3 {
+		t.Errorf("%d records at the end; want all 3 in one append", len(last.Records))
+	}
+}
+
+// TestUnreservedIsFree guards against a gang that gives up because other gangs held the room for a while.
+func TestUnreservedIsFree(t *testing.T) {
+	j := job.New(id, 1, plan(work.Gang, 2), 1)
+	now := start
+	for range 20 {
+		if n := len(j.Next(now).Start); n != 2 {
+			t.Fatalf("%d starts; want 2", n)
+		}
+		if d := j.Unreserved(now, refused.Err); len(d.Records) != 0 {
+			t.Fatal("the gang ended")
+		}
+		now = now.Add(time.Minute)
+	}
+	j.Next(now)
+	if d := j.Unreserved(start.Add(2*time.Hour), refused.Err); len(d.Records) != 2 {
+		t.Error("the gang goes on after its deadline")
+	}
+}
+
+// TestCancel guards against canceled tasks that start, and against running ones that nobody is told to stop.
+func TestCancel(t *testing.T) {
+	j := job.New(id, 1, plan(work.Batch, job.Window+10), 1)
+	specs := j.Next(start).Start
+	if stop := j.Cancel(); len(stop) != job.Window {
+		t.Fatalf("%d tasks to stop; want %d", len(stop), job.Window)
+	}
+	if s := j.Status(0); s.Canceled != 10 {
+		t.Errorf("%d canceled; want the 10 that waited", s.Canceled)
+	}
+	for i, spec := range specs {
+		end := []job.End{stopped, refused, lost, ok(spec)}[i%4]
+		record(j, j.Ended(start, spec.ID.Index, spec.Attempt, end))
+	}
+	s := j.Status(0)
+	if !s.Complete || s.Succeeded != job.Window/4 || s.State() != job.Canceled {
+		t.Errorf("after the stops: %+v", s)
+	}
+}
+
+// TestRestore guards against a new home that runs again what has ended, or work that may run only once.
+func TestRestore(t *testing.T) {
+	tests := []struct {
+		name       string
+		class      work.Class
+		repeatable bool
+		canceled   bool
+		intents    []uint32
+		ended      []uint32
+		held       map[uint32]ident.Attempt
+		follow     int
+		stop       int
+		unknown    int
+		starts     int // after what was followed has been stopped
+	}{
+		{"repeatable", work.Batch, true, false, nil, []uint32{1}, map[uint32]ident.Attempt{2: 7}, 1, 0, 0, 3},
+		{"not repeatable", work.Batch, false, false, []uint32{1, 2, 3}, []uint32{1}, map[uint32]ident.Attempt{2: 7}, 1, 0, 1, 1},
+		{"canceled", work.Batch, true, true, nil, []uint32{1}, map[uint32]ident.Attempt{2: 7}, 1, 1, 0, 0},
+		{"whole gang", work.Gang, true, false, nil, nil, map[uint32]ident.Attempt{1: 7, 2: 7, 3: 7, 4: 7}, 4, 0, 0, 4},
+		{"part of a gang", work.Gang, true, false, nil, nil, map[uint32]ident.Attempt{1: 7}, 1, 1, 0, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := plan(test.class, 4)
+			p.Repeatable = test.repeatable
+			j := job.New(id, 1, p, 1)
+			for _, i := range test.intents {
+				j.Restore(journal.Record{Kind: journal.Intent, Index: i, Attempt: 7})
+			}
+			for _, i := range test.ended {
+				j.Restore(journal.Record{Kind: journal.Outcome, Index: i, Result: journal.Result{OK: true}})
+			}
+			if test.canceled {
+				j.Restore(journal.Record{Kind: journal.Canceled})
+			}
+			a := j.Attach(test.held)
+			if len(a.Follow) != test.follow || len(a.Stop) != test.stop || len(a.Records) != test.unknown {
+				t.Errorf("follow %d, stop %d, unknown %d; want %d, %d, %d",
+					len(a.Follow), len(a.Stop), len(a.Records), test.follow, test.stop, test.unknown)
+			}
+			record(j, a.Decision)
+			for _, spec := range a.Follow {
+				record(j, j.Ended(start, spec.ID.Index, spec.Attempt, stopped))
+			}
+			if step := j.Next(start.Add(time.Minute)); len(step.Start) != test.starts {
+				t.Errorf("%d starts; want %d", len(step.Start), test.starts)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/domain/job/status.go
@@ -0,0 +1,142 @@
+package job
+
+import (
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/journal"
+	"skylarkstall/internal/domain/work"
+)
+
+// State is the state of a task.
+type State uint8
+
+// States of tasks. Their numbers are part of the peer protocol: append only.
+const (
+	Waiting   State = iota
+	Running         // placed at an owner, where it may still wait in the queue
+	Ending          // ended, and the end is not recorded yet
+	Succeeded       // ended and recorded, as are the following
+	Failed
+	Canceled
+	Unknown // was started and its outcome was lost
+	stateCount
+)
+
+var stateNames = [stateCount]string{"waiting", "running", "ending", "succeeded", "failed", "canceled", "unknown"}
+
+// String returns the stable name of the state.
+func (s State) String() string {
+	if s >= stateCount {
+		return "invalid"
+	}
+	return stateNames[s]
+}
+
+// Ended reports whether a task in the state is never attempted again and its end is recorded.
+func (s State) Ended() bool { return s >= Succeeded && s < stateCount }
+
+func stateOf(result journal.Result) State {
+	switch {
+	case result.Unknown:
+		return Unknown
+	case result.OK:
+		return Succeeded
+	default:
+		return Failed
+	}
+}
+
+// Status is what a caller learns of a job.
+type Status struct {
+	Work      ident.WorkID
+	Kind      string
+	Class     work.Class
+	Tasks     uint32
+	Waiting   uint32
+	Running   uint32 // placed, or ended with the end not recorded yet
+	Succeeded uint32
+	Failed    uint32
+	Canceled  uint32
+	Unknown   uint32
+	Attempts  uint64 // of all tasks, by this home
+	Complete  bool   // every task has ended
+	Stopped   bool   // the job was canceled
+	Version   uint64 // grows with every change; starts anew with a new home
+	Results   []TaskResult
+	Next      uint32 // index of the first task after Results that may have a result; 0 when there is none
+}
+
+// State returns the state of the whole job: waiting, running, succeeded, failed, canceled or unknown.
+func (s Status) State() State {
+	switch {
+	case s.Complete && s.Unknown > 0:
+		return Unknown
+	case s.Complete && s.Failed > 0:
+		return Failed
+	case s.Complete && s.Canceled > 0:
+		return Canceled
+	case s.Complete:
+		return Succeeded
+	case s.Running+s.Succeeded+s.Failed+s.Unknown > 0:
+		return Running
+	default:
+		return Waiting
+	}
+}
+
+// TaskResult is the recorded end of a task.
+type TaskResult struct {
+	Index   uint32
+	State   State
+	Output  []byte
+	Message string
+	RunTime time.Duration
+}
+
+// pageBytes bounds the outputs in one status, so that the status fits into a peer message.
+const pageBytes = 512 << 10
+
+// pageTasks bounds the results in one status.
+const pageTasks = 1000
+
+// Status returns the counts and the results from the index on, as many as fit into one message. from 0 returns no
+// results.
+func (j *Job) Status(from uint32) Status {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := Status{
+		Work: j.id, Kind: j.plan.Kind, Class: j.plan.Class, Tasks: j.plan.Tasks,
+		Waiting: uint32(j.counts[Waiting]), Running: uint32(j.counts[Running] + j.counts[Ending]),
+		Succeeded: uint32(j.counts[Succeeded]), Failed: uint32(j.counts[Failed]),
+		Canceled: uint32(j.counts[Canceled]), Unknown: uint32(j.counts[Unknown]),
+		Attempts: uint64(j.attempts), Complete: j.complete(), Stopped: j.canceled, Version: j.version,
+	}
+	if from > 0 {
+		s.Results, s.Next = j.results(from)
+	}
+	return s
+}
+
+func (j *Job) complete() bool {
+	return j.counts[Waiting]+j.counts[Running]+j.counts[Ending] == 0
+}
+
+func (j *Job) results(from uint32) (page []TaskResult, next uint32) {
+	bytes := 0
+	for i := int(from) - 1; i < len(j.tasks); i++ {
+		t := &j.tasks[i]
+		if !t.state.Ended() {
+			continue
+		}
+		bytes += len(t.result.Output) + len(t.result.Message)
+		if len(page) > 0 && bytes > pageBytes || len(page) == pageTasks {
+			return page, uint32(i + 1)
+		}
+		page = append(page, TaskResult{
+			Index: uint32(i + 1), State: t.state, Output: t.result.Output, Message: t.result.Message,
+			RunTime: t.result.RunTime,
+		})
+	}
+	return page, 0
+}
