--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -16,6 +16,7 @@
 	"skylarkstall/internal/adapter/httpjson"
 	"skylarkstall/internal/app/entry"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
 	"skylarkstall/internal/domain/team"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/domain/work"
@@ -26,6 +27,10 @@
 // API is what the interface needs of the process.
 type API interface {
 	RunRequest(ctx context.Context, request entry.Request) (work.Outcome, error)
+	SubmitJob(ctx context.Context, request entry.JobRequest) (job.Status, error)
+	Job(ctx context.Context, query entry.JobQuery) (job.Status, error)
+	WatchJob(ctx context.Context, query entry.JobQuery, tell func(job.Status) error) error
+	CancelWork(ctx context.Context, query entry.JobQuery) (job.Status, error)
 	Authorize(team ident.TeamID, token string) (team.Stored, error)
 	Apply(ctx context.Context, team ident.TeamID, source []byte, expect ident.Revision) (ident.Revision, error)
 	Cell(ctx context.Context) ([]port.Status, []ident.ProcessID)
@@ -51,6 +56,10 @@
 	}
 	v1 := app.Party("/v1")
 	v1.Post("/run", s.run)
+	v1.Post("/jobs", s.submitJob)
+	v1.Get("/jobs/{team}/{id}", s.getJob)
+	v1.Delete("/jobs/{team}/{id}", s.cancelJob)
+	v1.Get("/jobs/{team}/{id}/progress", s.jobProgress)
 	v1.Get("/documents/{team}", s.getDocument)
 	v1.Put("/documents/{team}", s.putDocument)
 	v1.Get("/cell", s.cell)
--- /dev/null
+++ b/internal/adapter/callerhttp/job.go
@@ -0,0 +1,161 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/app/entry"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+)
+
+// progressPause is the least time between two lines of progress. A batch of short tasks changes thousands of times a
+// second; at 50 ms a reader costs its process at most 20 lines a second.
+const progressPause = 50 * time.Millisecond
+
+// JobCall is the body of POST /v1/jobs.
+type JobCall struct {
+	Team       string `json:"team"`
+	RequestID  string `json:"request_id"`
+	Kind       string `json:"kind"`
+	Tasks      uint32 `json:"tasks"`
+	DeadlineMS int64  `json:"deadline_ms,omitempty"` // from now to the start of the tasks; 0 for the kind's own
+	Payload    []byte `json:"payload,omitempty"`     // of every task
+}
+
+// JobReply is the status of a job or, after a cancellation, of a request.
+type JobReply struct {
+	Team      string       `json:"team"`
+	RequestID string       `json:"request_id"`
+	Kind      string       `json:"kind,omitempty"`
+	Class     string       `json:"class"`
+	State     string       `json:"state"`
+	Tasks     uint32       `json:"tasks"`
+	Waiting   uint32       `json:"waiting"`
+	Running   uint32       `json:"running"`
+	Succeeded uint32       `json:"succeeded"`
+	Failed    uint32       `json:"failed"`
+	Canceled  uint32       `json:"canceled"`
+	Unknown   uint32       `json:"unknown"`
+	Attempts  uint64       `json:"attempts"` // of all tasks, since the job's home last changed
+	Complete  bool         `json:"complete"`
+	Stopped   bool         `json:"stopped"` // a cancellation was accepted
+	Results   []TaskResult `json:"results,omitempty"`
+	Next      uint32       `json:"next,omitempty"` // ask again with from=next for further results
+}
+
+// TaskResult is the end of a task. Length and digest let the caller tell a cut output from a whole one.
+type TaskResult struct {
+	Index   uint32 `json:"index"`
+	State   string `json:"state"`
+	Output  []byte `json:"output,omitempty"`
+	Length  int    `json:"length"` // of the output in bytes
+	Digest  string `json:"digest"` // xxhash64 of the output, in hexadecimal
+	Message string `json:"message,omitempty"`
+	RunMS   int64  `json:"run_ms"`
+}
+
+func jobReply(s job.Status) JobReply {
+	reply := JobReply{
+		Team: string(s.Work.Team), RequestID: string(s.Work.Request), Kind: s.Kind, Class: s.Class.String(),
+		State: s.State().String(), Tasks: s.Tasks, Waiting: s.Waiting, Running: s.Running, Succeeded: s.Succeeded,
+		Failed: s.Failed, Canceled: s.Canceled, Unknown: s.Unknown, Attempts: s.Attempts, Complete: s.Complete,
+		Stopped: s.Stopped, Next: s.Next,
+	}
+	for _, r := range s.Results {
+		reply.Results = append(reply.Results, TaskResult{
+			Index: r.Index, State: r.State.String(), Output: r.Output, Length: len(r.Output), Digest: Digest(r.Output),
+			Message: r.Message, RunMS: r.RunTime.Milliseconds(),
+		})
+	}
+	return reply
+}
+
+func answerJob(ctx iris.Context, status job.Status, err error) {
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	httpjson.Write(ctx.ResponseWriter(), jobReply(status))
+}
+
+func (s *Server) submitJob(ctx iris.Context) {
+	var call JobCall
+	if err := httpjson.Read(ctx.ResponseWriter(), ctx.Request(), &call); err != nil {
+		fail(ctx, err)
+		return
+	}
+	status, err := s.api.SubmitJob(ctx.Request().Context(), entry.JobRequest{
+		Team: ident.TeamID(call.Team), Token: token(ctx), ID: ident.RequestID(call.RequestID), Kind: call.Kind,
+		Tasks: call.Tasks, Deadline: time.Duration(call.DeadlineMS) * time.Millisecond, Payload: call.Payload,
+	})
+	answerJob(ctx, status, err)
+}
+
+// jobQuery reads the path and the query of a call about a job.
+func jobQuery(ctx iris.Context) (entry.JobQuery, error) {
+	query := entry.JobQuery{
+		Team: ident.TeamID(ctx.Params().Get("team")), Token: token(ctx), ID: ident.RequestID(ctx.Params().Get("id")),
+	}
+	if from := ctx.URLParam("from"); from != "" {
+		n, err := strconv.ParseUint(from, 10, 32)
+		if err != nil {
+			return query, fault.New(fault.Invalid, "from %q: want a task index", from)
+		}
+		query.From = uint32(n)
+	}
+	return query, nil
+}
+
+func (s *Server) getJob(ctx iris.Context) {
+	query, err := jobQuery(ctx)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	status, err := s.api.Job(ctx.Request().Context(), query)
+	answerJob(ctx, status, err)
+}
+
+func (s *Server) cancelJob(ctx iris.Context) {
+	query, err := jobQuery(ctx)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	status, err := s.api.CancelWork(ctx.Request().Context(), query)
+	answerJob(ctx, status, err)
+}
+
+// jobProgress writes a line with the status now and after each change, until the job is complete. A failure after the
+// first line cuts the stream off; the caller asks again.
+func (s *Server) jobProgress(ctx iris.Context) {
+	query, err := jobQuery(ctx)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	written := false
+	err = s.api.WatchJob(ctx.Request().Context(), query, func(status job.Status) error {
+		if written {
+			pause.For(ctx.Request().Context(), progressPause)
+		} else {
+			ctx.Header("Content-Type", "application/x-ndjson")
+		}
+		written = true
+		if err := json.NewEncoder(ctx.ResponseWriter()).Encode(jobReply(status)); err != nil {
+			return fault.As(fault.Interrupted, err, "write progress")
+		}
+		ctx.ResponseWriter().Flush()
+		return nil
+	})
+	if err != nil && !written {
+		fail(ctx, err)
+	}
+}
--- a/internal/adapter/peerwire/calls.go
+++ b/internal/adapter/peerwire/calls.go
@@ -42,7 +42,7 @@
 func (t *Transport) Place(ctx context.Context, to ident.ProcessID, call port.Place) (work.Outcome, error) {
 	body := &peerpb.Place{
 		Partition: uint32(call.Partition), Home: encodeHome(call.Home), Spec: encodeSpec(call.Spec),
-		Attach: call.Attach,
+		Attach: call.Attach, Reserved: call.Reserved,
 	}
 	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Place{Place: body}})
 	return decodeOutcome(reply.GetOutcome()), err
@@ -62,10 +62,10 @@
 }
 
 // Cancel implements port.Peers.
-func (t *Transport) Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error) {
-	body := &peerpb.Cancel{Task: encodeTask(task)}
+func (t *Transport) Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) (int, error) {
+	body := &peerpb.Cancel{Tasks: encodeTasks(tasks)}
 	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Cancel{Cancel: body}})
-	return reply.GetCanceled().GetFound(), err
+	return int(reply.GetCanceled().GetFound()), err
 }
 
 // Settle implements port.Peers.
--- a/internal/adapter/peerwire/convert.go
+++ b/internal/adapter/peerwire/convert.go
@@ -96,10 +96,7 @@
 
 // checkSpec refuses what no process of this version sends.
 func checkSpec(spec work.Spec, class uint32) error {
-	if err := ident.Check("team", string(spec.ID.Work.Team)); err != nil {
-		return err
-	}
-	if err := ident.Check("request_id", string(spec.ID.Work.Request)); err != nil {
+	if err := checkWork(spec.ID.Work); err != nil {
 		return err
 	}
 	if class >= uint32(work.ClassCount) {
@@ -108,6 +105,13 @@
 	return spec.Size.Check("size")
 }
 
+func checkWork(id ident.WorkID) error {
+	if err := ident.Check("team", string(id.Team)); err != nil {
+		return err
+	}
+	return ident.Check("request_id", string(id.Request))
+}
+
 func encodeOutcome(o work.Outcome) *peerpb.Outcome {
 	return &peerpb.Outcome{
 		Task: encodeTask(o.Task), Attempt: uint64(o.Attempt), Ok: o.OK, Output: o.Output, Message: o.Message,
@@ -225,6 +229,9 @@
 		d.Queued = append(d.Queued, uint32(h.Digest.Queued[class]))
 		d.OldestNs = append(d.OldestNs, int64(h.Digest.Oldest[class]))
 	}
+	for _, shape := range h.Digest.Shapes {
+		d.Shapes = append(d.Shapes, &peerpb.Shape{Capacity: encodeResources(shape.Capacity), Count: uint32(shape.Count)})
+	}
 	return &peerpb.Heartbeat{Peer: encodePeer(h.Peer), Digest: d}
 }
 
@@ -240,6 +247,11 @@
 			out.Digest.Oldest[class] = time.Duration(d.GetOldestNs()[class])
 		}
 	}
+	for _, shape := range d.GetShapes()[:min(len(d.GetShapes()), fleet.MaxShapes)] {
+		out.Digest.Shapes = append(out.Digest.Shapes, fleet.Shape{
+			Capacity: decodeResources(shape.GetCapacity()), Count: int(shape.GetCount()),
+		})
+	}
 	return out
 }
 
--- a/internal/adapter/peerwire/dispatch.go
+++ b/internal/adapter/peerwire/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"skylarkstall/internal/adapter/peerwire/peerpb"
-	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
@@ -32,7 +31,7 @@
 	case *peerpb.Call_FetchStatus:
 		return t.status(ctx)
 	default:
-		return nil, fault.New(fault.Invalid, "call %T is unknown", body)
+		return t.dispatchJob(ctx, call)
 	}
 }
 
@@ -66,6 +65,7 @@
 	}
 	outcome, err := t.handler.HandlePlace(ctx, port.Place{
 		Partition: partition, Home: decodeHome(call.GetHome()), Spec: spec, Attach: call.GetAttach(),
+		Reserved: call.GetReserved(),
 	})
 	if err != nil {
 		return nil, err
@@ -86,11 +86,11 @@
 }
 
 func (t *Transport) cancel(ctx context.Context, call *peerpb.Cancel) (*peerpb.Reply, error) {
-	found, err := t.handler.HandleCancel(ctx, decodeTask(call.GetTask()))
+	found, err := t.handler.HandleCancel(ctx, decodeTasks(call.GetTasks()))
 	if err != nil {
 		return nil, err
 	}
-	return &peerpb.Reply{Body: &peerpb.Reply_Canceled{Canceled: &peerpb.Canceled{Found: found}}}, nil
+	return &peerpb.Reply{Body: &peerpb.Reply_Canceled{Canceled: &peerpb.Canceled{Found: uint32(found)}}}, nil
 }
 
 func (t *Transport) documents(ctx context.Context, call *peerpb.FetchDocuments) (*peerpb.Reply, error) {
--- /dev/null
+++ b/internal/adapter/peerwire/job.go
@@ -0,0 +1,177 @@
+package peerwire
+
+import (
+	"context"
+	"time"
+
+	"skylarkstall/internal/adapter/peerwire/peerpb"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
+	"skylarkstall/internal/domain/journal"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// Submit implements port.Peers.
+func (t *Transport) Submit(ctx context.Context, to ident.ProcessID, call port.Submit) (job.Status, error) {
+	body := &peerpb.Submit{Work: encodeWork(call.Work), Digest: call.Digest, Job: encodeJob(call.Job)}
+	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Submit{Submit: body}})
+	return decodeJobStatus(reply.GetJobStatus()), err
+}
+
+// QueryJob implements port.Peers.
+func (t *Transport) QueryJob(ctx context.Context, to ident.ProcessID, call port.QueryJob) (job.Status, error) {
+	body := &peerpb.QueryJob{
+		Work: encodeWork(call.Work), Version: call.Version, WaitNs: int64(call.Wait), From: call.From,
+	}
+	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_QueryJob{QueryJob: body}})
+	return decodeJobStatus(reply.GetJobStatus()), err
+}
+
+// CancelWork implements port.Peers.
+func (t *Transport) CancelWork(ctx context.Context, to ident.ProcessID, id ident.WorkID) (job.Status, error) {
+	body := &peerpb.CancelWork{Work: encodeWork(id)}
+	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_CancelWork{CancelWork: body}})
+	return decodeJobStatus(reply.GetJobStatus()), err
+}
+
+// Reserve implements port.Peers.
+func (t *Transport) Reserve(ctx context.Context, to ident.ProcessID, call port.Reserve) ([]uint32, error) {
+	body := &peerpb.Reserve{
+		Partition: uint32(call.Partition), Home: encodeHome(call.Home), Spec: encodeSpec(call.Spec),
+		Indexes: call.Indexes,
+	}
+	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Reserve{Reserve: body}})
+	return reply.GetReserved().GetIndexes(), err
+}
+
+// Release implements port.Peers.
+func (t *Transport) Release(ctx context.Context, to ident.ProcessID, call port.Release) error {
+	body := &peerpb.Release{Gang: encodeWork(call.Gang), Attempt: uint64(call.Attempt)}
+	_, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Release{Release: body}})
+	return err
+}
+
+// dispatchJob is the part of dispatch for jobs.
+func (t *Transport) dispatchJob(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error) {
+	switch body := call.GetBody().(type) {
+	case *peerpb.Call_Submit:
+		return t.submit(ctx, body.Submit)
+	case *peerpb.Call_QueryJob:
+		return jobReply(t.handler.HandleQueryJob(ctx, port.QueryJob{
+			Work: decodeWork(body.QueryJob.GetWork()), Version: body.QueryJob.GetVersion(),
+			Wait: time.Duration(body.QueryJob.GetWaitNs()), From: body.QueryJob.GetFrom(),
+		}))
+	case *peerpb.Call_CancelWork:
+		return jobReply(t.handler.HandleCancelWork(ctx, decodeWork(body.CancelWork.GetWork())))
+	case *peerpb.Call_Reserve:
+		return t.reserve(ctx, body.Reserve)
+	case *peerpb.Call_Release:
+		return empty(t.handler.HandleRelease(ctx, port.Release{
+			Gang: decodeWork(body.Release.GetGang()), Attempt: ident.Attempt(body.Release.GetAttempt()),
+		}))
+	default:
+		return nil, fault.New(fault.Invalid, "call %T is unknown", body)
+	}
+}
+
+func jobReply(status job.Status, err error) (*peerpb.Reply, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_JobStatus{JobStatus: encodeJobStatus(status)}}, nil
+}
+
+func (t *Transport) submit(ctx context.Context, call *peerpb.Submit) (*peerpb.Reply, error) {
+	plan, err := decodeJob(call.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	id := decodeWork(call.GetWork())
+	if err := checkWork(id); err != nil {
+		return nil, err
+	}
+	return jobReply(t.handler.HandleSubmit(ctx, port.Submit{Work: id, Digest: call.GetDigest(), Job: plan}))
+}
+
+func (t *Transport) reserve(ctx context.Context, call *peerpb.Reserve) (*peerpb.Reply, error) {
+	spec, err := decodeSpec(call.GetSpec())
+	if err != nil {
+		return nil, err
+	}
+	partition, err := decodePartition(call.GetPartition())
+	if err != nil {
+		return nil, err
+	}
+	if n := len(call.GetIndexes()); n > job.MaxGang {
+		return nil, fault.New(fault.Invalid, "room for %d tasks; the limit is %d", n, job.MaxGang)
+	}
+	indexes, err := t.handler.HandleReserve(ctx, port.Reserve{
+		Partition: partition, Home: decodeHome(call.GetHome()), Spec: spec, Indexes: call.GetIndexes(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Reserved{Reserved: &peerpb.Reserved{Indexes: indexes}}}, nil
+}
+
+func encodeWork(id ident.WorkID) *peerpb.Task {
+	return encodeTask(ident.TaskID{Work: id})
+}
+
+func decodeWork(t *peerpb.Task) ident.WorkID { return decodeTask(t).Work }
+
+func encodeJob(j journal.Job) *peerpb.Job {
+	return &peerpb.Job{
+		Kind: j.Kind, Class: uint32(j.Class), Tasks: j.Tasks, Repeatable: j.Repeatable, Size: encodeResources(j.Size),
+		ExpectedNs: int64(j.Expected), DeadlineUnixNs: encodeTime(j.Deadline), Retries: uint32(max(j.Retries, 0)),
+		Spread: j.Spread, Weight: uint32(max(j.Weight, 0)), Payload: j.Payload,
+	}
+}
+
+func decodeJob(j *peerpb.Job) (journal.Job, error) {
+	out := journal.Job{
+		Kind: j.GetKind(), Class: work.Class(j.GetClass()), Tasks: j.GetTasks(), Repeatable: j.GetRepeatable(),
+		Size: decodeResources(j.GetSize()), Expected: time.Duration(j.GetExpectedNs()),
+		Deadline: decodeTime(j.GetDeadlineUnixNs()), Retries: int(j.GetRetries()), Spread: j.GetSpread(),
+		Weight: int(j.GetWeight()), Payload: j.GetPayload(),
+	}
+	if j.GetClass() >= uint32(work.ClassCount) {
+		return journal.Job{}, fault.New(fault.Invalid, "class %d is unknown", j.GetClass())
+	}
+	if most := job.MaxTasks(out.Class); out.Tasks < 1 || out.Tasks > most {
+		return journal.Job{}, fault.New(fault.Invalid, "%d tasks of class %s; want 1 to %d", out.Tasks, out.Class, most)
+	}
+	return out, out.Size.Check("size")
+}
+
+func encodeJobStatus(s job.Status) *peerpb.JobStatus {
+	out := &peerpb.JobStatus{
+		Work: encodeWork(s.Work), Kind: s.Kind, Class: uint32(s.Class), Tasks: s.Tasks, Waiting: s.Waiting,
+		Running: s.Running, Succeeded: s.Succeeded, Failed: s.Failed, Canceled: s.Canceled, Unknown: s.Unknown,
+		Attempts: s.Attempts, Complete: s.Complete, Stopped: s.Stopped, Version: s.Version, Next: s.Next,
+	}
+	for _, r := range s.Results {
+		out.Results = append(out.Results, &peerpb.TaskResult{
+			Index: r.Index, State: uint32(r.State), Output: r.Output, Message: r.Message, RunTimeNs: int64(r.RunTime),
+		})
+	}
+	return out
+}
+
+func decodeJobStatus(s *peerpb.JobStatus) job.Status {
+	out := job.Status{
+		Work: decodeWork(s.GetWork()), Kind: s.GetKind(), Class: work.Class(s.GetClass()), Tasks: s.GetTasks(),
+		Waiting: s.GetWaiting(), Running: s.GetRunning(), Succeeded: s.GetSucceeded(), Failed: s.GetFailed(),
+		Canceled: s.GetCanceled(), Unknown: s.GetUnknown(), Attempts: s.GetAttempts(), Complete: s.GetComplete(),
+		Stopped: s.GetStopped(), Version: s.GetVersion(), Next: s.GetNext(),
+	}
+	for _, r := range s.GetResults() {
+		out.Results = append(out.Results, job.TaskResult{
+			Index: r.GetIndex(), State: job.State(r.GetState()), Output: r.GetOutput(), Message: r.GetMessage(),
+			RunTime: time.Duration(r.GetRunTimeNs()),
+		})
+	}
+	return out
+}
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
 	"skylarkstall/internal/domain/team"
@@ -33,6 +34,7 @@
 	Peers    port.Peers
 	Recorder *timeline.Recorder
 	Log      *slog.Logger
+	Shapes   func() ([]fleet.Shape, bool) // capacities of the cell's workers; false while some are not known
 }
 
 // Service takes callers' work.
@@ -63,7 +65,7 @@
 	s.record(timeline.Received, spec.ID.Work, request.Kind)
 	ctx, cancel := context.WithDeadline(ctx, spec.Deadline)
 	defer cancel()
-	outcome, err := s.execute(ctx, port.Execute{Spec: spec, Digest: digest(request)})
+	outcome, err := s.execute(ctx, port.Execute{Spec: spec, Digest: digest([]byte(request.Kind), request.Payload)})
 	if err == nil && !outcome.OK {
 		err = fault.New(fault.TaskFailed, "%s", outcome.Message)
 	}
@@ -84,13 +86,7 @@
 	if err != nil {
 		return work.Spec{}, err
 	}
-	if err := ident.Check("request_id", string(r.ID)); err != nil {
-		return work.Spec{}, err
-	}
-	if len(r.Payload) > MaxPayload {
-		return work.Spec{}, fault.New(fault.TooLarge, "payload has %d bytes; the limit is %d", len(r.Payload), MaxPayload)
-	}
-	kind, err := stored.Document.Kind(r.Kind)
+	kind, err := checkWork(stored.Document, r.ID, r.Kind, r.Payload)
 	if err != nil {
 		return work.Spec{}, err
 	}
@@ -101,6 +97,9 @@
 	if err != nil {
 		return work.Spec{}, err
 	}
+	if err := s.checkSize(kind, 1); err != nil {
+		return work.Spec{}, err
+	}
 	return work.Spec{
 		ID:   ident.TaskID{Work: ident.WorkID{Team: r.Team, Request: r.ID}},
 		Kind: kind.Name, Class: kind.Class, Repeatable: kind.Repeatable, Size: kind.Size, Expected: kind.Expected,
@@ -108,6 +107,35 @@
 	}, nil
 }
 
+// checkWork checks what requests and jobs have in common and returns the kind.
+func checkWork(doc team.Document, id ident.RequestID, kind string, payload []byte) (team.Kind, error) {
+	if err := ident.Check("request_id", string(id)); err != nil {
+		return team.Kind{}, err
+	}
+	if len(payload) > MaxPayload {
+		return team.Kind{}, fault.New(fault.TooLarge, "payload has %d bytes; the limit is %d", len(payload), MaxPayload)
+	}
+	return doc.Kind(kind)
+}
+
+// checkSize refuses work that could not run even if the cell were empty.
+func (s *Service) checkSize(kind team.Kind, atOnce int) error {
+	shapes, complete := s.Shapes()
+	if !complete {
+		return nil
+	}
+	nearest, ok := fleet.Feasible(shapes, kind.Size, atOnce)
+	switch {
+	case ok:
+		return nil
+	case kind.Size == nearest:
+		return fault.New(fault.Impossible, "tasks is %d; the cell has no room for so many of %s at once", atOnce, kind.Size)
+	default:
+		return fault.New(fault.Impossible, "size of kind %q is %s; no worker holds it, and the nearest size that fits is %s",
+			kind.Name, kind.Size, nearest)
+	}
+}
+
 func requestDeadline(asked, ofKind time.Duration) (time.Duration, error) {
 	switch {
 	case asked < 0:
@@ -123,10 +151,10 @@
 }
 
 // digest tells a retry from another request with the same id.
-func digest(r Request) uint64 {
+func digest(parts ...[]byte) uint64 {
 	h := xxhash.New()
 	var length [8]byte
-	for _, part := range [][]byte{[]byte(r.Kind), r.Payload} {
+	for _, part := range parts {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = h.Write(length[:]) // a hash does not fail
 		_, _ = h.Write(part)
--- a/internal/app/home/execute.go
+++ b/internal/app/home/execute.go
@@ -55,6 +55,7 @@
 	if !spec.Repeatable {
 		return work.Outcome{}, fault.New(fault.StoreUnavailable, "no journal: work that is not repeatable is refused")
 	}
+	defer p.land(spec.ID, p.launch(spec.ID))
 	refused := map[ident.ProcessID]bool{}
 	for {
 		owner, err := p.service.choose(spec, refused)
@@ -85,6 +86,9 @@
 func (p *partition) attempt(ctx context.Context, owner ident.ProcessID, spec work.Spec) (work.Outcome, error) {
 	epoch, _ := p.tenure()
 	call := port.Place{Partition: p.id, Home: epoch, Spec: spec}
+	if err := p.direct(spec.ID, owner); err != nil {
+		return work.Outcome{}, err
+	}
 	outcome, err := p.service.Peers.Place(ctx, owner, call)
 	if fault.Is(err, fault.Interrupted) {
 		return p.follow(ctx, call)
@@ -95,17 +99,18 @@
 // follow finds an attempt whose owner was lost, and waits for its outcome. It returns NoCapacity when the attempt
 // certainly does not run and has no outcome.
 func (p *partition) follow(ctx context.Context, call port.Place) (work.Outcome, error) {
-	call.Attach = true
 	began := time.Now()
 	for ctx.Err() == nil {
 		changed := p.changed.Changed()
 		if outcome, ok := p.takeReported(call.Spec.ID, call.Spec.Attempt); ok {
 			return outcome, nil
 		}
-		found := p.survey(ctx)
+		found, ok := p.surveyed(ctx)
+		if !ok {
+			break
+		}
 		if owner, ok := found.owners[call.Spec.ID]; ok {
-			outcome, err := p.service.Peers.Place(ctx, owner, call)
-			if !fault.Is(err, fault.Interrupted) && !fault.Is(err, fault.NotFound) {
+			if outcome, err := p.attach(ctx, owner, call); !gone(err) {
 				return outcome, err
 			}
 		} else if found.complete || time.Since(began) > p.service.LostAfter {
@@ -129,6 +134,7 @@
 	call := port.Place{Partition: p.id, Home: epoch, Spec: work.Spec{ID: held.Task, Attempt: held.Attempt}}
 	call.Spec.Size.Slots = 1 // the least that a frame may carry; an attach does not use it
 	p.service.record(timeline.TakenOver, held.Task, "")
+	defer p.land(held.Task, p.launch(held.Task))
 	outcome, err := p.follow(ctx, call)
 	book.End(held.Task.Work, ledger.Result{Outcome: outcome, Err: err}, time.Now().Add(keepResult))
 }
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -43,11 +43,13 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	stops  map[ident.ProcessID][]ident.TaskID // tasks to stop, by owner; a key without tasks: a call is under way
 }
 
 // New returns a service that is the home of nothing yet.
 func New(config Config) *Service {
 	s := &Service{Config: config, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	s.stops = map[ident.ProcessID][]ident.TaskID{}
 	for i := range s.partitions {
 		s.partitions[i] = newPartition(s, ident.PartitionID(i))
 	}
@@ -82,6 +84,9 @@
 	if err := p.await(ctx); err != nil {
 		return work.Outcome{}, err
 	}
+	if p.job(call.Spec.ID.Work) != nil {
+		return work.Outcome{}, fault.New(fault.Conflict, "request id %s was used for a job", call.Spec.ID.Work)
+	}
 	return p.execute(ctx, call)
 }
 
--- a/internal/app/home/partition.go
+++ b/internal/app/home/partition.go
@@ -31,16 +31,29 @@
 	ledger  *ledger.Ledger
 	ended   map[ident.TaskID]work.Outcome // reported by owners; kept until the attempt's goroutine takes them
 	changed notify.Broadcast
+	flights map[ident.TaskID]*flight
+
+	surveying  chan struct{} // holds an element while a shared survey runs
+	nextSurvey *surveyRun    // not begun yet; may be nil
+
+	jobs          map[ident.WorkID]*runner
+	restored      bool               // the jobs were read from the journal
+	tenureContext context.Context    // of the goroutines of the jobs
+	endTenure     context.CancelFunc // ends them
+	fenced        notify.Broadcast   // another home took the journal
 }
 
 func newPartition(s *Service, id ident.PartitionID) *partition {
-	return &partition{id: id, service: s, ledger: ledger.New(), ended: map[ident.TaskID]work.Outcome{}}
+	return &partition{
+		id: id, service: s, ledger: ledger.New(), ended: map[ident.TaskID]work.Outcome{},
+		flights: map[ident.TaskID]*flight{}, surveying: make(chan struct{}, 1), endTenure: func() {},
+	}
 }
 
 // Run takes the partition whenever this process should be its home, and gives it up when another should.
 func (p *partition) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := p.service.Live()
+		changed, fenced := p.service.Live(), p.fenced.Changed()
 		mine := p.service.Members.Home(p.id) == p.service.Self
 		switch _, serving := p.tenure(); {
 		case mine && !serving && p.service.Dir.Known():
@@ -56,6 +69,7 @@
 		}
 		select {
 		case <-changed:
+		case <-fenced:
 		case <-ctx.Done():
 		}
 	}
@@ -89,21 +103,26 @@
 }
 
 func (p *partition) serve(ctx context.Context, found survey) {
+	tenure, end := context.WithCancel(ctx)
 	p.mu.Lock()
-	p.serving = true
+	p.serving, p.restored, p.tenureContext, p.endTenure = true, false, tenure, end
+	p.jobs = map[ident.WorkID]*runner{}
 	p.mu.Unlock()
 	p.service.record(timeline.PartitionTaken, ident.TaskID{}, fmt.Sprintf("partition %d, %d tasks", p.id, len(found.tasks)))
 	for _, held := range found.tasks {
-		if p.ledger.Adopt(held.Task.Work) {
+		if held.Task.Index == 0 && p.ledger.Adopt(held.Task.Work) {
 			go p.followAdopted(ctx, held)
 		}
 	}
+	go p.restore(tenure, found)
 	p.changed.Signal()
 }
 
 func (p *partition) giveUp() {
 	p.mu.Lock()
 	p.serving = false
+	p.endTenure()
+	p.jobs = nil            // the next home restores them from the journal
 	p.ledger = ledger.New() // the next home learns of running requests from the owners
 	p.mu.Unlock()
 	p.service.record(timeline.PartitionLost, ident.TaskID{}, fmt.Sprintf("partition %d", p.id))
--- a/internal/app/owner/attempt.go
+++ b/internal/app/owner/attempt.go
@@ -20,6 +20,8 @@
 	mu      sync.Mutex
 	worker  ident.WorkerID // empty while the task waits
 	adopted bool           // taken over with a worker; no placement waits for it
+	started bool           // the worker confirmed the start
+	halted  bool           // a cancellation arrived
 	ended   bool
 	outcome work.Outcome
 	err     error
@@ -60,3 +62,32 @@
 	defer a.mu.Unlock()
 	return a.worker
 }
+
+// halt notes a cancellation. It returns the worker to stop the attempt on, or false when the goroutine that places the
+// attempt sees the cancellation before the attempt counts as started.
+func (a *attempt) halt() (ident.WorkerID, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.halted = true
+	return a.worker, a.started && !a.ended
+}
+
+func (a *attempt) isHalted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.halted
+}
+
+// start notes that the worker confirmed the start, and reports whether a cancellation arrived before.
+func (a *attempt) start() (halted bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.started = true
+	return a.halted
+}
+
+func (a *attempt) isEnded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ended
+}
--- a/internal/app/owner/outcome.go
+++ b/internal/app/owner/outcome.go
@@ -17,7 +17,7 @@
 // adopt holds an attempt that was running when this process claimed the worker.
 func (s *Service) adopt(worker ident.WorkerID, running work.Running) {
 	a := newAttempt(running.Task, running.Attempt, running.Size)
-	a.worker, a.adopted = worker, true
+	a.worker, a.adopted, a.started = worker, true, true
 	s.mu.Lock()
 	s.pending[running.Task] = a
 	s.mu.Unlock()
--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,9 +13,11 @@
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/reservation"
 	"skylarkstall/internal/domain/tenure"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/fault"
+	"skylarkstall/internal/notify"
 	"skylarkstall/internal/port"
 )
 
@@ -50,6 +53,9 @@
 	fleet    *fleet.Fleet
 	holdings *tenure.Holdings
 
+	reservations *reservation.Book
+	reserved     notify.Broadcast // room was reserved
+
 	mu      sync.Mutex
 	keepers map[ident.WorkerID]*keeper
 	pending map[ident.TaskID]*attempt
@@ -59,7 +65,8 @@
 func New(config Config) *Service {
 	return &Service{
 		Config: config, fleet: fleet.New(config.Policy), holdings: tenure.New(),
-		keepers: map[ident.WorkerID]*keeper{}, pending: map[ident.TaskID]*attempt{},
+		reservations: reservation.NewBook(),
+		keepers:      map[ident.WorkerID]*keeper{}, pending: map[ident.TaskID]*attempt{},
 	}
 }
 
@@ -67,6 +74,7 @@
 func (s *Service) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
+	running.Go(func() { s.expireReservations(ctx) })
 	cancels := map[ident.WorkerID]context.CancelFunc{}
 	for ctx.Err() == nil {
 		changed := s.Dir.Changed()
@@ -136,6 +144,26 @@
 // Digest returns the summary of the owned workers and the queue.
 func (s *Service) Digest(now time.Time) fleet.Digest { return s.fleet.Digest(now) }
 
+// Shapes returns the capacities of the owned workers, at most fleet.MaxShapes different ones.
+func (s *Service) Shapes() []fleet.Shape {
+	var shapes []fleet.Shape
+	now := time.Now()
+	for _, k := range s.allKeepers() {
+		snap := k.worker.Snapshot(now)
+		if !snap.Held {
+			continue
+		}
+		i := slices.IndexFunc(shapes, func(shape fleet.Shape) bool { return shape.Capacity == snap.Capacity })
+		switch {
+		case i >= 0:
+			shapes[i].Count++
+		case len(shapes) < fleet.MaxShapes:
+			shapes = append(shapes, fleet.Shape{Capacity: snap.Capacity, Count: 1})
+		}
+	}
+	return shapes
+}
+
 // HandleTakeHome makes the caller the home of the partition and tells what this process holds of it.
 func (s *Service) HandleTakeHome(_ context.Context, call port.TakeHome) (port.Held, error) {
 	highest, tasks := s.holdings.Take(call.Partition, call.Home)
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -30,7 +30,7 @@
 		return work.Outcome{}, err
 	}
 	if fresh {
-		s.run(ctx, a, call.Spec)
+		s.run(ctx, a, call)
 	}
 	select {
 	case <-a.done:
@@ -60,9 +60,13 @@
 }
 
 // run places the attempt and waits until it runs or has ended.
-func (s *Service) run(ctx context.Context, a *attempt, spec work.Spec) {
-	if err := s.place(ctx, a, spec); err != nil {
-		s.record(timeline.Refused, spec.ID, "", err.Error())
+func (s *Service) run(ctx context.Context, a *attempt, call port.Place) {
+	place := s.place
+	if call.Reserved {
+		place = s.startReserved
+	}
+	if err := place(ctx, a, call.Spec); err != nil {
+		s.record(timeline.Refused, call.Spec.ID, "", err.Error())
 		s.finish(a, work.Outcome{}, err)
 	}
 }
@@ -101,6 +105,9 @@
 		return assignment, err
 	}
 	s.record(timeline.Queued, spec.ID, "", "")
+	if a.isHalted() && s.fleet.Cancel(spec.ID) {
+		return fleet.Assignment{}, canceledBefore(spec.ID)
+	}
 	ctx, cancel := withDeadline(ctx, spec.Deadline)
 	defer cancel()
 	select {
@@ -137,25 +144,44 @@
 		s.refresh(k)
 		return err
 	}
+	return s.launch(ctx, a, k, spec, epoch)
+}
+
+// launch starts the attempt in the room that is reserved for it.
+func (s *Service) launch(ctx context.Context, a *attempt, k *keeper, spec work.Spec, epoch ident.Epoch) error {
 	a.assign(k.id)
+	if a.isHalted() {
+		s.giveBack(k, spec.ID, spec.Attempt)
+		return canceledBefore(spec.ID)
+	}
 	s.holdings.Assign(spec.ID, k.id)
 	s.record(timeline.Placed, spec.ID, k.id, "")
-	err = k.client.Start(ctx, work.Start{
+	err := k.client.Start(ctx, work.Start{
 		Epoch: epoch, Task: spec.ID, Attempt: spec.Attempt, Kind: spec.Kind, Class: spec.Class, Size: spec.Size,
 		Expiry: startExpiry, Payload: spec.Payload,
 	})
 	switch {
 	case err == nil:
 		s.record(timeline.Started, spec.ID, k.id, "")
-		return nil
 	case fault.KindOf(err).Answer().Ran == fault.RanNo:
-		k.worker.Release(spec.ID, spec.Attempt)
 		a.assign("")
-		s.refresh(k)
+		s.giveBack(k, spec.ID, spec.Attempt)
 		return err
 	default:
-		return s.startUnknown(ctx, k, spec, epoch)
+		if err := s.startUnknown(ctx, k, spec, epoch); err != nil {
+			return err
+		}
+	}
+	if a.start() {
+		s.stopHalted(ctx, a, k)
 	}
+	return nil
+}
+
+// giveBack returns the room of an attempt that did not start.
+func (s *Service) giveBack(k *keeper, task ident.TaskID, attempt ident.Attempt) {
+	k.worker.Release(task, attempt)
+	s.refresh(k)
 }
 
 // startUnknown sends the start again until the worker tells whether the task runs, or the control lease is lost. A
@@ -213,23 +239,3 @@
 		delete(s.pending, a.task)
 	}
 }
-
-// HandleCancel stops a task that waits or runs here. It returns false if the process holds no such task.
-func (s *Service) HandleCancel(ctx context.Context, task ident.TaskID) (bool, error) {
-	s.mu.Lock()
-	a, ok := s.pending[task]
-	s.mu.Unlock()
-	if !ok {
-		return false, nil
-	}
-	s.record(timeline.CancelRequested, task, a.on(), "")
-	if s.fleet.Cancel(task) {
-		s.finish(a, work.Outcome{}, fault.New(fault.Canceled, "%s was canceled before it started", task))
-		return true, nil
-	}
-	k, err := s.keeper(a.on())
-	if err != nil {
-		return false, err
-	}
-	return true, k.client.Stop(ctx, k.worker.Snapshot(time.Now()).Epoch, task)
-}
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -20,6 +20,7 @@
 	"skylarkstall/internal/node"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
+	"skylarkstall/internal/standin/journal"
 	"skylarkstall/internal/standin/store"
 	"skylarkstall/internal/standin/vmlist"
 	"skylarkstall/internal/standin/worker"
@@ -34,6 +35,7 @@
 	CallerAddress string          // of the first process; the others listen on free ports
 	Log           *slog.Logger
 	Observe       func(ident.WorkerID, worker.Observation) // may be nil
+	Journals      *journal.Journals                        // in memory; new ones when nil
 }
 
 // WorkersPerRack is how many workers share a rack.
@@ -70,6 +72,9 @@
 	if len(settings.Zones) == 0 {
 		settings.Zones = []ident.Zone{"kochi-a", "kochi-b", "alappuzha"}
 	}
+	if settings.Journals == nil {
+		settings.Journals = journal.New()
+	}
 	c := &Cell{settings: settings}
 	if err := c.start(ctx); err != nil {
 		c.Close()
@@ -165,7 +170,7 @@
 	n, err := node.New(node.Settings{
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
 		StoreAddress: c.Store.Address(), VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
-		TimelineSize: 20_000,
+		TimelineSize: 20_000, Journal: c.settings.Journals.Writer(ident.ProcessID(id)),
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -34,6 +34,7 @@
 	LargestFit resource.Vector // largest free amount of each resource on one worker
 	Queued     [work.ClassCount]int
 	Oldest     [work.ClassCount]time.Duration // wait of the oldest queued task
+	Shapes     []Shape                        // of the owned workers; only in heartbeats
 }
 
 // Fleet is the aggregate of the workers owned by a process and the tasks that wait for them.
--- a/internal/domain/job/attempt.go
+++ b/internal/domain/job/attempt.go
@@ -39,27 +39,29 @@
 	}
 	var step Step
 	kept := j.waiting[:0]
-	for _, index := range j.waiting {
+	for i, index := range j.waiting {
+		if j.inFlight >= Window {
+			kept = append(kept, j.waiting[i:]...)
+			break
+		}
 		t := j.task(index)
 		switch {
-		case j.inFlight >= Window:
-			kept = append(kept, index)
 		case now.Before(t.ready):
 			kept = append(kept, index)
 			if step.Until.IsZero() || t.ready.Before(step.Until) {
 				step.Until = t.ready
 			}
 		default:
-			step.Start = append(step.Start, j.begin(now, index))
+			step.Start = append(step.Start, j.begin(index, ident.NextAttempt(now, t.attempt)))
 		}
 	}
 	j.waiting = kept
 	return step
 }
 
-func (j *Job) begin(now time.Time, index uint32) work.Spec {
+func (j *Job) begin(index uint32, attempt ident.Attempt) work.Spec {
 	t := j.task(index)
-	t.attempt = ident.NextAttempt(now, t.attempt)
+	t.attempt = attempt
 	j.attempts++
 	j.move(t, Running)
 	return j.spec(index)
@@ -155,7 +157,8 @@
 	case j.canceled:
 		return false
 	case end.refused():
-		return fault.KindOf(end.Err).Answer().Retryable
+		// Conflict: an owner still holds a former attempt, which it ends soon.
+		return fault.KindOf(end.Err).Answer().Retryable || fault.Is(end.Err, fault.Conflict)
 	case !j.plan.Repeatable:
 		return false
 	case j.plan.Class == work.Standing:
--- a/internal/domain/job/gang.go
+++ b/internal/domain/job/gang.go
@@ -37,9 +37,13 @@
 		return Step{Until: r.ready}
 	}
 	j.round = round{open: len(j.waiting), failures: r.failures, refusals: r.refusals, ends: map[uint32]End{}}
+	var attempt ident.Attempt // one for the whole round, so that one message reserves room for every task
+	for _, index := range j.waiting {
+		attempt = max(attempt, ident.NextAttempt(now, j.task(index).attempt))
+	}
 	var step Step
 	for _, index := range j.waiting {
-		step.Start = append(step.Start, j.begin(now, index))
+		step.Start = append(step.Start, j.begin(index, attempt))
 	}
 	j.waiting = j.waiting[:0]
 	return step
--- a/internal/domain/resource/resource.go
+++ b/internal/domain/resource/resource.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// Min returns the smaller of v and o in each resource.
+func (v Vector) Min(o Vector) Vector {
+	return Vector{
+		min(v.MilliCores, o.MilliCores), min(v.MemoryBytes, o.MemoryBytes),
+		min(v.Accelerators, o.Accelerators), min(v.Slots, o.Slots),
+	}
+}
+
 // Fits reports whether v is at most o in each resource.
 func (v Vector) Fits(o Vector) bool {
 	return v.MilliCores <= o.MilliCores && v.MemoryBytes <= o.MemoryBytes &&
--- a/internal/domain/tenure/tenure.go
+++ b/internal/domain/tenure/tenure.go
@@ -73,6 +73,17 @@
 	return nil
 }
 
+// Fence refuses a former home, as Admit does, and notes nothing. It fails with StaleEpoch.
+func (h *Holdings) Fence(partition ident.PartitionID, home ident.HomeEpoch) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if highest := h.homes[partition]; home.Less(highest) {
+		return stale(partition, home, highest)
+	}
+	h.homes[partition] = home
+	return nil
+}
+
 // Adopt notes an attempt that a worker's inventory contains.
 func (h *Holdings) Adopt(task ident.TaskID, attempt ident.Attempt, worker ident.WorkerID) {
 	h.mu.Lock()
--- a/internal/domain/timeline/timeline.go
+++ b/internal/domain/timeline/timeline.go
@@ -33,6 +33,8 @@
 	Finished           Kind = "finished"
 	Refused            Kind = "refused"
 	Answered           Kind = "answered"
+	JobAccepted        Kind = "job accepted"
+	JobEnded           Kind = "job ended"
 	CancelRequested    Kind = "cancel requested"
 	Moved              Kind = "moved"
 	Claimed            Kind = "claimed"
--- a/internal/domain/worker/worker.go
+++ b/internal/domain/worker/worker.go
@@ -137,6 +137,23 @@
 	return w.epoch, nil
 }
 
+// Reserved returns the epoch that the start of an attempt must carry for which capacity was reserved before. It fails with
+// StaleEpoch, also when the reservation was lost with a former control lease, or with Draining.
+func (w *Worker) Reserved(now time.Time, task ident.TaskID, attempt ident.Attempt) (ident.Epoch, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, ok := w.tasks[task]
+	switch {
+	case w.epoch == 0 || !now.Before(w.validUntil):
+		return 0, fault.New(fault.StaleEpoch, "no control lease on worker %s", w.id)
+	case !ok || r.attempt != attempt:
+		return 0, fault.New(fault.StaleEpoch, "the room for %s on worker %s was lost", task, w.id)
+	case w.leaving:
+		return 0, fault.New(fault.Draining, "worker %s is leaving", w.id)
+	}
+	return w.epoch, nil
+}
+
 // Release returns the capacity of an attempt. It returns false if the attempt holds none.
 func (w *Worker) Release(task ident.TaskID, attempt ident.Attempt) bool {
 	w.mu.Lock()
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -7,6 +7,7 @@
 
 	"skylarkstall/internal/app/entry"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
 	"skylarkstall/internal/domain/team"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/domain/work"
@@ -37,8 +38,33 @@
 }
 
 // HandleCancel implements port.PeerHandler.
-func (n *Node) HandleCancel(ctx context.Context, task ident.TaskID) (bool, error) {
-	return n.owner.HandleCancel(ctx, task)
+func (n *Node) HandleCancel(ctx context.Context, tasks []ident.TaskID) (int, error) {
+	return n.owner.HandleCancel(ctx, tasks)
+}
+
+// HandleSubmit implements port.PeerHandler.
+func (n *Node) HandleSubmit(ctx context.Context, call port.Submit) (job.Status, error) {
+	return n.home.HandleSubmit(ctx, call)
+}
+
+// HandleQueryJob implements port.PeerHandler.
+func (n *Node) HandleQueryJob(ctx context.Context, call port.QueryJob) (job.Status, error) {
+	return n.home.HandleQueryJob(ctx, call)
+}
+
+// HandleCancelWork implements port.PeerHandler.
+func (n *Node) HandleCancelWork(ctx context.Context, id ident.WorkID) (job.Status, error) {
+	return n.home.HandleCancelWork(ctx, id)
+}
+
+// HandleReserve implements port.PeerHandler.
+func (n *Node) HandleReserve(ctx context.Context, call port.Reserve) ([]uint32, error) {
+	return n.owner.HandleReserve(ctx, call)
+}
+
+// HandleRelease implements port.PeerHandler.
+func (n *Node) HandleRelease(ctx context.Context, call port.Release) error {
+	return n.owner.HandleRelease(ctx, call)
 }
 
 // HandleSettle implements port.PeerHandler.
@@ -68,6 +94,26 @@
 	return n.entry.Run(ctx, request)
 }
 
+// SubmitJob implements callerhttp.API.
+func (n *Node) SubmitJob(ctx context.Context, request entry.JobRequest) (job.Status, error) {
+	return n.entry.Submit(ctx, request)
+}
+
+// Job implements callerhttp.API.
+func (n *Node) Job(ctx context.Context, query entry.JobQuery) (job.Status, error) {
+	return n.entry.Job(ctx, query)
+}
+
+// WatchJob implements callerhttp.API.
+func (n *Node) WatchJob(ctx context.Context, query entry.JobQuery, tell func(job.Status) error) error {
+	return n.entry.Watch(ctx, query, tell)
+}
+
+// CancelWork implements callerhttp.API.
+func (n *Node) CancelWork(ctx context.Context, query entry.JobQuery) (job.Status, error) {
+	return n.entry.CancelWork(ctx, query)
+}
+
 // Authorize implements callerhttp.API.
 func (n *Node) Authorize(id ident.TeamID, token string) (team.Stored, error) {
 	return n.catalog.Authorize(id, token)
@@ -137,76 +183,3 @@
 	}
 	return answers, silent
 }
-
-// localPeers answers calls to this process without a connection.
-type localPeers struct {
-	port.Peers
-	self    ident.ProcessID
-	handler port.PeerHandler
-}
-
-// Execute implements port.Peers.
-func (l *localPeers) Execute(ctx context.Context, to ident.ProcessID, call port.Execute) (work.Outcome, error) {
-	if to == l.self {
-		return l.handler.HandleExecute(ctx, call)
-	}
-	return l.Peers.Execute(ctx, to, call)
-}
-
-// Place implements port.Peers.
-func (l *localPeers) Place(ctx context.Context, to ident.ProcessID, call port.Place) (work.Outcome, error) {
-	if to == l.self {
-		return l.handler.HandlePlace(ctx, call)
-	}
-	return l.Peers.Place(ctx, to, call)
-}
-
-// TakeHome implements port.Peers.
-func (l *localPeers) TakeHome(ctx context.Context, to ident.ProcessID, call port.TakeHome) (port.Held, error) {
-	if to == l.self {
-		return l.handler.HandleTakeHome(ctx, call)
-	}
-	return l.Peers.TakeHome(ctx, to, call)
-}
-
-// Report implements port.Peers.
-func (l *localPeers) Report(ctx context.Context, to ident.ProcessID, call port.Report) error {
-	if to == l.self {
-		return l.handler.HandleReport(ctx, call)
-	}
-	return l.Peers.Report(ctx, to, call)
-}
-
-// Cancel implements port.Peers.
-func (l *localPeers) Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error) {
-	if to == l.self {
-		return l.handler.HandleCancel(ctx, task)
-	}
-	return l.Peers.Cancel(ctx, to, task)
-}
-
-// Settle implements port.Peers.
-func (l *localPeers) Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error {
-	if to == l.self {
-		return l.handler.HandleSettle(ctx, tasks)
-	}
-	return l.Peers.Settle(ctx, to, tasks)
-}
-
-// Events implements port.Peers.
-func (l *localPeers) Events(
-	ctx context.Context, to ident.ProcessID, filter timeline.Filter,
-) ([]timeline.Event, error) {
-	if to == l.self {
-		return l.handler.HandleEvents(ctx, filter)
-	}
-	return l.Peers.Events(ctx, to, filter)
-}
-
-// Status implements port.Peers.
-func (l *localPeers) Status(ctx context.Context, to ident.ProcessID) (port.Status, error) {
-	if to == l.self {
-		return l.handler.HandleStatus(ctx)
-	}
-	return l.Peers.Status(ctx, to)
-}
--- /dev/null
+++ b/internal/node/local.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
+	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// localPeers answers calls to this process without a connection.
+type localPeers struct {
+	port.Peers
+	self    ident.ProcessID
+	handler port.PeerHandler
+	life    context.Context // of the process
+}
+
+// detached makes a local call behave as a remote one: when the caller gives up, the call goes on until the process ends.
+func detached[T any](ctx, life context.Context, call func(context.Context) (T, error)) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		value, err := call(life)
+		answered <- answer{value, err}
+	}()
+	select {
+	case a := <-answered:
+		return a.value, a.err
+	case <-ctx.Done():
+		var none T
+		return none, fault.As(fault.Interrupted, ctx.Err(), "call to this process")
+	}
+}
+
+// Execute implements port.Peers.
+func (l *localPeers) Execute(ctx context.Context, to ident.ProcessID, call port.Execute) (work.Outcome, error) {
+	if to == l.self {
+		return detached(ctx, l.life, func(ctx context.Context) (work.Outcome, error) {
+			return l.handler.HandleExecute(ctx, call)
+		})
+	}
+	return l.Peers.Execute(ctx, to, call)
+}
+
+// Place implements port.Peers.
+func (l *localPeers) Place(ctx context.Context, to ident.ProcessID, call port.Place) (work.Outcome, error) {
+	if to == l.self {
+		return detached(ctx, l.life, func(ctx context.Context) (work.Outcome, error) {
+			return l.handler.HandlePlace(ctx, call)
+		})
+	}
+	return l.Peers.Place(ctx, to, call)
+}
+
+// TakeHome implements port.Peers.
+func (l *localPeers) TakeHome(ctx context.Context, to ident.ProcessID, call port.TakeHome) (port.Held, error) {
+	if to == l.self {
+		return l.handler.HandleTakeHome(ctx, call)
+	}
+	return l.Peers.TakeHome(ctx, to, call)
+}
+
+// Report implements port.Peers.
+func (l *localPeers) Report(ctx context.Context, to ident.ProcessID, call port.Report) error {
+	if to == l.self {
+		return l.handler.HandleReport(ctx, call)
+	}
+	return l.Peers.Report(ctx, to, call)
+}
+
+// Cancel implements port.Peers.
+func (l *localPeers) Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) (int, error) {
+	if to == l.self {
+		return l.handler.HandleCancel(ctx, tasks)
+	}
+	return l.Peers.Cancel(ctx, to, tasks)
+}
+
+// Settle implements port.Peers.
+func (l *localPeers) Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error {
+	if to == l.self {
+		return l.handler.HandleSettle(ctx, tasks)
+	}
+	return l.Peers.Settle(ctx, to, tasks)
+}
+
+// Events implements port.Peers.
+func (l *localPeers) Events(
+	ctx context.Context, to ident.ProcessID, filter timeline.Filter,
+) ([]timeline.Event, error) {
+	if to == l.self {
+		return l.handler.HandleEvents(ctx, filter)
+	}
+	return l.Peers.Events(ctx, to, filter)
+}
+
+// Status implements port.Peers.
+func (l *localPeers) Status(ctx context.Context, to ident.ProcessID) (port.Status, error) {
+	if to == l.self {
+		return l.handler.HandleStatus(ctx)
+	}
+	return l.Peers.Status(ctx, to)
+}
+
+// Submit implements port.Peers.
+func (l *localPeers) Submit(ctx context.Context, to ident.ProcessID, call port.Submit) (job.Status, error) {
+	if to == l.self {
+		return detached(ctx, l.life, func(ctx context.Context) (job.Status, error) {
+			return l.handler.HandleSubmit(ctx, call)
+		})
+	}
+	return l.Peers.Submit(ctx, to, call)
+}
+
+// QueryJob implements port.Peers.
+func (l *localPeers) QueryJob(ctx context.Context, to ident.ProcessID, call port.QueryJob) (job.Status, error) {
+	if to == l.self {
+		return l.handler.HandleQueryJob(ctx, call)
+	}
+	return l.Peers.QueryJob(ctx, to, call)
+}
+
+// CancelWork implements port.Peers.
+func (l *localPeers) CancelWork(ctx context.Context, to ident.ProcessID, id ident.WorkID) (job.Status, error) {
+	if to == l.self {
+		return detached(ctx, l.life, func(ctx context.Context) (job.Status, error) {
+			return l.handler.HandleCancelWork(ctx, id)
+		})
+	}
+	return l.Peers.CancelWork(ctx, to, id)
+}
+
+// Reserve implements port.Peers.
+func (l *localPeers) Reserve(ctx context.Context, to ident.ProcessID, call port.Reserve) ([]uint32, error) {
+	if to == l.self {
+		return l.handler.HandleReserve(ctx, call)
+	}
+	return l.Peers.Reserve(ctx, to, call)
+}
+
+// Release implements port.Peers.
+func (l *localPeers) Release(ctx context.Context, to ident.ProcessID, call port.Release) error {
+	if to == l.self {
+		return l.handler.HandleRelease(ctx, call)
+	}
+	return l.Peers.Release(ctx, to, call)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	VMListAddress string // host:port of the VM list
 	DrainTimeout  time.Duration
 	TimelineSize  int // events kept
+	Journal       home.Journal
 }
 
 // Failure detection of peers.
@@ -68,6 +69,8 @@
 	calls     port.Peers
 	caller    net.Listener
 	peer      net.Listener
+	life      context.Context // ends with Run
+	end       context.CancelFunc
 
 	mu       sync.Mutex
 	draining bool
@@ -93,15 +96,23 @@
 	}
 	self := membership.Peer{ID: settings.ID, Zone: settings.Zone, Incarnation: uint64(n.started.UnixNano())}
 	n.members = membership.New(self, membership.Settings{DeadAfter: deadAfter, Rejoin: rejoinRow})
+	if n.settings.Journal == nil {
+		n.settings.Journal = home.NoJournal{}
+	}
+	n.life, n.end = context.WithCancel(context.Background())
 	n.wire()
 	return n, nil
 }
 
 func (n *Node) wire() {
 	n.peers = peering.New(n.members, n.dir, n.recorder, n.log, n.catalog.Revision,
-		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
+		func(now time.Time) fleet.Digest {
+			digest := n.owner.Digest(now)
+			digest.Shapes = n.owner.Shapes()
+			return digest
+		})
 	n.transport = peerwire.New(n.settings.ID, n.peer, n.peers, n, n.recorder, n.log)
-	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n}
+	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n, life: n.life}
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workerhttp.Dialer{},
 		Peers: n.calls, Policy: fleet.FirstFit{}, Recorder: n.recorder, Log: n.log,
@@ -109,7 +120,7 @@
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
 		Beats: n.peers.Heartbeats, Digest: n.owner.Digest, Dir: n.dir, Peers: n.calls, Recorder: n.recorder, Log: n.log,
-		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
+		LostAfter: owner.TaskLeaseBound, Journal: n.settings.Journal,
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: storehttp.New(n.settings.StoreAddress), Peers: n.calls, Beats: n.peers.Heartbeats,
@@ -117,9 +128,24 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Self: n.settings.ID, Members: n.members, Catalog: n.catalog, Peers: n.calls, Recorder: n.recorder, Log: n.log,
+		Shapes: n.shapes,
 	})
 }
 
+// shapes returns the capacities of the cell's workers. It returns false while some worker of the VM list is not known,
+// because then work that seems impossible may fit on it.
+func (n *Node) shapes() ([]fleet.Shape, bool) {
+	shapes := n.owner.Shapes()
+	for _, beat := range n.peers.Heartbeats() {
+		shapes = append(shapes, beat.Digest.Shapes...)
+	}
+	known := 0
+	for _, shape := range shapes {
+		known += shape.Count
+	}
+	return shapes, n.dir.Known() && known > 0 && known >= len(n.dir.VMs(port.RoleWorker))
+}
+
 // CallerAddress returns the host:port that callers reach.
 func (n *Node) CallerAddress() string { return n.caller.Addr().String() }
 
@@ -134,7 +160,7 @@
 		return err
 	}
 	server := httpjson.NewServer(handler)
-	inner, stop := context.WithCancel(context.Background())
+	inner, stop := n.life, n.end
 	defer stop()
 	var running sync.WaitGroup
 	running.Go(func() { n.dir.Run(inner) })
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -20,6 +20,7 @@
 // Place asks an owner to run one attempt on one of its workers and to return its outcome.
 type Place struct {
 	Attach    bool // only wait for an attempt that the owner holds; NotFound when it holds none
+	Reserved  bool // start in the room that a Reserve of the same attempt holds; NoCapacity when it has expired
 	Partition ident.PartitionID
 	Home      ident.HomeEpoch
 	Spec      work.Spec
@@ -97,11 +98,12 @@
 	Place(ctx context.Context, to ident.ProcessID, call Place) (work.Outcome, error)
 	TakeHome(ctx context.Context, to ident.ProcessID, call TakeHome) (Held, error)
 	Report(ctx context.Context, to ident.ProcessID, call Report) error
-	Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error)
+	Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) (int, error)
 	Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error
 	Documents(ctx context.Context, to ident.ProcessID, after ident.Revision) (Documents, error)
 	Events(ctx context.Context, to ident.ProcessID, filter timeline.Filter) ([]timeline.Event, error)
 	Status(ctx context.Context, to ident.ProcessID) (Status, error)
+	JobPeers
 }
 
 // PeerHandler answers the calls of other processes.
@@ -110,9 +112,10 @@
 	HandlePlace(ctx context.Context, call Place) (work.Outcome, error)
 	HandleTakeHome(ctx context.Context, call TakeHome) (Held, error)
 	HandleReport(ctx context.Context, call Report) error
-	HandleCancel(ctx context.Context, task ident.TaskID) (bool, error)
+	HandleCancel(ctx context.Context, tasks []ident.TaskID) (int, error)
 	HandleSettle(ctx context.Context, tasks []ident.TaskID) error
 	HandleDocuments(ctx context.Context, after ident.Revision) (Documents, error)
 	HandleEvents(ctx context.Context, filter timeline.Filter) ([]timeline.Event, error)
 	HandleStatus(ctx context.Context) (Status, error)
+	JobHandler
 }
