Add the commands for jobs and a demo that checks itself

Cause: jobs could be submitted over HTTP only, and the demo ran requests without checking anything. The stand-ins now tell starts and ends in the order of the grant's decisions. A cancellation that overtakes the placement on its way to the owner is sent again: the owner tells which tasks it does not hold. Conclusion: the demo serves as the check of the whole path.

--- a/internal/adapter/peerwire/calls.go
+++ b/internal/adapter/peerwire/calls.go
@@ -62,10 +62,12 @@
 }
 
 // Cancel implements port.Peers.
-func (t *Transport) Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) (int, error) {
+func (t *Transport) Cancel(
+	ctx context.Context, to ident.ProcessID, tasks []ident.TaskID,
+) ([]ident.TaskID, error) {
 	body := &peerpb.Cancel{Tasks: encodeTasks(tasks)}
 	reply, err := t.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Cancel{Cancel: body}})
-	return int(reply.GetCanceled().GetFound()), err
+	return decodeTasks(reply.GetCanceled().GetMissing()), err
 }
 
 // Settle implements port.Peers.
--- a/internal/adapter/peerwire/dispatch.go
+++ b/internal/adapter/peerwire/dispatch.go
@@ -86,11 +86,12 @@
 }
 
 func (t *Transport) cancel(ctx context.Context, call *peerpb.Cancel) (*peerpb.Reply, error) {
-	found, err := t.handler.HandleCancel(ctx, decodeTasks(call.GetTasks()))
+	missing, err := t.handler.HandleCancel(ctx, decodeTasks(call.GetTasks()))
 	if err != nil {
 		return nil, err
 	}
-	return &peerpb.Reply{Body: &peerpb.Reply_Canceled{Canceled: &peerpb.Canceled{Found: uint32(found)}}}, nil
+	canceled := &peerpb.Canceled{Missing: encodeTasks(missing)}
+	return &peerpb.Reply{Body: &peerpb.Reply_Canceled{Canceled: canceled}}, nil
 }
 
 func (t *Transport) documents(ctx context.Context, call *peerpb.FetchDocuments) (*peerpb.Reply, error) {
--- a/internal/app/home/flight.go
+++ b/internal/app/home/flight.go
@@ -25,6 +25,12 @@
 	halted bool            // it was canceled
 }
 
+// stop is a flight to stop.
+type stop struct {
+	task   ident.TaskID
+	flight *flight
+}
+
 // launch notes that a task is in flight. Every launch is followed by a land.
 func (p *partition) launch(task ident.TaskID) *flight {
 	p.mu.Lock()
@@ -68,7 +74,7 @@
 	}
 	p.mu.Unlock()
 	if halted {
-		p.service.stop(owner, []ident.TaskID{task})
+		p.service.stop(owner, []stop{{task, f}})
 	}
 }
 
@@ -79,17 +85,16 @@
 	return p.flights[task] != nil
 }
 
-// isAt reports whether the task is in flight at the owner.
-func (p *partition) isAt(task ident.TaskID, owner ident.ProcessID) bool {
+// isAt reports whether the flight goes on at the owner.
+func (p *partition) isAt(s stop, owner ident.ProcessID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f, ok := p.flights[task]
-	return ok && f.owner == owner
+	return p.flights[s.task] == s.flight && s.flight.owner == owner
 }
 
 // halt cancels tasks in flight: those at an owner are stopped there, the others do not go to one.
 func (p *partition) halt(tasks []ident.TaskID) {
-	byOwner := map[ident.ProcessID][]ident.TaskID{}
+	byOwner := map[ident.ProcessID][]stop{}
 	p.mu.Lock()
 	for _, task := range tasks {
 		f, ok := p.flights[task]
@@ -98,21 +103,21 @@
 		}
 		f.halted = true
 		if f.owner != "" {
-			byOwner[f.owner] = append(byOwner[f.owner], task)
+			byOwner[f.owner] = append(byOwner[f.owner], stop{task, f})
 		}
 	}
 	p.mu.Unlock()
-	for owner, tasks := range byOwner {
-		p.service.stop(owner, tasks)
+	for owner, stops := range byOwner {
+		p.service.stop(owner, stops)
 	}
 }
 
 // stop asks an owner to stop tasks. What gathers while a call to the owner is under way goes into the next call, so that a
 // burst of cancellations takes few calls.
-func (s *Service) stop(owner ident.ProcessID, tasks []ident.TaskID) {
+func (s *Service) stop(owner ident.ProcessID, stops []stop) {
 	s.mu.Lock()
 	gathered, busy := s.stops[owner]
-	s.stops[owner] = append(gathered, tasks...)
+	s.stops[owner] = append(gathered, stops...)
 	s.mu.Unlock()
 	if !busy {
 		go s.sendStops(owner)
@@ -125,20 +130,41 @@
 		if len(batch) == 0 {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		_, err := s.Peers.Cancel(ctx, owner, batch)
-		cancel()
-		if err == nil {
+		left := s.sendBatch(owner, batch)
+		if len(left) == 0 {
 			continue
 		}
-		s.Log.Info("tasks not stopped", "owner", owner, "tasks", len(batch), "error", err)
 		pause.For(context.Background(), pause.Jitter(stopRetry))
-		s.stopAgain(owner, batch)
+		s.stopAgain(owner, left)
+	}
+}
+
+// sendBatch sends one call and returns what must be sent again: all of it when the call failed, and otherwise what the
+// owner does not hold, because the call may have overtaken the placement.
+func (s *Service) sendBatch(owner ident.ProcessID, batch []stop) []stop {
+	byTask := make(map[ident.TaskID]stop, len(batch))
+	tasks := make([]ident.TaskID, len(batch))
+	for i, item := range batch {
+		byTask[item.task], tasks[i] = item, item.task
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	missing, err := s.Peers.Cancel(ctx, owner, tasks)
+	if err != nil {
+		s.Log.Info("tasks not stopped", "owner", owner, "tasks", len(batch), "error", err)
+		return batch
 	}
+	var left []stop
+	for _, task := range missing {
+		if item, ok := byTask[task]; ok {
+			left = append(left, item)
+		}
+	}
+	return left
 }
 
 // nextStops returns what to send next. When it returns nothing, the next stop starts a goroutine of its own.
-func (s *Service) nextStops(owner ident.ProcessID) []ident.TaskID {
+func (s *Service) nextStops(owner ident.ProcessID) []stop {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gathered := s.stops[owner]
@@ -151,12 +177,12 @@
 	return gathered[:n]
 }
 
-// stopAgain keeps the tasks that are still in flight at the owner for the next call.
-func (s *Service) stopAgain(owner ident.ProcessID, tasks []ident.TaskID) {
-	var left []ident.TaskID
-	for _, task := range tasks {
-		if s.partitions[task.Work.Partition()].isAt(task, owner) {
-			left = append(left, task)
+// stopAgain keeps the flights that go on at the owner for the next call.
+func (s *Service) stopAgain(owner ident.ProcessID, stops []stop) {
+	var left []stop
+	for _, item := range stops {
+		if s.partitions[item.task.Work.Partition()].isAt(item, owner) {
+			left = append(left, item)
 		}
 	}
 	s.mu.Lock()
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -43,13 +43,13 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	stops  map[ident.ProcessID][]ident.TaskID // tasks to stop, by owner; a key without tasks: a call is under way
+	stops  map[ident.ProcessID][]stop // by owner; an owner without stops: a call is under way
 }
 
 // New returns a service that is the home of nothing yet.
 func New(config Config) *Service {
 	s := &Service{Config: config, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	s.stops = map[ident.ProcessID][]ident.TaskID{}
+	s.stops = map[ident.ProcessID][]stop{}
 	for i := range s.partitions {
 		s.partitions[i] = newPartition(s, ident.PartitionID(i))
 	}
--- a/internal/app/home/job_restore.go
+++ b/internal/app/home/job_restore.go
@@ -7,7 +7,9 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/job"
 	"skylarkstall/internal/domain/journal"
+	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
 )
 
 // takeRetry is the mean pause before the journal is read again while the store is down.
@@ -40,7 +42,7 @@
 			r.job.Restore(record)
 		}
 	}
-	held := p.heldTasks(jobs, found)
+	held := p.heldTasks(ctx, jobs, found)
 	for id, r := range jobs {
 		close(r.accepted)
 		p.resume(ctx, r, held[id], found)
@@ -55,7 +57,7 @@
 
 // heldTasks returns the attempts that owners hold, by job. Those of jobs that the journal does not know are stopped.
 func (p *partition) heldTasks(
-	jobs map[ident.WorkID]*runner, found survey,
+	ctx context.Context, jobs map[ident.WorkID]*runner, found survey,
 ) map[ident.WorkID]map[uint32]ident.Attempt {
 	held := map[ident.WorkID]map[uint32]ident.Attempt{}
 	for _, t := range found.tasks {
@@ -63,7 +65,7 @@
 		switch {
 		case t.Task.Index == 0:
 		case jobs[id] == nil:
-			p.service.stop(found.owners[t.Task], []ident.TaskID{t.Task})
+			go p.stopUnknown(ctx, found.owners[t.Task], t)
 		default:
 			if held[id] == nil {
 				held[id] = map[uint32]ident.Attempt{}
@@ -74,6 +76,18 @@
 	return held
 }
 
+// stopUnknown stops a task of a job that the journal does not know, and sees it through to its end.
+func (p *partition) stopUnknown(ctx context.Context, owner ident.ProcessID, held port.HeldTask) {
+	defer p.land(held.Task, p.launch(held.Task))
+	p.halt([]ident.TaskID{held.Task})
+	epoch, _ := p.tenure()
+	call := port.Place{Partition: p.id, Home: epoch, Spec: work.Spec{ID: held.Task, Attempt: held.Attempt}}
+	call.Spec.Size.Slots = 1 // the least that a frame may carry; an attach does not use it
+	if _, err := p.attach(ctx, owner, call); gone(err) {
+		_, _ = p.follow(ctx, call) // the outcome of an unknown job is not told to anyone
+	}
+}
+
 // resume attaches the job to the attempts that owners hold and goes on with it.
 func (p *partition) resume(ctx context.Context, r *runner, held map[uint32]ident.Attempt, found survey) {
 	attached := r.job.Attach(held)
--- a/internal/app/owner/cancel.go
+++ b/internal/app/owner/cancel.go
@@ -25,20 +25,19 @@
 	return fault.New(fault.Canceled, "%s was canceled before it started", task)
 }
 
-// HandleCancel stops tasks that wait or run here and returns how many it held. A task whose start is in flight is stopped
+// HandleCancel stops tasks that wait or run here and returns those that it does not hold. A task whose start is in flight is stopped
 // by the goroutine that starts it. The cost grows linearly with the number of tasks: one pass over the queue for all that
 // wait, and one stop for each that runs, on all workers at the same time.
-func (s *Service) HandleCancel(ctx context.Context, tasks []ident.TaskID) (int, error) {
+func (s *Service) HandleCancel(ctx context.Context, tasks []ident.TaskID) ([]ident.TaskID, error) {
 	s.recordCancels(tasks)
-	found := 0
-	var waiting []ident.TaskID
+	var missing, waiting []ident.TaskID
 	running := map[ident.WorkerID][]ident.TaskID{}
 	for _, task := range tasks {
 		a, ok := s.held(task)
-		if !ok {
+		if !ok || a.isEnded() {
+			missing = append(missing, task)
 			continue
 		}
-		found++
 		if worker, started := a.halt(); started {
 			running[worker] = append(running[worker], task)
 		} else {
@@ -50,7 +49,7 @@
 			s.finish(a, work.Outcome{}, canceledBefore(task))
 		}
 	}
-	return found, s.stopAll(ctx, running)
+	return missing, s.stopAll(ctx, running)
 }
 
 func (s *Service) recordCancels(tasks []ident.TaskID) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,7 +48,7 @@
 		ShortHelp:  "A cluster scheduler for teams that share one pool of VMs.",
 		FlagSet:    a.flags("skylarkstall"),
 		Subcommands: []*ffcli.Command{
-			a.serve(), a.dev(), a.run(), a.standin(),
+			a.serve(), a.dev(), a.run(), a.submit(), a.status(), a.wait(), a.cancel(), a.standin(),
 		},
 	}
 	root.Exec = func(_ context.Context, args []string) error {
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"skylarkstall/internal/adapter/callerhttp"
 	"skylarkstall/internal/devcell"
-	"skylarkstall/internal/fault"
-	"skylarkstall/internal/standin/worker"
 )
 
 // startTimeout bounds the start of a cell.
@@ -22,7 +18,7 @@
 	address := fs.String("caller-address", "127.0.0.1:7070", "host:port of the first process")
 	processes := fs.Int("processes", 3, "entry processes")
 	workers := fs.Int("workers", 6, "worker stand-ins")
-	demo := fs.Bool("demo", false, "submit work of every kind, print the answers and the time line, and stop")
+	runDemo := fs.Bool("demo", false, "submit work of every class, print the answers and the time line, check them, and stop")
 	level := fs.String("log-level", "warn", "debug, info, warn or error")
 	return &ffcli.Command{
 		Name: "dev", ShortUsage: "skylarkstall dev [flags]", FlagSet: fs, Options: options(),
@@ -32,8 +28,9 @@
 			if err != nil {
 				return err
 			}
+			checks := devcell.NewInvariants(devcell.DefaultCapacity)
 			cell, err := devcell.Start(ctx, devcell.Settings{
-				Processes: *processes, Workers: *workers, CallerAddress: *address, Log: log,
+				Processes: *processes, Workers: *workers, CallerAddress: *address, Log: log, Observe: checks.Observe,
 			})
 			if err != nil {
 				return err
@@ -44,8 +41,9 @@
 			if err := cell.AwaitReady(ready); err != nil {
 				return err
 			}
-			if *demo {
-				return a.demo(ctx, cell)
+			if *runDemo {
+				d := &demo{app: a, cell: cell, checks: checks}
+				return d.run(ctx)
 			}
 			fmt.Fprintf(a.out, "%d processes and %d workers are ready; callers reach %s\n",
 				*processes, *workers, cell.Nodes[0].CallerAddress())
@@ -54,29 +52,3 @@
 		},
 	}
 }
-
-// demo submits work to every process and prints the answers and the time line.
-func (a *app) demo(ctx context.Context, cell *devcell.Cell) error {
-	for i, n := range cell.Nodes {
-		id := fmt.Sprintf("proof-%d", i+1)
-		payload, err := json.Marshal(worker.Payload{RunMS: 100, Echo: "proof checked: " + id})
-		if err != nil {
-			return fault.As(fault.Internal, err, "payload")
-		}
-		client := callerhttp.NewClient(n.CallerAddress(), "vembanad-dev-token")
-		reply, err := client.Run(ctx, callerhttp.RunCall{Team: "vembanad", RequestID: id, Kind: "proof", Payload: payload})
-		if err != nil {
-			return fault.Wrap(err, "request %s", id)
-		}
-		fmt.Fprintf(a.out, "%s through %s: %s\n", id, n.ID, reply.Output)
-	}
-	reply, err := callerhttp.NewClient(cell.Nodes[0].CallerAddress(), "").Timeline(ctx, "")
-	if err != nil {
-		return err
-	}
-	fmt.Fprintln(a.out, "\ntime line over all processes:")
-	for _, e := range reply.Events {
-		fmt.Fprintln(a.out, e.Text)
-	}
-	return nil
-}
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -38,7 +38,7 @@
 }
 
 // HandleCancel implements port.PeerHandler.
-func (n *Node) HandleCancel(ctx context.Context, tasks []ident.TaskID) (int, error) {
+func (n *Node) HandleCancel(ctx context.Context, tasks []ident.TaskID) ([]ident.TaskID, error) {
 	return n.owner.HandleCancel(ctx, tasks)
 }
 
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -76,7 +76,9 @@
 }
 
 // Cancel implements port.Peers.
-func (l *localPeers) Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) (int, error) {
+func (l *localPeers) Cancel(
+	ctx context.Context, to ident.ProcessID, tasks []ident.TaskID,
+) ([]ident.TaskID, error) {
 	if to == l.self {
 		return l.handler.HandleCancel(ctx, tasks)
 	}
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -98,7 +98,8 @@
 	Place(ctx context.Context, to ident.ProcessID, call Place) (work.Outcome, error)
 	TakeHome(ctx context.Context, to ident.ProcessID, call TakeHome) (Held, error)
 	Report(ctx context.Context, to ident.ProcessID, call Report) error
-	Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) (int, error)
+	// Cancel stops tasks and returns those that the owner does not hold: they have ended, or are still on their way to it.
+	Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) ([]ident.TaskID, error)
 	Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error
 	Documents(ctx context.Context, to ident.ProcessID, after ident.Revision) (Documents, error)
 	Events(ctx context.Context, to ident.ProcessID, filter timeline.Filter) ([]timeline.Event, error)
@@ -112,7 +113,7 @@
 	HandlePlace(ctx context.Context, call Place) (work.Outcome, error)
 	HandleTakeHome(ctx context.Context, call TakeHome) (Held, error)
 	HandleReport(ctx context.Context, call Report) error
-	HandleCancel(ctx context.Context, tasks []ident.TaskID) (int, error)
+	HandleCancel(ctx context.Context, tasks []ident.TaskID) ([]ident.TaskID, error)
 	HandleSettle(ctx context.Context, tasks []ident.TaskID) error
 	HandleDocuments(ctx context.Context, after ident.Revision) (Documents, error)
 	HandleEvents(ctx context.Context, filter timeline.Filter) ([]timeline.Event, error)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -52,11 +52,18 @@
 	listener net.Listener
 
 	mu      sync.Mutex
-	cancels map[ident.TaskID]context.CancelFunc
+	tasks   map[ident.TaskID]task // that run
 	running sync.WaitGroup
+	order   sync.Mutex // keeps observations in the order of the grant's decisions
 	observe func(Observation)
 }
 
+// task is an attempt that runs.
+type task struct {
+	start  work.Start
+	cancel context.CancelFunc
+}
+
 // Observation is the start or end of an attempt, for tests that check promises.
 type Observation struct {
 	Task    ident.TaskID
@@ -74,7 +81,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Worker{
 		settings: settings, grant: grant.New(settings.Capacity, settings.Zone, settings.Rack),
-		ctx: ctx, cancel: cancel, listener: listener, cancels: map[ident.TaskID]context.CancelFunc{}, observe: observe,
+		ctx: ctx, cancel: cancel, listener: listener, tasks: map[ident.TaskID]task{}, observe: observe,
 	}
 	w.server = httpjson.NewServer(w.routes())
 	w.running.Add(1)
@@ -199,6 +206,8 @@
 		httpjson.WriteError(rw, err)
 		return
 	}
+	w.order.Lock()
+	defer w.order.Unlock()
 	fresh, err := w.grant.Start(time.Now(), sent, start)
 	if err == nil && fresh {
 		w.launch(start)
@@ -210,7 +219,7 @@
 func (w *Worker) launch(start work.Start) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.mu.Lock()
-	w.cancels[start.Task] = cancel
+	w.tasks[start.Task] = task{start, cancel}
 	w.mu.Unlock()
 	w.note(Observation{start.Task, start.Attempt, start.Size, true})
 	w.running.Add(1)
@@ -228,7 +237,6 @@
 	if !w.settings.FailAll {
 		pause.For(ctx, time.Duration(payload.RunMS)*time.Millisecond)
 	}
-	w.note(Observation{start.Task, start.Attempt, start.Size, false})
 	outcome := work.Outcome{
 		Task: start.Task, Attempt: start.Attempt, OK: !payload.Fail && !w.settings.FailAll, RunTime: time.Since(began),
 	}
@@ -237,7 +245,9 @@
 	} else {
 		outcome.Message = "the task exited with status 1"
 	}
-	if ctx.Err() == nil && w.grant.Finish(outcome) {
+	w.order.Lock()
+	defer w.order.Unlock()
+	if w.halt(start.Task, start.Attempt) && w.ctx.Err() == nil && w.grant.Finish(outcome) {
 		w.changed.Signal()
 	}
 }
@@ -261,20 +271,42 @@
 	if err != nil {
 		return err
 	}
-	if _, err := w.grant.Stop(ident.Epoch(call.Epoch), task); err != nil {
+	w.order.Lock()
+	defer w.order.Unlock()
+	attempt, err := w.grant.Stop(ident.Epoch(call.Epoch), task)
+	if err != nil {
 		return err
 	}
-	w.halt(task)
+	w.halt(task, attempt)
 	w.changed.Signal()
 	return nil
 }
 
-func (w *Worker) halt(task ident.TaskID) {
+// halt notes the end of an attempt. It returns false if the attempt does not run.
+func (w *Worker) halt(id ident.TaskID, attempt ident.Attempt) bool {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if cancel, ok := w.cancels[task]; ok {
-		cancel()
-		delete(w.cancels, task)
+	t, ok := w.tasks[id]
+	ok = ok && t.start.Attempt == attempt
+	if ok {
+		t.cancel()
+		delete(w.tasks, id)
+	}
+	w.mu.Unlock()
+	if ok {
+		w.note(Observation{id, attempt, t.start.Size, false})
+	}
+	return ok
+}
+
+// expire stops every task when nobody renewed the control lease for the task lease.
+func (w *Worker) expire(now time.Time) {
+	w.order.Lock()
+	defer w.order.Unlock()
+	for _, id := range w.grant.Expire(now) {
+		w.mu.Lock()
+		attempt := w.tasks[id].start.Attempt
+		w.mu.Unlock()
+		w.halt(id, attempt)
 	}
 }
 
@@ -298,9 +330,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			for _, task := range w.grant.Expire(now) {
-				w.halt(task)
-			}
+			w.expire(now)
 		case <-w.ctx.Done():
 			return
 		}
