Test gangs, batches and cancellations through the death of a process

Cause: jobs were only tried while every process lived.

Change: failure tests for two gangs that contend, for a home killed between reserving and starting a gang, for an owner or home killed under a batch, and for 10,000 cancellations while requests run; a kill of a process in a test cell gives nothing back.

Before: no such test.

--- a/internal/app/owner/keeper.go
+++ b/internal/app/owner/keeper.go
@@ -192,6 +192,9 @@
 // release gives the worker back so that its next owner can claim it at once.
 func (k *keeper) release(epoch ident.Epoch) {
 	k.service.fleet.Remove(k.id)
+	if k.service.isAbandoned() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := k.client.Release(ctx, epoch); err != nil {
--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -56,9 +56,10 @@
 	reservations *reservation.Book
 	reserved     notify.Broadcast // room was reserved
 
-	mu      sync.Mutex
-	keepers map[ident.WorkerID]*keeper
-	pending map[ident.TaskID]*attempt
+	mu        sync.Mutex
+	abandoned bool
+	keepers   map[ident.WorkerID]*keeper
+	pending   map[ident.TaskID]*attempt
 }
 
 // New returns a service that owns nothing yet.
@@ -107,6 +108,19 @@
 	}
 }
 
+// Abandon makes the service end without giving its workers back, as when the process dies.
+func (s *Service) Abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandoned = true
+}
+
+func (s *Service) isAbandoned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.abandoned
+}
+
 func (s *Service) addKeeper(vm port.VM) *keeper {
 	k := newKeeper(s, vm)
 	s.mu.Lock()
--- /dev/null
+++ b/internal/celltest/jobs_failure_test.go
@@ -0,0 +1,253 @@
+package celltest_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarkstall/internal/adapter/callerhttp"
+	"skylarkstall/internal/devcell"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+	"skylarkstall/internal/standin/worker"
+)
+
+// jobsChecked starts a cell whose workers are checked, and checks at the end that no promise was broken.
+func jobsChecked(t *testing.T, settings devcell.Settings) (*devcell.Cell, context.Context, *devcell.Invariants) {
+	t.Helper()
+	if settings.Capacity.IsZero() {
+		settings.Capacity = devcell.DefaultCapacity
+	}
+	checks := devcell.NewInvariants(settings.Capacity)
+	settings.Observe = checks.Observe
+	cell, ctx := jobsCell(t, settings)
+	t.Cleanup(func() {
+		for _, f := range checks.Faults() {
+			t.Error(f)
+		}
+	})
+	return cell, ctx, checks
+}
+
+func jobsSubmit(t *testing.T, ctx context.Context, c *callerhttp.Client, call callerhttp.JobCall) {
+	t.Helper()
+	if _, err := c.Submit(ctx, call); err != nil {
+		t.Fatalf("submit %s: %v", call.RequestID, err)
+	}
+}
+
+// jobsWait follows the progress through a change of home, until the job is complete.
+func jobsWait(t *testing.T, ctx context.Context, c *callerhttp.Client, team, id string) callerhttp.JobReply {
+	t.Helper()
+	for ctx.Err() == nil {
+		last, err := c.Progress(ctx, team, id, func(callerhttp.JobReply) error { return nil })
+		if err == nil {
+			return last
+		}
+		if !fault.KindOf(err).Answer().Retryable {
+			t.Fatalf("progress of %s: %v", id, err)
+		}
+	}
+	t.Fatalf("job %s did not end in time", id)
+	return callerhttp.JobReply{}
+}
+
+// jobsHome returns the index of the process that is the home of the id, and that of another one.
+func jobsHome(ctx context.Context, cell *devcell.Cell, id ident.WorkID) (home, other int) {
+	statuses, _ := cell.Nodes[0].Cell(ctx)
+	for _, s := range statuses {
+		for _, p := range s.Partitions {
+			for i, n := range cell.Nodes {
+				if p == id.Partition() && n.ID == s.Heartbeat.Peer.ID {
+					return i, (i + 1) % len(cell.Nodes)
+				}
+			}
+		}
+	}
+	return 0, 1
+}
+
+// TestGangsContend guards against two gangs that wait for each other, and against one that starts in part: each needs more
+// than half of the cell, so they can only run one after the other.
+func TestGangsContend(t *testing.T) {
+	cell, ctx, checks := jobsChecked(t, devcell.Settings{Processes: 3, Workers: 3})
+	const gangs, tasks = 4, 16
+	var running sync.WaitGroup
+	for i := range gangs {
+		client := jobsClient(cell, i%3, "vembanad")
+		id := fmt.Sprintf("gang-%d", i)
+		jobsSubmit(t, ctx, client, callerhttp.JobCall{
+			Team: "vembanad", RequestID: id, Kind: "press-run", Tasks: tasks,
+			Payload: jobsPayload(t, worker.Payload{RunMS: 200}),
+		})
+		running.Go(func() {
+			last := jobsWait(t, ctx, client, "vembanad", id)
+			most := checks.MostAtOnce(ident.WorkID{Team: "vembanad", Request: ident.RequestID(id)})
+			if last.Succeeded != tasks || most != tasks {
+				t.Errorf("%s: %d of %d tasks succeeded, %d at once", id, last.Succeeded, tasks, most)
+			}
+		})
+	}
+	running.Wait()
+}
+
+// breakCommit lets a test act at the first start under a reservation, and loses that start.
+type breakCommit struct {
+	port.Peers
+	once *sync.Once
+	act  func()
+}
+
+func (b breakCommit) Place(ctx context.Context, to ident.ProcessID, call port.Place) (work.Outcome, error) {
+	lost := false
+	if call.Reserved {
+		b.once.Do(func() { lost = true; b.act() })
+	}
+	if lost {
+		<-ctx.Done()
+		return work.Outcome{}, fault.New(fault.Interrupted, "the process died")
+	}
+	return b.Peers.Place(ctx, to, call)
+}
+
+// TestGangHomeKilledBeforeCommit guards against room that stays reserved for a dead home, and against a gang that its new
+// home forgets or starts in part. The gang needs the whole cell, so room that stays reserved would keep it from starting.
+func TestGangHomeKilledBeforeCommit(t *testing.T) {
+	var once sync.Once
+	killed := make(chan ident.ProcessID, 1)
+	cell, ctx, checks := jobsChecked(t, devcell.Settings{
+		Processes: 3, Workers: 3,
+		WrapPeers: func(id ident.ProcessID, peers port.Peers) port.Peers {
+			return breakCommit{peers, &once, func() { killed <- id }}
+		},
+	})
+	const tasks = 24
+	id := ident.WorkID{Team: "vembanad", Request: "whole-cell"}
+	_, other := jobsHome(ctx, cell, id)
+	client := jobsClient(cell, other, "vembanad")
+	jobsSubmit(t, ctx, client, callerhttp.JobCall{
+		Team: "vembanad", RequestID: "whole-cell", Kind: "press-run", Tasks: tasks,
+		Payload: jobsPayload(t, worker.Payload{RunMS: 200}),
+	})
+	dead := <-killed
+	for _, n := range cell.Nodes {
+		if n.ID == dead {
+			n.Kill()
+		}
+	}
+	last := jobsWait(t, ctx, client, "vembanad", "whole-cell")
+	if most := checks.MostAtOnce(id); last.Succeeded != tasks || most != tasks {
+		t.Errorf("%d of %d tasks succeeded, %d at once", last.Succeeded, tasks, most)
+	}
+}
+
+// TestProcessKilledUnderBatch guards against tasks that are lost or run in two places when an owner or the home dies.
+func TestProcessKilledUnderBatch(t *testing.T) {
+	for _, victim := range []string{"owner", "home"} {
+		t.Run(victim, func(t *testing.T) {
+			t.Parallel()
+			cell, ctx, _ := jobsChecked(t, devcell.Settings{Processes: 3, Workers: 6})
+			const tasks = 400
+			home, other := jobsHome(ctx, cell, ident.WorkID{Team: "vembanad", Request: "batch"})
+			dies, stays := home, other
+			if victim == "owner" {
+				dies, stays = other, home
+			}
+			client := jobsClient(cell, stays, "vembanad")
+			jobsSubmit(t, ctx, client, callerhttp.JobCall{
+				Team: "vembanad", RequestID: "batch", Kind: "separation", Tasks: tasks,
+				Payload: jobsPayload(t, worker.Payload{RunMS: 200, Echo: "separated"}),
+			})
+			for reply := (callerhttp.JobReply{}); reply.Succeeded < tasks/8; {
+				var err error
+				if reply, err = client.Job(ctx, "vembanad", "batch", 0); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			cell.Nodes[dies].Kill()
+			if last := jobsWait(t, ctx, client, "vembanad", "batch"); last.Succeeded != tasks {
+				t.Errorf("%d of %d tasks succeeded: %+v", last.Succeeded, tasks, last)
+			}
+			whole, err := client.JobResults(ctx, "vembanad", "batch")
+			if err != nil || len(whole.Results) != tasks {
+				t.Errorf("%d results: %v", len(whole.Results), err)
+			}
+		})
+	}
+}
+
+// countCancels counts the calls that cancel and the tasks in them.
+type countCancels struct {
+	port.Peers
+	calls, tasks *atomic.Int64
+}
+
+func (c countCancels) Cancel(
+	ctx context.Context, to ident.ProcessID, tasks []ident.TaskID,
+) ([]ident.TaskID, error) {
+	c.calls.Add(1)
+	c.tasks.Add(int64(len(tasks)))
+	return c.Peers.Cancel(ctx, to, tasks)
+}
+
+// TestCancelWave guards against a burst of cancellations that takes a call for each task or keeps requests from being
+// placed. The workers have a core and slots beyond what batch tasks fill, so that requests need not wait for room.
+func TestCancelWave(t *testing.T) {
+	var calls, tasks atomic.Int64
+	cell, ctx, checks := jobsChecked(t, devcell.Settings{
+		Processes: 3, Workers: 6, Capacity: resource.Vector{MilliCores: 33_000, MemoryBytes: 128 << 30, Slots: 16},
+		WrapPeers: func(_ ident.ProcessID, peers port.Peers) port.Peers { return countCancels{peers, &calls, &tasks} },
+	})
+	const jobs, tasksEach, requests = 10, 1000, 100
+	client := jobsClient(cell, 0, "goldfields")
+	payload := jobsPayload(t, worker.Payload{RunMS: 30_000})
+	for i := range jobs {
+		jobsSubmit(t, ctx, client, callerhttp.JobCall{
+			Team: "goldfields", RequestID: fmt.Sprintf("cutting-%d", i), Kind: "last-cutting", Tasks: tasksEach, Payload: payload,
+		})
+	}
+	for checks.RunningNow() < 6*8 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	var running sync.WaitGroup
+	for i := range jobs {
+		running.Go(func() {
+			if _, err := client.Cancel(ctx, "goldfields", fmt.Sprintf("cutting-%d", i)); err != nil {
+				t.Errorf("cancel: %v", err)
+			}
+		})
+	}
+	quote := jobsPayload(t, worker.Payload{RunMS: 10, Echo: "quote"})
+	for i := range requests {
+		running.Go(func() {
+			reply, err := jobsClient(cell, i%3, "goldfields").Run(ctx, callerhttp.RunCall{
+				Team: "goldfields", RequestID: fmt.Sprintf("quote-%d", i), Kind: "quote", Payload: quote,
+			})
+			if err != nil || string(reply.Output) != "quote" {
+				t.Errorf("request %d during the wave: %v", i, err)
+			}
+		})
+	}
+	running.Wait()
+	for i := range jobs {
+		last := jobsWait(t, ctx, client, "goldfields", fmt.Sprintf("cutting-%d", i))
+		if last.Canceled != tasksEach {
+			t.Errorf("job %d: %+v", i, last)
+		}
+	}
+	t.Logf("%d calls canceled %d tasks", calls.Load(), tasks.Load())
+	// One call for each job and owner, and as many again for tasks that were on their way to an owner.
+	if limit := int64(2 * jobs * 3); calls.Load() > limit {
+		t.Errorf("%d calls to cancel %d tasks; want at most %d", calls.Load(), jobs*tasksEach, limit)
+	}
+	if n := checks.RunningNow(); n > 0 {
+		t.Errorf("%d tasks run after the cancellation", n)
+	}
+}
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -34,8 +34,9 @@
 	Capacity      resource.Vector // of each worker
 	CallerAddress string          // of the first process; the others listen on free ports
 	Log           *slog.Logger
-	Observe       func(ident.WorkerID, worker.Observation) // may be nil
-	Journals      *journal.Journals                        // in memory; new ones when nil
+	Observe       func(ident.WorkerID, worker.Observation)     // may be nil
+	Journals      *journal.Journals                            // in memory; new ones when nil
+	WrapPeers     func(ident.ProcessID, port.Peers) port.Peers // may be nil
 }
 
 // WorkersPerRack is how many workers share a rack.
@@ -171,6 +172,12 @@
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
 		StoreAddress: c.Store.Address(), VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
 		TimelineSize: 20_000, Journal: c.settings.Journals.Writer(ident.ProcessID(id)),
+		WrapPeers: func(peers port.Peers) port.Peers {
+			if c.settings.WrapPeers == nil {
+				return peers
+			}
+			return c.settings.WrapPeers(ident.ProcessID(id), peers)
+		},
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
@@ -194,6 +201,12 @@
 	<-n.done
 }
 
+// Kill ends the process at once, without a drain, and waits for its end.
+func (n *Node) Kill() {
+	n.Node.Kill()
+	<-n.done
+}
+
 // readyRetry is the pause between questions whether a process is ready.
 const readyRetry = 50 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	DrainTimeout  time.Duration
 	TimelineSize  int // events kept
 	Journal       home.Journal
+	WrapPeers     func(port.Peers) port.Peers // lets a test see or break calls between processes; may be nil
 }
 
 // Failure detection of peers.
@@ -113,6 +114,9 @@
 		})
 	n.transport = peerwire.New(n.settings.ID, n.peer, n.peers, n, n.recorder, n.log)
 	n.calls = &localPeers{Peers: n.transport, self: n.settings.ID, handler: n, life: n.life}
+	if n.settings.WrapPeers != nil {
+		n.calls = n.settings.WrapPeers(n.calls)
+	}
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workerhttp.Dialer{},
 		Peers: n.calls, Policy: fleet.FirstFit{}, Recorder: n.recorder, Log: n.log,
@@ -170,6 +174,8 @@
 	running.Go(func() { n.config.Run(inner) })
 	running.Go(func() { n.config.RunPeers(inner) })
 	running.Go(func() { n.runOwnership(inner) })
+	closed := context.AfterFunc(inner, func() { _ = server.Close() }) // does nothing after a drain
+	defer closed()
 	drained := context.AfterFunc(ctx, func() { n.drain(server, stop) })
 	defer drained()
 	err = callerhttp.Serve(server, n.caller)
@@ -221,6 +227,12 @@
 	stop()
 }
 
+// Kill ends the process at once, as when its VM fails: nothing is given back and no call is finished.
+func (n *Node) Kill() {
+	n.owner.Abandon()
+	n.end()
+}
+
 // Ready tells the balancer whether the process takes work. It fails with Draining or NotReady.
 func (n *Node) Ready() error {
 	n.mu.Lock()
