Test jobs through the death of a process with tasks that outlast it

Cause: the batch test's tasks were too short to run while nobody owned their workers.

Change: two batches of 7 s tasks, one of which runs on other processes' workers, and a start count for each task; an assignment that waits is also ended by a cancellation.

--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -121,7 +121,13 @@
 	if s.fleet.Cancel(spec.ID) {
 		return fleet.Assignment{}, fault.New(fault.DeadlineExceeded, "%s waited until its deadline", spec.ID)
 	}
-	return <-a.assigned, nil // the queue gave the task a worker at the same time
+	select { // at the same time the queue gave the task a worker, or it was canceled
+	case assignment := <-a.assigned:
+		return assignment, nil
+	case <-a.done:
+		_, err := a.result()
+		return fleet.Assignment{}, err
+	}
 }
 
 func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
--- a/internal/celltest/jobs_failure_test.go
+++ b/internal/celltest/jobs_failure_test.go
@@ -76,6 +76,7 @@
 // TestGangsContend guards against two gangs that wait for each other, and against one that starts in part: each needs more
 // than half of the cell, so they can only run one after the other.
 func TestGangsContend(t *testing.T) {
+	t.Parallel()
 	cell, ctx, checks := jobsChecked(t, devcell.Settings{Processes: 3, Workers: 3})
 	const gangs, tasks = 4, 16
 	var running sync.WaitGroup
@@ -119,6 +120,7 @@
 // TestGangHomeKilledBeforeCommit guards against room that stays reserved for a dead home, and against a gang that its new
 // home forgets or starts in part. The gang needs the whole cell, so room that stays reserved would keep it from starting.
 func TestGangHomeKilledBeforeCommit(t *testing.T) {
+	t.Parallel()
 	var once sync.Once
 	killed := make(chan ident.ProcessID, 1)
 	cell, ctx, checks := jobsChecked(t, devcell.Settings{
@@ -147,37 +149,51 @@
 	}
 }
 
-// TestProcessKilledUnderBatch guards against tasks that are lost or run in two places when an owner or the home dies.
+// jobsSameHome returns another id in the partition of the id.
+func jobsSameHome(id ident.WorkID) ident.WorkID {
+	other := id
+	for i := 0; other == id || other.Partition() != id.Partition(); i++ {
+		other.Request = ident.RequestID(fmt.Sprintf("%s-%d", id.Request, i))
+	}
+	return other
+}
+
+// TestProcessKilledUnderBatch guards against tasks that are lost or run in two places when an owner or the home dies. The
+// first batch fills the workers of the home, so that tasks of the second one are on those of the other processes. They
+// run on while nobody owns their workers, and there is room to start them elsewhere.
 func TestProcessKilledUnderBatch(t *testing.T) {
 	for _, victim := range []string{"owner", "home"} {
 		t.Run(victim, func(t *testing.T) {
 			t.Parallel()
-			cell, ctx, _ := jobsChecked(t, devcell.Settings{Processes: 3, Workers: 6})
-			const tasks = 400
-			home, other := jobsHome(ctx, cell, ident.WorkID{Team: "vembanad", Request: "batch"})
+			cell, ctx, checks := jobsChecked(t, devcell.Settings{Processes: 3, Workers: 6})
+			first := ident.WorkID{Team: "vembanad", Request: "batch"}
+			second := jobsSameHome(first)
+			home, other := jobsHome(ctx, cell, first)
 			dies, stays := home, other
 			if victim == "owner" {
 				dies, stays = other, home
 			}
 			client := jobsClient(cell, stays, "vembanad")
-			jobsSubmit(t, ctx, client, callerhttp.JobCall{
-				Team: "vembanad", RequestID: "batch", Kind: "separation", Tasks: tasks,
-				Payload: jobsPayload(t, worker.Payload{RunMS: 200, Echo: "separated"}),
-			})
-			for reply := (callerhttp.JobReply{}); reply.Succeeded < tasks/8; {
-				var err error
-				if reply, err = client.Job(ctx, "vembanad", "batch", 0); err != nil {
-					t.Fatal(err)
+			tasks := map[ident.WorkID]uint32{first: 16, second: 12}
+			for _, id := range []ident.WorkID{first, second} {
+				jobsSubmit(t, ctx, client, callerhttp.JobCall{
+					Team: "vembanad", RequestID: string(id.Request), Kind: "separation", Tasks: tasks[id],
+					Payload: jobsPayload(t, worker.Payload{RunMS: 7000, Echo: "separated"}),
+				})
+				for checks.MostAtOnce(id) < int(tasks[id]) && ctx.Err() == nil {
+					time.Sleep(10 * time.Millisecond)
 				}
-				time.Sleep(20 * time.Millisecond)
 			}
 			cell.Nodes[dies].Kill()
-			if last := jobsWait(t, ctx, client, "vembanad", "batch"); last.Succeeded != tasks {
-				t.Errorf("%d of %d tasks succeeded: %+v", last.Succeeded, tasks, last)
-			}
-			whole, err := client.JobResults(ctx, "vembanad", "batch")
-			if err != nil || len(whole.Results) != tasks {
-				t.Errorf("%d results: %v", len(whole.Results), err)
+			for id, n := range tasks {
+				if last := jobsWait(t, ctx, client, "vembanad", string(id.Request)); last.Succeeded != n {
+					t.Errorf("%s: %+v", id, last)
+				}
+				for i := range n {
+					if starts := checks.Starts(ident.TaskID{Work: id, Index: i + 1}); starts != 1 {
+						t.Errorf("task %d of %s ran through the death of a process, and was started %d times", i+1, id, starts)
+					}
+				}
 			}
 		})
 	}
@@ -200,6 +216,7 @@
 // TestCancelWave guards against a burst of cancellations that takes a call for each task or keeps requests from being
 // placed. The workers have a core and slots beyond what batch tasks fill, so that requests need not wait for room.
 func TestCancelWave(t *testing.T) {
+	t.Parallel()
 	var calls, tasks atomic.Int64
 	cell, ctx, checks := jobsChecked(t, devcell.Settings{
 		Processes: 3, Workers: 6, Capacity: resource.Vector{MilliCores: 33_000, MemoryBytes: 128 << 30, Slots: 16},
--- a/internal/celltest/jobs_test.go
+++ b/internal/celltest/jobs_test.go
@@ -43,6 +43,7 @@
 
 // TestJobOfEachClass guards the path of jobs from the caller to the workers and back.
 func TestJobOfEachClass(t *testing.T) {
+	t.Parallel()
 	cell, ctx := jobsCell(t, devcell.Settings{Processes: 3, Workers: 6})
 	client := jobsClient(cell, 0, "vembanad")
 	for kind, tasks := range map[string]uint32{"separation": 200, "press-run": 12} {
