--- a/internal/adapter/peerwire/calls.go
+++ b/internal/adapter/peerwire/calls.go
@@ -68,7 +68,7 @@
 func (t *Transport) Place(ctx context.Context, to ident.ProcessID, call port.Place) (work.Outcome, error) {
 	body := &peerpb.Place{
 		Partition: uint32(call.Partition), Home: encodeHome(call.Home), Spec: encodeSpec(call.Spec),
-		Attach: call.Attach,
+		Attach: call.Attach, Reserved: call.Reserved,
 	}
 	reply, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Place{Place: body}}, (*peerpb.Reply).GetOutcome)
 	return outcomeOf(reply, call.Spec, err)
@@ -88,10 +88,12 @@
 }
 
 // Cancel implements port.Peers.
-func (t *Transport) Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error) {
-	body := &peerpb.Cancel{Task: encodeTask(task)}
+func (t *Transport) Cancel(
+	ctx context.Context, to ident.ProcessID, tasks []ident.TaskID,
+) ([]ident.TaskID, error) {
+	body := &peerpb.Cancel{Tasks: encodeTasks(tasks)}
 	reply, err := ask(ctx, t, to, &peerpb.Call{Body: &peerpb.Call_Cancel{Cancel: body}}, (*peerpb.Reply).GetCanceled)
-	return reply.GetFound(), err
+	return decodeTasks(reply.GetMissing()), err
 }
 
 // Settle implements port.Peers.
--- a/internal/adapter/peerwire/fuzz_test.go
+++ b/internal/adapter/peerwire/fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/job"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
@@ -31,10 +32,24 @@
 	return port.Held{}, nil
 }
 func (anyHandler) HandleReport(context.Context, port.Report) error { return nil }
-func (anyHandler) HandleCancel(context.Context, ident.TaskID) (bool, error) {
-	return false, nil
+func (anyHandler) HandleCancel(context.Context, []ident.TaskID) ([]ident.TaskID, error) {
+	return nil, nil
+}
+
+func (anyHandler) HandleSubmit(context.Context, port.Submit) (job.Status, error) {
+	return job.Status{}, nil
+}
+
+func (anyHandler) HandleQueryJob(context.Context, port.QueryJob) (job.Status, error) {
+	return job.Status{}, nil
+}
+
+func (anyHandler) HandleCancelWork(context.Context, ident.WorkID) (job.Status, error) {
+	return job.Status{}, nil
 }
-func (anyHandler) HandleSettle(context.Context, []ident.TaskID) error { return nil }
+func (anyHandler) HandleReserve(context.Context, port.Reserve) ([]uint32, error) { return nil, nil }
+func (anyHandler) HandleRelease(context.Context, port.Release) error             { return nil }
+func (anyHandler) HandleSettle(context.Context, []ident.TaskID) error            { return nil }
 func (anyHandler) HandleDocuments(context.Context, ident.Revision) (port.Documents, error) {
 	return port.Documents{}, nil
 }
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -42,11 +42,14 @@
 type Service struct {
 	Config
 	partitions [ident.Partitions]*partition
+
+	mu    sync.Mutex
+	stops map[ident.ProcessID][]stop // by owner; an owner without stops: a call is under way
 }
 
 // New returns a service that is the home of nothing yet.
 func New(config Config) *Service {
-	s := &Service{Config: config}
+	s := &Service{Config: config, stops: map[ident.ProcessID][]stop{}}
 	for i := range s.partitions {
 		s.partitions[i] = newPartition(s, ident.PartitionID(i))
 	}
@@ -81,6 +84,9 @@
 	if err := p.await(ctx); err != nil {
 		return work.Outcome{}, err
 	}
+	if p.job(call.Spec.ID.Work) != nil {
+		return work.Outcome{}, fault.New(fault.Conflict, "request id %s was used for a job", call.Spec.ID.Work)
+	}
 	return p.execute(ctx, call)
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -58,9 +58,9 @@
 		ShortHelp:  "A cluster scheduler for teams that share one pool of VMs.",
 		FlagSet:    a.flags("skylarkstall"),
 		Subcommands: []*ffcli.Command{
-			a.serve(), a.dev(), a.run(), a.standin(), a.replay(),
+			a.serve(), a.dev(), a.run(), a.submit(), a.status(), a.wait(), a.cancel(),
 			a.cell(), a.timeline(), a.document(), a.version(),
-			a.load(), a.report(),
+			a.load(), a.report(), a.replay(), a.standin(),
 		},
 	}
 	root.Exec = func(_ context.Context, args []string) error {
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -21,6 +21,7 @@
 	"skylarkstall/internal/node"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
+	"skylarkstall/internal/standin/journal"
 	"skylarkstall/internal/standin/store"
 	"skylarkstall/internal/standin/vmlist"
 	"skylarkstall/internal/standin/worker"
@@ -35,7 +36,9 @@
 	CallerAddress string          // of the first process; the others listen on free ports
 	Policy        fleet.Policy    // zero for fleet.FairShare
 	Log           *slog.Logger
-	Observe       func(ident.WorkerID, worker.Observation) // may be nil
+	Observe       func(ident.WorkerID, worker.Observation)     // may be nil
+	Journals      *journal.Journals                            // in memory; new ones when nil
+	WrapPeers     func(ident.ProcessID, port.Peers) port.Peers // may be nil
 	// StoreAddress tells where a process looks for the store; nil for the stand-in. It lets a test cut processes off.
 	StoreAddress func(id ident.ProcessID, standin string) string
 	// ListedAddress tells the address for peers that the VM list shows; nil for the process's own.
@@ -79,6 +82,9 @@
 	if len(settings.Zones) == 0 {
 		settings.Zones = []ident.Zone{"kochi-a", "kochi-b", "alappuzha"}
 	}
+	if settings.Journals == nil {
+		settings.Journals = journal.New()
+	}
 	c := &Cell{settings: settings}
 	if err := c.start(ctx); err != nil {
 		c.Close()
@@ -179,6 +185,13 @@
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
 		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
 		TimelineSize: 20_000, Policy: c.settings.Policy, CellToken: CellToken, PeerPlain: true,
+		Journal: c.settings.Journals.Writer(ident.ProcessID(id)),
+		WrapPeers: func(peers port.Peers) port.Peers {
+			if c.settings.WrapPeers == nil {
+				return peers
+			}
+			return c.settings.WrapPeers(ident.ProcessID(id), peers)
+		},
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
@@ -206,6 +219,12 @@
 	<-n.done
 }
 
+// Kill ends the process at once, without a drain, and waits for its end.
+func (n *Node) Kill() {
+	n.Node.Kill()
+	<-n.done
+}
+
 // readyRetry is the pause between questions whether a process is ready.
 const readyRetry = 50 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	TimelineSize  int          // events kept
 	Policy        fleet.Policy // zero for fleet.FairShare
 	CellToken     string       // secret of the cell's operators; empty when nobody may change cell quotas or add teams
+	Journal       home.Journal
+	WrapPeers     func(port.Peers) port.Peers // lets a test see or break calls between processes; may be nil
 }
 
 // Failure detection of peers.
@@ -78,6 +80,8 @@
 	calls       port.Peers
 	caller      net.Listener
 	peer        net.Listener
+	life        context.Context // ends with Run
+	end         context.CancelFunc
 
 	mu       sync.Mutex
 	draining bool
@@ -145,13 +149,24 @@
 		Interval: peerwire.HeartbeatInterval, DeadAfter: deadAfter, Rejoin: rejoinRow,
 	})
 	n.peers = peering.New(n.members, n.dir, settings.Peers, n.recorder, log, n.catalog.Revision,
-		func(now time.Time) fleet.Digest { return n.owner.Digest(now) })
+		func(now time.Time) fleet.Digest {
+			digest := n.owner.Digest(now)
+			digest.Shapes = n.owner.Shapes()
+			return digest
+		})
+	n.life, n.end = context.WithCancel(context.Background())
+	if n.settings.Journal == nil {
+		n.settings.Journal = home.NoJournal{}
+	}
 	return n
 }
 
 // wire makes the services.
 func (n *Node) wire(store port.Store, workers port.WorkerDialer, peers port.Peers) {
-	n.calls = n.meter.Peers(&localPeers{Peers: peers, self: n.settings.ID, handler: n.meter.Handler(n)})
+	n.calls = n.meter.Peers(&localPeers{Peers: peers, self: n.settings.ID, handler: n.meter.Handler(n), life: n.life})
+	if n.settings.WrapPeers != nil {
+		n.calls = n.settings.WrapPeers(n.calls)
+	}
 	n.recorder.Hear(n.meter.Event)
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
@@ -160,7 +175,7 @@
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
 		Beats: n.peers.Heartbeats, Digest: n.owner.Digest, Dir: n.dir, Peers: n.calls, Recorder: n.recorder, Log: n.log,
-		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
+		LostAfter: owner.TaskLeaseBound, Journal: n.settings.Journal,
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: n.meter.Store(store), Peers: n.calls, Beats: n.peers.Heartbeats,
@@ -169,9 +184,24 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Self: n.settings.ID, Members: n.members, Catalog: n.catalog, Peers: n.calls, Recorder: n.recorder, Log: n.log,
+		Shapes: n.shapes,
 	})
 }
 
+// shapes returns the capacities of the cell's workers. It returns false while some worker of the VM list is not known,
+// because then work that seems impossible may fit on it.
+func (n *Node) shapes() ([]fleet.Shape, bool) {
+	shapes := n.owner.Shapes()
+	for _, beat := range n.peers.Heartbeats() {
+		shapes = append(shapes, beat.Digest.Shapes...)
+	}
+	known := 0
+	for _, shape := range shapes {
+		known += shape.Count
+	}
+	return shapes, n.dir.Known() && known > 0 && known >= len(n.dir.VMs(port.RoleWorker))
+}
+
 // CallerAddress returns the host:port that callers reach.
 func (n *Node) CallerAddress() string { return n.caller.Addr().String() }
 
@@ -186,13 +216,15 @@
 		return err
 	}
 	server := httpjson.NewServer(handler)
-	inner, stop := context.WithCancel(context.Background())
+	inner, stop := n.life, n.end
 	defer stop()
 	var running sync.WaitGroup
 	running.Go(func() { n.runMetrics(inner) })
 	running.Go(func() { _ = n.transport.Run(inner) }) // ends with the context
 	running.Go(func() { n.peers.RunConnections(inner, n.transport) })
 	running.Go(func() { n.RunServices(inner) })
+	closed := context.AfterFunc(inner, func() { _ = server.Close() }) // does nothing after a drain
+	defer closed()
 	drained := context.AfterFunc(ctx, func() { n.drain(server, stop) })
 	defer drained()
 	err = callerhttp.Serve(server, n.caller)
@@ -268,6 +300,12 @@
 	stop()
 }
 
+// Kill ends the process at once, as when its VM fails: nothing is given back and no call is finished.
+func (n *Node) Kill() {
+	n.owner.Abandon()
+	n.end()
+}
+
 // Ready tells the balancer whether the process takes work. It fails with Draining or NotReady.
 func (n *Node) Ready() error {
 	n.mu.Lock()
--- a/internal/standin/local/network.go
+++ b/internal/standin/local/network.go
@@ -174,9 +174,11 @@
 }
 
 // Cancel implements port.Peers.
-func (p *peers) Cancel(ctx context.Context, to ident.ProcessID, task ident.TaskID) (bool, error) {
-	return call(ctx, p.network, p.self, to, func(ctx context.Context, h port.PeerHandler) (bool, error) {
-		return h.HandleCancel(ctx, task)
+func (p *peers) Cancel(
+	ctx context.Context, to ident.ProcessID, tasks []ident.TaskID,
+) ([]ident.TaskID, error) {
+	return call(ctx, p.network, p.self, to, func(ctx context.Context, h port.PeerHandler) ([]ident.TaskID, error) {
+		return h.HandleCancel(ctx, tasks)
 	})
 }
 
