Give the fleet each process's part of a team's quota

Cause: the queue orders teams by quota, but only the replay filled it in. Change: a process hands the part of the team's quota to its fleet that corresponds to its share of the cell's processors, as heartbeats tell it. A team that holds more is served after all others of the class and is the first to give way. Figures: TestQuotaIsBorrowedAndReturned passes; with the comparison with the quota taken out it fails with "held map[limited:7 other:1]". Conclusion: unused quota is borrowed and goes back as tasks end or give way; the accuracy depends on the heartbeats.

--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -12,6 +12,7 @@
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/tenure"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/fault"
@@ -40,6 +41,7 @@
 	Dialer   port.WorkerDialer
 	Peers    port.Peers
 	Policy   fleet.Policy
+	Quota    func(ident.TeamID) resource.Vector // what falls to this process of a team's quota; zero for none
 	Recorder *timeline.Recorder
 	Log      *slog.Logger
 }
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -61,6 +61,7 @@
 
 // run places the attempt and waits until it runs or has ended.
 func (s *Service) run(ctx context.Context, a *attempt, spec work.Spec) {
+	spec.Quota = s.Quota(spec.ID.Work.Team)
 	if err := s.place(ctx, a, spec); err != nil {
 		s.record(timeline.Refused, spec.ID, "", err.Error())
 		s.finish(a, work.Outcome{}, err)
--- a/internal/domain/fleet/fleet_test.go
+++ b/internal/domain/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,3 +87,32 @@
 		t.Fatalf("assigned %v; want both tasks of the gang", got)
 	}
 }
+
+// TestQuotaIsBorrowedAndReturned guards against a team that keeps others waiting with more than its quota, and against
+// room that stays empty because of a quota.
+func TestQuotaIsBorrowedAndReturned(t *testing.T) {
+	f := fleet.New(fleet.FairShare)
+	row := workerRow("w1", 8)
+	free := row.Free
+	row.Free = resource.Vector{}
+	f.Update(start, row)
+	for i := range 16 {
+		spec := taskOf([]string{"limited", "other"}[i%2], fmt.Sprint(i), work.Batch, 1)
+		if i%2 == 0 {
+			spec.Weight, spec.Quota = 100, resource.Vector{MilliCores: 2000, MemoryBytes: 1 << 40, Slots: 2}
+		} else if i > 8 {
+			continue
+		}
+		if _, _, err := f.Offer(start, spec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	row.Free = free
+	held := map[ident.TeamID]int{}
+	for _, a := range f.Update(start, row).Assigned {
+		held[a.Spec.ID.Work.Team]++
+	}
+	if held["limited"] != 4 || held["other"] != 4 {
+		t.Errorf("held %v; want all 4 tasks of the other team, and the rest borrowed", held)
+	}
+}
--- a/internal/domain/resource/resource.go
+++ b/internal/domain/resource/resource.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"skylarkstall/internal/fault"
 )
@@ -36,6 +37,12 @@
 	return Vector{v.MilliCores * n, v.MemoryBytes * n, v.Accelerators * n, v.Slots * n}
 }
 
+// Portion returns v times part over whole, rounded up. whole must be above 0.
+func (v Vector) Portion(part, whole int64) Vector {
+	of := func(n int64) int64 { return int64(math.Ceil(float64(n) * float64(part) / float64(whole))) }
+	return Vector{of(v.MilliCores), of(v.MemoryBytes), of(v.Accelerators), of(v.Slots)}
+}
+
 // Max returns the larger of v and o in each resource.
 func (v Vector) Max(o Vector) Vector {
 	return Vector{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/team"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/fault"
@@ -155,7 +156,7 @@
 	n.recorder.Hear(n.meter.Event)
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
-		Peers: n.calls, Policy: n.settings.policy(), Recorder: n.recorder, Log: n.log,
+		Peers: n.calls, Policy: n.settings.policy(), Quota: n.quota, Recorder: n.recorder, Log: n.log,
 	})
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
@@ -172,6 +173,23 @@
 	})
 }
 
+// quota returns what falls to this process of a team's quota: as much as it owns of the cell's processors.
+func (n *Node) quota(id ident.TeamID) resource.Vector {
+	stored, err := n.catalog.Get(id)
+	if err != nil {
+		return resource.Vector{}
+	}
+	own := n.owner.Digest(time.Now()).Capacity.MilliCores
+	all := own
+	for _, beat := range n.peers.Heartbeats() {
+		all += beat.Digest.Capacity.MilliCores
+	}
+	if all == 0 {
+		return resource.Vector{}
+	}
+	return stored.Document.Quota.Portion(own, all)
+}
+
 // CallerAddress returns the host:port that callers reach.
 func (n *Node) CallerAddress() string { return n.caller.Addr().String() }
 
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -7,7 +7,6 @@
 
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/routing"
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
@@ -132,7 +131,7 @@
 	j := &job{Arrival: a, refused: map[ident.ProcessID]bool{}}
 	for i := range max(a.Tasks, 1) {
 		t := &task{job: j, spec: a.spec(i, r.epoch)}
-		t.spec.Quota = portion(a.Quota, r.Shape.Owners)
+		t.spec.Quota = a.Quota.Portion(1, int64(r.Shape.Owners))
 		j.tasks = append(j.tasks, t)
 		r.tasks[t.spec.ID] = t
 	}
@@ -146,14 +145,6 @@
 	}
 }
 
-// portion is what falls to one of n owners.
-func portion(v resource.Vector, n int) resource.Vector {
-	return resource.Vector{
-		MilliCores: v.MilliCores / int64(n), MemoryBytes: v.MemoryBytes / int64(n),
-		Accelerators: v.Accelerators / int64(n), Slots: v.Slots / int64(n),
-	}
-}
-
 func (r *run) handle(e event) error {
 	switch e.kind {
 	case arrive:
