--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -14,6 +14,7 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
 	"skylarkstall/internal/domain/reservation"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/tenure"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/fault"
@@ -43,6 +44,7 @@
 	Dialer   port.WorkerDialer
 	Peers    port.Peers
 	Policy   fleet.Policy
+	Quota    func(ident.TeamID) resource.Vector // what falls to this process of a team's quota; zero for none
 	Recorder *timeline.Recorder
 	Log      *slog.Logger
 }
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -61,6 +61,7 @@
 
 // run places the attempt and waits until it runs or has ended.
 func (s *Service) run(ctx context.Context, a *attempt, call port.Place) {
+	call.Spec.Quota = s.Quota(call.Spec.ID.Work.Team)
 	place := s.place
 	if call.Reserved {
 		place = s.startReserved
