--- a/internal/adapter/callerhttp/client.go
+++ b/internal/adapter/callerhttp/client.go
@@ -51,3 +51,6 @@
 func (c *Client) Ready(ctx context.Context) error {
 	return c.http.Call(ctx, http.MethodGet, "/readyz", nil, nil)
 }
+
+// Close closes the connection.
+func (c *Client) Close() error { return c.http.Close() }
--- a/internal/adapter/httpjson/httpjson.go
+++ b/internal/adapter/httpjson/httpjson.go
@@ -36,19 +36,22 @@
 	token     string
 	http      *http.Client
 	transport *http.Transport
+	open      connections
 }
 
 // NewClient returns a client for host:port. It does not connect yet.
 func NewClient(address string) *Client {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{
+	c := &Client{base: "http://" + address}
+	c.transport = &http.Transport{
 		Protocols:          &protocols,
 		DisableCompression: true,
-		DialContext:        (&net.Dialer{Timeout: PingInterval}).DialContext,
+		DialContext:        c.open.dial,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: PingInterval, PingTimeout: PingInterval},
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, transport: transport}
+	c.http = &http.Client{Transport: c.transport}
+	return c
 }
 
 // WithToken makes the client present a bearer token, and returns it.
@@ -57,9 +60,13 @@
 	return c
 }
 
-// Close closes idle connections.
+// Reset closes the connection. Calls in progress fail with Interrupted, and the next call connects again.
+func (c *Client) Reset() { c.open.closeAll() }
+
+// Close closes the connection.
 func (c *Client) Close() error {
 	c.transport.CloseIdleConnections()
+	c.open.closeAll()
 	return nil
 }
 
--- a/internal/adapter/workerhttp/client.go
+++ b/internal/adapter/workerhttp/client.go
@@ -16,6 +16,10 @@
 // callTimeout bounds a call that does not wait for outcomes.
 const callTimeout = 2 * time.Second
 
+// syncGrace is how much longer than its own wait a sync may take. The last renewal may have been sent a whole wait (2 s)
+// before the sync, so 1 s leaves 1 s of the control lease of 6 s, and 2 of the wait's, to renew over a new connection.
+const syncGrace = time.Second
+
 // Dialer makes clients. It implements port.WorkerDialer.
 type Dialer struct{}
 
@@ -50,11 +54,11 @@
 // Sync implements port.WorkerClient.
 func (c *client) Sync(ctx context.Context, sync work.Sync) (work.SyncReply, error) {
 	call := SyncCall{Epoch: uint64(sync.Epoch), After: sync.After, WaitMS: sync.Wait.Milliseconds()}
-	for _, task := range sync.Acknowledge {
-		call.Acknowledge = append(call.Acknowledge, task.String())
+	for _, id := range sync.Acknowledge {
+		call.Acknowledge = append(call.Acknowledge, Attempt{id.Task.String(), uint64(id.Attempt)})
 	}
 	var reply SyncReply
-	if err := c.call(ctx, sync.Wait+callTimeout, PathSync, call, &reply); err != nil {
+	if err := c.call(ctx, sync.Wait+syncGrace, PathSync, call, &reply); err != nil {
 		return work.SyncReply{}, err
 	}
 	return decodeSyncReply(reply)
@@ -92,5 +96,8 @@
 	return c.call(ctx, callTimeout, PathThrottle, call, nil)
 }
 
+// Reset implements port.WorkerClient.
+func (c *client) Reset() { c.http.Reset() }
+
 // Close implements port.WorkerClient.
 func (c *client) Close() error { return c.http.Close() }
--- a/internal/adapter/workerhttp/wire.go
+++ b/internal/adapter/workerhttp/wire.go
@@ -47,6 +47,7 @@
 	Rack     string          `json:"rack,omitempty"`
 	Running  []Running       `json:"running,omitempty"`
 	Outcomes []Outcome       `json:"outcomes,omitempty"`
+	Last     uint64          `json:"last,omitempty"` // sequence of the last outcome
 	Draining bool            `json:"draining,omitempty"`
 }
 
@@ -72,10 +73,16 @@
 
 // SyncCall is the body of a sync.
 type SyncCall struct {
-	Epoch       uint64   `json:"e"`
-	After       uint64   `json:"a,omitempty"`
-	Acknowledge []string `json:"k,omitempty"`
-	WaitMS      int64    `json:"w,omitempty"`
+	Epoch       uint64    `json:"e"`
+	After       uint64    `json:"a,omitempty"`
+	Acknowledge []Attempt `json:"k,omitempty"`
+	WaitMS      int64     `json:"w,omitempty"`
+}
+
+// Attempt names an attempt whose outcome may be forgotten.
+type Attempt struct {
+	Task    string `json:"t"`
+	Attempt uint64 `json:"a"`
 }
 
 // SyncReply is the answer to a sync.
@@ -150,7 +157,7 @@
 func EncodeInventory(inv work.Inventory) Inventory {
 	out := Inventory{
 		Epoch: uint64(inv.Epoch), Holder: string(inv.Holder), Capacity: inv.Capacity, Zone: string(inv.Zone), Rack: string(inv.Rack),
-		Draining: inv.Draining, Outcomes: encodeOutcomes(inv.Outcomes),
+		Draining: inv.Draining, Outcomes: encodeOutcomes(inv.Outcomes), Last: inv.Last,
 	}
 	for _, r := range inv.Running {
 		out.Running = append(out.Running, Running{
@@ -169,6 +176,7 @@
 	inv := work.Inventory{
 		Epoch: ident.Epoch(in.Epoch), Holder: ident.ProcessID(in.Holder), Capacity: in.Capacity,
 		Zone: ident.Zone(in.Zone), Rack: ident.Rack(in.Rack), Draining: in.Draining, Outcomes: outcomes,
+		Last: in.Last,
 	}
 	for _, r := range in.Running {
 		task, err := ident.ParseTaskID(r.Task)
@@ -241,12 +249,12 @@
 // Sync returns the domain value. It fails with Invalid.
 func (c SyncCall) Sync() (work.Sync, error) {
 	sync := work.Sync{Epoch: ident.Epoch(c.Epoch), After: c.After, Wait: ms(c.WaitMS)}
-	for _, s := range c.Acknowledge {
-		task, err := ident.ParseTaskID(s)
+	for _, a := range c.Acknowledge {
+		task, err := ident.ParseTaskID(a.Task)
 		if err != nil {
 			return work.Sync{}, fault.Wrap(err, "acknowledge")
 		}
-		sync.Acknowledge = append(sync.Acknowledge, task)
+		sync.Acknowledge = append(sync.Acknowledge, work.AttemptID{Task: task, Attempt: ident.Attempt(a.Attempt)})
 	}
 	return sync, nil
 }
--- a/internal/app/home/execute.go
+++ b/internal/app/home/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -56,40 +57,61 @@
 		return work.Outcome{}, fault.New(fault.StoreUnavailable, "no journal: work that is not repeatable is refused")
 	}
 	refused := map[ident.ProcessID]bool{}
-	for {
+	epoch, _ := p.tenure()
+	began := false // an attempt may have begun to run; no refusal may then say that the work did not
+	for tried := false; ; {
+		if p.moved(epoch) {
+			return work.Outcome{}, refusal(began, fault.New(fault.StaleEpoch, "partition %d has another home", p.id))
+		}
 		owner, err := p.service.choose(spec, refused)
 		if err != nil {
 			if len(refused) == 0 {
-				return work.Outcome{}, err
+				return work.Outcome{}, refusal(began, err)
 			}
 			clear(refused) // every owner refused; their queues may have moved since
 			pause.For(ctx, retryPause)
 			if ctx.Err() != nil {
-				return work.Outcome{}, err
+				return work.Outcome{}, refusal(began, err)
 			}
 			continue
 		}
+		if tried && p.service.Retries.Wait(ctx) != nil {
+			err := fault.New(fault.Overloaded, "the retry budget is used up until the deadline of %s", spec.ID)
+			return work.Outcome{}, refusal(began, err)
+		}
+		tried = true
 		spec.Attempt = ident.NextAttempt(time.Now(), spec.Attempt)
-		outcome, err := p.attempt(ctx, owner, spec)
+		outcome, followed, err := p.attempt(ctx, owner, spec)
+		began = began || followed || outcome.Evicted()
 		switch answer := fault.KindOf(err).Answer(); {
-		case err == nil:
+		case err == nil && !outcome.Evicted():
 			return outcome, nil
-		case answer.Ran != fault.RanNo || !answer.Retryable || ctx.Err() != nil:
-			return work.Outcome{}, err
+		case err != nil && (answer.Ran != fault.RanNo || !answer.Retryable) || ctx.Err() != nil:
+			return work.Outcome{}, refusal(began, err)
 		}
 		refused[owner] = true
 	}
 }
 
-// attempt places one attempt and follows it until it has ended or certainly does not run.
-func (p *partition) attempt(ctx context.Context, owner ident.ProcessID, spec work.Spec) (work.Outcome, error) {
+// refusal returns err, or Interrupted in place of an error that would say that the work did not run.
+func refusal(began bool, err error) error {
+	if began && (err == nil || fault.KindOf(err).Answer().Ran == fault.RanNo) {
+		return fault.New(fault.Interrupted, "an attempt began and was lost; ask again with the same request id")
+	}
+	return err
+}
+
+// attempt places one attempt and follows it until it has ended or certainly does not run. It returns true if it had to be
+// followed: it may then have run although it has no outcome.
+func (p *partition) attempt(ctx context.Context, owner ident.ProcessID, spec work.Spec) (work.Outcome, bool, error) {
 	epoch, _ := p.tenure()
 	call := port.Place{Partition: p.id, Home: epoch, Spec: spec}
 	outcome, err := p.service.Peers.Place(ctx, owner, call)
 	if fault.Is(err, fault.Interrupted) {
-		return p.follow(ctx, call)
+		outcome, err = p.follow(ctx, call)
+		return outcome, true, err
 	}
-	return outcome, err
+	return outcome, false, err
 }
 
 // follow finds an attempt whose owner was lost, and waits for its outcome. It returns NoCapacity when the attempt
@@ -98,6 +120,9 @@
 	call.Attach = true
 	began := time.Now()
 	for ctx.Err() == nil {
+		if p.moved(call.Home) {
+			return work.Outcome{}, fault.New(fault.Interrupted, "partition %d has another home", p.id)
+		}
 		changed := p.changed.Changed()
 		if outcome, ok := p.takeReported(call.Spec.ID, call.Spec.Attempt); ok {
 			return outcome, nil
@@ -105,7 +130,7 @@
 		found := p.survey(ctx)
 		if owner, ok := found.owners[call.Spec.ID]; ok {
 			outcome, err := p.service.Peers.Place(ctx, owner, call)
-			if !fault.Is(err, fault.Interrupted) && !fault.Is(err, fault.NotFound) {
+			if !isUnreached(err) {
 				return outcome, err
 			}
 		} else if found.complete || time.Since(began) > p.service.LostAfter {
@@ -119,9 +144,22 @@
 		}
 		timer.Stop()
 	}
+	if errors.Is(ctx.Err(), context.Canceled) { // the process stops, or the caller went away: another call may find it
+		return work.Outcome{}, fault.New(fault.Interrupted, "%s was started; ask again for its outcome", call.Spec.ID)
+	}
 	return work.Outcome{}, fault.New(fault.UnknownOutcome, "%s was started; its outcome is not known", call.Spec.ID)
 }
 
+// isUnreached reports whether an attach did not reach the attempt, so that nothing is known of it.
+func isUnreached(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.Interrupted, fault.NotFound, fault.Unavailable:
+		return err != nil
+	default:
+		return false
+	}
+}
+
 // followAdopted waits for the outcome of an attempt that a former home placed.
 func (p *partition) followAdopted(ctx context.Context, held port.HeldTask) {
 	epoch, _ := p.tenure()
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"skylarkstall/internal/app/directory"
 	"skylarkstall/internal/domain/fleet"
@@ -35,6 +36,7 @@
 	Journal   Journal
 	Recorder  *timeline.Recorder
 	Log       *slog.Logger
+	Retries   *rate.Limiter // budget of this process for further attempts
 	LostAfter time.Duration // when an attempt that nobody holds has certainly ended: the task lease bound
 }
 
@@ -84,9 +86,13 @@
 	return p.execute(ctx, call)
 }
 
-// HandleReport takes the ends of attempts that no call of this home waits for.
+// HandleReport takes the ends of attempts that no call of this home waits for. It fails with StaleEpoch when another
+// process should be the home of one of them; the owner then reports again.
 func (s *Service) HandleReport(_ context.Context, report port.Report) error {
 	for _, outcome := range report.Ended {
+		if partition := outcome.Task.Work.Partition(); s.Members.Home(partition) != s.Self {
+			return fault.New(fault.StaleEpoch, "process %s is not the home of partition %d", s.Self, partition)
+		}
 		s.partitions[outcome.Task.Work.Partition()].reported(outcome)
 	}
 	return nil
--- a/internal/app/home/partition.go
+++ b/internal/app/home/partition.go
@@ -88,16 +88,21 @@
 	p.epoch = ident.HomeEpoch{Counter: max(p.epoch.Counter, seen.Counter) + 1, Process: p.service.Self}
 }
 
+// serve adopts the requests that run before it lets callers in: a caller that asks again must find its request.
 func (p *partition) serve(ctx context.Context, found survey) {
-	p.mu.Lock()
-	p.serving = true
-	p.mu.Unlock()
 	p.service.record(timeline.PartitionTaken, ident.TaskID{}, fmt.Sprintf("partition %d, %d tasks", p.id, len(found.tasks)))
+	var adopted []port.HeldTask
 	for _, held := range found.tasks {
 		if p.ledger.Adopt(held.Task.Work) {
-			go p.followAdopted(ctx, held)
+			adopted = append(adopted, held)
 		}
 	}
+	p.mu.Lock()
+	p.serving = true
+	p.mu.Unlock()
+	for _, held := range adopted {
+		go p.followAdopted(ctx, held)
+	}
 	p.changed.Signal()
 }
 
@@ -110,6 +115,13 @@
 	p.changed.Signal()
 }
 
+// moved reports whether this process stopped being the home since it had the epoch. The next home then sees running work
+// through.
+func (p *partition) moved(epoch ident.HomeEpoch) bool {
+	now, serving := p.tenure()
+	return !serving || now != epoch
+}
+
 // await waits until the partition serves. It fails with StaleEpoch when another process should be the home.
 func (p *partition) await(ctx context.Context) error {
 	for {
@@ -150,7 +162,9 @@
 		}
 		if err != nil {
 			p.service.Log.Debug("survey", "partition", p.id, "peer", peer.ID, "error", err)
-			found.complete = false
+			// A draining process claims nothing any more: it can start work only on workers that it still owns, and those
+			// are not covered. So one that has ended need not be waited for.
+			found.complete = found.complete && peer.Draining
 			continue
 		}
 		for _, t := range held.Tasks {
@@ -169,6 +183,10 @@
 
 func (p *partition) reported(outcome work.Outcome) {
 	p.mu.Lock()
+	if _, ended := p.ledger.Result(outcome.Task.Work); ended && outcome.Task.Index == 0 {
+		p.mu.Unlock()
+		return // nobody will take it
+	}
 	p.ended[outcome.Task] = outcome
 	p.mu.Unlock()
 	p.changed.Signal()
--- a/internal/app/owner/attempt.go
+++ b/internal/app/owner/attempt.go
@@ -5,42 +5,64 @@
 
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/work"
+	"skylarkstall/internal/fault"
 )
 
-// attempt is one attempt of a task that this process holds: it waits for a worker, or it runs on one.
+// attempt is one attempt of a task that this process holds: it waits for a worker, runs on one, or has ended there.
 type attempt struct {
-	task     ident.TaskID
-	number   ident.Attempt
-	size     resource.Vector
+	id       work.AttemptID
+	kind     string
 	assigned chan fleet.Assignment // receives at most one assignment of the queue at a time
+	started  chan struct{}         // closed when a worker has confirmed the start
 	done     chan struct{}         // closed at the end
 
-	mu      sync.Mutex
-	worker  ident.WorkerID // empty while the task waits
-	adopted bool           // taken over with a worker; no placement waits for it
-	ended   bool
-	outcome work.Outcome
-	err     error
+	mu       sync.Mutex
+	worker   ident.WorkerID // empty while the task waits
+	adopted  bool           // taken over with a worker; no placement waits for it
+	running  bool
+	canceled bool
+	ended    bool
+	outcome  work.Outcome
+	err      error
 }
 
-func newAttempt(task ident.TaskID, number ident.Attempt, size resource.Vector) *attempt {
+func newAttempt(id work.AttemptID, kind string) *attempt {
 	return &attempt{
-		task: task, number: number, size: size,
-		assigned: make(chan fleet.Assignment, 1), done: make(chan struct{}),
+		id: id, kind: kind, assigned: make(chan fleet.Assignment, 1), started: make(chan struct{}),
+		done: make(chan struct{}),
 	}
 }
 
+// adoptedAttempt returns an attempt that was started before this process claimed the worker.
+func adoptedAttempt(id work.AttemptID, kind string, worker ident.WorkerID) *attempt {
+	a := newAttempt(id, kind)
+	a.worker, a.adopted = worker, true
+	a.confirm()
+	return a
+}
+
 // end notes the outcome, or the error that the attempt ended with. Only the first end counts.
-func (a *attempt) end(outcome work.Outcome, err error) {
+func (a *attempt) end(outcome work.Outcome, err error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.endLocked(outcome, err)
+}
+
+// endOn ends the attempt if it is assigned to the worker.
+func (a *attempt) endOn(worker ident.WorkerID, err error) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.worker == worker && a.endLocked(work.Outcome{}, err)
+}
+
+func (a *attempt) endLocked(outcome work.Outcome, err error) bool {
 	if a.ended {
-		return
+		return false
 	}
 	a.ended, a.outcome, a.err = true, outcome, err
 	close(a.done)
+	return true
 }
 
 func (a *attempt) result() (work.Outcome, error) {
@@ -49,14 +71,50 @@
 	return a.outcome, a.err
 }
 
-func (a *attempt) assign(worker ident.WorkerID) {
+// assign notes the worker that the attempt is about to be started on. It fails when the attempt has ended or was
+// canceled meanwhile: its home may have started another one, so it must not be started any more.
+func (a *attempt) assign(worker ident.WorkerID) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	switch {
+	case a.ended:
+		return fault.New(fault.Interrupted, "attempt %d of %s has ended", a.id.Attempt, a.id.Task)
+	case a.canceled:
+		return fault.New(fault.Canceled, "%s was canceled before it started", a.id.Task)
+	}
 	a.worker = worker
+	return nil
 }
 
-func (a *attempt) on() ident.WorkerID {
+// unassign notes that the worker certainly refused the attempt.
+func (a *attempt) unassign() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.ended {
+		a.worker = ""
+	}
+}
+
+// confirm notes that the worker has started the attempt.
+func (a *attempt) confirm() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.running {
+		a.running = true
+		close(a.started)
+	}
+}
+
+// cancel keeps an attempt that waits from being assigned, and returns the worker of one that is assigned.
+func (a *attempt) cancel() ident.WorkerID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.canceled = true
 	return a.worker
 }
+
+func (a *attempt) isAdopted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.adopted
+}
--- a/internal/app/owner/keeper.go
+++ b/internal/app/owner/keeper.go
@@ -16,8 +16,19 @@
 	"skylarkstall/internal/port"
 )
 
-// retryInterval is the mean pause after a failed call to a worker.
-const retryInterval = 500 * time.Millisecond
+// Pauses after failed calls to a worker.
+const (
+	// claimRetryMin is the mean pause after the first refused claim. A handover takes one or two of them.
+	claimRetryMin = 50 * time.Millisecond
+	// claimRetryMax bounds the pause, which doubles with each refusal.
+	claimRetryMax = 500 * time.Millisecond
+	// syncRetry is the mean pause between renewals after a failed one. The first follows at once.
+	syncRetry = 200 * time.Millisecond
+	// releaseTimeout bounds the release; a worker that is not reached becomes free when its lease lapses.
+	releaseTimeout = 2 * time.Second
+	// relieveTimeout bounds the calls about tasks on a leaving or overused worker, so that they do not delay the renewal.
+	relieveTimeout = time.Second
+)
 
 // keeper is the goroutine of one worker: while this process should own the worker, it holds the control lease and takes
 // the outcomes.
@@ -30,9 +41,11 @@
 	client  port.WorkerClient
 	log     *slog.Logger
 
+	view sync.Mutex // orders the copies of the worker's state that go into the fleet's view
+
 	mu          sync.Mutex
-	owned       bool
-	unreachable time.Time // since when the worker has not answered; zero when it answers
+	tenure      ident.Epoch // epoch of the claim whose tasks this process holds; 0 while the worker is not owned
+	unreachable time.Time   // since when the worker has not answered; zero when it answers
 }
 
 func newKeeper(s *Service, vm port.VM) *keeper {
@@ -46,13 +59,16 @@
 // Run claims and keeps the worker whenever this process should own it.
 func (k *keeper) Run(ctx context.Context) {
 	defer func() { _ = k.client.Close() }() // nothing to do about a failed close
+	retry := claimRetryMin
 	for k.waitUntilMine(ctx) {
 		inv, err := k.claim(ctx)
 		if err != nil {
 			k.log.Debug("claim refused", "error", err)
-			pause.For(ctx, pause.Jitter(retryInterval))
+			pause.For(ctx, pause.Jitter(retry))
+			retry = min(2*retry, claimRetryMax)
 			continue
 		}
+		retry = claimRetryMin
 		k.take(inv)
 		k.serve(ctx, inv)
 	}
@@ -78,20 +94,40 @@
 	return false
 }
 
+// whileMine returns a context that ends once another process should own the worker, so that a waiting sync ends at once
+// and the next owner need not wait for it.
+func (k *keeper) whileMine(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			changed := k.service.Live()
+			if !k.mine() {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // claim asks for the control lease; it displaces a holder that membership declared dead.
 func (k *keeper) claim(ctx context.Context) (work.Inventory, error) {
 	s := k.service
 	sent := time.Now()
-	inv, err := k.client.Claim(ctx, k.worker.Claim(s.Self, false, TaskLease))
+	inv, err := k.client.Claim(ctx, k.worker.Claim(sent, s.Self, false, TaskLease))
 	if fault.Is(err, fault.StaleEpoch) {
 		k.reached()
 		k.worker.Refused(inv.Epoch)
 		supersede := inv.Holder != "" && !s.Members.Alive(inv.Holder)
 		sent = time.Now()
-		inv, err = k.client.Claim(ctx, k.worker.Claim(s.Self, supersede, TaskLease))
-		k.worker.Refused(inv.Epoch)
+		inv, err = k.client.Claim(ctx, k.worker.Claim(sent, s.Self, supersede, TaskLease))
 	}
 	if err != nil {
+		k.worker.Refused(inv.Epoch)
 		k.missed(err)
 		return work.Inventory{}, err
 	}
@@ -100,10 +136,15 @@
 	return inv, nil
 }
 
+// missed notes a call that the worker did not answer. The next call uses a new connection: the open one may be silent.
 func (k *keeper) missed(err error) {
 	if fault.Is(err, fault.StaleEpoch) {
 		return
 	}
+	if fault.Is(err, fault.Interrupted) {
+		k.client.Reset()
+		k.service.record(timeline.ConnectionReplaced, ident.TaskID{}, k.id, err.Error())
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.unreachable.IsZero() {
@@ -117,94 +158,185 @@
 	k.unreachable = time.Time{}
 }
 
-// standing tells whether the worker is owned, or has been out of reach for so long that nothing can run on it.
-func (k *keeper) standing(now time.Time) (owned, unreachable bool) {
+// standing returns the epoch under which the worker is owned, 0 if it is not, and whether it has been out of reach for so
+// long that nothing can run on it.
+func (k *keeper) standing(now time.Time) (tenure ident.Epoch, unreachable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.owned, !k.unreachable.IsZero() && now.Sub(k.unreachable) > TaskLeaseBound
+	return k.tenure, !k.unreachable.IsZero() && now.Sub(k.unreachable) > TaskLeaseBound
 }
 
-func (k *keeper) setOwned(owned bool) {
+func (k *keeper) setTenure(epoch ident.Epoch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.owned = owned
+	k.tenure = epoch
 }
 
-// take adopts what runs on the worker and puts it into the view.
+// take adopts what runs or has ended on the worker and puts it into the view. Only then does this process speak for the
+// worker, so that a home is never told of a worker without its tasks.
 func (k *keeper) take(inv work.Inventory) {
 	s := k.service
 	for _, r := range inv.Running {
 		s.adopt(k.id, r)
 	}
-	k.setOwned(true)
+	for _, outcome := range inv.Outcomes {
+		s.adoptEnded(k, outcome)
+	}
+	if inv.Draining {
+		k.leave()
+	}
+	k.setTenure(inv.Epoch)
 	s.record(timeline.Claimed, ident.TaskID{}, k.id, "")
 	s.refresh(k)
 }
 
 // serve renews the control lease and takes outcomes until the worker is lost or belongs to another process.
 func (k *keeper) serve(ctx context.Context, inv work.Inventory) {
-	sync := work.Sync{Epoch: inv.Epoch, Wait: SyncWait}
-	for ctx.Err() == nil && k.mine() {
+	ctx, cancel := k.whileMine(ctx)
+	defer cancel()
+	sync := work.Sync{Epoch: inv.Epoch, After: inv.Last, Wait: SyncWait}
+	for ctx.Err() == nil {
 		sent := time.Now()
+		sync.Acknowledge = k.worker.Acknowledge(sent)
 		reply, err := k.client.Sync(ctx, sync)
 		switch {
 		case err == nil:
-			k.reached()
-			k.worker.Renewed(sent, reply.Draining)
-			sync.After = reply.Last
-			sync.Acknowledge = k.outcomes(reply.Outcomes)
-			k.service.refresh(k)
+			k.synced(sent, sync.Acknowledge, reply)
+			sync.After, sync.Wait = reply.Last, SyncWait
+			k.relieve(ctx)
+		case ctx.Err() != nil:
 		case fault.Is(err, fault.StaleEpoch) || !k.worker.Snapshot(time.Now()).Held:
 			k.lose(err)
 			return
 		default:
 			k.missed(err)
 			k.log.Info("sync failed", "error", err)
-			pause.For(ctx, pause.Jitter(retryInterval))
+			if sync.Wait == 0 {
+				pause.For(ctx, pause.Jitter(syncRetry))
+			}
+			sync.Wait = 0 // renew at once
 		}
 	}
 	k.release(sync.Epoch)
 }
 
-// outcomes ends the attempts and returns those that the worker may forget.
-func (k *keeper) outcomes(outcomes []work.Outcome) []ident.TaskID {
-	s := k.service
-	var settled []ident.TaskID
-	for _, outcome := range outcomes {
-		s.ended(k, outcome)
-		settled = append(settled, outcome.Task)
+// synced takes over the answer to a sync.
+func (k *keeper) synced(sent time.Time, acknowledged []work.AttemptID, reply work.SyncReply) {
+	k.reached()
+	k.worker.Renewed(sent)
+	k.worker.Acknowledged(acknowledged)
+	k.worker.Measured(reply.Usage)
+	if reply.Draining {
+		k.leave()
+	}
+	for _, outcome := range reply.Outcomes {
+		k.service.ended(k, outcome)
+	}
+	k.service.restrict(k, time.Now())
+	k.service.refresh(k)
+}
+
+// leave stops placements because the worker itself says that it leaves.
+func (k *keeper) leave() {
+	k.leaving(k.worker.Leave(time.Now(), k.service.Notice))
+}
+
+// listed notes what the VM list says of the worker.
+func (k *keeper) listed(leaving bool) {
+	k.leaving(k.worker.Listed(time.Now(), leaving, k.service.Notice))
+	k.service.refresh(k)
+}
+
+func (k *keeper) leaving(fresh bool) {
+	if fresh {
+		k.log.Info("worker is leaving", "notice", k.service.Notice)
+		k.service.record(timeline.WorkerLeaving, ident.TaskID{}, k.id, "")
+	}
+}
+
+// relieve carries out what the aggregate decides about a leaving or overused worker. What fails is decided again later.
+func (k *keeper) relieve(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, relieveTimeout)
+	defer cancel()
+	epoch := k.worker.Snapshot(time.Now()).Epoch
+	for _, step := range k.worker.Relieve(time.Now()) {
+		var err error
+		switch step.Remedy {
+		case worker.Throttle:
+			err = k.client.Throttle(ctx, epoch, step.ID.Task, step.Limit)
+		case worker.Checkpoint:
+			_, err = k.client.Checkpoint(ctx, epoch, step.ID.Task)
+		case worker.Stop:
+			err = k.client.Stop(ctx, epoch, step.ID.Task)
+		}
+		k.service.record(timeline.Relieved, step.ID.Task, k.id, step.Remedy.String())
+		if err != nil {
+			k.log.Info("relief failed", "task", step.ID.Task.String(), "remedy", step.Remedy.String(), "error", err)
+		}
 	}
-	return settled
 }
 
 // lose ends the attempts on a worker that this process no longer holds. They may go on under another owner.
 func (k *keeper) lose(err error) {
-	s := k.service
-	k.setOwned(false)
-	s.fleet.Remove(k.id)
 	k.log.Warn("control lease lost", "error", err)
-	s.record(timeline.LeaseLost, ident.TaskID{}, k.id, "")
-	for _, task := range k.worker.Lost() {
-		s.lost(task, k.id)
-	}
+	k.service.record(timeline.LeaseLost, ident.TaskID{}, k.id, "")
+	k.disown()
 }
 
 // release gives the worker back so that its next owner can claim it at once.
 func (k *keeper) release(epoch ident.Epoch) {
-	k.service.fleet.Remove(k.id)
+	if k.service.gone.Load() {
+		k.disown()
+		return
+	}
+	k.setTenure(0)
+	k.hide()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := k.client.Release(ctx, epoch); err != nil {
+	err := k.client.Release(ctx, epoch)
+	if fault.Is(err, fault.StaleEpoch) {
+		k.lose(err) // another process took the worker over
+		return
+	}
+	if err != nil {
 		k.log.Info("release failed", "error", err)
 	}
-	k.setOwned(false)
 	k.service.record(timeline.ReleasedLease, ident.TaskID{}, k.id, "")
-	for _, task := range k.worker.Lost() {
+	k.disown()
+}
+
+// disown ends the tenure before the attempts, so that a home is never told of a worker without its tasks.
+func (k *keeper) disown() {
+	k.setTenure(0)
+	lost := k.worker.Lost()
+	k.hide()
+	for _, task := range lost {
 		k.service.lost(task, k.id)
 	}
+	k.service.refuseQueue()
+	k.service.released.Signal()
 }
 
-const releaseTimeout = 2 * time.Second
+// hide takes the worker out of the view.
+func (k *keeper) hide() {
+	k.view.Lock()
+	defer k.view.Unlock()
+	k.service.fleet.Remove(k.id)
+}
+
+// show puts the state of an owned worker that stays into the view and returns what the fleet decides about waiting tasks. A copy of the
+// state that is older than the view's must not replace it.
+func (k *keeper) show() fleet.Decisions {
+	k.view.Lock()
+	defer k.view.Unlock()
+	now := time.Now()
+	snap := k.worker.Snapshot(now)
+	if tenure, _ := k.standing(now); tenure == 0 || snap.Leaving {
+		k.service.fleet.Remove(k.id)
+		return fleet.Decisions{}
+	}
+	return k.service.fleet.Update(now, rowOf(snap))
+}
 
 func rowOf(snap worker.Snapshot) fleet.Row {
 	return fleet.Row{
--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -6,15 +6,21 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"skylarkstall/internal/app/directory"
 	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/health"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
 	"skylarkstall/internal/domain/tenure"
 	"skylarkstall/internal/domain/timeline"
+	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
+	"skylarkstall/internal/notify"
 	"skylarkstall/internal/port"
 )
 
@@ -40,6 +46,9 @@
 	Dialer   port.WorkerDialer
 	Peers    port.Peers
 	Policy   fleet.Policy
+	Health   *health.Health
+	Retries  *rate.Limiter // budget of this process for further placements of refused or failed attempts
+	Notice   time.Duration // how long tasks on a leaving worker may go on; at least 0
 	Recorder *timeline.Recorder
 	Log      *slog.Logger
 }
@@ -49,53 +58,88 @@
 	Config
 	fleet    *fleet.Fleet
 	holdings *tenure.Holdings
+	reporter *reporter
+	released notify.Broadcast // a worker is no longer owned
+	gone     atomic.Bool      // the process stops at once and gives nothing back
 
 	mu      sync.Mutex
 	keepers map[ident.WorkerID]*keeper
-	pending map[ident.TaskID]*attempt
+	pending map[work.AttemptID]*attempt
 }
 
 // New returns a service that owns nothing yet.
 func New(config Config) *Service {
-	return &Service{
+	s := &Service{
 		Config: config, fleet: fleet.New(config.Policy), holdings: tenure.New(),
-		keepers: map[ident.WorkerID]*keeper{}, pending: map[ident.TaskID]*attempt{},
+		keepers: map[ident.WorkerID]*keeper{}, pending: map[work.AttemptID]*attempt{},
 	}
+	s.reporter = newReporter(s)
+	return s
+}
+
+// kept is a running keeper.
+type kept struct {
+	*keeper
+	cancel context.CancelFunc
 }
 
+// vanishedCheck is how often workers that the VM list no longer has are looked at.
+const vanishedCheck = 5 * time.Second
+
 // Run keeps one goroutine for each worker of the VM list until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	cancels := map[ident.WorkerID]context.CancelFunc{}
+	running.Go(func() { s.reporter.Run(ctx) })
+	current := map[ident.WorkerID]kept{}
 	for ctx.Err() == nil {
 		changed := s.Dir.Changed()
-		current := map[ident.WorkerID]bool{}
+		listed := map[ident.WorkerID]bool{}
 		for _, vm := range s.Dir.VMs(port.RoleWorker) {
 			id := ident.WorkerID(vm.ID)
-			current[id] = true
-			if _, ok := cancels[id]; ok {
-				continue
+			listed[id] = true
+			known, ok := current[id]
+			if ok && known.address != vm.Address {
+				known.cancel()
+				ok = false
 			}
-			keeperCtx, cancel := context.WithCancel(ctx)
-			cancels[id] = cancel
-			k := s.addKeeper(vm)
-			running.Go(func() { k.Run(keeperCtx) })
-		}
-		for id, cancel := range cancels {
-			if !current[id] {
-				cancel()
-				delete(cancels, id)
-				s.removeKeeper(id)
+			if !ok {
+				keeperCtx, cancel := context.WithCancel(ctx)
+				known = kept{s.addKeeper(vm), cancel}
+				current[id] = known
+				running.Go(func() { known.Run(keeperCtx) })
 			}
+			known.listed(vm.Leaving)
 		}
+		s.dropVanished(current, listed)
+		timer := time.NewTimer(vanishedCheck)
 		select {
 		case <-changed:
+		case <-timer.C:
 		case <-ctx.Done():
 		}
+		timer.Stop()
 	}
-	for _, cancel := range cancels {
-		cancel()
+	for _, k := range current {
+		k.cancel()
+	}
+}
+
+// dropVanished ends the keepers of workers that the VM list no longer has. The list does not say when a VM stopped, so a
+// worker on which this process has tasks is kept, as one that leaves, until they have ended or it is out of reach.
+func (s *Service) dropVanished(current map[ident.WorkerID]kept, listed map[ident.WorkerID]bool) {
+	now := time.Now()
+	for id, k := range current {
+		if listed[id] {
+			continue
+		}
+		k.listed(true)
+		if _, unreachable := k.standing(now); !unreachable && k.worker.Snapshot(now).Tasks > 0 {
+			continue
+		}
+		k.cancel()
+		delete(current, id)
+		s.removeKeeper(k.keeper)
 	}
 }
 
@@ -107,10 +151,12 @@
 	return k
 }
 
-func (s *Service) removeKeeper(id ident.WorkerID) {
+func (s *Service) removeKeeper(k *keeper) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.keepers, id)
+	if s.keepers[k.id] == k {
+		delete(s.keepers, k.id)
+	}
 }
 
 func (s *Service) keeper(id ident.WorkerID) (*keeper, error) {
@@ -136,8 +182,10 @@
 // Digest returns the summary of the owned workers and the queue.
 func (s *Service) Digest(now time.Time) fleet.Digest { return s.fleet.Digest(now) }
 
-// HandleTakeHome makes the caller the home of the partition and tells what this process holds of it.
+// HandleTakeHome makes the caller the home of the partition and tells what this process holds of it. A worker counts as
+// owned only if it was owned under one epoch all the while: otherwise its tasks may have been read too early or too late.
 func (s *Service) HandleTakeHome(_ context.Context, call port.TakeHome) (port.Held, error) {
+	before, _ := s.owned()
 	highest, tasks := s.holdings.Take(call.Partition, call.Home)
 	held := port.Held{Highest: highest}
 	if call.Home.Less(highest) {
@@ -146,16 +194,65 @@
 	for _, t := range tasks {
 		held.Tasks = append(held.Tasks, port.HeldTask{Task: t.ID, Attempt: t.Attempt, Worker: t.Worker})
 	}
+	after, unreachable := s.owned()
+	for id, epoch := range after {
+		if before[id] == epoch {
+			held.Workers = append(held.Workers, id)
+		}
+	}
+	held.Unreachable = unreachable
+	return held, nil
+}
+
+// owned returns the epochs of the owned workers, and the workers on which nothing can run because they are out of reach.
+func (s *Service) owned() (epochs map[ident.WorkerID]ident.Epoch, unreachable []ident.WorkerID) {
 	now := time.Now()
+	epochs = map[ident.WorkerID]ident.Epoch{}
 	for _, k := range s.allKeepers() {
-		switch owned, unreachable := k.standing(now); {
-		case owned:
-			held.Workers = append(held.Workers, k.id)
-		case unreachable:
-			held.Unreachable = append(held.Unreachable, k.id)
+		switch tenure, lost := k.standing(now); {
+		case tenure != 0:
+			epochs[k.id] = tenure
+		case lost:
+			unreachable = append(unreachable, k.id)
 		}
 	}
-	return held, nil
+	return epochs, unreachable
+}
+
+// AwaitReleased waits until this process owns only workers that no other process could own. It returns false if the
+// context ends before.
+func (s *Service) AwaitReleased(ctx context.Context) bool {
+	for {
+		released := s.released.Changed()
+		if !s.ownsForeign() {
+			return true
+		}
+		select {
+		case <-released:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *Service) ownsForeign() bool {
+	for _, k := range s.allKeepers() {
+		if tenure, _ := k.standing(time.Now()); tenure != 0 && !k.mine() {
+			return true
+		}
+	}
+	return false
+}
+
+// Abandon makes the process keep the control leases when it stops, as when it is killed.
+func (s *Service) Abandon() { s.gone.Store(true) }
+
+// HandleSettle notes that the home has seen the tasks through.
+func (s *Service) HandleSettle(_ context.Context, tasks []ident.TaskID) error {
+	for _, task := range tasks {
+		s.settled(task)
+	}
+	return nil
 }
 
 // Status returns the state of the owned workers.
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -17,15 +17,18 @@
 	// startExpiry is how long after it was sent a worker may act on a start. Half the control lease: a start that was
 	// delayed longer comes from an owner that may have lost the worker.
 	startExpiry = ControlLease / 2
+	// startRetry is the pause between copies of a start whose answer was lost.
+	startRetry = 200 * time.Millisecond
 	// maxPlacements is how often one call is placed again after the view was wrong.
 	maxPlacements = 4
-	// keepResult is how long the result of an attempt is kept for a home that lost the answer.
-	keepResult = time.Minute
+	// keepResult is how long the outcome of an attempt is kept for a home that lost the answer, or for its next home: 3 s
+	// to notice that a process died, a few seconds to take over, and room for retries.
+	keepResult = 15 * time.Second
 )
 
 // HandlePlace runs one attempt and returns its outcome. The same attempt placed again waits for the first.
 func (s *Service) HandlePlace(ctx context.Context, call port.Place) (work.Outcome, error) {
-	a, fresh, err := s.hold(call)
+	a, fresh, err := s.admit(call)
 	if err != nil {
 		return work.Outcome{}, err
 	}
@@ -40,22 +43,25 @@
 	}
 }
 
-// hold returns the attempt of the call, and whether it is new to this process.
-func (s *Service) hold(call port.Place) (*attempt, bool, error) {
+// admit returns the attempt of the call, and whether it is new to this process.
+func (s *Service) admit(call port.Place) (*attempt, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	task := call.Spec.ID
-	if a, ok := s.pending[task]; ok && a.number == call.Spec.Attempt {
+	id := work.AttemptID{Task: call.Spec.ID, Attempt: call.Spec.Attempt}
+	if a, ok := s.pending[id]; ok {
 		return a, false, nil
 	}
 	if call.Attach {
-		return nil, false, fault.New(fault.NotFound, "attempt %d of %s is not held here", call.Spec.Attempt, task)
+		return nil, false, fault.New(fault.NotFound, "attempt %d of %s is not held here", id.Attempt, id.Task)
 	}
-	if err := s.holdings.Admit(call.Home, task, call.Spec.Attempt); err != nil {
+	if err := s.Health.Admit(time.Now(), kindOf(id.Task, call.Spec.Kind)); err != nil {
 		return nil, false, err
 	}
-	a := newAttempt(task, call.Spec.Attempt, call.Spec.Size)
-	s.pending[task] = a
+	if err := s.holdings.Admit(call.Home, id.Task, id.Attempt); err != nil {
+		return nil, false, err
+	}
+	a := newAttempt(id, call.Spec.Kind)
+	s.pending[id] = a
 	return a, true, nil
 }
 
@@ -69,7 +75,10 @@
 
 func (s *Service) place(ctx context.Context, a *attempt, spec work.Spec) error {
 	var err error
-	for range maxPlacements {
+	for placed := range maxPlacements {
+		if placed > 0 && s.Retries.Wait(ctx) != nil {
+			return err // the budget is used up until the deadline
+		}
 		var assignment fleet.Assignment
 		if assignment, err = s.assignment(ctx, a, spec); err != nil {
 			return err
@@ -87,8 +96,8 @@
 // placeAgain reports whether the worker refused because the view was wrong, so that another worker may have room.
 func placeAgain(err error) bool {
 	switch fault.KindOf(err) {
-	case fault.StaleEpoch, fault.NoCapacity, fault.Draining, fault.Unavailable:
-		return true
+	case fault.StaleEpoch, fault.NoCapacity, fault.Draining, fault.Unavailable, fault.DeadlineExceeded:
+		return true // DeadlineExceeded: the start message was late, not the task
 	default:
 		return false
 	}
@@ -101,6 +110,9 @@
 		return assignment, err
 	}
 	s.record(timeline.Queued, spec.ID, "", "")
+	if s.ownsNothing() && s.fleet.Cancel(spec.ID) {
+		return fleet.Assignment{}, ownsNothing(spec.ID)
+	}
 	ctx, cancel := withDeadline(ctx, spec.Deadline)
 	defer cancel()
 	select {
@@ -117,6 +129,31 @@
 	return <-a.assigned, nil // the queue gave the task a worker at the same time
 }
 
+// refuseQueue ends the attempts that wait although this process owns no worker any more, so that their homes send them
+// to another owner.
+func (s *Service) refuseQueue() {
+	if !s.ownsNothing() {
+		return
+	}
+	s.mu.Lock()
+	all := make([]*attempt, 0, len(s.pending))
+	for _, a := range s.pending {
+		all = append(all, a)
+	}
+	s.mu.Unlock()
+	for _, a := range all {
+		if s.fleet.Cancel(a.id.Task) {
+			s.finish(a, work.Outcome{}, ownsNothing(a.id.Task))
+		}
+	}
+}
+
+func (s *Service) ownsNothing() bool { return s.fleet.Digest(time.Now()).Capacity.IsZero() }
+
+func ownsNothing(task ident.TaskID) error {
+	return fault.New(fault.NoCapacity, "the process owns no worker that %s could wait for", task)
+}
+
 func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	if deadline.IsZero() {
 		return context.WithCancel(ctx)
@@ -126,82 +163,114 @@
 
 // start reserves the assignment on the worker and starts it there.
 func (s *Service) start(ctx context.Context, a *attempt, assignment fleet.Assignment) error {
-	k, err := s.keeper(assignment.Worker)
+	spec := assignment.Spec
+	k, epoch, err := s.reserve(a, assignment)
 	if err != nil {
-		s.fleet.Remove(assignment.Worker)
 		return err
 	}
+	s.record(timeline.Placed, spec.ID, k.id, "")
+	// A caller that goes away must not leave a start behind whose fate nobody knows.
+	ctx = context.WithoutCancel(ctx)
+	err = k.client.Start(ctx, startOf(epoch, spec))
+	switch {
+	case err == nil:
+		s.started(a, k, "")
+		return nil
+	case fault.Is(err, fault.Conflict): // a later attempt was seen: the home has to find out what runs
+		k.worker.Release(spec.ID, spec.Attempt)
+		return fault.As(fault.Interrupted, err, "start")
+	case fault.KindOf(err).Answer().Ran == fault.RanNo:
+		s.startRefused(a, k, err)
+		return err
+	default:
+		return s.startUnknown(ctx, a, k, startOf(epoch, spec))
+	}
+}
+
+// reserve takes the assignment's capacity on its worker, unless the attempt has ended meanwhile.
+func (s *Service) reserve(a *attempt, assignment fleet.Assignment) (*keeper, ident.Epoch, error) {
 	spec := assignment.Spec
-	epoch, err := k.worker.Reserve(time.Now(), spec.ID, spec.Attempt, spec.Size)
+	k, err := s.keeper(assignment.Worker)
+	if err != nil {
+		s.fleet.Remove(assignment.Worker)
+		return nil, 0, err
+	}
+	epoch, err := k.worker.Reserve(time.Now(), spec)
+	if err == nil {
+		if err = a.assign(k.id); err != nil {
+			k.worker.Release(spec.ID, spec.Attempt)
+		}
+	}
 	if err != nil {
 		s.dispatch(s.fleet.Forget(time.Now(), spec.ID))
 		s.refresh(k)
-		return err
+		return nil, 0, err
 	}
 	s.fleet.Confirm(spec.ID)
-	a.assign(k.id)
 	s.holdings.Assign(spec.ID, k.id)
-	s.record(timeline.Placed, spec.ID, k.id, "")
-	err = k.client.Start(ctx, work.Start{
+	return k, epoch, nil
+}
+
+func startOf(epoch ident.Epoch, spec work.Spec) work.Start {
+	return work.Start{
 		Epoch: epoch, Task: spec.ID, Attempt: spec.Attempt, Kind: spec.Kind, Class: spec.Class, Size: spec.Size,
 		Expiry: startExpiry, Payload: spec.Payload,
-	})
-	switch {
-	case err == nil:
-		s.record(timeline.Started, spec.ID, k.id, "")
-		return nil
-	case fault.KindOf(err).Answer().Ran == fault.RanNo:
-		k.worker.Release(spec.ID, spec.Attempt)
-		s.fleet.Forget(time.Now(), spec.ID)
-		a.assign("")
-		s.refresh(k)
-		return err
-	default:
-		return s.startUnknown(ctx, k, spec, epoch)
 	}
 }
 
+func (s *Service) started(a *attempt, k *keeper, detail string) {
+	a.confirm()
+	s.record(timeline.Started, a.id.Task, k.id, detail)
+}
+
+// startRefused returns what was reserved. A worker that says that it leaves gets no further work.
+func (s *Service) startRefused(a *attempt, k *keeper, err error) {
+	k.worker.Release(a.id.Task, a.id.Attempt)
+	s.dispatch(s.fleet.Forget(time.Now(), a.id.Task))
+	a.unassign()
+	if fault.Is(err, fault.Draining) {
+		k.leave()
+	}
+	s.refresh(k)
+}
+
 // startUnknown sends the start again until the worker tells whether the task runs, or the control lease is lost. A
 // worker answers the same attempt twice with the same answer, so repeating it is safe.
-func (s *Service) startUnknown(ctx context.Context, k *keeper, spec work.Spec, epoch ident.Epoch) error {
-	for k.worker.Snapshot(time.Now()).Epoch == epoch && ctx.Err() == nil {
-		err := k.client.Start(ctx, work.Start{
-			Epoch: epoch, Task: spec.ID, Attempt: spec.Attempt, Kind: spec.Kind, Class: spec.Class, Size: spec.Size,
-			Expiry: startExpiry, Payload: spec.Payload,
-		})
+func (s *Service) startUnknown(ctx context.Context, a *attempt, k *keeper, start work.Start) error {
+	for k.worker.Snapshot(time.Now()).Epoch == start.Epoch {
+		err := k.client.Start(ctx, start)
 		switch {
 		case err == nil:
-			s.record(timeline.Started, spec.ID, k.id, "after a lost answer")
+			s.started(a, k, "after a lost answer")
 			return nil
-		case fault.Is(err, fault.StaleEpoch):
+		case fault.Is(err, fault.StaleEpoch), fault.Is(err, fault.Conflict):
 			return fault.As(fault.Interrupted, err, "start")
+		case !fault.Is(err, fault.Unavailable) && fault.KindOf(err).Answer().Ran == fault.RanNo:
+			s.startRefused(a, k, err)
+			return err
 		}
 		pause.For(ctx, startRetry)
 	}
-	return fault.New(fault.Interrupted, "the start of %s on worker %s was not confirmed", spec.ID, k.id)
+	return fault.New(fault.Interrupted, "the start of %s on worker %s was not confirmed", start.Task, k.id)
 }
 
-const startRetry = 200 * time.Millisecond
-
 // refresh replaces the view of a worker with its true state.
 func (s *Service) refresh(k *keeper) {
-	now := time.Now()
-	s.dispatch(s.fleet.Update(now, rowOf(k.worker.Snapshot(now))))
+	s.dispatch(k.show())
+	s.refuseQueue()
 }
 
 // dispatch hands assignments of the queue to the goroutines that wait for them, and ends the attempts that it gave up.
 func (s *Service) dispatch(decisions fleet.Decisions) {
 	for _, refusal := range decisions.Refused {
-		s.mu.Lock()
-		a := s.pending[refusal.Task]
-		s.mu.Unlock()
+		a := s.held(refusal.Task)
 		if a != nil {
 			s.finish(a, work.Outcome{}, refusal.Err)
 		}
 	}
 	for _, assignment := range decisions.Assigned {
 		s.mu.Lock()
-		a := s.pending[assignment.Spec.ID]
+		a := s.pending[work.AttemptID{Task: assignment.Spec.ID, Attempt: assignment.Spec.Attempt}]
 		s.mu.Unlock()
 		if a == nil {
 			s.dispatch(s.fleet.Forget(time.Now(), assignment.Spec.ID))
@@ -211,42 +280,29 @@
 	}
 }
 
-// finish ends the attempt and keeps its result for a while.
-func (s *Service) finish(a *attempt, outcome work.Outcome, err error) {
-	a.end(outcome, err)
-	s.holdings.Drop(a.task, a.number)
-	if err != nil {
-		s.dispatch(s.fleet.Forget(time.Now(), a.task))
-	}
-	if err != nil && fault.KindOf(err).Answer().Ran == fault.RanNo {
-		s.forget(a)
-		return
-	}
-	time.AfterFunc(keepResult, func() { s.forget(a) })
-}
-
-func (s *Service) forget(a *attempt) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pending[a.task] == a {
-		delete(s.pending, a.task)
-	}
-}
-
 // HandleCancel stops a task that waits or runs here. It returns false if the process holds no such task.
 func (s *Service) HandleCancel(ctx context.Context, task ident.TaskID) (bool, error) {
-	s.mu.Lock()
-	a, ok := s.pending[task]
-	s.mu.Unlock()
-	if !ok {
+	a := s.held(task)
+	if a == nil {
 		return false, nil
 	}
-	s.record(timeline.CancelRequested, task, a.on(), "")
+	worker := a.cancel()
+	s.record(timeline.CancelRequested, task, worker, "")
 	if s.fleet.Cancel(task) {
 		s.finish(a, work.Outcome{}, fault.New(fault.Canceled, "%s was canceled before it started", task))
 		return true, nil
 	}
-	k, err := s.keeper(a.on())
+	if worker == "" {
+		return true, nil // its goroutine ends it before it is started
+	}
+	select { // a stop that overtakes the start would stop nothing
+	case <-a.started:
+	case <-a.done:
+		return true, nil
+	case <-ctx.Done():
+		return true, fault.As(fault.Interrupted, ctx.Err(), "cancel")
+	}
+	k, err := s.keeper(worker)
 	if err != nil {
 		return false, err
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -20,8 +20,10 @@
 
 	tls   peerwire.CredentialFiles
 	plain bool
-	drain time.Duration
-	ring  int
+
+	drain, grace, notice time.Duration
+
+	ring int
 }
 
 func (f *serveFlags) register(fs *flag.FlagSet) {
@@ -38,6 +40,8 @@
 	fs.StringVar(&f.store, "store-address", "", "host:port of the key-value service")
 	fs.StringVar(&f.vmlist, "vm-list-address", "", "host:port of the VM list")
 	fs.DurationVar(&f.drain, "drain-timeout", time.Minute, "longest graceful shutdown")
+	fs.DurationVar(&f.grace, "drain-grace", 5*time.Second, "how long a draining process still serves before it closes its listener")
+	fs.DurationVar(&f.notice, "worker-notice", 10*time.Minute, "how long tasks on a leaving worker may go on")
 	fs.IntVar(&f.ring, "timeline-size", 20000, "events kept for the time line")
 	fs.StringVar(&f.level, "log-level", "info", "debug, info, warn or error")
 }
@@ -51,7 +55,7 @@
 	return node.Settings{
 		ID: ident.ProcessID(f.id), Zone: ident.Zone(f.zone), CallerAddress: f.caller, PeerAddress: f.peer,
 		PeerPlain: f.plain, PeerTLS: f.tls, Peers: peers, StoreAddress: f.store, VMListAddress: f.vmlist,
-		DrainTimeout: f.drain, TimelineSize: f.ring, CellToken: f.cellToken,
+		DrainTimeout: f.drain, DrainGrace: f.grace, WorkerNotice: f.notice, TimelineSize: f.ring, CellToken: f.cellToken,
 	}, err
 }
 
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -61,6 +61,8 @@
 	faults.address("store-address", f.store)
 	faults.address("vm-list-address", f.vmlist)
 	faults.require(f.drain > 0, "drain-timeout", "is %v; want a positive duration", f.drain)
+	faults.require(f.grace >= 0 && (f.drain <= 0 || f.grace < f.drain), "drain-grace", "is %v; want 0s to less than --drain-timeout", f.grace)
+	faults.require(f.notice >= 0, "worker-notice", "is %v; want 0s or more", f.notice)
 	faults.require(f.ring >= 1 && f.ring <= maxTimeline, "timeline-size", "is %d; want 1 to %d", f.ring, maxTimeline)
 	_, err := logLevel(f.level)
 	faults.add("log-level", err)
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -32,6 +32,8 @@
 	Zones         []ident.Zone
 	Capacity      resource.Vector // of each worker
 	CallerAddress string          // of the first process; the others listen on free ports
+	DrainGrace    time.Duration   // of each process
+	WorkerNotice  time.Duration   // how long tasks on a leaving worker may go on
 	Log           *slog.Logger
 	Observe       func(ident.WorkerID, worker.Observation) // may be nil
 	// StoreAddress tells where a process looks for the store; nil for the stand-in. It lets a test cut processes off.
@@ -44,6 +46,9 @@
 // CellToken is the secret of the cell's operators.
 const CellToken = "cell-dev-token"
 
+// DefaultNotice is how long tasks on a leaving worker may go on.
+const DefaultNotice = time.Minute
+
 // DefaultCapacity is the size of a worker: 32 cores, 128 GB and 8 slots.
 var DefaultCapacity = resource.Vector{MilliCores: 32_000, MemoryBytes: 128 << 30, Slots: 8}
 
@@ -75,6 +80,9 @@
 	if len(settings.Zones) == 0 {
 		settings.Zones = []ident.Zone{"kochi-a", "kochi-b", "alappuzha"}
 	}
+	if settings.WorkerNotice == 0 {
+		settings.WorkerNotice = DefaultNotice
+	}
 	c := &Cell{settings: settings}
 	if err := c.start(ctx); err != nil {
 		c.Close()
@@ -147,6 +155,16 @@
 	c.VMs.Set(append([]vmlisthttp.VM(nil), c.rows...))
 }
 
+// Leave marks a VM as leaving in the VM list.
+func (c *Cell) Leave(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.rows {
+		c.rows[i].Leaving = c.rows[i].Leaving || c.rows[i].ID == id
+	}
+	c.VMs.Set(append([]vmlisthttp.VM(nil), c.rows...))
+}
+
 // Unlist removes a VM from the VM list.
 func (c *Cell) Unlist(id string) {
 	c.mu.Lock()
@@ -173,8 +191,9 @@
 	}
 	n, err := node.New(node.Settings{
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
-		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
-		TimelineSize: 20_000, CellToken: CellToken, PeerPlain: true,
+		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainGrace: c.settings.DrainGrace,
+		DrainTimeout: 30 * time.Second, WorkerNotice: c.settings.WorkerNotice, TimelineSize: 20_000,
+		CellToken: CellToken, PeerPlain: true,
 	}, c.settings.Log)
 	if err != nil {
 		return nil, err
@@ -198,6 +217,12 @@
 	<-n.done
 }
 
+// Kill ends the process at once, without a drain, and waits for its end.
+func (n *Node) Kill() {
+	n.Node.Kill()
+	<-n.done
+}
+
 // readyRetry is the pause between questions whether a process is ready.
 const readyRetry = 50 * time.Millisecond
 
@@ -232,7 +257,7 @@
 func (c *Cell) Close() {
 	var running sync.WaitGroup
 	for _, n := range c.Nodes {
-		running.Go(n.Stop)
+		running.Go(n.Kill)
 	}
 	running.Wait()
 	for _, w := range c.Workers {
--- a/internal/domain/grant/grant.go
+++ b/internal/domain/grant/grant.go
@@ -28,7 +28,7 @@
 	draining  bool
 	running   map[ident.TaskID]work.Start
 	started   map[ident.TaskID]time.Time
-	attempts  map[ident.TaskID]ident.Attempt // highest attempt started
+	seen      *attempts
 	outcomes  []numbered
 	sequence  uint64
 }
@@ -42,9 +42,9 @@
 func New(capacity resource.Vector, zone ident.Zone, rack ident.Rack) *Grant {
 	return &Grant{
 		capacity: capacity, zone: zone, rack: rack,
-		running:  map[ident.TaskID]work.Start{},
-		started:  map[ident.TaskID]time.Time{},
-		attempts: map[ident.TaskID]ident.Attempt{},
+		running: map[ident.TaskID]work.Start{},
+		started: map[ident.TaskID]time.Time{},
+		seen:    newAttempts(),
 	}
 }
 
@@ -80,6 +80,7 @@
 func (g *Grant) inventory(now time.Time) work.Inventory {
 	inv := work.Inventory{
 		Epoch: g.epoch, Holder: g.holder, Capacity: g.capacity, Zone: g.zone, Rack: g.rack, Draining: g.draining,
+		Last: g.sequence,
 	}
 	for id, start := range g.running {
 		inv.Running = append(inv.Running, work.Running{
@@ -96,7 +97,12 @@
 	return inv
 }
 
-func (g *Grant) check(epoch ident.Epoch) error {
+// check refuses an epoch that does not hold the control lease. Once the task lease has lapsed nobody does: others take it
+// that nothing runs here then, and a start that was on its way for that long must not change it.
+func (g *Grant) check(now time.Time, epoch ident.Epoch) error {
+	if g.lapsed(now) {
+		return fault.New(fault.StaleEpoch, "nobody renewed the control lease of epoch %d in time", g.epoch)
+	}
 	if epoch != g.epoch || g.holder == "" {
 		return fault.New(fault.StaleEpoch, "epoch %d does not hold the control lease; epoch %d was granted last",
 			epoch, g.epoch)
@@ -108,7 +114,7 @@
 func (g *Grant) Sync(now time.Time, sync work.Sync) (work.SyncReply, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.check(sync.Epoch); err != nil {
+	if err := g.check(now, sync.Epoch); err != nil {
 		return work.SyncReply{}, err
 	}
 	g.renewed = now
@@ -123,17 +129,17 @@
 	return reply, nil
 }
 
-func (g *Grant) acknowledge(tasks []ident.TaskID) {
-	if len(tasks) == 0 {
+func (g *Grant) acknowledge(attempts []work.AttemptID) {
+	if len(attempts) == 0 {
 		return
 	}
-	done := make(map[ident.TaskID]bool, len(tasks))
-	for _, id := range tasks {
+	done := make(map[work.AttemptID]bool, len(attempts))
+	for _, id := range attempts {
 		done[id] = true
 	}
 	kept := g.outcomes[:0]
 	for _, n := range g.outcomes {
-		if !done[n.outcome.Task] {
+		if !done[n.outcome.ID()] {
 			kept = append(kept, n)
 		}
 	}
@@ -141,36 +147,35 @@
 }
 
 // Release gives the control lease back, so that any process may claim it at once.
-func (g *Grant) Release(epoch ident.Epoch) error {
+func (g *Grant) Release(now time.Time, epoch ident.Epoch) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.check(epoch); err != nil {
+	if err := g.check(now, epoch); err != nil {
 		return err
 	}
 	g.holder = ""
 	return nil
 }
 
-// Start admits an attempt. It returns false if the same attempt was admitted before. sent is when the start was sent, by
-// the worker's clock as far as it can tell.
+// Start admits an attempt. It returns false if the same attempt was admitted before. An attempt that was refused once
+// stays refused: its owner may have placed it elsewhere, and a copy of the start may arrive late. sent is when the start
+// was sent, by the worker's clock as far as it can tell.
 func (g *Grant) Start(now, sent time.Time, start work.Start) (bool, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.check(start.Epoch); err != nil {
+	if err := g.check(now, start.Epoch); err != nil {
 		return false, err
 	}
-	if last := g.attempts[start.Task]; last == start.Attempt {
-		return false, nil
-	} else if start.Attempt < last {
-		return false, fault.New(fault.StaleEpoch, "attempt %d of %s; attempt %d was started before",
-			start.Attempt, start.Task, last)
+	if known, err := g.seen.answer(start); known || err != nil {
+		return false, err
 	}
-	if err := g.admit(now, sent, start); err != nil {
+	err := g.admit(now, sent, start)
+	g.seen.note(now, start, err)
+	if err != nil {
 		return false, err
 	}
 	g.running[start.Task] = start
 	g.started[start.Task] = now
-	g.attempts[start.Task] = start.Attempt
 	return true, nil
 }
 
@@ -218,10 +223,10 @@
 }
 
 // Stop ends a running task, with an outcome that says so. It returns the attempt stopped, or 0 if the task does not run.
-func (g *Grant) Stop(epoch ident.Epoch, task ident.TaskID) (ident.Attempt, error) {
+func (g *Grant) Stop(now time.Time, epoch ident.Epoch, task ident.TaskID) (ident.Attempt, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.check(epoch); err != nil {
+	if err := g.check(now, epoch); err != nil {
 		return 0, err
 	}
 	start, ok := g.running[task]
@@ -236,7 +241,7 @@
 func (g *Grant) Expire(now time.Time) []ident.TaskID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.taskLease == 0 || now.Before(g.renewed.Add(g.taskLease)) {
+	if !g.lapsed(now) {
 		return nil
 	}
 	var stopped []ident.TaskID
@@ -248,6 +253,11 @@
 	return stopped
 }
 
+// lapsed reports whether nobody renewed the control lease for the task lease.
+func (g *Grant) lapsed(now time.Time) bool {
+	return g.taskLease != 0 && !now.Before(g.renewed.Add(g.taskLease))
+}
+
 // Drain makes the worker refuse further starts.
 func (g *Grant) Drain() {
 	g.mu.Lock()
@@ -261,3 +271,10 @@
 	defer g.mu.Unlock()
 	return g.epoch
 }
+
+// Remembered returns the number of tasks whose last attempt is remembered.
+func (g *Grant) Remembered() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.seen.last)
+}
--- a/internal/domain/tenure/tenure.go
+++ b/internal/domain/tenure/tenure.go
@@ -11,11 +11,12 @@
 	"skylarkstall/internal/fault"
 )
 
-// Task is an attempt that waits or runs at the owner.
+// Task is an attempt that waits or runs at the owner, or has ended there and whose outcome is kept for its home.
 type Task struct {
 	ID      ident.TaskID
 	Attempt ident.Attempt
 	Worker  ident.WorkerID // empty while the task waits
+	Ended   bool
 }
 
 // Holdings is the aggregate of one owner's homes and held tasks.
@@ -56,8 +57,8 @@
 		partition, home.Counter, home.Process, highest.Counter, highest.Process)
 }
 
-// Admit notes an attempt that a home places. It fails with StaleEpoch for a former home and with Conflict when the task
-// is held already.
+// Admit notes an attempt that a home places. It fails with StaleEpoch for a former home and with Conflict when another
+// attempt of the task is held and has not ended, or a later one has.
 func (h *Holdings) Admit(home ident.HomeEpoch, task ident.TaskID, attempt ident.Attempt) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -66,7 +67,7 @@
 		return stale(partition, home, highest)
 	}
 	h.homes[partition] = home
-	if held, ok := h.tasks[partition][task]; ok {
+	if held, ok := h.tasks[partition][task]; ok && (!held.Ended || held.Attempt >= attempt) {
 		return fault.New(fault.Conflict, "%s is held with attempt %d", task, held.Attempt)
 	}
 	h.tasks[partition][task] = Task{ID: task, Attempt: attempt}
@@ -91,6 +92,25 @@
 	}
 }
 
+// End notes that a held attempt has ended with an outcome. It stays held until Drop, so that a new home finds it.
+func (h *Holdings) End(task ident.TaskID, attempt ident.Attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	tasks := h.tasks[task.Work.Partition()]
+	if held, ok := tasks[task]; ok && held.Attempt == attempt {
+		held.Ended = true
+		tasks[task] = held
+	}
+}
+
+// Find returns the attempt of a task that is held.
+func (h *Holdings) Find(task ident.TaskID) (Task, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held, ok := h.tasks[task.Work.Partition()][task]
+	return held, ok
+}
+
 // Drop forgets an attempt that has ended or that the owner no longer speaks for.
 func (h *Holdings) Drop(task ident.TaskID, attempt ident.Attempt) {
 	h.mu.Lock()
--- a/internal/domain/work/work.go
+++ b/internal/domain/work/work.go
@@ -72,6 +72,19 @@
 	LeaseExpiredMessage = "stopped: no process renewed the control lease"
 )
 
+// EvictedMessage is the message of an outcome that the owner caused, because the worker leaves or the task used more than
+// its size while the worker was full.
+const EvictedMessage = "stopped: its worker was needed or is leaving"
+
+// ID returns the attempt that the outcome is of.
+func (o Outcome) ID() AttemptID { return AttemptID{o.Task, o.Attempt} }
+
+// Evicted reports whether the system ended the attempt, not the task itself or its caller. A repeatable task may start
+// again.
+func (o Outcome) Evicted() bool {
+	return !o.OK && (o.Message == EvictedMessage || o.Message == LeaseExpiredMessage)
+}
+
 // Running is one attempt in a worker's inventory.
 type Running struct {
 	Task    ident.TaskID
@@ -106,15 +119,22 @@
 	Rack     ident.Rack
 	Running  []Running
 	Outcomes []Outcome // finished and not acknowledged
+	Last     uint64    // sequence of the last of them
 	Draining bool
 }
 
+// AttemptID names one attempt of a task.
+type AttemptID struct {
+	Task    ident.TaskID
+	Attempt ident.Attempt
+}
+
 // Sync renews the control lease of a worker.
 type Sync struct {
 	Epoch       ident.Epoch
-	After       uint64         // sequence of the last outcome received; 0 for none
-	Acknowledge []ident.TaskID // outcomes that the worker may forget
-	Wait        time.Duration  // how long to wait for an outcome
+	After       uint64        // sequence of the last outcome received; 0 for none
+	Acknowledge []AttemptID   // outcomes that the worker may forget
+	Wait        time.Duration // how long to wait for an outcome
 }
 
 // SyncReply is the answer to a Sync.
--- a/internal/domain/worker/worker.go
+++ b/internal/domain/worker/worker.go
@@ -21,17 +21,25 @@
 	seen       ident.Epoch // highest epoch heard of
 	validUntil time.Time
 	capacity   resource.Vector
-	reserved   resource.Vector
-	tasks      map[ident.TaskID]reservation
-	leaving    bool // by the VM list or by the worker's own word
+	tasks      map[ident.TaskID]*reservation
+	unsettled  []unsettled
+	restricted Restriction
+	leaving    bool      // by the VM list or by the worker's own word
+	draining   bool      // by the worker's own word, which is final
+	leaveBy    time.Time // end of the notice; zero when the worker stays
 	zone       ident.Zone
 	rack       ident.Rack
 }
 
-type reservation struct {
-	attempt ident.Attempt
-	size    resource.Vector
-}
+// Restriction limits new tasks on a worker that failed distinct jobs.
+type Restriction uint8
+
+// Restrictions.
+const (
+	Unrestricted Restriction = iota
+	ProbesOnly               // one task at a time, to find out whether the worker works again
+	NoTasks                  // no new task until the next probe
+)
 
 // Snapshot is a copy of a worker's state for placement and reports.
 type Snapshot struct {
@@ -44,19 +52,21 @@
 	Tasks    int
 	Held     bool // the control lease is held and has not lapsed
 	Usable   bool // held, and the worker is not leaving
+	Leaving  bool
 }
 
 // New returns the view of a worker that is not claimed yet. lease is the control lease to ask for.
 func New(id ident.WorkerID, lease time.Duration) *Worker {
-	return &Worker{id: id, lease: lease, tasks: map[ident.TaskID]reservation{}}
+	return &Worker{id: id, lease: lease, tasks: map[ident.TaskID]*reservation{}}
 }
 
-// Claim returns the claim to send, with an epoch above every one heard of.
-func (w *Worker) Claim(process ident.ProcessID, supersede bool, taskLease time.Duration) work.Claim {
+// Claim returns the claim to send. Its epoch is above every one heard of and at least the time in milliseconds: a worker
+// that restarted has forgotten its epochs, and a small number could repeat one that a former owner still uses.
+func (w *Worker) Claim(now time.Time, process ident.ProcessID, supersede bool, taskLease time.Duration) work.Claim {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return work.Claim{
-		Process: process, Epoch: w.seen + 1, Supersede: supersede,
+		Process: process, Epoch: max(w.seen+1, ident.Epoch(now.UnixMilli())), Supersede: supersede,
 		Lease: w.lease, TaskLease: taskLease,
 	}
 }
@@ -75,23 +85,20 @@
 	w.epoch, w.seen = inv.Epoch, max(w.seen, inv.Epoch)
 	w.validUntil = sent.Add(w.lease)
 	w.capacity, w.zone, w.rack = inv.Capacity, inv.Zone, inv.Rack
-	w.leaving = inv.Draining
-	w.reserved = resource.Vector{}
-	w.tasks = make(map[ident.TaskID]reservation, len(inv.Running))
+	w.unsettled = nil
+	w.tasks = make(map[ident.TaskID]*reservation, len(inv.Running))
 	for _, r := range inv.Running {
-		w.tasks[r.Task] = reservation{r.Attempt, r.Size}
-		w.reserved = w.reserved.Add(r.Size)
+		w.tasks[r.Task] = &reservation{attempt: r.Attempt, class: r.Class, size: r.Size}
 	}
 }
 
 // Renewed extends the lease from the time that the renewal was sent.
-func (w *Worker) Renewed(sent time.Time, draining bool) {
+func (w *Worker) Renewed(sent time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if until := sent.Add(w.lease); until.After(w.validUntil) {
+	if until := sent.Add(w.lease); w.epoch != 0 && until.After(w.validUntil) {
 		w.validUntil = until
 	}
-	w.leaving = w.leaving || draining
 }
 
 // Lost ends the lease: the worker refused the epoch or another process owns it. It returns the tasks that this process
@@ -103,40 +110,64 @@
 	for id := range w.tasks {
 		tasks = append(tasks, id)
 	}
-	w.epoch, w.validUntil = 0, time.Time{}
-	w.reserved, w.tasks = resource.Vector{}, map[ident.TaskID]reservation{}
+	w.epoch, w.validUntil, w.unsettled = 0, time.Time{}, nil
+	w.tasks = map[ident.TaskID]*reservation{}
 	return tasks
 }
 
-// Leave stops reservations because the worker is leaving.
-func (w *Worker) Leave() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.leaving = true
-}
-
 // Reserve takes capacity for an attempt and returns the epoch that its start must carry. It fails with StaleEpoch,
 // Draining, Conflict or NoCapacity, and then reserves nothing.
-func (w *Worker) Reserve(now time.Time, task ident.TaskID, attempt ident.Attempt, size resource.Vector) (ident.Epoch, error) {
+func (w *Worker) Reserve(now time.Time, spec work.Spec) (ident.Epoch, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.epoch == 0 || !now.Before(w.validUntil) {
+	if !w.held(now) {
 		return 0, fault.New(fault.StaleEpoch, "no control lease on worker %s", w.id)
 	}
 	if w.leaving {
 		return 0, fault.New(fault.Draining, "worker %s is leaving", w.id)
 	}
-	if _, ok := w.tasks[task]; ok {
-		return 0, fault.New(fault.Conflict, "%s is reserved on worker %s", task, w.id)
+	if _, ok := w.tasks[spec.ID]; ok {
+		return 0, fault.New(fault.Conflict, "%s is reserved on worker %s", spec.ID, w.id)
+	}
+	if w.closed() {
+		return 0, fault.New(fault.NoCapacity, "worker %s is on probation", w.id)
+	}
+	if free := w.free(); !spec.Size.Fits(free) {
+		return 0, fault.New(fault.NoCapacity, "%s needs %s; worker %s has %s free", spec.ID, spec.Size, w.id, free)
 	}
-	if free := w.capacity.Sub(w.reserved); !size.Fits(free) {
-		return 0, fault.New(fault.NoCapacity, "%s needs %s; worker %s has %s free", task, size, w.id, free)
+	w.tasks[spec.ID] = &reservation{
+		attempt: spec.Attempt, class: spec.Class, size: spec.Size, repeatable: spec.Repeatable,
 	}
-	w.tasks[task] = reservation{attempt, size}
-	w.reserved = w.reserved.Add(size)
 	return w.epoch, nil
 }
 
+// Restrict limits new tasks.
+func (w *Worker) Restrict(restricted Restriction) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restricted = restricted
+}
+
+// closed reports whether the restriction allows no further task.
+func (w *Worker) closed() bool {
+	return w.restricted == NoTasks || w.restricted == ProbesOnly && len(w.tasks) > 0
+}
+
+func (w *Worker) held(now time.Time) bool { return w.epoch != 0 && now.Before(w.validUntil) }
+
+// free returns what is left of the capacity; a resource that is used above the capacity counts as 0.
+func (w *Worker) free() resource.Vector {
+	return w.capacity.Sub(w.charged()).Max(resource.Vector{})
+}
+
+func (w *Worker) charged() resource.Vector {
+	var sum resource.Vector
+	for _, r := range w.tasks {
+		sum = sum.Add(r.charge())
+	}
+	return sum
+}
+
 // Release returns the capacity of an attempt. It returns false if the attempt holds none.
 func (w *Worker) Release(task ident.TaskID, attempt ident.Attempt) bool {
 	w.mu.Lock()
@@ -146,7 +177,6 @@
 		return false
 	}
 	delete(w.tasks, task)
-	w.reserved = w.reserved.Sub(r.size)
 	return true
 }
 
@@ -154,13 +184,13 @@
 func (w *Worker) Snapshot(now time.Time) Snapshot {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	held := w.epoch != 0 && now.Before(w.validUntil)
+	held := w.held(now)
 	s := Snapshot{
 		ID: w.id, Zone: w.zone, Rack: w.rack, Epoch: w.epoch, Capacity: w.capacity, Tasks: len(w.tasks),
-		Held: held, Usable: held && !w.leaving,
+		Held: held, Usable: held && !w.leaving, Leaving: w.leaving,
 	}
-	if s.Usable {
-		s.Free = w.capacity.Sub(w.reserved)
+	if s.Usable && !w.closed() {
+		s.Free = w.free()
 	}
 	return s
 }
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -19,11 +19,15 @@
 
 // HandleExecute implements port.PeerHandler.
 func (n *Node) HandleExecute(ctx context.Context, call port.Execute) (work.Outcome, error) {
+	n.executing.add(1)
+	defer n.executing.add(-1)
 	return n.home.HandleExecute(ctx, call)
 }
 
 // HandlePlace implements port.PeerHandler.
 func (n *Node) HandlePlace(ctx context.Context, call port.Place) (work.Outcome, error) {
+	n.executing.add(1)
+	defer n.executing.add(-1)
 	return n.owner.HandlePlace(ctx, call)
 }
 
@@ -43,7 +47,9 @@
 }
 
 // HandleSettle implements port.PeerHandler.
-func (n *Node) HandleSettle(_ context.Context, _ []ident.TaskID) error { return nil }
+func (n *Node) HandleSettle(ctx context.Context, tasks []ident.TaskID) error {
+	return n.owner.HandleSettle(ctx, tasks)
+}
 
 // HandleDocuments implements port.PeerHandler.
 func (n *Node) HandleDocuments(ctx context.Context, after ident.Revision) (port.Documents, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,10 +5,11 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"skylarkstall/internal/adapter/callerhttp"
 	"skylarkstall/internal/adapter/document"
 	"skylarkstall/internal/adapter/httpjson"
@@ -25,6 +26,7 @@
 	"skylarkstall/internal/app/owner"
 	"skylarkstall/internal/app/peering"
 	"skylarkstall/internal/domain/fleet"
+	"skylarkstall/internal/domain/health"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
 	"skylarkstall/internal/domain/team"
@@ -43,10 +45,12 @@
 	VMListAddress string // host:port of the VM list
 	PeerPlain     bool   // connections between processes without TLS
 	PeerTLS       peerwire.CredentialFiles
-	Peers         []port.VM // processes to contact beside those of the VM list
-	DrainTimeout  time.Duration
-	TimelineSize  int    // events kept
-	CellToken     string // secret of the cell's operators; empty when nobody may change cell quotas or add teams
+	Peers         []port.VM     // processes to contact beside those of the VM list
+	DrainGrace    time.Duration // how long a draining process still serves, until the balancer has noticed
+	DrainTimeout  time.Duration // longest graceful shutdown, the grace included
+	WorkerNotice  time.Duration // how long tasks on a leaving worker may go on before they are checkpointed or stopped
+	TimelineSize  int           // events kept
+	CellToken     string        // secret of the cell's operators; empty when nobody may change cell quotas or add teams
 }
 
 // Failure detection of peers.
@@ -56,6 +60,14 @@
 	readyAfter = 2 * time.Second // with no peer heard of, the process is taken to be alone
 )
 
+// Retry budget of a process: further placements of refused or failed attempts per second, and how many may come at once.
+// At the peak of 530 starts per second over 17 processes, 30 per second let each start be tried twice on average, so a
+// zone that fails everything at most doubles the load on the others.
+const (
+	retryRate  = 30
+	retryBurst = 100
+)
+
 // Node is one entry process.
 type Node struct {
 	settings    Settings
@@ -75,10 +87,16 @@
 	transport   *peerwire.Transport
 	credentials *peerwire.Credentials // nil for plain connections
 	calls       port.Peers
+	retries     *rate.Limiter
+	executing   inflight
 	caller      net.Listener
 	peer        net.Listener
 
+	killed context.Context // ends when the process is to stop at once
+	kill   context.CancelFunc
+
 	mu       sync.Mutex
+	joined   bool // the peers had time to make themselves known
 	draining bool
 }
 
@@ -130,8 +148,9 @@
 	n := &Node{
 		settings: settings, log: log, started: time.Now(), catalog: team.NewCatalog(),
 		recorder: timeline.NewRecorder(settings.ID, settings.TimelineSize), dir: directory.New(vms, log),
-		meter: meter.New(sink),
+		meter: meter.New(sink), retries: rate.NewLimiter(retryRate, retryBurst),
 	}
+	n.killed, n.kill = context.WithCancel(context.Background())
 	self := membership.Peer{ID: settings.ID, Zone: settings.Zone, Incarnation: uint64(n.started.UnixNano())}
 	n.members = membership.New(self, membership.Settings{
 		Interval: peerwire.HeartbeatInterval, DeadAfter: deadAfter, Rejoin: rejoinRow,
@@ -147,12 +166,13 @@
 	n.recorder.Hear(n.meter.Event)
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
-		Peers: n.calls, Policy: fleet.FirstFit, Recorder: n.recorder, Log: n.log,
+		Peers: n.calls, Policy: fleet.FirstFit, Health: health.New(health.DefaultSettings), Retries: n.retries,
+		Notice: n.settings.WorkerNotice, Recorder: n.recorder, Log: n.log,
 	})
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
 		Beats: n.peers.Heartbeats, Digest: n.owner.Digest, Dir: n.dir, Peers: n.calls, Recorder: n.recorder, Log: n.log,
-		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
+		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{}, Retries: n.retries,
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: n.meter.Store(store), Peers: n.calls, Beats: n.peers.Heartbeats,
@@ -170,8 +190,7 @@
 // PeerAddress returns the host:port that peers reach.
 func (n *Node) PeerAddress() string { return n.peer.Addr().String() }
 
-// Run serves until the context ends, then drains: it takes no new connections, gives back workers and partitions and
-// finishes what runs, for at most the drain timeout.
+// Run serves until the context ends, then drains; see drain.
 func (n *Node) Run(ctx context.Context) error {
 	handler, err := callerhttp.New(n, n.metrics.Handler(), n.meter.Refused)
 	if err != nil {
@@ -185,8 +204,10 @@
 	running.Go(func() { _ = n.transport.Run(inner) }) // ends with the context
 	running.Go(func() { n.peers.RunConnections(inner, n.transport) })
 	running.Go(func() { n.RunServices(inner) })
-	drained := context.AfterFunc(ctx, func() { n.drain(server, stop) })
-	defer drained()
+	stopping := context.AfterFunc(ctx, func() { n.drain(inner, server, stop) })
+	defer stopping()
+	killed := context.AfterFunc(n.killed, func() { n.breakOff(server, stop) })
+	defer killed()
 	err = callerhttp.Serve(server, n.caller)
 	if ctx.Err() == nil {
 		stop()
@@ -222,6 +243,9 @@
 // runOwnership claims workers and partitions once the peers had time to make themselves known.
 func (n *Node) runOwnership(ctx context.Context) {
 	n.awaitPeers(ctx)
+	n.mu.Lock()
+	n.joined = true
+	n.mu.Unlock()
 	var running sync.WaitGroup
 	running.Go(func() { n.owner.Run(ctx) })
 	running.Go(func() { n.home.Run(ctx) })
@@ -245,25 +269,10 @@
 	}
 }
 
-func (n *Node) drain(server *http.Server, stop func()) {
-	n.mu.Lock()
-	n.draining = true
-	n.mu.Unlock()
-	n.recorder.Record(time.Now(), timeline.Event{Kind: timeline.DrainStarted})
-	n.log.Info("draining", "timeout", n.settings.DrainTimeout)
-	n.peers.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		n.log.Warn("drain timeout; requests were cut off", "error", err)
-	}
-	stop()
-}
-
 // Ready tells the balancer whether the process takes work. It fails with Draining or NotReady.
 func (n *Node) Ready() error {
 	n.mu.Lock()
-	draining := n.draining
+	draining, joined := n.draining, n.joined
 	n.mu.Unlock()
 	switch {
 	case draining:
@@ -272,6 +281,8 @@
 		return fault.New(fault.NotReady, "no documents confirmed by the store or a peer")
 	case !n.dir.Known():
 		return fault.New(fault.NotReady, "the VM list was not read")
+	case !joined:
+		return fault.New(fault.NotReady, "not every listed process was heard of yet")
 	}
 	return nil
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -80,6 +80,8 @@
 	Checkpoint(ctx context.Context, epoch ident.Epoch, task ident.TaskID) ([]byte, error)
 	// Throttle limits a task to the given size.
 	Throttle(ctx context.Context, epoch ident.Epoch, task ident.TaskID, limit resource.Vector) error
+	// Reset closes a connection that went silent; the next call opens another.
+	Reset()
 	// Close closes the connections.
 	Close() error
 }
--- a/internal/standin/local/worker.go
+++ b/internal/standin/local/worker.go
@@ -143,7 +143,7 @@
 	if err := c.reach(ctx); err != nil {
 		return err
 	}
-	return c.grant.Release(epoch)
+	return c.grant.Release(time.Now(), epoch)
 }
 
 // Start implements port.WorkerClient.
@@ -187,7 +187,7 @@
 	if err := c.reach(ctx); err != nil {
 		return err
 	}
-	if _, err := c.grant.Stop(epoch, task); err != nil {
+	if _, err := c.grant.Stop(time.Now(), epoch, task); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -209,5 +209,8 @@
 	return c.reach(ctx)
 }
 
+// Reset implements port.WorkerClient.
+func (c *client) Reset() {}
+
 // Close implements port.WorkerClient.
 func (c *client) Close() error { return nil }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -43,18 +43,29 @@
 
 // Worker is a stand-in that listens for commands.
 type Worker struct {
-	settings Settings
-	grant    *grant.Grant
 	changed  notify.Broadcast
 	ctx      context.Context
 	cancel   context.CancelFunc
 	server   *http.Server
-	listener net.Listener
+	listener *listener
+	running  sync.WaitGroup
+	observe  func(Observation)
+
+	order sync.Mutex // makes each decision of the grant one step with its observation
+
+	mu       sync.Mutex
+	settings Settings
+	grant    *grant.Grant
+	tasks    map[ident.TaskID]*task
+	usage    map[ident.TaskID]resource.Vector
+	stubborn bool
+	gate     chan struct{}
+}
 
-	mu      sync.Mutex
-	cancels map[ident.TaskID]context.CancelFunc
-	running sync.WaitGroup
-	observe func(Observation)
+// task is a running attempt.
+type task struct {
+	start  work.Start
+	cancel context.CancelFunc
 }
 
 // Observation is the start or end of an attempt, for tests that check promises.
@@ -67,19 +78,20 @@
 
 // Start returns a stand-in that listens on the address. observe may be nil.
 func Start(address string, settings Settings, observe func(Observation)) (*Worker, error) {
-	listener, err := net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.As(fault.Unavailable, err, "listen")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Worker{
 		settings: settings, grant: grant.New(settings.Capacity, settings.Zone, settings.Rack),
-		ctx: ctx, cancel: cancel, listener: listener, cancels: map[ident.TaskID]context.CancelFunc{}, observe: observe,
+		ctx: ctx, cancel: cancel, observe: observe, listener: &listener{Listener: inner, open: map[*conn]struct{}{}},
+		tasks: map[ident.TaskID]*task{}, usage: map[ident.TaskID]resource.Vector{},
 	}
 	w.server = httpjson.NewServer(w.routes())
 	w.running.Add(1)
 	go w.expireLoop()
-	go func() { _ = w.server.Serve(listener) }() // returns when the server is closed
+	go func() { _ = w.server.Serve(w.listener) }() // returns when the server is closed
 	return w, nil
 }
 
@@ -93,8 +105,11 @@
 	w.running.Wait()
 }
 
-// Drain makes the stand-in refuse further starts.
-func (w *Worker) Drain() { w.grant.Drain() }
+func (w *Worker) state() *grant.Grant {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.grant
+}
 
 func (w *Worker) routes() http.Handler {
 	mux := http.NewServeMux()
@@ -114,7 +129,7 @@
 		httpjson.WriteError(rw, err)
 		return
 	}
-	inv, err := w.grant.Claim(time.Now(), call.Claim())
+	inv, err := w.state().Claim(time.Now(), call.Claim())
 	if err != nil {
 		writeRefusedClaim(rw, inv, err)
 		return
@@ -153,15 +168,21 @@
 func (w *Worker) waitForOutcomes(ctx context.Context, sync work.Sync) (work.SyncReply, error) {
 	timer := time.NewTimer(sync.Wait)
 	defer timer.Stop()
+	var first *bool
 	for {
 		changed := w.changed.Changed()
-		reply, err := w.grant.Sync(time.Now(), sync)
-		if err != nil || len(reply.Outcomes) > 0 || sync.Wait <= 0 {
+		reply, err := w.state().Sync(time.Now(), sync)
+		reply.Usage = w.measured()
+		if first == nil {
+			first = &reply.Draining
+		}
+		if err != nil || len(reply.Outcomes) > 0 || reply.Draining != *first || sync.Wait <= 0 {
 			return reply, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			reply.Usage = w.measured()
 			return reply, nil
 		case <-ctx.Done():
 			return reply, nil
@@ -175,7 +196,7 @@
 	var call workerhttp.EpochCall
 	err := httpjson.Read(rw, r, &call)
 	if err == nil {
-		err = w.grant.Release(ident.Epoch(call.Epoch))
+		err = w.state().Release(time.Now(), ident.Epoch(call.Epoch))
 	}
 	writeDone(rw, err)
 }
@@ -199,49 +220,90 @@
 		httpjson.WriteError(rw, err)
 		return
 	}
-	fresh, err := w.grant.Start(time.Now(), sent, start)
+	w.awaitGate()
+	writeDone(rw, w.admit(start, sent))
+}
+
+// admit launches the task if the grant admits it.
+func (w *Worker) admit(start work.Start, sent time.Time) error {
+	w.order.Lock()
+	defer w.order.Unlock()
+	fresh, err := w.state().Start(time.Now(), sent, start)
 	if err == nil && fresh {
 		w.launch(start)
 	}
-	writeDone(rw, err)
+	return err
 }
 
 // launch runs the task in a goroutine of its own.
 func (w *Worker) launch(start work.Start) {
 	ctx, cancel := context.WithCancel(w.ctx)
+	t := &task{start, cancel}
 	w.mu.Lock()
-	w.cancels[start.Task] = cancel
+	w.tasks[start.Task] = t
 	w.mu.Unlock()
 	w.note(Observation{start.Task, start.Attempt, start.Size, true})
 	w.running.Add(1)
 	go func() {
 		defer w.running.Done()
 		defer cancel()
-		w.run(ctx, start)
+		w.run(ctx, t)
 	}()
 }
 
-func (w *Worker) run(ctx context.Context, start work.Start) {
+func (w *Worker) run(ctx context.Context, t *task) {
 	payload := Payload{RunMS: DefaultRun.Milliseconds()}
-	_ = json.Unmarshal(start.Payload, &payload) // another payload runs with the defaults
+	_ = json.Unmarshal(t.start.Payload, &payload) // another payload runs with the defaults
 	began := time.Now()
-	if !w.settings.FailAll {
+	w.mu.Lock()
+	failAll := w.settings.FailAll
+	w.mu.Unlock()
+	if !failAll {
 		pause.For(ctx, time.Duration(payload.RunMS)*time.Millisecond)
 	}
-	w.note(Observation{start.Task, start.Attempt, start.Size, false})
 	outcome := work.Outcome{
-		Task: start.Task, Attempt: start.Attempt, OK: !payload.Fail && !w.settings.FailAll, RunTime: time.Since(began),
+		Task: t.start.Task, Attempt: t.start.Attempt, OK: !payload.Fail && !failAll, RunTime: time.Since(began),
 	}
 	if outcome.OK {
 		outcome.Output = []byte(payload.Echo)
 	} else {
 		outcome.Message = "the task exited with status 1"
 	}
-	if ctx.Err() == nil && w.grant.Finish(outcome) {
+	w.order.Lock()
+	defer w.order.Unlock()
+	if w.end(t) && w.state().Finish(outcome) {
 		w.changed.Signal()
 	}
 }
 
+// end notes the end of the task. It returns false if the task had ended before.
+func (w *Worker) end(t *task) bool {
+	w.mu.Lock()
+	ours := w.tasks[t.start.Task] == t
+	if ours {
+		delete(w.tasks, t.start.Task)
+		delete(w.usage, t.start.Task)
+	}
+	w.mu.Unlock()
+	if ours {
+		w.note(Observation{t.start.Task, t.start.Attempt, t.start.Size, false})
+	}
+	return ours
+}
+
+// endAll notes the end of every task.
+func (w *Worker) endAll() {
+	w.mu.Lock()
+	all := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		all = append(all, t)
+	}
+	w.mu.Unlock()
+	for _, t := range all {
+		w.end(t)
+	}
+}
+
 func (w *Worker) note(o Observation) {
 	if w.observe != nil {
 		w.observe(o)
@@ -257,24 +319,27 @@
 	if err := httpjson.Read(rw, r, &call); err != nil {
 		return err
 	}
-	task, err := call.ID()
+	id, err := call.ID()
 	if err != nil {
 		return err
 	}
-	if _, err := w.grant.Stop(ident.Epoch(call.Epoch), task); err != nil {
+	w.order.Lock()
+	defer w.order.Unlock()
+	if _, err := w.state().Stop(time.Now(), ident.Epoch(call.Epoch), id); err != nil {
 		return err
 	}
-	w.halt(task)
+	w.halt(id)
 	w.changed.Signal()
 	return nil
 }
 
-func (w *Worker) halt(task ident.TaskID) {
+func (w *Worker) halt(id ident.TaskID) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if cancel, ok := w.cancels[task]; ok {
-		cancel()
-		delete(w.cancels, task)
+	t, ok := w.tasks[id]
+	w.mu.Unlock()
+	if ok {
+		t.cancel()
+		w.end(t)
 	}
 }
 
@@ -288,7 +353,15 @@
 
 func (w *Worker) throttle(rw http.ResponseWriter, r *http.Request) {
 	var call workerhttp.TaskCall
-	writeDone(rw, httpjson.Read(rw, r, &call))
+	err := httpjson.Read(rw, r, &call)
+	var id ident.TaskID
+	if err == nil {
+		id, err = call.ID()
+	}
+	if err == nil {
+		w.throttled(id, call.Limit)
+	}
+	writeDone(rw, err)
 }
 
 func (w *Worker) expireLoop() {
@@ -298,11 +371,17 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			for _, task := range w.grant.Expire(now) {
-				w.halt(task)
-			}
+			w.expire(now)
 		case <-w.ctx.Done():
 			return
 		}
 	}
 }
+
+func (w *Worker) expire(now time.Time) {
+	w.order.Lock()
+	defer w.order.Unlock()
+	for _, id := range w.state().Expire(now) {
+		w.halt(id)
+	}
+}
