--- a/internal/processtest/kill_test.go
+++ b/internal/processtest/kill_test.go
@@ -20,6 +20,7 @@
 // TestKillOneOfSevenUnderLoad guards against work that is lost, doubled or answered with another request's output when an
 // entry process is killed while 300 requests run through seven processes.
 func TestKillOneOfSevenUnderLoad(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("starts 16 processes")
 	}
