--- a/internal/app/owner/cancel.go
+++ b/internal/app/owner/cancel.go
@@ -25,27 +25,26 @@
 	return fault.New(fault.Canceled, "%s was canceled before it started", task)
 }
 
-// HandleCancel stops tasks that wait or run here and returns those that it does not hold. A task whose start is in flight is stopped
-// by the goroutine that starts it. The cost grows linearly with the number of tasks: one pass over the queue for all that
+// HandleCancel stops tasks that wait or run here and returns those that it does not hold. A task whose start is in flight is stopped once the worker has confirmed it. The cost grows linearly with the number of tasks: one pass over the queue for all that
 // wait, and one stop for each that runs, on all workers at the same time.
 func (s *Service) HandleCancel(ctx context.Context, tasks []ident.TaskID) ([]ident.TaskID, error) {
 	s.recordCancels(tasks)
 	var missing, waiting []ident.TaskID
-	running := map[ident.WorkerID][]ident.TaskID{}
+	running := map[ident.WorkerID][]*attempt{}
 	for _, task := range tasks {
-		a, ok := s.held(task)
-		if !ok || a.isEnded() {
+		a := s.held(task)
+		if a == nil || a.isEnded() {
 			missing = append(missing, task)
 			continue
 		}
-		if worker, started := a.halt(); started {
-			running[worker] = append(running[worker], task)
+		if worker := a.cancel(); worker != "" {
+			running[worker] = append(running[worker], a)
 		} else {
 			waiting = append(waiting, task)
 		}
 	}
 	for _, task := range s.fleet.CancelAll(waiting) {
-		if a, ok := s.held(task); ok {
+		if a := s.held(task); a != nil {
 			s.finish(a, work.Outcome{}, canceledBefore(task))
 		}
 	}
@@ -62,19 +61,12 @@
 	}
 }
 
-func (s *Service) held(task ident.TaskID) (*attempt, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a, ok := s.pending[task]
-	return a, ok
-}
-
 // stopAll stops the tasks of each worker in a goroutine of its own and returns one of the errors.
-func (s *Service) stopAll(ctx context.Context, byWorker map[ident.WorkerID][]ident.TaskID) error {
+func (s *Service) stopAll(ctx context.Context, byWorker map[ident.WorkerID][]*attempt) error {
 	var stopping sync.WaitGroup
 	errs := make(chan error, len(byWorker))
-	for worker, tasks := range byWorker {
-		stopping.Go(func() { errs <- s.stopTasks(ctx, worker, tasks) })
+	for worker, attempts := range byWorker {
+		stopping.Go(func() { errs <- s.stopAttempts(ctx, worker, attempts) })
 	}
 	stopping.Wait()
 	close(errs)
@@ -86,14 +78,22 @@
 	return nil
 }
 
-// stopTasks stops tasks that run on the worker. Their outcomes arrive with its next sync.
-func (s *Service) stopTasks(ctx context.Context, worker ident.WorkerID, tasks []ident.TaskID) error {
+// stopAttempts stops attempts on the worker, each once its start was confirmed: a stop that overtakes the start would stop
+// nothing. Their outcomes arrive with the worker's next sync.
+func (s *Service) stopAttempts(ctx context.Context, worker ident.WorkerID, attempts []*attempt) error {
 	k, err := s.keeper(worker)
 	if err != nil {
 		return err
 	}
-	for _, task := range tasks {
-		if err := s.stopTask(ctx, k, task); err != nil {
+	for _, a := range attempts {
+		select {
+		case <-a.done:
+			continue
+		case <-a.started:
+		case <-ctx.Done():
+			return fault.As(fault.Interrupted, ctx.Err(), "cancel")
+		}
+		if err := s.stopTask(ctx, k, a.id.Task); err != nil {
 			return err
 		}
 	}
@@ -111,13 +111,3 @@
 	}
 	return err
 }
-
-// stopHalted stops an attempt that was canceled while its start was in flight. It returns once the worker confirmed the
-// stop or the attempt ended otherwise: the home was told that the attempt will be stopped.
-func (s *Service) stopHalted(ctx context.Context, a *attempt, k *keeper) {
-	for ctx.Err() == nil && !a.isEnded() {
-		if err := s.stopTask(ctx, k, a.task); err == nil {
-			return
-		}
-	}
-}
--- a/internal/app/owner/preempt.go
+++ b/internal/app/owner/preempt.go
@@ -29,10 +29,8 @@
 	if err != nil {
 		return // the worker is lost, and the task with it
 	}
-	s.mu.Lock()
-	a := s.pending[p.Task]
-	s.mu.Unlock()
-	if a == nil || a.number != p.Attempt {
+	a := s.held(p.Task)
+	if a == nil || a.id.Attempt != p.Attempt {
 		return
 	}
 	epoch := k.worker.Snapshot(time.Now()).Epoch
@@ -57,7 +55,7 @@
 	if !a.yielding || outcome.OK || outcome.Message != work.StoppedMessage {
 		return nil
 	}
-	return fault.New(fault.NoCapacity, "%s gave way to more urgent work", a.task)
+	return fault.New(fault.NoCapacity, "%s gave way to more urgent work", a.id.Task)
 }
 
 func (a *attempt) setYielding(yielding bool) {
--- a/internal/app/owner/reserve.go
+++ b/internal/app/owner/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/reservation"
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/port"
@@ -21,7 +22,7 @@
 	for _, index := range call.Indexes {
 		spec := call.Spec
 		spec.ID.Index = index
-		if !s.reserve(spec) {
+		if !s.holdRoom(spec) {
 			break
 		}
 		held = append(held, index)
@@ -29,8 +30,8 @@
 	return held, nil
 }
 
-// reserve holds room for one task. It returns false when no worker has room.
-func (s *Service) reserve(spec work.Spec) bool {
+// holdRoom holds room for one task. It returns false when no worker has room.
+func (s *Service) holdRoom(spec work.Spec) bool {
 	for range maxPlacements {
 		assignment, ok := s.fleet.Take(time.Now(), spec)
 		if !ok {
@@ -42,7 +43,7 @@
 			continue
 		}
 		now := time.Now()
-		if _, err := k.worker.Reserve(now, spec.ID, spec.Attempt, spec.Size); err != nil {
+		if _, err := k.worker.Reserve(now, spec); err != nil {
 			s.dispatch(s.fleet.Forget(now, spec.ID))
 			s.refresh(k)
 			continue
@@ -104,12 +105,23 @@
 		return err
 	}
 	epoch, err := k.worker.Reserved(now, spec.ID, spec.Attempt)
+	if err == nil {
+		err = a.assign(k.id)
+	}
 	if err != nil {
 		s.giveBack(k, spec.ID, spec.Attempt)
 		return err
 	}
+	s.holdings.Assign(spec.ID, k.id)
 	return s.launch(ctx, a, k, spec, epoch)
 }
 
 // Reservations returns the number of tasks for which room is held.
 func (s *Service) Reservations() int { return s.reservations.Len() }
+
+// giveBack returns the room of an attempt that did not start.
+func (s *Service) giveBack(k *keeper, task ident.TaskID, attempt ident.Attempt) {
+	k.worker.Release(task, attempt)
+	s.dispatch(s.fleet.Forget(time.Now(), task))
+	s.refresh(k)
+}
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -35,6 +35,8 @@
 	Capacity      resource.Vector // of each worker
 	CallerAddress string          // of the first process; the others listen on free ports
 	Policy        fleet.Policy    // zero for fleet.FairShare
+	DrainGrace    time.Duration   // of each process
+	WorkerNotice  time.Duration   // how long tasks on a leaving worker may go on
 	Log           *slog.Logger
 	Observe       func(ident.WorkerID, worker.Observation)     // may be nil
 	Journals      *journal.Journals                            // in memory; new ones when nil
@@ -51,6 +53,9 @@
 // CellToken is the secret of the cell's operators.
 const CellToken = "cell-dev-token"
 
+// DefaultNotice is how long tasks on a leaving worker may go on.
+const DefaultNotice = time.Minute
+
 // DefaultCapacity is the size of a worker: 32 cores, 128 GB and 8 slots.
 var DefaultCapacity = resource.Vector{MilliCores: 32_000, MemoryBytes: 128 << 30, Slots: 8}
 
@@ -85,6 +90,9 @@
 	if settings.Journals == nil {
 		settings.Journals = journal.New()
 	}
+	if settings.WorkerNotice == 0 {
+		settings.WorkerNotice = DefaultNotice
+	}
 	c := &Cell{settings: settings}
 	if err := c.start(ctx); err != nil {
 		c.Close()
@@ -157,6 +165,16 @@
 	c.VMs.Set(append([]vmlisthttp.VM(nil), c.rows...))
 }
 
+// Leave marks a VM as leaving in the VM list.
+func (c *Cell) Leave(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.rows {
+		c.rows[i].Leaving = c.rows[i].Leaving || c.rows[i].ID == id
+	}
+	c.VMs.Set(append([]vmlisthttp.VM(nil), c.rows...))
+}
+
 // Unlist removes a VM from the VM list.
 func (c *Cell) Unlist(id string) {
 	c.mu.Lock()
@@ -183,8 +201,9 @@
 	}
 	n, err := node.New(node.Settings{
 		ID: ident.ProcessID(id), Zone: c.zone(zone), CallerAddress: caller, PeerAddress: "127.0.0.1:0",
-		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainTimeout: 30 * time.Second,
-		TimelineSize: 20_000, Policy: c.settings.Policy, CellToken: CellToken, PeerPlain: true,
+		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainGrace: c.settings.DrainGrace,
+		DrainTimeout: 30 * time.Second, WorkerNotice: c.settings.WorkerNotice, TimelineSize: 20_000,
+		Policy: c.settings.Policy, CellToken: CellToken, PeerPlain: true,
 		Journal: c.settings.Journals.Writer(ident.ProcessID(id)),
 		WrapPeers: func(peers port.Peers) port.Peers {
 			if c.settings.WrapPeers == nil {
@@ -272,7 +291,7 @@
 func (c *Cell) Close() {
 	var running sync.WaitGroup
 	for _, n := range c.Nodes {
-		running.Go(n.Stop)
+		running.Go(n.Kill)
 	}
 	running.Wait()
 	for _, w := range c.Workers {
