--- a/internal/domain/journal/record.go
+++ b/internal/domain/journal/record.go
@@ -51,9 +51,24 @@
 
 // Result is the end of a task.
 type Result struct {
-	OK      bool
-	Unknown bool // the task was started and its outcome was lost
-	Output  []byte
-	Message string
-	RunTime time.Duration
+	OK         bool
+	Unknown    bool // the task was started and its outcome was lost
+	OutputLost bool // the output was too large to keep
+	Output     []byte
+	Message    string
+	RunTime    time.Duration
+}
+
+// Segment is what one slot of the ring holds.
+type Segment struct {
+	Sequence uint64
+	Writer   ident.ProcessID
+	Nonce    uint64 // tells the writer's own writes apart
+	Records  []Record
+}
+
+// Snapshot replaces the segments up to and including a sequence number.
+type Snapshot struct {
+	Covers  uint64
+	Records []Record
 }
