--- a/internal/app/home/execute.go
+++ b/internal/app/home/execute.go
@@ -6,7 +6,6 @@
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/ledger"
-	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
@@ -19,116 +18,147 @@
 // retryPause is the mean pause before a refused attempt goes to another owner.
 const retryPause = 20 * time.Millisecond
 
-// execute runs the request or joins it.
-func (p *partition) execute(ctx context.Context, call port.Execute) (work.Outcome, error) {
-	id := call.Spec.ID.Work
-	book := p.book()
-	decision, done, err := book.Admit(time.Now(), id, call.Digest)
-	if err != nil {
-		return work.Outcome{}, err
-	}
-	if decision == ledger.Run {
-		outcome, err := p.run(ctx, call.Spec)
-		book.End(id, ledger.Result{Outcome: outcome, Err: err}, call.Spec.Deadline.Add(keepResult))
-		return outcome, err
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return work.Outcome{}, fault.New(fault.Interrupted, "%s runs; ask again with the same request id", id)
-	}
-	result, ok := book.Result(id)
-	if !ok {
-		return work.Outcome{}, fault.New(fault.Interrupted, "%s ended; ask again with the same request id", id)
+// settleTimeout bounds the call that lets an owner forget an outcome.
+const settleTimeout = 2 * time.Second
+
+// runRepeatable runs a request that may be started again when an attempt certainly does not run any longer.
+func (t *term) runRepeatable(call port.Execute) {
+	ctx, cancel := context.WithDeadline(t.process, call.Spec.Deadline)
+	defer cancel()
+	ended, err := t.run(ctx, ctx, call.Spec)
+	t.ledger.End(call.Spec.ID.Work, ledger.Result{Outcome: ended.outcome, Err: err}, call.Spec.Deadline.Add(keepResult))
+	if ended.followed {
+		t.settle(ended.owner, call.Spec.ID)
 	}
-	return result.Outcome, result.Err
 }
 
-func (p *partition) book() *ledger.Ledger {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ledger
+// ending is the outcome of an attempt and the owner that has it.
+type ending struct {
+	outcome  work.Outcome
+	owner    ident.ProcessID
+	followed bool // it came from another call than the one that placed the attempt
 }
 
-// run starts attempts until one ends. An attempt follows another only when that one certainly does not run.
-func (p *partition) run(ctx context.Context, spec work.Spec) (work.Outcome, error) {
-	if !spec.Repeatable {
-		return work.Outcome{}, fault.New(fault.StoreUnavailable, "no journal: work that is not repeatable is refused")
-	}
+// run starts attempts until one ends. An attempt follows another only when that one certainly did not run, or may be
+// repeated and certainly does not run any longer. No attempt is placed once the first context has ended; the outcome is
+// waited for until the second one ends.
+func (t *term) run(placing, ctx context.Context, spec work.Spec) (ending, error) {
 	refused := map[ident.ProcessID]bool{}
 	for {
-		owner, err := p.service.choose(spec, refused)
+		owner, err := t.service.choose(spec, refused)
 		if err != nil {
 			if len(refused) == 0 {
-				return work.Outcome{}, err
+				return ending{}, err
 			}
 			clear(refused) // every owner refused; their queues may have moved since
-			pause.For(ctx, retryPause)
-			if ctx.Err() != nil {
-				return work.Outcome{}, err
+			if !pause.For(placing, retryPause) {
+				return ending{}, err
 			}
 			continue
 		}
 		spec.Attempt = ident.NextAttempt(time.Now(), spec.Attempt)
-		outcome, err := p.attempt(ctx, owner, spec)
+		ended, err := t.attempt(ctx, owner, spec)
 		switch answer := fault.KindOf(err).Answer(); {
 		case err == nil:
-			return outcome, nil
-		case answer.Ran != fault.RanNo || !answer.Retryable || ctx.Err() != nil:
-			return work.Outcome{}, err
+			return ended, nil
+		case answer.Ran != fault.RanNo || !answer.Retryable || placing.Err() != nil:
+			return ending{}, err
 		}
 		refused[owner] = true
 	}
 }
 
 // attempt places one attempt and follows it until it has ended or certainly does not run.
-func (p *partition) attempt(ctx context.Context, owner ident.ProcessID, spec work.Spec) (work.Outcome, error) {
-	epoch, _ := p.tenure()
-	call := port.Place{Partition: p.id, Home: epoch, Spec: spec}
-	outcome, err := p.service.Peers.Place(ctx, owner, call)
-	if fault.Is(err, fault.Interrupted) {
-		return p.follow(ctx, call)
+func (t *term) attempt(ctx context.Context, owner ident.ProcessID, spec work.Spec) (ending, error) {
+	epoch, err := t.homeEpoch()
+	if err != nil {
+		return ending{}, err
+	}
+	call := port.Place{Partition: t.id, Home: epoch, Spec: spec}
+	outcome, err := t.service.Peers.Place(ctx, owner, call)
+	switch {
+	case fault.Is(err, fault.Interrupted):
+		t.nextEpoch(ident.HomeEpoch{}) // fences the call that broke off, should it still arrive
+		return t.follow(ctx, call, owner)
+	case fault.Is(err, fault.StaleEpoch):
+		// The owner means its worker, or this home.
+		if _, refusal := t.ask(ctx, owner); fault.Is(refusal, fault.StaleEpoch) {
+			t.fenced()
+		}
 	}
-	return outcome, err
+	return ending{outcome: outcome, owner: owner}, err
 }
 
-// follow finds an attempt whose owner was lost, and waits for its outcome. It returns NoCapacity when the attempt
-// certainly does not run and has no outcome.
-func (p *partition) follow(ctx context.Context, call port.Place) (work.Outcome, error) {
+// follow waits for the outcome of an attempt whose call broke off: first at the given owner, which keeps the outcome for a
+// while, then where a survey finds the attempt. Without an outcome it fails with NoCapacity when a repeatable attempt
+// certainly does not run, and with UnknownOutcome when work that is not repeatable may have run.
+func (t *term) follow(ctx context.Context, call port.Place, owner ident.ProcessID) (ending, error) {
 	call.Attach = true
+	task := call.Spec.ID
 	began := time.Now()
 	for ctx.Err() == nil {
-		changed := p.changed.Changed()
-		if outcome, ok := p.takeReported(call.Spec.ID, call.Spec.Attempt); ok {
-			return outcome, nil
+		changed := t.changed.Changed()
+		if r, ok := t.takeReported(task, call.Spec.Attempt); ok {
+			return ending{r.outcome, r.owner, true}, nil
 		}
-		found := p.survey(ctx)
-		if owner, ok := found.owners[call.Spec.ID]; ok {
-			outcome, err := p.service.Peers.Place(ctx, owner, call)
-			if !fault.Is(err, fault.Interrupted) && !fault.Is(err, fault.NotFound) {
-				return outcome, err
+		if owner != "" {
+			outcome, err := t.service.Peers.Place(ctx, owner, call)
+			if !attachesElsewhere(err) {
+				return ending{outcome, owner, true}, err
 			}
-		} else if found.complete || time.Since(began) > p.service.LostAfter {
-			return work.Outcome{}, fault.New(fault.NoCapacity, "the owner of %s failed before it ran", call.Spec.ID)
 		}
-		timer := time.NewTimer(surveyRetry)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
+		if _, err := t.homeEpoch(); err != nil {
+			return ending{}, fault.New(fault.Interrupted, "the home of %s changed; ask again with the same request id", task)
+		}
+		found := t.survey(ctx)
+		at, held := found.holders[task]
+		switch {
+		case found.outranked:
+			t.fenced()
+		case held && at.process != owner:
+			owner = at.process
+			continue
+		case !held && (found.complete || time.Since(began) > t.service.LostAfter):
+			return ending{}, lost(call.Spec)
 		}
-		timer.Stop()
+		awaitAny(ctx, changed, surveyRetry)
 	}
-	return work.Outcome{}, fault.New(fault.UnknownOutcome, "%s was started; its outcome is not known", call.Spec.ID)
+	return ending{}, fault.New(fault.UnknownOutcome, "%s was started; its outcome is not known", task)
 }
 
-// followAdopted waits for the outcome of an attempt that a former home placed.
-func (p *partition) followAdopted(ctx context.Context, held port.HeldTask) {
-	epoch, _ := p.tenure()
-	book := p.book()
-	call := port.Place{Partition: p.id, Home: epoch, Spec: work.Spec{ID: held.Task, Attempt: held.Attempt}}
-	call.Spec.Size.Slots = 1 // the least that a frame may carry; an attach does not use it
-	p.service.record(timeline.TakenOver, held.Task, "")
-	outcome, err := p.follow(ctx, call)
-	book.End(held.Task.Work, ledger.Result{Outcome: outcome, Err: err}, time.Now().Add(keepResult))
+// attachesElsewhere reports whether the answer of an owner to an attach says nothing of the attempt.
+func attachesElsewhere(err error) bool {
+	return fault.Is(err, fault.Interrupted) || fault.Is(err, fault.NotFound) || fault.Is(err, fault.Unavailable)
+}
+
+// lost is the end of an attempt that no owner holds. The attempt may have run on a worker that failed.
+func lost(spec work.Spec) error {
+	if spec.Repeatable {
+		return fault.New(fault.NoCapacity, "the owner of %s failed before it ran", spec.ID)
+	}
+	return fault.New(fault.UnknownOutcome, "%s may have run; no process or worker knows its outcome", spec.ID)
+}
+
+// awaitAny waits for the change, the time or the end of the context.
+func awaitAny(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// settle lets the owner and the worker forget the outcome of the task. When the call fails, the owner tells of the outcome
+// again to the next home.
+func (t *term) settle(owner ident.ProcessID, task ident.TaskID) {
+	if owner == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.process, settleTimeout)
+	defer cancel()
+	if err := t.service.Peers.Settle(ctx, owner, []ident.TaskID{task}); err != nil {
+		t.service.Log.Info("outcome not settled", "task", task.String(), "owner", owner, "error", err)
+	}
 }
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -66,7 +66,7 @@
 func (s *Service) Partitions() []ident.PartitionID {
 	var ids []ident.PartitionID
 	for _, p := range s.partitions {
-		if _, ok := p.tenure(); ok {
+		if p.current() != nil {
 			ids = append(ids, p.id)
 		}
 	}
@@ -78,18 +78,27 @@
 	p := s.partitions[call.Spec.ID.Work.Partition()]
 	ctx, cancel := context.WithDeadline(ctx, call.Spec.Deadline)
 	defer cancel()
-	if err := p.await(ctx); err != nil {
+	t, err := p.await(ctx)
+	if err != nil {
 		return work.Outcome{}, err
 	}
-	return p.execute(ctx, call)
+	return t.execute(ctx, call)
 }
 
-// HandleReport takes the ends of attempts that no call of this home waits for.
-func (s *Service) HandleReport(_ context.Context, report port.Report) error {
+// HandleReport takes the ends of attempts that no call of this home waits for, and lets the owner forget those that this
+// home has no use for.
+func (s *Service) HandleReport(ctx context.Context, report port.Report) error {
+	var settled []ident.TaskID
 	for _, outcome := range report.Ended {
-		s.partitions[outcome.Task.Work.Partition()].reported(outcome)
+		p := s.partitions[outcome.Task.Work.Partition()]
+		if !p.report(reported{outcome, report.Process}) {
+			settled = append(settled, outcome.Task)
+		}
+	}
+	if len(settled) == 0 {
+		return nil
 	}
-	return nil
+	return s.Peers.Settle(ctx, report.Process, settled)
 }
 
 // choose returns an owner for the task, leaving out those that refused it.
--- a/internal/app/home/journal.go
+++ b/internal/app/home/journal.go
@@ -5,7 +5,6 @@
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/journal"
-	"skylarkstall/internal/fault"
 )
 
 // Journal makes records last.
@@ -16,14 +15,3 @@
 	// Take makes this process the writer of the partition's journal and returns the records that have not expired.
 	Take(ctx context.Context, partition ident.PartitionID) ([]journal.Record, error)
 }
-
-// NoJournal refuses every append.
-type NoJournal struct{}
-
-// Append implements Journal.
-func (NoJournal) Append(context.Context, ident.PartitionID, ...journal.Record) error {
-	return fault.New(fault.StoreUnavailable, "there is no journal")
-}
-
-// Take implements Journal.
-func (NoJournal) Take(context.Context, ident.PartitionID) ([]journal.Record, error) { return nil, nil }
--- a/internal/app/home/partition.go
+++ b/internal/app/home/partition.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/domain/ledger"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/domain/work"
 	"skylarkstall/internal/fault"
@@ -16,8 +15,12 @@
 	"skylarkstall/internal/port"
 )
 
-// surveyRetry is the pause between attempts to learn what the owners hold.
-const surveyRetry = 250 * time.Millisecond
+// fencedPause is the mean pause before a partition is taken again after another process fenced this one. Two processes
+// that both believe to be the home until their views agree do not take it from each other faster than that.
+const fencedPause = time.Second
+
+// forgetInterval is how often expired results are dropped.
+const forgetInterval = time.Minute
 
 // partition is the goroutine of one partition: while this process should be its home, it fences the former home and
 // serves the partition's requests.
@@ -25,46 +28,63 @@
 	id      ident.PartitionID
 	service *Service
 
-	mu      sync.Mutex
-	epoch   ident.HomeEpoch
-	serving bool
-	ledger  *ledger.Ledger
-	ended   map[ident.TaskID]work.Outcome // reported by owners; kept until the attempt's goroutine takes them
-	changed notify.Broadcast
+	mu        sync.Mutex
+	epoch     ident.HomeEpoch
+	term      *term                     // nil while this process is not the home
+	outranked bool                      // another process ended the last term
+	ended     map[ident.TaskID]reported // kept until the attempt's goroutine takes them
+	changed   notify.Broadcast
+}
+
+// reported is an outcome that an owner told without being asked.
+type reported struct {
+	outcome work.Outcome
+	owner   ident.ProcessID
 }
 
 func newPartition(s *Service, id ident.PartitionID) *partition {
-	return &partition{id: id, service: s, ledger: ledger.New(), ended: map[ident.TaskID]work.Outcome{}}
+	return &partition{id: id, service: s, ended: map[ident.TaskID]reported{}}
 }
 
 // Run takes the partition whenever this process should be its home, and gives it up when another should.
 func (p *partition) Run(ctx context.Context) {
+	forget := time.NewTicker(forgetInterval)
+	defer forget.Stop()
 	for ctx.Err() == nil {
-		changed := p.service.Live()
+		changed, own := p.service.Live(), p.changed.Changed()
 		mine := p.service.Members.Home(p.id) == p.service.Self
-		switch _, serving := p.tenure(); {
-		case mine && !serving && p.service.Dir.Known():
+		switch t := p.current(); {
+		case mine && t == nil && p.service.Dir.Known():
+			if p.wasFenced() {
+				pause.For(ctx, pause.Jitter(fencedPause))
+			}
 			p.take(ctx)
 			continue
-		case mine && !serving:
+		case mine && t == nil:
 			changed = p.service.Dir.Changed()
 			if p.service.Dir.Known() {
 				continue
 			}
-		case !mine && serving:
-			p.giveUp()
+		case !mine && t != nil:
+			p.giveUp(t)
 		}
 		select {
 		case <-changed:
+		case <-own:
+		case now := <-forget.C:
+			if t := p.current(); t != nil {
+				t.ledger.Forget(now)
+			}
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (p *partition) tenure() (ident.HomeEpoch, bool) {
+// current returns the term, or nil while this process is not the home.
+func (p *partition) current() *term {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.epoch, p.serving
+	return p.term
 }
 
 // take fences the former home at every owner and adopts what the owners hold.
@@ -88,99 +108,80 @@
 	p.epoch = ident.HomeEpoch{Counter: max(p.epoch.Counter, seen.Counter) + 1, Process: p.service.Self}
 }
 
+func (p *partition) currentEpoch() ident.HomeEpoch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.epoch
+}
+
+// serve begins a term. Repeatable work is served at once; the journal is taken beside.
 func (p *partition) serve(ctx context.Context, found survey) {
+	t := newTerm(ctx, p)
 	p.mu.Lock()
-	p.serving = true
+	p.term = t
 	p.mu.Unlock()
-	p.service.record(timeline.PartitionTaken, ident.TaskID{}, fmt.Sprintf("partition %d, %d tasks", p.id, len(found.tasks)))
-	for _, held := range found.tasks {
-		if p.ledger.Adopt(held.Task.Work) {
-			go p.followAdopted(ctx, held)
+	p.service.record(timeline.PartitionTaken, ident.TaskID{}, fmt.Sprintf("partition %d, %d tasks", p.id, len(found.holders)))
+	for task, at := range found.holders {
+		if t.ledger.Adopt(task.Work) {
+			go t.followAdopted(at.process, port.HeldTask{Task: task, Attempt: at.attempt})
 		}
 	}
+	go t.takeJournal()
 	p.changed.Signal()
 }
 
-func (p *partition) giveUp() {
+// giveUp ends the term. Callers that wait are sent to the next home, which learns of running requests from the owners and
+// from the journal.
+func (p *partition) giveUp(t *term) {
 	p.mu.Lock()
-	p.serving = false
-	p.ledger = ledger.New() // the next home learns of running requests from the owners
+	current := p.term == t
+	if current {
+		p.term, p.ended = nil, map[ident.TaskID]reported{}
+	}
 	p.mu.Unlock()
+	if !current {
+		return
+	}
+	t.cancel()
+	t.ledger.Abandon(fault.New(fault.Interrupted, "the home of partition %d changed; ask again with the same request id", p.id))
 	p.service.record(timeline.PartitionLost, ident.TaskID{}, fmt.Sprintf("partition %d", p.id))
 	p.changed.Signal()
 }
 
-// await waits until the partition serves. It fails with StaleEpoch when another process should be the home.
-func (p *partition) await(ctx context.Context) error {
+// fenced ends the term because another process took the journal or the owners. What this process knows of the requests may be out of
+// date.
+func (t *term) fenced() {
+	t.service.Log.Warn("another process took the partition", "partition", t.id)
+	t.mu.Lock()
+	t.outranked = true
+	t.mu.Unlock()
+	t.giveUp(t)
+}
+
+func (p *partition) wasFenced() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fenced := p.outranked
+	p.outranked = false
+	return fenced
+}
+
+// await waits until the partition serves and returns its term. It fails with StaleEpoch when another process should be the home.
+func (p *partition) await(ctx context.Context) (*term, error) {
 	for {
 		changed := p.changed.Changed()
 		live := p.service.Live()
 		if p.service.Members.Home(p.id) != p.service.Self {
-			return fault.New(fault.StaleEpoch, "process %s is not the home of partition %d", p.service.Self, p.id)
+			return nil, fault.New(fault.StaleEpoch, "process %s is not the home of partition %d", p.service.Self, p.id)
 		}
-		if _, serving := p.tenure(); serving {
-			return nil
+		if t := p.current(); t != nil {
+			return t, nil
 		}
 		select {
 		case <-changed:
 		case <-live:
 		case <-ctx.Done():
-			return fault.New(fault.NotReady, "partition %d has no home yet", p.id)
-		}
-	}
-}
-
-// survey is what the live processes hold of a partition.
-type survey struct {
-	tasks    []port.HeldTask
-	owners   map[ident.TaskID]ident.ProcessID
-	complete bool // every worker is owned by a process that answered, or nothing can run on it
-}
-
-// survey asks every live process what it holds, and fences former homes there.
-func (p *partition) survey(ctx context.Context) survey {
-	found := survey{owners: map[ident.TaskID]ident.ProcessID{}, complete: true}
-	covered := map[ident.WorkerID]bool{}
-	for _, peer := range p.service.Members.Live() {
-		epoch, _ := p.tenure()
-		held, err := p.service.Peers.TakeHome(ctx, peer.ID, port.TakeHome{Partition: p.id, Home: epoch})
-		if err == nil && epoch.Less(held.Highest) {
-			p.nextEpoch(held.Highest)
-			err = fault.New(fault.StaleEpoch, "home epoch %d was seen", held.Highest.Counter)
-		}
-		if err != nil {
-			p.service.Log.Debug("survey", "partition", p.id, "peer", peer.ID, "error", err)
-			found.complete = false
-			continue
-		}
-		for _, t := range held.Tasks {
-			found.tasks = append(found.tasks, t)
-			found.owners[t.Task] = peer.ID
-		}
-		for _, w := range append(held.Workers, held.Unreachable...) {
-			covered[w] = true
+			return nil, fault.New(fault.Interrupted, "partition %d has no home yet; ask again with the same request id", p.id)
 		}
 	}
-	for _, vm := range p.service.Dir.VMs(port.RoleWorker) {
-		found.complete = found.complete && covered[ident.WorkerID(vm.ID)]
-	}
-	return found
-}
-
-func (p *partition) reported(outcome work.Outcome) {
-	p.mu.Lock()
-	p.ended[outcome.Task] = outcome
-	p.mu.Unlock()
-	p.changed.Signal()
-}
-
-func (p *partition) takeReported(task ident.TaskID, attempt ident.Attempt) (work.Outcome, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	outcome, ok := p.ended[task]
-	if !ok || outcome.Attempt != attempt {
-		return work.Outcome{}, false
-	}
-	delete(p.ended, task)
-	return outcome, true
 }
--- /dev/null
+++ b/internal/app/home/survey.go
@@ -0,0 +1,123 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// surveyRetry is the pause between attempts to learn what the owners hold.
+const surveyRetry = 250 * time.Millisecond
+
+// survey is what the live processes hold of a partition.
+type survey struct {
+	holders   map[ident.TaskID]holder
+	complete  bool // every worker is owned by a process that answered, or nothing can run on it
+	outranked bool // a process has seen a higher home epoch: another process took the partition
+}
+
+// holder is the process that holds an attempt, waiting, running or with its outcome.
+type holder struct {
+	process ident.ProcessID
+	attempt ident.Attempt
+}
+
+// survey asks every live process what it holds, and fences former homes there.
+func (p *partition) survey(ctx context.Context) survey {
+	found := survey{holders: map[ident.TaskID]holder{}, complete: true}
+	covered := map[ident.WorkerID]bool{}
+	for _, peer := range p.service.Members.Live() {
+		held, err := p.ask(ctx, peer.ID)
+		if err != nil {
+			p.service.Log.Debug("survey", "partition", p.id, "peer", peer.ID, "error", err)
+			found.complete = false
+			found.outranked = found.outranked || fault.Is(err, fault.StaleEpoch)
+			continue
+		}
+		for _, t := range held.Tasks {
+			if t.Attempt >= found.holders[t.Task].attempt {
+				found.holders[t.Task] = holder{peer.ID, t.Attempt}
+			}
+		}
+		for _, w := range append(held.Workers, held.Unreachable...) {
+			covered[w] = true
+		}
+	}
+	for _, vm := range p.service.Dir.VMs(port.RoleWorker) {
+		found.complete = found.complete && covered[ident.WorkerID(vm.ID)]
+	}
+	return found
+}
+
+// ask asks one process what it holds. It fails with StaleEpoch when the process has seen a higher home epoch; the next
+// survey uses a higher one still, if this process should be the home.
+func (p *partition) ask(ctx context.Context, peer ident.ProcessID) (port.Held, error) {
+	epoch := p.currentEpoch()
+	held, err := p.service.Peers.TakeHome(ctx, peer, port.TakeHome{Partition: p.id, Home: epoch})
+	if err != nil || !epoch.Less(held.Highest) {
+		return held, err
+	}
+	if p.service.Members.Home(p.id) == p.service.Self {
+		p.nextEpoch(held.Highest)
+	}
+	return port.Held{}, fault.New(fault.StaleEpoch, "home epoch %d was seen", held.Highest.Counter)
+}
+
+// report notes an outcome that an owner told without being asked. It returns false when nobody needs it, so that the owner
+// may forget it.
+func (p *partition) report(r reported) bool {
+	p.mu.Lock()
+	t := p.term
+	needed := t == nil || !t.knowsAll() || t.ledger.Runs(r.outcome.Task.Work)
+	if needed {
+		p.ended[r.outcome.Task] = r
+	}
+	p.mu.Unlock()
+	p.changed.Signal()
+	return needed
+}
+
+// knowsAll reports whether the journal was read, so that a request that the ledger does not have is not open.
+func (t *term) knowsAll() bool {
+	select {
+	case <-t.journaled:
+		return true
+	default:
+		return false
+	}
+}
+
+// takeUnneeded removes and returns the reported outcomes of requests that have ended or are not known.
+func (t *term) takeUnneeded() []reported {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unneeded []reported
+	for task, r := range t.ended {
+		if !t.ledger.Runs(task.Work) {
+			unneeded = append(unneeded, r)
+			delete(t.ended, task)
+		}
+	}
+	return unneeded
+}
+
+func (p *partition) takeReported(task ident.TaskID, attempt ident.Attempt) (reported, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.ended[task]
+	if !ok || r.outcome.Attempt != attempt {
+		return reported{}, false
+	}
+	delete(p.ended, task)
+	return r, true
+}
+
+func (p *partition) reportedAttempt(task ident.TaskID) (ident.Attempt, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.ended[task]
+	return r.outcome.Attempt, ok
+}
--- a/internal/app/owner/keeper.go
+++ b/internal/app/owner/keeper.go
@@ -32,7 +32,9 @@
 
 	mu          sync.Mutex
 	owned       bool
-	unreachable time.Time // since when the worker has not answered; zero when it answers
+	claims      int            // how often the worker became owned
+	settled     []ident.TaskID // outcomes that the worker may forget at the next sync
+	unreachable time.Time      // since when the worker has not answered; zero when it answers
 }
 
 func newKeeper(s *Service, vm port.VM) *keeper {
@@ -117,25 +119,38 @@
 	k.unreachable = time.Time{}
 }
 
-// standing tells whether the worker is owned, or has been out of reach for so long that nothing can run on it.
-func (k *keeper) standing(now time.Time) (owned, unreachable bool) {
+// standing tells which claim the worker is owned by (0 for none), or that it has been out of reach for so long that
+// nothing can run on it.
+func (k *keeper) standing(now time.Time) (claim int, unreachable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.owned, !k.unreachable.IsZero() && now.Sub(k.unreachable) > TaskLeaseBound
+	if k.owned {
+		claim = k.claims
+	}
+	return claim, !k.unreachable.IsZero() && now.Sub(k.unreachable) > TaskLeaseBound
 }
 
 func (k *keeper) setOwned(owned bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.owned = owned
+	if owned {
+		k.claims++
+	}
 }
 
 // take adopts what runs on the worker and puts it into the view.
 func (k *keeper) take(inv work.Inventory) {
 	s := k.service
+	k.takeSettled() // the worker may have a newer outcome of these tasks
 	for _, r := range inv.Running {
 		s.adopt(k.id, r)
 	}
+	for _, outcome := range inv.Outcomes {
+		if a := s.adoptOutcome(k.id, outcome); a != nil {
+			s.finish(a, outcome, nil)
+		}
+	}
 	k.setOwned(true)
 	s.record(timeline.Claimed, ident.TaskID{}, k.id, "")
 	s.refresh(k)
@@ -146,6 +161,7 @@
 	sync := work.Sync{Epoch: inv.Epoch, Wait: SyncWait}
 	for ctx.Err() == nil && k.mine() {
 		sent := time.Now()
+		sync.Acknowledge = append(sync.Acknowledge, k.takeSettled()...)
 		reply, err := k.client.Sync(ctx, sync)
 		switch {
 		case err == nil:
@@ -172,8 +188,9 @@
 	s := k.service
 	var settled []ident.TaskID
 	for _, outcome := range outcomes {
-		s.ended(k, outcome)
-		settled = append(settled, outcome.Task)
+		if !s.ended(k, outcome) {
+			settled = append(settled, outcome.Task)
+		}
 	}
 	return settled
 }
--- a/internal/app/owner/outcome.go
+++ b/internal/app/owner/outcome.go
@@ -17,7 +17,7 @@
 // adopt holds an attempt that was running when this process claimed the worker.
 func (s *Service) adopt(worker ident.WorkerID, running work.Running) {
 	a := newAttempt(running.Task, running.Attempt, running.Size)
-	a.worker, a.adopted = worker, true
+	a.worker, a.adopted, a.keep = worker, true, true
 	s.mu.Lock()
 	s.pending[running.Task] = a
 	s.mu.Unlock()
@@ -26,20 +26,22 @@
 }
 
 // ended takes an outcome: the capacity goes to waiting tasks, and the goroutine that placed the attempt gets the outcome.
-func (s *Service) ended(k *keeper, outcome work.Outcome) {
+// It returns whether the worker must keep the outcome until the home settles it.
+func (s *Service) ended(k *keeper, outcome work.Outcome) bool {
 	s.record(timeline.Finished, outcome.Task, k.id, outcome.Message)
 	k.worker.Release(outcome.Task, outcome.Attempt)
 	s.fleet.Finished(outcome)
 	s.refresh(k)
-	s.mu.Lock()
-	a, ok := s.pending[outcome.Task]
-	s.mu.Unlock()
-	if ok && a.number == outcome.Attempt {
-		s.finish(a, outcome, a.yielded(outcome))
+	a := s.adoptOutcome(k.id, outcome)
+	if a == nil {
+		return false
 	}
-	if !ok || a.adopted {
-		s.report(outcome)
+	yielded := a.yielded(outcome)
+	s.finish(a, outcome, yielded)
+	if a.adopted {
+		go s.report(outcome) // the control lease is renewed meanwhile
 	}
+	return yielded == nil && a.unsettled()
 }
 
 // report tells the home of an attempt that it did not place here.
--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -138,6 +138,11 @@
 
 // HandleTakeHome makes the caller the home of the partition and tells what this process holds of it.
 func (s *Service) HandleTakeHome(_ context.Context, call port.TakeHome) (port.Held, error) {
+	now := time.Now()
+	claims := map[ident.WorkerID]int{}
+	for _, k := range s.allKeepers() {
+		claims[k.id], _ = k.standing(now)
+	}
 	highest, tasks := s.holdings.Take(call.Partition, call.Home)
 	held := port.Held{Highest: highest}
 	if call.Home.Less(highest) {
@@ -146,10 +151,9 @@
 	for _, t := range tasks {
 		held.Tasks = append(held.Tasks, port.HeldTask{Task: t.ID, Attempt: t.Attempt, Worker: t.Worker})
 	}
-	now := time.Now()
 	for _, k := range s.allKeepers() {
-		switch owned, unreachable := k.standing(now); {
-		case owned:
+		switch claim, unreachable := k.standing(now); {
+		case claim > 0 && claim == claims[k.id]: // owned all the time, so that its tasks were among those held
 			held.Workers = append(held.Workers, k.id)
 		case unreachable:
 			held.Unreachable = append(held.Unreachable, k.id)
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -55,6 +55,7 @@
 		return nil, false, err
 	}
 	a := newAttempt(task, call.Spec.Attempt, call.Spec.Size)
+	a.keep = !call.Spec.Repeatable
 	s.pending[task] = a
 	return a, true, nil
 }
@@ -158,7 +159,8 @@
 		s.refresh(k)
 		return err
 	default:
-		return s.startUnknown(ctx, k, spec, epoch)
+		// The attempt may run, so that it is held until the worker tells, even if the home stops waiting.
+		return s.startUnknown(context.WithoutCancel(ctx), k, spec, epoch)
 	}
 }
 
@@ -212,9 +214,15 @@
 	}
 }
 
-// finish ends the attempt and keeps its result for a while.
+// finish ends the attempt and keeps its result for a while, or until it is settled.
 func (s *Service) finish(a *attempt, outcome work.Outcome, err error) {
-	a.end(outcome, err)
+	switch {
+	case !a.end(outcome, err):
+		return
+	case err == nil && a.keep:
+		time.AfterFunc(keepUnsettled, func() { s.settle(a) })
+		return
+	}
 	s.holdings.Drop(a.task, a.number)
 	if err != nil {
 		s.dispatch(s.fleet.Forget(time.Now(), a.task))
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -137,14 +137,14 @@
 		return err
 	}
 	c.Workers = append(c.Workers, w)
-	c.list(vmlisthttp.VM{
+	c.List(vmlisthttp.VM{
 		ID: id, Role: string(port.RoleWorker), Address: w.Address(), Zone: string(c.zone(i)), Rack: string(rack),
 	})
 	return nil
 }
 
-// list adds a VM to the VM list.
-func (c *Cell) list(vm vmlisthttp.VM) {
+// List adds a VM to the VM list.
+func (c *Cell) List(vm vmlisthttp.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rows = append(c.rows, vm)
@@ -190,7 +190,7 @@
 	if c.settings.ListedAddress != nil {
 		listed = c.settings.ListedAddress(ident.ProcessID(id), listed)
 	}
-	c.list(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: listed, Zone: string(c.zone(zone))})
+	c.List(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: listed, Zone: string(c.zone(zone))})
 	go func() {
 		defer close(running.done)
 		if err := n.Run(ctx); err != nil {
--- a/internal/domain/ledger/ledger.go
+++ b/internal/domain/ledger/ledger.go
@@ -39,6 +39,7 @@
 	result Result
 	forget time.Time // when an ended entry may be dropped
 	done   chan struct{}
+	resume bool // the journal holds an intent without an outcome
 }
 
 // New returns an empty ledger.
@@ -93,6 +94,10 @@
 func (l *Ledger) End(id ident.WorkID, result Result, forget time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.end(id, result, forget)
+}
+
+func (l *Ledger) end(id ident.WorkID, result Result, forget time.Time) {
 	e, ok := l.entries[id]
 	if !ok || e.ended {
 		return
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -43,7 +43,9 @@
 }
 
 // HandleSettle implements port.PeerHandler.
-func (n *Node) HandleSettle(_ context.Context, _ []ident.TaskID) error { return nil }
+func (n *Node) HandleSettle(ctx context.Context, tasks []ident.TaskID) error {
+	return n.owner.HandleSettle(ctx, tasks)
+}
 
 // HandleDocuments implements port.PeerHandler.
 func (n *Node) HandleDocuments(ctx context.Context, after ident.Revision) (port.Documents, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"skylarkstall/internal/adapter/callerhttp"
 	"skylarkstall/internal/adapter/document"
 	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/adapter/journalwire"
 	"skylarkstall/internal/adapter/metrics"
 	"skylarkstall/internal/adapter/peerwire"
 	"skylarkstall/internal/adapter/storehttp"
@@ -21,6 +22,7 @@
 	"skylarkstall/internal/app/directory"
 	"skylarkstall/internal/app/entry"
 	"skylarkstall/internal/app/home"
+	"skylarkstall/internal/app/journalwriter"
 	"skylarkstall/internal/app/meter"
 	"skylarkstall/internal/app/owner"
 	"skylarkstall/internal/app/peering"
@@ -157,10 +159,13 @@
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
 		Peers: n.calls, Policy: n.settings.policy(), Recorder: n.recorder, Log: n.log,
 	})
+	journal := journalwriter.New(journalwriter.Config{
+		Self: n.settings.ID, Store: n.meter.Store(store), Codec: journalwire.Codec{}, Log: n.log,
+	})
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
 		Beats: n.peers.Heartbeats, Digest: n.owner.Digest, Dir: n.dir, Peers: n.calls, Recorder: n.recorder, Log: n.log,
-		LostAfter: owner.TaskLeaseBound, Journal: home.NoJournal{},
+		LostAfter: owner.TaskLeaseBound, Journal: journal,
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: n.meter.Store(store), Peers: n.calls, Beats: n.peers.Heartbeats,
