--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -36,7 +36,7 @@
 	Journal   Journal
 	Recorder  *timeline.Recorder
 	Log       *slog.Logger
-	Retries   *rate.Limiter // budget of this process for further attempts
+	Retries   *rate.Limiter // budget of this process for further placements of refused or failed attempts
 	LostAfter time.Duration // when an attempt that nobody holds has certainly ended: the task lease bound
 }
 
@@ -71,7 +71,7 @@
 func (s *Service) Partitions() []ident.PartitionID {
 	var ids []ident.PartitionID
 	for _, p := range s.partitions {
-		if _, ok := p.tenure(); ok {
+		if p.current() != nil {
 			ids = append(ids, p.id)
 		}
 	}
@@ -83,25 +83,27 @@
 	p := s.partitions[call.Spec.ID.Work.Partition()]
 	ctx, cancel := context.WithDeadline(ctx, call.Spec.Deadline)
 	defer cancel()
-	if err := p.await(ctx); err != nil {
+	t, err := p.await(ctx)
+	if err != nil {
 		return work.Outcome{}, err
 	}
-	if p.job(call.Spec.ID.Work) != nil {
-		return work.Outcome{}, fault.New(fault.Conflict, "request id %s was used for a job", call.Spec.ID.Work)
-	}
-	return p.execute(ctx, call)
+	return t.execute(ctx, call)
 }
 
-// HandleReport takes the ends of attempts that no call of this home waits for. It fails with StaleEpoch when another
-// process should be the home of one of them; the owner then reports again.
-func (s *Service) HandleReport(_ context.Context, report port.Report) error {
+// HandleReport takes the ends of attempts that no call of this home waits for, and lets the owner forget those that this
+// home has no use for.
+func (s *Service) HandleReport(ctx context.Context, report port.Report) error {
+	var settled []ident.TaskID
 	for _, outcome := range report.Ended {
-		if partition := outcome.Task.Work.Partition(); s.Members.Home(partition) != s.Self {
-			return fault.New(fault.StaleEpoch, "process %s is not the home of partition %d", s.Self, partition)
+		p := s.partitions[outcome.Task.Work.Partition()]
+		if !p.report(reported{outcome, report.Process}) {
+			settled = append(settled, outcome.Task)
 		}
-		s.partitions[outcome.Task.Work.Partition()].reported(outcome)
 	}
-	return nil
+	if len(settled) == 0 {
+		return nil
+	}
+	return s.Peers.Settle(ctx, report.Process, settled)
 }
 
 // choose returns an owner for the task, leaving out those that refused it.
--- a/internal/app/home/job.go
+++ b/internal/app/home/job.go
@@ -93,7 +93,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.jobs[r.job.ID()] == r {
-		go r.run(p.tenureContext)
+		go r.run(p.term.ctx)
 	}
 }
 
@@ -115,7 +115,7 @@
 // awaitJobs waits until the partition serves and its jobs were read from the journal.
 func (p *partition) awaitJobs(ctx context.Context) error {
 	for {
-		if err := p.await(ctx); err != nil {
+		if _, err := p.await(ctx); err != nil {
 			return err
 		}
 		changed := p.changed.Changed()
@@ -173,7 +173,7 @@
 // HandleCancelWork cancels a job or a request. The cancellation of a job is recorded before the tasks are stopped.
 func (s *Service) HandleCancelWork(ctx context.Context, id ident.WorkID) (job.Status, error) {
 	p := s.partitions[id.Partition()]
-	if err := p.await(ctx); err != nil {
+	if _, err := p.await(ctx); err != nil {
 		return job.Status{}, err
 	}
 	if task := (ident.TaskID{Work: id}); p.inFlight(task) {
@@ -204,9 +204,8 @@
 	if !fault.Is(err, fault.StaleEpoch) {
 		return
 	}
-	if _, serving := p.tenure(); serving {
-		p.giveUp()
-		p.fenced.Signal()
+	if t := p.current(); t != nil {
+		t.fenced()
 	}
 }
 
--- a/internal/app/home/job_restore.go
+++ b/internal/app/home/job_restore.go
@@ -2,33 +2,14 @@
 
 import (
 	"context"
-	"time"
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/job"
 	"skylarkstall/internal/domain/journal"
 	"skylarkstall/internal/domain/work"
-	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
 )
 
-// takeRetry is the mean pause before the journal is read again while the store is down.
-const takeRetry = time.Second
-
-// restore reads the journal and goes on with the jobs of the former home. While the store is down, it tries again;
-// repeatable requests are served meanwhile.
-func (p *partition) restore(ctx context.Context, found survey) {
-	for ctx.Err() == nil {
-		records, err := p.service.Journal.Take(ctx, p.id)
-		if err == nil {
-			p.restoreJobs(ctx, records, found)
-			return
-		}
-		p.service.Log.Info("journal not read", "partition", p.id, "error", err)
-		pause.For(ctx, pause.Jitter(takeRetry))
-	}
-}
-
 // restoreJobs makes the jobs of the records and attaches them to what the owners hold.
 func (p *partition) restoreJobs(ctx context.Context, records []journal.Record, found survey) {
 	jobs := map[ident.WorkID]*runner{}
@@ -60,17 +41,17 @@
 	ctx context.Context, jobs map[ident.WorkID]*runner, found survey,
 ) map[ident.WorkID]map[uint32]ident.Attempt {
 	held := map[ident.WorkID]map[uint32]ident.Attempt{}
-	for _, t := range found.tasks {
-		id := t.Task.Work
+	for task, at := range found.holders {
+		id := task.Work
 		switch {
-		case t.Task.Index == 0:
+		case task.Index == 0:
 		case jobs[id] == nil:
-			go p.stopUnknown(ctx, found.owners[t.Task], t)
+			go p.stopUnknown(ctx, at.process, port.HeldTask{Task: task, Attempt: at.attempt})
 		default:
 			if held[id] == nil {
 				held[id] = map[uint32]ident.Attempt{}
 			}
-			held[id][t.Task.Index] = t.Attempt
+			held[id][task.Index] = at.attempt
 		}
 	}
 	return held
@@ -83,8 +64,11 @@
 	epoch, _ := p.tenure()
 	call := port.Place{Partition: p.id, Home: epoch, Spec: work.Spec{ID: held.Task, Attempt: held.Attempt}}
 	call.Spec.Size.Slots = 1 // the least that a frame may carry; an attach does not use it
-	if _, err := p.attach(ctx, owner, call); gone(err) {
-		_, _ = p.follow(ctx, call) // the outcome of an unknown job is not told to anyone
+	if _, err := p.attach(ctx, owner, call); !gone(err) {
+		return
+	}
+	if t := p.current(); t != nil {
+		_, _ = t.follow(ctx, call, "") // the outcome of an unknown job is not told to anyone
 	}
 }
 
@@ -93,8 +77,8 @@
 	attached := r.job.Attach(held)
 	for _, spec := range attached.Follow {
 		f := p.launch(spec.ID)
-		p.redirect(spec.ID, found.owners[spec.ID])
-		go r.followHeld(ctx, f, found.owners[spec.ID], spec)
+		p.redirect(spec.ID, found.holders[spec.ID].process)
+		go r.followHeld(ctx, f, found.holders[spec.ID].process, spec)
 	}
 	go r.carryOut(ctx, attached.Decision)
 	go r.run(ctx)
--- a/internal/app/home/job_run.go
+++ b/internal/app/home/job_run.go
@@ -134,13 +134,33 @@
 		return
 	}
 	r.ended(ctx, call.Spec, job.End{Outcome: outcome, Err: err})
+	if !call.Spec.Repeatable {
+		r.settle(owner, call.Spec.ID)
+	}
+}
+
+// settle lets the owner forget the outcome, which has been recorded.
+func (r *runner) settle(owner ident.ProcessID, task ident.TaskID) {
+	if t := r.p.current(); t != nil {
+		t.settle(owner, task)
+	}
 }
 
 // follow sees an attempt through whose owner was lost.
 func (r *runner) follow(ctx context.Context, call port.Place) {
 	call.Reserved = false
-	outcome, err := r.p.follow(ctx, call)
-	r.ended(ctx, call.Spec, job.End{Outcome: outcome, Err: err, Lost: err != nil})
+	ended, err := r.followed(ctx, call)
+	r.ended(ctx, call.Spec, job.End{Outcome: ended.outcome, Err: err, Lost: err != nil})
+	r.settle(ended.owner, call.Spec.ID)
+}
+
+// followed waits for the outcome of an attempt whose owner was lost.
+func (r *runner) followed(ctx context.Context, call port.Place) (ending, error) {
+	t := r.p.current()
+	if t == nil {
+		return ending{}, fault.New(fault.Interrupted, "the home of %s changed", call.Spec.ID)
+	}
+	return t.follow(ctx, call, "")
 }
 
 // followHeld sees an attempt through that a former home placed at the owner.
@@ -153,6 +173,7 @@
 		return
 	}
 	r.ended(ctx, spec, job.End{Outcome: outcome, Err: err, Lost: err != nil})
+	r.settle(owner, spec.ID)
 }
 
 // ended hands the end of an attempt to the job. When the partition was given up, the next home follows the attempt.
--- a/internal/app/owner/attempt.go
+++ b/internal/app/owner/attempt.go
@@ -13,6 +13,7 @@
 type attempt struct {
 	id       work.AttemptID
 	kind     string
+	again    bool                  // the work is known to be repeatable: a lost outcome can be had again
 	assigned chan fleet.Assignment // receives at most one assignment of the queue at a time
 	started  chan struct{}         // closed when a worker has confirmed the start
 	done     chan struct{}         // closed at the end
--- a/internal/app/owner/outcome.go
+++ b/internal/app/owner/outcome.go
@@ -20,7 +20,7 @@
 // adoptEnded holds an attempt that had ended when this process claimed the worker. No sync will deliver its outcome.
 func (s *Service) adoptEnded(k *keeper, outcome work.Outcome) {
 	id := outcome.ID()
-	k.worker.Took(time.Now(), id)
+	k.worker.Took(time.Now(), id, false)
 	s.mu.Lock()
 	_, known := s.pending[id]
 	s.mu.Unlock()
@@ -41,12 +41,12 @@
 		outcome.Message = work.EvictedMessage
 	}
 	s.record(timeline.Finished, outcome.Task, k.id, outcome.Message)
-	k.worker.Took(time.Now(), id)
-	k.worker.Release(outcome.Task, outcome.Attempt)
-	s.fleet.Finished(outcome)
 	s.mu.Lock()
 	a, ok := s.pending[id]
 	s.mu.Unlock()
+	k.worker.Took(time.Now(), id, ok && a.again)
+	k.worker.Release(outcome.Task, outcome.Attempt)
+	s.fleet.Finished(outcome)
 	if ok {
 		s.observe(k, a.kind, outcome)
 		s.finish(a, outcome, a.yielded(outcome))
@@ -110,7 +110,11 @@
 		return
 	}
 	s.holdings.End(a.id.Task, a.id.Attempt)
-	time.AfterFunc(keepResult, func() { s.forget(a) })
+	keep := keepOnce
+	if a.again {
+		keep = keepResult
+	}
+	time.AfterFunc(keep, func() { s.forget(a) })
 }
 
 func (s *Service) forget(a *attempt) {
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -24,6 +24,9 @@
 	// keepResult is how long the outcome of an attempt is kept for a home that lost the answer, or for its next home: 3 s
 	// to notice that a process died, a few seconds to take over, and room for retries.
 	keepResult = 15 * time.Second
+	// keepOnce is the same for work that is not repeatable, unless its home settles it before: the home keeps such a request
+	// for at most 10 min of deadline and 15 min after it.
+	keepOnce = 30 * time.Minute
 )
 
 // HandlePlace runs one attempt and returns its outcome. The same attempt placed again waits for the first.
@@ -61,6 +64,7 @@
 		return nil, false, err
 	}
 	a := newAttempt(id, call.Spec.Kind)
+	a.again = call.Spec.Repeatable
 	s.pending[id] = a
 	return a, true, nil
 }
--- a/internal/app/owner/reporter.go
+++ b/internal/app/owner/reporter.go
@@ -98,8 +98,5 @@
 		delete(r.waiting, outcome.ID())
 	}
 	r.mu.Unlock()
-	for _, outcome := range outcomes {
-		s.taken(outcome.ID())
-	}
-	return true
+	return true // the home settles the outcomes once they are recorded, or when it has no use for them
 }
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -21,7 +21,6 @@
 	"skylarkstall/internal/node"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
-	"skylarkstall/internal/standin/journal"
 	"skylarkstall/internal/standin/store"
 	"skylarkstall/internal/standin/vmlist"
 	"skylarkstall/internal/standin/worker"
@@ -39,7 +38,6 @@
 	WorkerNotice  time.Duration   // how long tasks on a leaving worker may go on
 	Log           *slog.Logger
 	Observe       func(ident.WorkerID, worker.Observation)     // may be nil
-	Journals      *journal.Journals                            // in memory; new ones when nil
 	WrapPeers     func(ident.ProcessID, port.Peers) port.Peers // may be nil
 	// StoreAddress tells where a process looks for the store; nil for the stand-in. It lets a test cut processes off.
 	StoreAddress func(id ident.ProcessID, standin string) string
@@ -87,9 +85,6 @@
 	if len(settings.Zones) == 0 {
 		settings.Zones = []ident.Zone{"kochi-a", "kochi-b", "alappuzha"}
 	}
-	if settings.Journals == nil {
-		settings.Journals = journal.New()
-	}
 	if settings.WorkerNotice == 0 {
 		settings.WorkerNotice = DefaultNotice
 	}
@@ -151,14 +146,14 @@
 		return err
 	}
 	c.Workers = append(c.Workers, w)
-	c.list(vmlisthttp.VM{
+	c.List(vmlisthttp.VM{
 		ID: id, Role: string(port.RoleWorker), Address: w.Address(), Zone: string(c.zone(i)), Rack: string(rack),
 	})
 	return nil
 }
 
-// list adds a VM to the VM list.
-func (c *Cell) list(vm vmlisthttp.VM) {
+// List adds a VM to the VM list.
+func (c *Cell) List(vm vmlisthttp.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rows = append(c.rows, vm)
@@ -204,7 +199,6 @@
 		StoreAddress: store, VMListAddress: c.VMs.Address(), DrainGrace: c.settings.DrainGrace,
 		DrainTimeout: 30 * time.Second, WorkerNotice: c.settings.WorkerNotice, TimelineSize: 20_000,
 		Policy: c.settings.Policy, CellToken: CellToken, PeerPlain: true,
-		Journal: c.settings.Journals.Writer(ident.ProcessID(id)),
 		WrapPeers: func(peers port.Peers) port.Peers {
 			if c.settings.WrapPeers == nil {
 				return peers
@@ -222,7 +216,7 @@
 	if c.settings.ListedAddress != nil {
 		listed = c.settings.ListedAddress(ident.ProcessID(id), listed)
 	}
-	c.list(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: listed, Zone: string(c.zone(zone))})
+	c.List(vmlisthttp.VM{ID: id, Role: string(port.RoleEntry), Address: listed, Zone: string(c.zone(zone))})
 	go func() {
 		defer close(running.done)
 		if err := n.Run(ctx); err != nil {
--- a/internal/domain/worker/outcomes.go
+++ b/internal/domain/worker/outcomes.go
@@ -6,23 +6,32 @@
 	"skylarkstall/internal/domain/work"
 )
 
-// keepUnsettled is how long an outcome stays unacknowledged when its home does not say that it has it. If the owner dies
-// in that time, the next owner finds the outcome in the inventory. The home notices the death within 3 s; the rest is
-// room for its retries.
-const keepUnsettled = 10 * time.Second
+const (
+	// keepRepeatable is how long the outcome of repeatable work stays unacknowledged when its home does not say that it has
+	// it. If the owner dies in that time, the next owner finds the outcome in the inventory. The home notices the death
+	// within 3 s; the rest is room for its retries.
+	keepRepeatable = 10 * time.Second
+	// keepOnce is the same for work that is not repeatable, whose outcome could not be had again. It is longer than a home
+	// keeps a request: at most 10 min of deadline and 15 min after it.
+	keepOnce = 30 * time.Minute
+)
 
 // unsettled is an outcome that the owner has and the worker must still keep.
 type unsettled struct {
 	id      work.AttemptID
-	taken   time.Time
-	settled bool // the home has it
+	due     time.Time // when the worker may forget it at the latest
+	settled bool      // the home has it
 }
 
 // Took notes an outcome that the owner received.
-func (w *Worker) Took(now time.Time, id work.AttemptID) {
+func (w *Worker) Took(now time.Time, id work.AttemptID, repeatable bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.unsettled = append(w.unsettled, unsettled{id: id, taken: now})
+	keep := keepOnce
+	if repeatable {
+		keep = keepRepeatable
+	}
+	w.unsettled = append(w.unsettled, unsettled{id: id, due: now.Add(keep)})
 }
 
 // Settled notes that the home has the outcome. It returns false if the outcome is not waited for here.
@@ -44,7 +53,7 @@
 	defer w.mu.Unlock()
 	var due []work.AttemptID
 	for _, u := range w.unsettled {
-		if u.settled || now.Sub(u.taken) > keepUnsettled {
+		if u.settled || now.After(u.due) {
 			due = append(due, u.id)
 		}
 	}
--- a/internal/domain/worker/worker_test.go
+++ b/internal/domain/worker/worker_test.go
@@ -76,8 +76,8 @@
 func TestUnsettledOutcomes(t *testing.T) {
 	w := held(t)
 	a, b := work.AttemptID{Task: spec(0, true, 0).ID, Attempt: 1}, work.AttemptID{Task: spec(1, true, 0).ID, Attempt: 1}
-	w.Took(start, a)
-	w.Took(start, b)
+	w.Took(start, a, true)
+	w.Took(start, b, true)
 	w.Settled(a)
 	if got := w.Acknowledge(start.Add(time.Second)); len(got) != 1 || got[0] != a {
 		t.Fatalf("acknowledged %v, want %v", got, a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"skylarkstall/internal/adapter/callerhttp"
 	"skylarkstall/internal/adapter/document"
 	"skylarkstall/internal/adapter/httpjson"
+	"skylarkstall/internal/adapter/journalwire"
 	"skylarkstall/internal/adapter/metrics"
 	"skylarkstall/internal/adapter/peerwire"
 	"skylarkstall/internal/adapter/storehttp"
@@ -22,6 +23,7 @@
 	"skylarkstall/internal/app/directory"
 	"skylarkstall/internal/app/entry"
 	"skylarkstall/internal/app/home"
+	"skylarkstall/internal/app/journalwriter"
 	"skylarkstall/internal/app/meter"
 	"skylarkstall/internal/app/owner"
 	"skylarkstall/internal/app/peering"
@@ -46,14 +48,13 @@
 	VMListAddress string // host:port of the VM list
 	PeerPlain     bool   // connections between processes without TLS
 	PeerTLS       peerwire.CredentialFiles
-	Peers         []port.VM     // processes to contact beside those of the VM list
-	DrainGrace    time.Duration // how long a draining process still serves, until the balancer has noticed
-	DrainTimeout  time.Duration // longest graceful shutdown, the grace included
-	WorkerNotice  time.Duration // how long tasks on a leaving worker may go on before they are checkpointed or stopped
-	TimelineSize  int           // events kept
-	Policy        fleet.Policy  // zero for fleet.FairShare
-	CellToken     string        // secret of the cell's operators; empty when nobody may change cell quotas or add teams
-	Journal       home.Journal
+	Peers         []port.VM                   // processes to contact beside those of the VM list
+	DrainGrace    time.Duration               // how long a draining process still serves, until the balancer has noticed
+	DrainTimeout  time.Duration               // longest graceful shutdown, the grace included
+	WorkerNotice  time.Duration               // how long tasks on a leaving worker may go on before they are checkpointed or stopped
+	TimelineSize  int                         // events kept
+	Policy        fleet.Policy                // zero for fleet.FairShare
+	CellToken     string                      // secret of the cell's operators; empty when nobody may change cell quotas or add teams
 	WrapPeers     func(port.Peers) port.Peers // lets a test see or break calls between processes; may be nil
 }
 
@@ -175,9 +176,6 @@
 			return digest
 		})
 	n.life, n.end = context.WithCancel(context.Background())
-	if n.settings.Journal == nil {
-		n.settings.Journal = home.NoJournal{}
-	}
 	return n
 }
 
@@ -193,10 +191,13 @@
 		Peers: n.calls, Policy: n.settings.policy(), Quota: n.quota, Health: health.New(health.DefaultSettings),
 		Retries: n.retries, Notice: n.settings.WorkerNotice, Recorder: n.recorder, Log: n.log,
 	})
+	journal := journalwriter.New(journalwriter.Config{
+		Self: n.settings.ID, Store: n.meter.Store(store), Codec: journalwire.Codec{}, Log: n.log,
+	})
 	n.home = home.New(home.Config{
 		Self: n.settings.ID, Zone: n.settings.Zone, Members: n.members, Live: n.peers.LiveChanged,
 		Beats: n.peers.Heartbeats, Digest: n.owner.Digest, Dir: n.dir, Peers: n.calls, Recorder: n.recorder, Log: n.log,
-		LostAfter: owner.TaskLeaseBound, Journal: n.settings.Journal, Retries: n.retries,
+		LostAfter: owner.TaskLeaseBound, Journal: journal, Retries: n.retries,
 	})
 	n.config = configsync.New(configsync.Config{
 		Self: n.settings.ID, Store: n.meter.Store(store), Peers: n.calls, Beats: n.peers.Heartbeats,
