Replay sessions with retries, and add a store outage and contending gangs

Cause: pauses before a retry were random, so sessions with retries differed from run to run.

Change: the pause depends on a key and the clock instead of a random number. Golden sessions for a store outage across a change of a document and for two gangs that contend. The epoch of the home is read in one way.

--- a/internal/app/configsync/apply.go
+++ b/internal/app/configsync/apply.go
@@ -104,7 +104,7 @@
 		if err == nil || fault.Is(err, fault.NotFound) {
 			return entry, nil
 		}
-		if !pause.For(ctx, pause.Jitter(settlePause)) {
+		if !pause.For(ctx, pause.Jitter(settlePause, string(s.Self))) {
 			return port.Entry{}, err
 		}
 	}
--- a/internal/app/configsync/configsync.go
+++ b/internal/app/configsync/configsync.go
@@ -55,7 +55,7 @@
 		err := s.follow(ctx)
 		if ctx.Err() == nil {
 			s.storeFailed(err)
-			pause.For(ctx, pause.Jitter(retryInterval))
+			pause.For(ctx, pause.Jitter(retryInterval, string(s.Self)))
 		}
 	}
 }
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -175,7 +175,7 @@
 		if fault.Is(err, fault.Interrupted) {
 			interrupted = err
 		}
-		if !goesToHomeAgain(err) || !pause.For(ctx, pause.Jitter(retryPause)) {
+		if !goesToHomeAgain(err) || !pause.For(ctx, pause.Jitter(retryPause, string(s.Self)+call.Spec.ID.String())) {
 			return work.Outcome{}, answerFor(err, interrupted)
 		}
 	}
--- a/internal/app/entry/job.go
+++ b/internal/app/entry/job.go
@@ -185,7 +185,7 @@
 		if fault.Is(err, fault.Interrupted) {
 			interrupted = err
 		}
-		if !goesToHomeAgain(err) || !pause.For(ctx, pause.Jitter(retryPause)) {
+		if !goesToHomeAgain(err) || !pause.For(ctx, pause.Jitter(retryPause, string(s.Self)+id.String())) {
 			return job.Status{}, answerFor(err, interrupted)
 		}
 	}
--- a/internal/app/home/flight.go
+++ b/internal/app/home/flight.go
@@ -134,7 +134,7 @@
 		if len(left) == 0 {
 			continue
 		}
-		pause.For(context.Background(), pause.Jitter(stopRetry))
+		pause.For(context.Background(), pause.Jitter(stopRetry, string(s.Self)+string(owner)))
 		s.stopAgain(owner, left)
 	}
 }
--- a/internal/app/home/job_gang.go
+++ b/internal/app/home/job_gang.go
@@ -60,7 +60,7 @@
 // owner of each task. The common order keeps two gangs from holding what the other one waits for. It fails with
 // NoCapacity when there is not room for all, and then holds nothing.
 func (r *runner) reserve(ctx context.Context, specs []work.Spec) ([]ident.ProcessID, error) {
-	epoch, _ := r.p.tenure()
+	epoch := r.p.currentEpoch()
 	call := port.Reserve{Partition: r.p.id, Home: epoch, Spec: specs[0]}
 	call.Spec.Payload = nil
 	for _, spec := range specs {
--- a/internal/app/home/job_restore.go
+++ b/internal/app/home/job_restore.go
@@ -61,7 +61,7 @@
 func (p *partition) stopUnknown(ctx context.Context, owner ident.ProcessID, held port.HeldTask) {
 	defer p.land(held.Task, p.launch(held.Task))
 	p.halt([]ident.TaskID{held.Task})
-	epoch, _ := p.tenure()
+	epoch := p.currentEpoch()
 	call := port.Place{Partition: p.id, Home: epoch, Spec: work.Spec{ID: held.Task, Attempt: held.Attempt}}
 	call.Spec.Size.Slots = 1 // the least that a frame may carry; an attach does not use it
 	if _, err := p.attach(ctx, owner, call); !gone(err) {
--- a/internal/app/home/job_run.go
+++ b/internal/app/home/job_run.go
@@ -118,7 +118,7 @@
 }
 
 func (r *runner) call(spec work.Spec) port.Place {
-	epoch, _ := r.p.tenure()
+	epoch := r.p.currentEpoch()
 	return port.Place{Partition: r.p.id, Home: epoch, Spec: spec}
 }
 
@@ -206,7 +206,7 @@
 		}
 		r.p.service.Log.Debug("end not recorded", "job", r.job.ID().String(), "error", err)
 		r.p.checkFenced(err)
-		pause.For(ctx, pause.Jitter(recordRetry))
+		pause.For(ctx, pause.Jitter(recordRetry, r.job.ID().String()))
 	}
 	return false
 }
--- a/internal/app/home/once.go
+++ b/internal/app/home/once.go
@@ -87,7 +87,7 @@
 			return // the next home finds the intent and asks the owner for the outcome
 		}
 		t.service.Log.Info("outcome not journalled yet", "task", task.String(), "error", err)
-		pause.For(ctx, pause.Jitter(appendRetry))
+		pause.For(ctx, pause.Jitter(appendRetry, task.String()))
 	}
 	t.ledger.End(task.Work, ledger.Result{Outcome: ended.outcome, Err: failure}, keep)
 	t.takeReported(task, ended.outcome.Attempt)
--- a/internal/app/home/partition.go
+++ b/internal/app/home/partition.go
@@ -66,7 +66,7 @@
 		switch t := p.current(); {
 		case mine && t == nil && p.service.Dir.Known():
 			if p.wasFenced() {
-				pause.For(ctx, pause.Jitter(fencedPause))
+				pause.For(ctx, pause.Jitter(fencedPause, string(p.service.Self)+p.id.Key()))
 			}
 			p.take(ctx)
 			continue
@@ -201,10 +201,3 @@
 		}
 	}
 }
-
-// tenure returns the home epoch, and whether this process is the home.
-func (p *partition) tenure() (ident.HomeEpoch, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.epoch, p.term != nil
-}
--- a/internal/app/home/recover.go
+++ b/internal/app/home/recover.go
@@ -30,7 +30,7 @@
 			return
 		}
 		t.service.Log.Info("journal not taken yet", "partition", t.id, "error", err)
-		if !pause.For(t.ctx, pause.Jitter(takeRetry)) {
+		if !pause.For(t.ctx, pause.Jitter(takeRetry, string(t.service.Self)+t.id.Key())) {
 			return
 		}
 	}
--- a/internal/app/journalwriter/store.go
+++ b/internal/app/journalwriter/store.go
@@ -86,7 +86,7 @@
 		if finding != journal.Retry {
 			return finding, nil
 		}
-		if !pause.For(ctx, pause.Jitter(readBackPause)) {
+		if !pause.For(ctx, pause.Jitter(readBackPause, string(l.service.Self)+l.id.Key())) {
 			j.Abandon()
 			return 0, fault.New(fault.Interrupted, "the store did not confirm the commit in %s", commitTimeout)
 		}
@@ -98,7 +98,7 @@
 func (l *line) readBack(ctx context.Context, j *journal.Journal, w journal.Write) (journal.Finding, error) {
 	var last error
 	for try := range readBacks {
-		if try > 0 && !pause.For(ctx, pause.Jitter(readBackPause)) {
+		if try > 0 && !pause.For(ctx, pause.Jitter(readBackPause, string(l.service.Self)+l.id.Key())) {
 			break
 		}
 		entry, err := l.service.Store.Get(ctx, l.slotKey(w.Slot))
--- a/internal/app/owner/keeper.go
+++ b/internal/app/owner/keeper.go
@@ -64,7 +64,7 @@
 		inv, err := k.claim(ctx)
 		if err != nil {
 			k.log.Debug("claim refused", "error", err)
-			pause.For(ctx, pause.Jitter(retry))
+			pause.For(ctx, pause.Jitter(retry, string(k.service.Self)+string(k.id)))
 			retry = min(2*retry, claimRetryMax)
 			continue
 		}
@@ -213,7 +213,7 @@
 			k.missed(err)
 			k.log.Info("sync failed", "error", err)
 			if sync.Wait == 0 {
-				pause.For(ctx, pause.Jitter(syncRetry))
+				pause.For(ctx, pause.Jitter(syncRetry, string(k.service.Self)+string(k.id)))
 			}
 			sync.Wait = 0 // renew at once
 		}
--- a/internal/app/owner/reporter.go
+++ b/internal/app/owner/reporter.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		if !r.send(ctx, batches) {
-			pause.For(ctx, pause.Jitter(reportRetry))
+			pause.For(ctx, pause.Jitter(reportRetry, string(r.service.Self)))
 		}
 	}
 }
--- a/internal/session/scenario_test.go
+++ b/internal/session/scenario_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"skylarkstall/examples"
+	"skylarkstall/internal/standin/store"
 )
 
 // settle is how long a cell has to come up. It is no multiple of a second, so that what a session does never falls into
@@ -36,6 +39,24 @@
 	})
 }
 
+// TestStoreOutageAcrossChange guards repeatable requests and the documents in force while the store is down, and the change
+// that waits for its return.
+func TestStoreOutageAcrossChange(t *testing.T) {
+	run(t, 3, 3, func(s *session) {
+		time.Sleep(settle)
+		s.note("the store goes down")
+		s.store.SetFaults(store.Faults{Down: true})
+		s.request("entry-2", "vembanad", "proof", "during", 100*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		s.note("the store is back; a document is changed")
+		s.store.SetFaults(store.Faults{})
+		s.document("vembanad", append(examples.Vembanad, "# changed\n"...), 1)
+		time.Sleep(3 * time.Second)
+		s.request("entry-3", "vembanad", "proof", "after", 100*time.Millisecond)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestZoneLoss guards the recovery from the loss of an availability zone: a third of the processes and workers at once.
 // Requests on other zones go on; a request whose worker is gone starts again once its attempt has certainly ended.
 func TestZoneLoss(t *testing.T) {
@@ -55,3 +76,15 @@
 		time.Sleep(45 * time.Second)
 	})
 }
+
+// TestGangsContend guards against two gangs that each hold what the other needs: each needs more than half of the cell, so
+// one has to run after the other, and each starts whole.
+func TestGangsContend(t *testing.T) {
+	run(t, 3, 3, func(s *session) {
+		time.Sleep(settle)
+		s.submit("entry-1", "vembanad", "press-run", "gang-a", 16, 3*time.Second)
+		time.Sleep(50 * time.Millisecond)
+		s.submit("entry-2", "goldfields", "matched-pair", "gang-b", 16, 3*time.Second)
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -172,6 +172,25 @@
 	})
 }
 
+// submit sends a job through a process and notes whether it was accepted and how it ended.
+func (s *session) submit(through ident.ProcessID, team, kind, id string, tasks uint32, each time.Duration) {
+	payload, err := json.Marshal(worker.Payload{RunMS: each.Milliseconds(), Echo: "done"})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.waiting.Go(func() {
+		status, err := s.nodes[through].SubmitJob(s.ctx, entry.JobRequest{
+			Team: ident.TeamID(team), Token: team + "-dev-token", ID: ident.RequestID(id), Kind: kind, Tasks: tasks,
+			Payload: payload,
+		})
+		if err != nil {
+			s.note("%s got %s through %s", id, fault.KindOf(err), through)
+			return
+		}
+		s.note("%s is %s through %s", id, status.State(), through)
+	})
+}
+
 // text returns the time line of all processes with the session's own lines. Lines of one instant are sorted by their
 // text, because their order within the instant has no meaning.
 func (s *session) text() string {
