Send waiting tasks back when another process has room

Cause: homes choose owners by digests that are up to a second old. A burst of 10,000 tasks right after the start queued at two owners, 4,984 tasks at each, while the two workers of the third stayed idle for as long as the others had work.

Ruled out: the policy's headroom and the team's quota; the idle owner had all 32 slots free and an empty queue.

Change: each second an owner compares its queue with the room that other processes tell of and sends as many waiting tasks back to their homes as fit into its share of that room; the homes place them again.

The share errs towards too little when few owners have queues.

--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -48,6 +48,7 @@
 	Dir      *directory.Directory
 	Dialer   port.WorkerDialer
 	Peers    port.Peers
+	Beats    func() []port.Heartbeat // the last heartbeat of each live peer
 	Policy   fleet.Policy
 	Quota    func(ident.TeamID) resource.Vector // what falls to this process of a team's quota; zero for none
 	Health   *health.Health
@@ -100,6 +101,7 @@
 	defer running.Wait()
 	running.Go(func() { s.reporter.Run(ctx) })
 	running.Go(func() { s.expireReservations(ctx) })
+	running.Go(func() { s.rebalance(ctx) })
 	current := map[ident.WorkerID]kept{}
 	for ctx.Err() == nil {
 		changed := s.Dir.Changed()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 	n.recorder.Hear(n.meter.Event)
 	n.owner = owner.New(owner.Config{
 		Self: n.settings.ID, Members: n.members, Live: n.peers.LiveChanged, Dir: n.dir, Dialer: workers,
-		Peers: n.calls, Policy: n.settings.policy(), Quota: n.quota, Health: health.New(health.DefaultSettings),
+		Peers: n.calls, Beats: n.peers.Heartbeats, Policy: n.settings.policy(), Quota: n.quota, Health: health.New(health.DefaultSettings),
 		Retries: n.retries, Notice: n.settings.WorkerNotice, Recorder: n.recorder, Log: n.log,
 	})
 	journal := journalwriter.New(journalwriter.Config{
