Keep results until a next home has had time to ask for them

Their home had died; its successor waits the task lease bound of 31.6 s before it serves, and owners kept ended attempts for 15 s.

Change: owners keep the result of an attempt for the task lease bound and 15 s.

Conclusion: at 31 starts/s a process this keeps about 1,450 results.

--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -21,9 +21,9 @@
 	startRetry = 200 * time.Millisecond
 	// maxPlacements is how often one call is placed again after the view was wrong.
 	maxPlacements = 4
-	// keepResult is how long the outcome of an attempt is kept for a home that lost the answer, or for its next home: 3 s
-	// to notice that a process died, a few seconds to take over, and room for retries.
-	keepResult = 15 * time.Second
+	// keepResult is how long the outcome of an attempt is kept for a home that lost the answer, or for its next home. A next
+	// home waits up to the task lease bound before it serves; the rest is room to notice the death and for retries.
+	keepResult = TaskLeaseBound + 15*time.Second
 	// keepOnce is the same for work that is not repeatable, unless its home settles it before: the home keeps such a request
 	// for at most 10 min of deadline and 15 min after it.
 	keepOnce = 30 * time.Minute
--- a/internal/celltest/jobs_failure_test.go
+++ b/internal/celltest/jobs_failure_test.go
@@ -137,10 +137,11 @@
 		Team: "vembanad", RequestID: "whole-cell", Kind: "press-run", Tasks: tasks,
 		Payload: jobsPayload(t, worker.Payload{RunMS: 200}),
 	})
-	dead := <-killed
-	for _, n := range cell.Nodes {
+	dead := <-killed // the home, which need not be the one of before the submission
+	for i, n := range cell.Nodes {
 		if n.ID == dead {
 			n.Kill()
+			client = jobsClient(cell, (i+1)%len(cell.Nodes), "vembanad")
 		}
 	}
 	last := jobsWait(t, ctx, client, "vembanad", "whole-cell")
