--- a/internal/adapter/callerhttp/jobclient.go
+++ b/internal/adapter/callerhttp/jobclient.go
@@ -63,8 +63,8 @@
 	return reply, checkReply(reply, team, id)
 }
 
-// Progress hands the status of a job to the function now and after each change, until the job is complete. It returns the
-// last status. It fails with Interrupted when the stream was cut off before.
+// Progress hands the status of a job to the function now and after each change, until the job is complete. It returns
+// the last status. It fails with Interrupted when the stream was cut off before.
 func (c *Client) Progress(ctx context.Context, team, id string, each func(JobReply) error) (JobReply, error) {
 	var last JobReply
 	err := c.http.Stream(ctx, jobPath(team, id)+"/progress", func(line []byte) error {
--- a/internal/adapter/document/document_test.go
+++ b/internal/adapter/document/document_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// FuzzDocument guards against a text in the store that ends every process of the cell: it is refused as invalid or meets
-// every rule.
+// FuzzDocument guards against a text in the store that ends every process of the cell: it is refused as invalid or
+// meets every rule.
 func FuzzDocument(f *testing.F) {
 	f.Add(examples.Vembanad)
 	f.Add([]byte(valid))
--- a/internal/adapter/httpjson/httpjson.go
+++ b/internal/adapter/httpjson/httpjson.go
@@ -70,8 +70,8 @@
 	return nil
 }
 
-// Call sends in as JSON and decodes the answer into out. Either may be nil. A failed connection gives Unavailable, which
-// means that nothing was sent; a call that broke off gives Interrupted. out is also filled from a failed answer
+// Call sends in as JSON and decodes the answer into out. Either may be nil. A failed connection gives Unavailable,
+// which means that nothing was sent; a call that broke off gives Interrupted. out is also filled from a failed answer
 // when the answer carries a state beside the failure.
 func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
 	request, err := c.request(ctx, method, path, in)
--- a/internal/adapter/httpjson/stream.go
+++ b/internal/adapter/httpjson/stream.go
@@ -9,8 +9,8 @@
 	"skylarkstall/internal/fault"
 )
 
-// Stream makes a call whose answer is a JSON value on each line, and hands each line to the function until the answer ends
-// or the function fails. It fails as Call does.
+// Stream makes a call whose answer is a JSON value on each line, and hands each line to the function until the answer
+// ends or the function fails. It fails as Call does.
 func (c *Client) Stream(ctx context.Context, path string, each func(line []byte) error) error {
 	request, err := c.request(ctx, http.MethodGet, path, nil)
 	if err != nil {
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package metrics registers the metrics of a process with tally and shows them to a scraper. Everything is registered in
-// this file; the services keep counts of their own, which are read once a second.
+// Package metrics registers the metrics of a process with tally and shows them to a scraper. Everything is registered
+// in this file; the services keep counts of their own, which are read once a second.
 package metrics
 
 import (
--- a/internal/adapter/peerwire/bounds.go
+++ b/internal/adapter/peerwire/bounds.go
@@ -6,13 +6,13 @@
 const (
 	// HeartbeatInterval is how often the dialing side sends a heartbeat; the reply is the other side's.
 	HeartbeatInterval = time.Second
-	// HeartbeatTimeout is how long a heartbeat may stay unanswered. A connection that goes silent right after a heartbeat
-	// is closed after one interval and this time, and a new one is open before three intervals have passed.
+	// HeartbeatTimeout is how long a heartbeat may stay unanswered. A connection that goes silent right after a
+	// heartbeat is closed after one interval and this time, and a new one is open before three intervals have passed.
 	HeartbeatTimeout = 1500 * time.Millisecond
 	// dialTimeout bounds the opening of a connection and the exchange of the first messages.
 	dialTimeout = HeartbeatTimeout
-	// silenceLimit is how long the accepting side waits for a heartbeat. The dialing side replaces the session sooner if
-	// it can.
+	// silenceLimit is how long the accepting side waits for a heartbeat. The dialing side replaces the session sooner
+	// if it can.
 	silenceLimit = 3 * HeartbeatInterval
 	// callReadTimeout bounds the arrival of a whole call once its stream is open.
 	callReadTimeout = 5 * time.Second
@@ -24,8 +24,8 @@
 const (
 	// MaxFrame is the largest message in bytes: a payload or output of 1 MB and its description.
 	MaxFrame = 2 << 20
-	// maxStreams is how many calls to one peer, and how many calls of one peer, may be in progress. 22,000 running tasks
-	// on 17 processes give about 80 for a pair; the rest is for bursts.
+	// maxStreams is how many calls to one peer, and how many calls of one peer, may be in progress. 22,000 running
+	// tasks on 17 processes give about 80 for a pair; the rest is for bursts.
 	maxStreams = 4096
 	// maxReading is how many calls of one peer are read at the same time: 16 frames hold at most 32 MB.
 	maxReading = 16
--- a/internal/adapter/peerwire/dial.go
+++ b/internal/adapter/peerwire/dial.go
@@ -15,8 +15,8 @@
 )
 
 // Connect keeps a session to the peer at the address until the context ends. Exactly one process of a pair calls it.
-// Attempts are at least one interval apart. A session that went silent has lasted longer and is replaced at once, so that
-// the peer does not count as dead meanwhile.
+// Attempts are at least one interval apart. A session that went silent has lasted longer and is replaced at once, so
+// that the peer does not count as dead meanwhile.
 func (t *Transport) Connect(ctx context.Context, peer ident.ProcessID, address string) {
 	for ctx.Err() == nil {
 		began := time.Now()
--- a/internal/adapter/peerwire/fuzz_test.go
+++ b/internal/adapter/peerwire/fuzz_test.go
@@ -59,8 +59,8 @@
 }
 func (anyHandler) HandleStatus(context.Context) (port.Status, error) { return port.Status{}, nil }
 
-// FuzzCall guards against bytes of a peer that end the process: a frame is refused, or its call gets a reply that can be
-// sent.
+// FuzzCall guards against bytes of a peer that end the process: a frame is refused, or its call gets a reply that can
+// be sent.
 func FuzzCall(f *testing.F) {
 	transport := New("a", nil, nil, nil, anyHandler{}, timeline.NewRecorder("a", 10), slog.New(slog.DiscardHandler))
 	for _, call := range []*peerpb.Call{
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// TestAnswersOutOfOrder guards guarantee 3 on the wire: with many calls in progress whose answers leave in another order,
-// each caller gets the answer to its own call.
+// TestAnswersOutOfOrder guards guarantee 3 on the wire: with many calls in progress whose answers leave in another
+// order, each caller gets the answer to its own call.
 func TestAnswersOutOfOrder(t *testing.T) {
 	a, b := startProcess(t, "a"), startProcess(t, "b")
 	a.connect(t, b.listener.Addr().String())
@@ -223,7 +223,8 @@
 	return mux
 }
 
-// TestWrongAnswers guards guarantee 3 against a peer that answers with something else than the whole answer to the call.
+// TestWrongAnswers guards guarantee 3 against a peer that answers with something else than the whole answer to the
+// call.
 func TestWrongAnswers(t *testing.T) {
 	right := &peerpb.Reply{Body: &peerpb.Reply_Outcome{Outcome: encodeOutcome(work.Outcome{
 		Task: spec("mine", "").Spec.ID, OK: true, Output: []byte("mine"),
@@ -286,8 +287,8 @@
 	return out.Bytes()
 }
 
-// TestMalformedCall guards against a peer that sends bytes that are no message: its session ends with one line in the log,
-// and the process goes on with other peers.
+// TestMalformedCall guards against a peer that sends bytes that are no message: its session ends with one line in the
+// log, and the process goes on with other peers.
 func TestMalformedCall(t *testing.T) {
 	b := startProcess(t, "b")
 	mux := peer(t, "a", b.listener.Addr().String())
@@ -309,8 +310,8 @@
 	})
 }
 
-// TestHandshakeBound guards against connections that say nothing: they are closed in time, those over the bound at once,
-// and a peer gets through.
+// TestHandshakeBound guards against connections that say nothing: they are closed in time, those over the bound at
+// once, and a peer gets through.
 func TestHandshakeBound(t *testing.T) {
 	b := startProcess(t, "b")
 	var silent []net.Conn
--- a/internal/adapter/workerhttp/client.go
+++ b/internal/adapter/workerhttp/client.go
@@ -16,8 +16,9 @@
 // callTimeout bounds a call that does not wait for outcomes.
 const callTimeout = 2 * time.Second
 
-// syncGrace is how much longer than its own wait a sync may take. The last renewal may have been sent a whole wait (2 s)
-// before the sync, so 1 s leaves 1 s of the control lease of 6 s, and 2 of the wait's, to renew over a new connection.
+// syncGrace is how much longer than its own wait a sync may take. The last renewal may have been sent a whole wait (2
+// s) before the sync, so 1 s leaves 1 s of the control lease of 6 s, and 2 of the wait's, to renew over a new
+// connection.
 const syncGrace = time.Second
 
 // Dialer makes clients. It implements port.WorkerDialer.
--- a/internal/app/configsync/apply.go
+++ b/internal/app/configsync/apply.go
@@ -20,8 +20,8 @@
 	maxDifference = 8 << 10                // bytes of a difference in an error
 )
 
-// Apply writes a document if the one in the store has the expected revision, 0 for none. It fails with Conflict when the
-// store has another; the error shows the difference. A lost answer is settled by reading back. It fails with
+// Apply writes a document if the one in the store has the expected revision, 0 for none. It fails with Conflict when
+// the store has another; the error shows the difference. A lost answer is settled by reading back. It fails with
 // Interrupted when that was not possible in time, and with StoreUnavailable when nothing was written.
 func (s *Service) Apply(
 	ctx context.Context, name string, source []byte, expect ident.Revision,
--- a/internal/app/configsync/apply_test.go
+++ b/internal/app/configsync/apply_test.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// TestStoreWentBack guards guarantee 8 against a store that was restored to an older state: documents in force stay, the
-// log tells, and a change is refused instead of being accepted and not taking effect.
+// TestStoreWentBack guards guarantee 8 against a store that was restored to an older state: documents in force stay,
+// the log tells, and a change is refused instead of being accepted and not taking effect.
 func TestStoreWentBack(t *testing.T) {
 	_, now := startStore(t)
 	_, older := startStore(t)
--- a/internal/app/configsync/configsync.go
+++ b/internal/app/configsync/configsync.go
@@ -1,5 +1,5 @@
-// Package configsync keeps the documents in force in this process equal to those in the store, through the store's watch
-// and, while the store cannot be reached, from peers.
+// Package configsync keeps the documents in force in this process equal to those in the store, through the store's
+// watch and, while the store cannot be reached, from peers.
 package configsync
 
 import (
@@ -101,8 +101,8 @@
 	}
 }
 
-// wentBack tells of a store that was restored to an older state. The documents in force stay, because an accepted change
-// never reverts; changes written to that store take effect once its revisions pass those in force.
+// wentBack tells of a store that was restored to an older state. The documents in force stay, because an accepted
+// change never reverts; changes written to that store take effect once its revisions pass those in force.
 func (s *Service) wentBack(known, revision ident.Revision) {
 	s.Log.Error("the store went back to an older state; the documents in force stay",
 		"store_revision", revision, "revision_in_force", known)
--- a/internal/app/configsync/peers.go
+++ b/internal/app/configsync/peers.go
@@ -50,8 +50,8 @@
 	return peers
 }
 
-// fetch takes over what a peer has above this process's revision. The revision moves only after the last page, so that a
-// fetch that breaks off skips nothing.
+// fetch takes over what a peer has above this process's revision. The revision moves only after the last page, so
+// that a fetch that breaks off skips nothing.
 func (s *Service) fetch(ctx context.Context, peer ident.ProcessID) bool {
 	after := s.Catalog.Revision()
 	for {
--- a/internal/app/entry/job.go
+++ b/internal/app/entry/job.go
@@ -128,8 +128,8 @@
 	})
 }
 
-// Watch tells the status of a job now and after each change, until the job is complete or tell returns an error. Changes
-// that follow each other faster than the caller takes them are told as one.
+// Watch tells the status of a job now and after each change, until the job is complete or tell returns an error.
+// Changes that follow each other faster than the caller takes them are told as one.
 func (s *Service) Watch(ctx context.Context, query JobQuery, tell func(job.Status) error) error {
 	id, err := s.checkQuery(query)
 	if err != nil {
@@ -170,7 +170,8 @@
 	return ident.WorkID{Team: q.Team, Request: q.ID}, ident.Check("request_id", string(q.ID))
 }
 
-// callHome calls the home of the job, again when the home changed or the call broke off. Calls about jobs are idempotent.
+// callHome calls the home of the job, again when the home changed or the call broke off. Calls about jobs are
+// idempotent.
 func (s *Service) callHome(
 	ctx context.Context, id ident.WorkID, call func(context.Context, ident.ProcessID) (job.Status, error),
 ) (job.Status, error) {
--- a/internal/app/home/execute.go
+++ b/internal/app/home/execute.go
@@ -109,9 +109,9 @@
 	return ending{outcome: outcome, owner: owner}, err
 }
 
-// follow waits for the outcome of an attempt whose call broke off: first at the given owner, which keeps the outcome for a
-// while, then where a survey finds the attempt. Without an outcome it fails with NoCapacity when a repeatable attempt
-// certainly does not run, and with UnknownOutcome when work that is not repeatable may have run.
+// follow waits for the outcome of an attempt whose call broke off: first at the given owner, which keeps the outcome
+// for a while, then where a survey finds the attempt. Without an outcome it fails with NoCapacity when a repeatable
+// attempt certainly does not run, and with UnknownOutcome when work that is not repeatable may have run.
 func (t *term) follow(ctx context.Context, call port.Place, owner ident.ProcessID) (ending, error) {
 	task := call.Spec.ID
 	began := time.Now()
@@ -170,8 +170,8 @@
 	}
 }
 
-// settle lets the owner and the worker forget the outcome of the task. When the call fails, the owner tells of the outcome
-// again to the next home.
+// settle lets the owner and the worker forget the outcome of the task. When the call fails, the owner tells of the
+// outcome again to the next home.
 func (t *term) settle(owner ident.ProcessID, task ident.TaskID) {
 	if owner == "" {
 		return
--- a/internal/app/home/flight.go
+++ b/internal/app/home/flight.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// stop asks an owner to stop tasks. What gathers while a call to the owner is under way goes into the next call, so that a
-// burst of cancellations takes few calls.
+// stop asks an owner to stop tasks. What gathers while a call to the owner is under way goes into the next call, so
+// that a burst of cancellations takes few calls.
 func (s *Service) stop(owner ident.ProcessID, stops []stop) {
 	s.mu.Lock()
 	gathered, busy := s.stops[owner]
--- a/internal/app/home/home.go
+++ b/internal/app/home/home.go
@@ -90,8 +90,8 @@
 	return t.execute(ctx, call)
 }
 
-// HandleReport takes the ends of attempts that no call of this home waits for, and lets the owner forget those that this
-// home has no use for.
+// HandleReport takes the ends of attempts that no call of this home waits for, and lets the owner forget those that
+// this home has no use for.
 func (s *Service) HandleReport(ctx context.Context, report port.Report) error {
 	var settled []ident.TaskID
 	for _, outcome := range report.Ended {
--- a/internal/app/home/home_test.go
+++ b/internal/app/home/home_test.go
@@ -236,8 +236,8 @@
 	}
 }
 
-// TestRefusedIntent guards guarantee 4: a request whose intent is not stored is told "not run" and not started, unless a
-// later home may have run it.
+// TestRefusedIntent guards guarantee 4: a request whose intent is not stored is told "not run" and not started,
+// unless a later home may have run it.
 func TestRefusedIntent(t *testing.T) {
 	r, o := &records{fail: fault.New(fault.Interrupted, "the commit is in doubt")}, &owner{place: succeed}
 	s := startHome(t, r, o)
--- a/internal/app/home/job_gang.go
+++ b/internal/app/home/job_gang.go
@@ -56,8 +56,8 @@
 	r.place(ctx, owner, call)
 }
 
-// reserve asks the owners in ascending order of their ids for room, each for as much as is still needed, and returns the
-// owner of each task. The common order keeps two gangs from holding what the other one waits for. It fails with
+// reserve asks the owners in ascending order of their ids for room, each for as much as is still needed, and returns
+// the owner of each task. The common order keeps two gangs from holding what the other one waits for. It fails with
 // NoCapacity when there is not room for all, and then holds nothing.
 func (r *runner) reserve(ctx context.Context, specs []work.Spec) ([]ident.ProcessID, error) {
 	epoch := r.p.currentEpoch()
--- a/internal/app/home/once.go
+++ b/internal/app/home/once.go
@@ -16,8 +16,8 @@
 // appendRetry is the mean pause before an outcome that could not be journalled is appended again.
 const appendRetry = 500 * time.Millisecond
 
-// runOnce runs a request that is not repeatable: its intent is stored before the first start, and its outcome before the
-// answer.
+// runOnce runs a request that is not repeatable: its intent is stored before the first start, and its outcome before
+// the answer.
 func (t *term) runOnce(call port.Execute) {
 	spec := call.Spec
 	id := spec.ID.Work
@@ -42,9 +42,9 @@
 	}
 }
 
-// intend stores the intent. When it fails, nothing was started, and nothing ever is because of the intent alone: even if
-// it is stored in the end, a next home only searches for the attempt. Before the caller is told "not run", the owners are
-// asked for a later home, which may have started the request while this process was paused.
+// intend stores the intent. When it fails, nothing was started, and nothing ever is because of the intent alone: even
+// if it is stored in the end, a next home only searches for the attempt. Before the caller is told "not run", the
+// owners are asked for a later home, which may have started the request while this process was paused.
 func (t *term) intend(ctx context.Context, call port.Execute, keep time.Time) error {
 	id := call.Spec.ID.Work
 	err := t.service.Journal.Append(ctx, t.id, journal.Record{
@@ -61,8 +61,8 @@
 	}
 }
 
-// withdraw voids the intent of a request that certainly did not start, so that a next home does not take it for one that
-// may have run. A failure leaves the next home with less to tell and is not repeated.
+// withdraw voids the intent of a request that certainly did not start, so that a next home does not take it for one
+// that may have run. A failure leaves the next home with less to tell and is not repeated.
 func (t *term) withdraw(ctx context.Context, id ident.WorkID, keep time.Time) {
 	err := t.service.Journal.Append(ctx, t.id, journal.Record{Kind: journal.Canceled, Work: id, Expires: keep})
 	if err != nil {
@@ -70,8 +70,8 @@
 	}
 }
 
-// conclude stores the outcome, then ends the request, then lets the owner forget the outcome. While the store is down the
-// request stays open; when the context ends, its result has expired.
+// conclude stores the outcome, then ends the request, then lets the owner forget the outcome. While the store is down
+// the request stays open; when the context ends, its result has expired.
 func (t *term) conclude(ctx context.Context, task ident.TaskID, ended ending, failure error, keep time.Time) {
 	record := journal.Record{
 		Kind: journal.Outcome, Work: task.Work, Index: task.Index, Attempt: ended.outcome.Attempt, Expires: keep,
--- a/internal/app/home/partition.go
+++ b/internal/app/home/partition.go
@@ -145,8 +145,8 @@
 	p.changed.Signal()
 }
 
-// giveUp ends the term. Callers that wait are sent to the next home, which learns of running requests from the owners and
-// from the journal.
+// giveUp ends the term. Callers that wait are sent to the next home, which learns of running requests from the owners
+// and from the journal.
 func (p *partition) giveUp(t *term) {
 	p.mu.Lock()
 	current := p.term == t
@@ -164,8 +164,8 @@
 	p.changed.Signal()
 }
 
-// fenced ends the term because another process took the journal or the owners. What this process knows of the requests may be out of
-// date.
+// fenced ends the term because another process took the journal or the owners. What this process knows of the
+// requests may be out of date.
 func (t *term) fenced() {
 	t.service.Log.Warn("another process took the partition", "partition", t.id)
 	t.mu.Lock()
@@ -182,7 +182,8 @@
 	return fenced
 }
 
-// await waits until the partition serves and returns its term. It fails with StaleEpoch when another process should be the home.
+// await waits until the partition serves and returns its term. It fails with StaleEpoch when another process should
+// be the home.
 func (p *partition) await(ctx context.Context) (*term, error) {
 	for {
 		changed := p.changed.Changed()
--- a/internal/app/home/recover.go
+++ b/internal/app/home/recover.go
@@ -13,8 +13,8 @@
 	"skylarkstall/internal/port"
 )
 
-// takeRetry is the mean pause before the journal is asked for again while the store is down. With 32 partitions it costs
-// the store up to 16 calls/s of the whole cell.
+// takeRetry is the mean pause before the journal is asked for again while the store is down. With 32 partitions it
+// costs the store up to 16 calls/s of the whole cell.
 const takeRetry = 2 * time.Second
 
 // takeJournal takes the journal, as soon as the store allows it, and goes on with what the former home left open.
--- a/internal/app/home/survey.go
+++ b/internal/app/home/survey.go
@@ -34,8 +34,8 @@
 		held, err := p.ask(ctx, peer.ID)
 		if err != nil {
 			p.service.Log.Debug("survey", "partition", p.id, "peer", peer.ID, "error", err)
-			// A draining process claims nothing any more: it can start work only on workers that it still owns, and those
-			// are not covered. So one that has ended need not be waited for.
+			// A draining process claims nothing any more: it can start work only on workers that it still owns, and
+			// those are not covered. So one that has ended need not be waited for.
 			found.complete = found.complete && peer.Draining
 			found.outranked = found.outranked || fault.Is(err, fault.StaleEpoch)
 			continue
@@ -69,8 +69,8 @@
 	return port.Held{}, fault.New(fault.StaleEpoch, "home epoch %d was seen", held.Highest.Counter)
 }
 
-// report notes an outcome that an owner told without being asked. It returns false when nobody needs it, so that the owner
-// may forget it.
+// report notes an outcome that an owner told without being asked. It returns false when nobody needs it, so that the
+// owner may forget it.
 func (p *partition) report(r reported) bool {
 	p.mu.Lock()
 	t := p.term
@@ -131,8 +131,8 @@
 	found survey
 }
 
-// surveyed returns a survey that began after the call. Callers share it: when an owner of a thousand tasks dies, the other
-// owners are asked a few times and not a thousand times. It returns false when the context ends.
+// surveyed returns a survey that began after the call. Callers share it: when an owner of a thousand tasks dies, the
+// other owners are asked a few times and not a thousand times. It returns false when the context ends.
 func (p *partition) surveyed(ctx context.Context) (survey, bool) {
 	p.mu.Lock()
 	run := p.nextSurvey
--- a/internal/app/home/term.go
+++ b/internal/app/home/term.go
@@ -68,8 +68,8 @@
 	return result.Outcome, result.Err
 }
 
-// awaitJournal waits until the journal is read. Without it nobody can tell whether a former home started the request, so
-// the answer is not that it did not run.
+// awaitJournal waits until the journal is read. Without it nobody can tell whether a former home started the request,
+// so the answer is not that it did not run.
 func (t *term) awaitJournal(ctx context.Context) error {
 	select {
 	case <-t.journaled:
--- a/internal/app/journalwriter/journalwriter.go
+++ b/internal/app/journalwriter/journalwriter.go
@@ -1,5 +1,6 @@
-// Package journalwriter stores the records of partitions in the platform's key-value service: it commits them in groups,
-// finds out what became of a write whose answer was lost, and steps down when another process writes the journal.
+// Package journalwriter stores the records of partitions in the platform's key-value service: it commits them in
+// groups, finds out what became of a write whose answer was lost, and steps down when another process writes the
+// journal.
 package journalwriter
 
 import (
@@ -17,16 +18,17 @@
 
 // Limits of a writer.
 const (
-	// CommitInterval is the shortest time between two commits of a partition. It bounds the journal to 4 writes/s for each
-	// partition at any load.
+	// CommitInterval is the shortest time between two commits of a partition. It bounds the journal to 4 writes/s for
+	// each partition at any load.
 	CommitInterval = 250 * time.Millisecond
 	// MaxTakeovers is how many partitions are taken at a time, so that the death of a process does not make all of its
 	// partitions list their journals at once.
 	MaxTakeovers = 4
-	// MaxWaiting is how many appends may wait in one partition: over 4 s at 530 task starts/s that all hit one partition.
+	// MaxWaiting is how many appends may wait in one partition: over 4 s at 530 task starts/s that all hit one
+	// partition.
 	MaxWaiting = 4096
-	// commitTimeout bounds a commit with its reading back: two calls that run into their own timeouts of 2 s, and a second
-	// for pauses.
+	// commitTimeout bounds a commit with its reading back: two calls that run into their own timeouts of 2 s, and a
+	// second for pauses.
 	commitTimeout = 5 * time.Second
 	// takeTimeout bounds a takeover.
 	takeTimeout = 10 * time.Second
@@ -160,8 +162,8 @@
 	}
 }
 
-// admit refuses the appends that the journal has no room for and returns the others, so that the outcomes of running work
-// do not fail with new work.
+// admit refuses the appends that the journal has no room for and returns the others, so that the outcomes of running
+// work do not fail with new work.
 func (l *line) admit(j *journal.Journal, group []*appending) []*appending {
 	var records []journal.Record
 	var admitted []*appending
--- a/internal/app/journalwriter/journalwriter_test.go
+++ b/internal/app/journalwriter/journalwriter_test.go
@@ -56,8 +56,8 @@
 	return w.Append(context.Background(), partition, intent(id))
 }
 
-// TestGroupCommit guards the bound of 4 writes/s for a partition: appends that arrive within the interval share a commit,
-// and a first one does not wait.
+// TestGroupCommit guards the bound of 4 writes/s for a partition: appends that arrive within the interval share a
+// commit, and a first one does not wait.
 func TestGroupCommit(t *testing.T) {
 	s := startStore(t)
 	w := newWriter(s, "entry-1")
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestStoreDown guards guarantee 4: what was refused with store_unavailable is not in the journal, and what is in doubt is
-// told so. Appends go on when the store is back.
+// TestStoreDown guards guarantee 4: what was refused with store_unavailable is not in the journal, and what is in
+// doubt is told so. Appends go on when the store is back.
 func TestStoreDown(t *testing.T) {
 	s := startStore(t)
 	w := newWriter(s, "entry-1")
@@ -153,8 +153,8 @@
 	return s.Store.Put(ctx, key, value, expect, lease)
 }
 
-// TestLateWrite guards that a write that takes effect after its caller gave it up is not stored twice and fences nobody:
-// the retried takeover wins over its own late copy.
+// TestLateWrite guards that a write that takes effect after its caller gave it up is not stored twice and fences
+// nobody: the retried takeover wins over its own late copy.
 func TestLateWrite(t *testing.T) {
 	s := startStore(t)
 	late := &slowFirst{Store: storehttp.New(s.Address()), arrive: make(chan struct{}), arrived: make(chan error, 1)}
@@ -171,8 +171,8 @@
 	}
 }
 
-// TestFormerWriterAfterTurn guards guarantee 5: a former writer that wakes after its successor wrote a whole turn of the
-// ring is told stale_epoch, and what it wanted to append is not in the journal.
+// TestFormerWriterAfterTurn guards guarantee 5: a former writer that wakes after its successor wrote a whole turn of
+// the ring is told stale_epoch, and what it wanted to append is not in the journal.
 func TestFormerWriterAfterTurn(t *testing.T) {
 	s := startStore(t)
 	former, successor := newWriter(s, "entry-1"), newWriter(s, "entry-2")
--- a/internal/app/journalwriter/store.go
+++ b/internal/app/journalwriter/store.go
@@ -60,8 +60,8 @@
 	return err
 }
 
-// write carries a write out and settles it when its answer was lost. It fails with Interrupted when it could not find out
-// whether the segment is stored, and with StoreUnavailable when it certainly is not.
+// write carries a write out and settles it when its answer was lost. It fails with Interrupted when it could not find
+// out whether the segment is stored, and with StoreUnavailable when it certainly is not.
 func (l *line) write(ctx context.Context, j *journal.Journal, w journal.Write) (journal.Finding, error) {
 	value, err := l.service.Codec.EncodeSegment(w.Segment)
 	if err != nil {
@@ -118,8 +118,8 @@
 	return 0, last
 }
 
-// compact writes a snapshot when it is time for one. A failure is not final: a later commit tries again, and appends are
-// refused when no slot is free. It returns whether a snapshot was written.
+// compact writes a snapshot when it is time for one. A failure is not final: a later commit tries again, and appends
+// are refused when no slot is free. It returns whether a snapshot was written.
 func (l *line) compact(j *journal.Journal, force bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
--- a/internal/app/meter/meter.go
+++ b/internal/app/meter/meter.go
@@ -1,5 +1,5 @@
-// Package meter counts what passes through a process: it decorates the calls between processes and to the store, and hears
-// the events of the time line. The services do not know of it, and no decision depends on it.
+// Package meter counts what passes through a process: it decorates the calls between processes and to the store, and
+// hears the events of the time line. The services do not know of it, and no decision depends on it.
 package meter
 
 import (
--- a/internal/app/owner/attempt.go
+++ b/internal/app/owner/attempt.go
@@ -11,12 +11,12 @@
 
 // attempt is one attempt of a task that this process holds: it waits for a worker, runs on one, or has ended there.
 type attempt struct {
-	id       work.AttemptID
-	kind     string
-	again    bool                  // the work is known to be repeatable: a lost outcome can be had again
-	assigned chan fleet.Assignment // receives at most one assignment of the queue at a time
-	started  chan struct{}         // closed when a worker has confirmed the start
-	done     chan struct{}         // closed at the end
+	id         work.AttemptID
+	kind       string
+	repeatable bool                  // known to be: a lost outcome can be had again
+	assigned   chan fleet.Assignment // receives at most one assignment of the queue at a time
+	started    chan struct{}         // closed when a worker has confirmed the start
+	done       chan struct{}         // closed at the end
 
 	mu       sync.Mutex
 	worker   ident.WorkerID // empty while the task waits
--- a/internal/app/owner/cancel.go
+++ b/internal/app/owner/cancel.go
@@ -16,8 +16,8 @@
 const (
 	// stopTries is how often the stop of a task is sent when its answer was lost. The home asks again after that.
 	stopTries = 3
-	// recordedCancels is the most cancellations of one call that get an event each. A burst gets one event, so that it does
-	// not push everything else out of the ring.
+	// recordedCancels is the most cancellations of one call that get an event each. A burst gets one event, so that
+	// it does not push everything else out of the ring.
 	recordedCancels = 16
 )
 
@@ -25,8 +25,9 @@
 	return fault.New(fault.Canceled, "%s was canceled before it started", task)
 }
 
-// HandleCancel stops tasks that wait or run here and returns those that it does not hold. A task whose start is in flight is stopped once the worker has confirmed it. The cost grows linearly with the number of tasks: one pass over the queue for all that
-// wait, and one stop for each that runs, on all workers at the same time.
+// HandleCancel stops tasks that wait or run here and returns those that it does not hold. A task whose start is in
+// flight is stopped once the worker has confirmed it. The cost grows linearly with the number of tasks: one pass over
+// the queue for all that wait, and one stop for each that runs, on all workers at the same time.
 func (s *Service) HandleCancel(ctx context.Context, tasks []ident.TaskID) ([]ident.TaskID, error) {
 	s.recordCancels(tasks)
 	var missing, waiting []ident.TaskID
@@ -78,8 +79,8 @@
 	return nil
 }
 
-// stopAttempts stops attempts on the worker, each once its start was confirmed: a stop that overtakes the start would stop
-// nothing. Their outcomes arrive with the worker's next sync.
+// stopAttempts stops attempts on the worker, each once its start was confirmed: a stop that overtakes the start would
+// stop nothing. Their outcomes arrive with the worker's next sync.
 func (s *Service) stopAttempts(ctx context.Context, worker ident.WorkerID, attempts []*attempt) error {
 	k, err := s.keeper(worker)
 	if err != nil {
--- a/internal/app/owner/keeper.go
+++ b/internal/app/owner/keeper.go
@@ -26,7 +26,8 @@
 	syncRetry = 200 * time.Millisecond
 	// releaseTimeout bounds the release; a worker that is not reached becomes free when its lease lapses.
 	releaseTimeout = 2 * time.Second
-	// relieveTimeout bounds the calls about tasks on a leaving or overused worker, so that they do not delay the renewal.
+	// relieveTimeout bounds the calls about tasks on a leaving or overused worker, so that they do not delay the
+	// renewal.
 	relieveTimeout = time.Second
 )
 
@@ -158,8 +159,8 @@
 	k.unreachable = time.Time{}
 }
 
-// standing returns the epoch under which the worker is owned, 0 if it is not, and whether it has been out of reach for so
-// long that nothing can run on it.
+// standing returns the epoch under which the worker is owned, 0 if it is not, and whether it has been out of reach
+// for so long that nothing can run on it.
 func (k *keeper) standing(now time.Time) (tenure ident.Epoch, unreachable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -325,8 +326,8 @@
 	k.service.fleet.Remove(k.id)
 }
 
-// show puts the state of an owned worker that stays into the view and returns what the fleet decides about waiting tasks. A copy of the
-// state that is older than the view's must not replace it.
+// show puts the state of an owned worker that stays into the view and returns what the fleet decides about waiting
+// tasks. A copy of the state that is older than the view's must not replace it.
 func (k *keeper) show() fleet.Decisions {
 	k.view.Lock()
 	defer k.view.Unlock()
--- a/internal/app/owner/lease_test.go
+++ b/internal/app/owner/lease_test.go
@@ -12,8 +12,8 @@
 	"skylarkstall/internal/fault"
 )
 
-// TestClockRates guards the margin of the task lease bound: a worker whose clock runs up to 2% slow must have stopped its
-// tasks by the time at which an owner takes them to be stopped, and refuse starts from then on.
+// TestClockRates guards the margin of the task lease bound: a worker whose clock runs up to 2% slow must have stopped
+// its tasks by the time at which an owner takes them to be stopped, and refuse starts from then on.
 func TestClockRates(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	size := resource.Vector{Slots: 1}
--- a/internal/app/owner/outcome.go
+++ b/internal/app/owner/outcome.go
@@ -33,8 +33,8 @@
 	s.reporter.add(outcome)
 }
 
-// ended takes an outcome: the capacity goes to waiting tasks, and the goroutine that placed the attempt gets the outcome.
-// The home of an attempt that nobody here waits for gets a report.
+// ended takes an outcome: the capacity goes to waiting tasks, and the goroutine that placed the attempt gets the
+// outcome. The home of an attempt that nobody here waits for gets a report.
 func (s *Service) ended(k *keeper, outcome work.Outcome) {
 	id := outcome.ID()
 	if k.worker.Evicted(id) && outcome.Message == work.StoppedMessage {
@@ -44,7 +44,7 @@
 	s.mu.Lock()
 	a, ok := s.pending[id]
 	s.mu.Unlock()
-	k.worker.Took(time.Now(), id, ok && a.again)
+	k.worker.Took(time.Now(), id, ok && a.repeatable)
 	k.worker.Release(outcome.Task, outcome.Attempt)
 	s.fleet.Finished(outcome)
 	if ok {
@@ -98,8 +98,8 @@
 	}
 }
 
-// finish ends the attempt. Its outcome is kept for a while, for a home that lost the answer; an error is not, because the
-// attempt is then held nowhere or by another owner.
+// finish ends the attempt. Its outcome is kept for a while, for a home that lost the answer; an error is not, because
+// the attempt is then held nowhere or by another owner.
 func (s *Service) finish(a *attempt, outcome work.Outcome, err error) {
 	if !a.end(outcome, err) {
 		return
@@ -111,7 +111,7 @@
 	}
 	s.holdings.End(a.id.Task, a.id.Attempt)
 	keep := keepOnce
-	if a.again {
+	if a.repeatable {
 		keep = keepResult
 	}
 	time.AfterFunc(keep, func() { s.forget(a) })
--- a/internal/app/owner/owner.go
+++ b/internal/app/owner/owner.go
@@ -1,5 +1,5 @@
-// Package owner runs the workers that this process owns: one goroutine for each worker keeps its control lease and takes
-// its outcomes, and the goroutine that brings a task places it.
+// Package owner runs the workers that this process owns: one goroutine for each worker keeps its control lease and
+// takes its outcomes, and the goroutine that brings a task places it.
 package owner
 
 import (
@@ -136,8 +136,9 @@
 	}
 }
 
-// dropVanished ends the keepers of workers that the VM list no longer has. The list does not say when a VM stopped, so a
-// worker on which this process has tasks is kept, as one that leaves, until they have ended or it is out of reach.
+// dropVanished ends the keepers of workers that the VM list no longer has. The list does not say when a VM stopped,
+// so a worker on which this process has tasks is kept, as one that leaves, until they have ended or it is out of
+// reach.
 func (s *Service) dropVanished(current map[ident.WorkerID]kept, listed map[ident.WorkerID]bool) {
 	now := time.Now()
 	for id, k := range current {
@@ -213,8 +214,9 @@
 	return shapes
 }
 
-// HandleTakeHome makes the caller the home of the partition and tells what this process holds of it. A worker counts as
-// owned only if it was owned under one epoch all the while: otherwise its tasks may have been read too early or too late.
+// HandleTakeHome makes the caller the home of the partition and tells what this process holds of it. A worker counts
+// as owned only if it was owned under one epoch all the while: otherwise its tasks may have been read too early or
+// too late.
 func (s *Service) HandleTakeHome(_ context.Context, call port.TakeHome) (port.Held, error) {
 	before, _ := s.owned()
 	highest, tasks := s.holdings.Take(call.Partition, call.Home)
@@ -235,7 +237,8 @@
 	return held, nil
 }
 
-// owned returns the epochs of the owned workers, and the workers on which nothing can run because they are out of reach.
+// owned returns the epochs of the owned workers, and the workers on which nothing can run because they are out of
+// reach.
 func (s *Service) owned() (epochs map[ident.WorkerID]ident.Epoch, unreachable []ident.WorkerID) {
 	now := time.Now()
 	epochs = map[ident.WorkerID]ident.Epoch{}
--- a/internal/app/owner/place.go
+++ b/internal/app/owner/place.go
@@ -21,11 +21,12 @@
 	startRetry = 200 * time.Millisecond
 	// maxPlacements is how often one call is placed again after the view was wrong.
 	maxPlacements = 4
-	// keepResult is how long the outcome of an attempt is kept for a home that lost the answer, or for its next home. A next
-	// home waits up to the task lease bound before it serves; the rest is room to notice the death and for retries.
+	// keepResult is how long the outcome of an attempt is kept for a home that lost the answer, or for its next home.
+	// A next home waits up to the task lease bound before it serves; the rest is room to notice the death and for
+	// retries.
 	keepResult = TaskLeaseBound + 15*time.Second
-	// keepOnce is the same for work that is not repeatable, unless its home settles it before: the home keeps such a request
-	// for at most 10 min of deadline and 15 min after it.
+	// keepOnce is the same for work that is not repeatable, unless its home settles it before: the home keeps such a
+	// request for at most 10 min of deadline and 15 min after it.
 	keepOnce = 30 * time.Minute
 )
 
@@ -64,7 +65,7 @@
 		return nil, false, err
 	}
 	a := newAttempt(id, call.Spec.Kind)
-	a.again = call.Spec.Repeatable
+	a.repeatable = call.Spec.Repeatable
 	s.pending[id] = a
 	return a, true, nil
 }
--- a/internal/app/owner/preempt.go
+++ b/internal/app/owner/preempt.go
@@ -20,8 +20,8 @@
 	}
 }
 
-// preempt carries out one action. The attempt ends when the worker reports it stopped; an outcome that it reached before
-// counts instead.
+// preempt carries out one action. The attempt ends when the worker reports it stopped; an outcome that it reached
+// before counts instead.
 func (s *Service) preempt(ctx context.Context, p fleet.Preemption) {
 	ctx, cancel := context.WithTimeout(ctx, preemptTimeout)
 	defer cancel()
@@ -47,8 +47,8 @@
 	s.Log.Info("task gives way", "task", p.Task.String(), "worker", p.Worker, "action", p.Action.String(), "error", err)
 }
 
-// yielded returns the error that an attempt ends with when it was stopped for other work: its home places the task again.
-// It returns nil for every other outcome.
+// yielded returns the error that an attempt ends with when it was stopped for other work: its home places the task
+// again. It returns nil for every other outcome.
 func (a *attempt) yielded(outcome work.Outcome) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/app/owner/rebalance.go
+++ b/internal/app/owner/rebalance.go
@@ -14,8 +14,8 @@
 // heartbeats: the room that they tell of is not newer.
 const rebalanceInterval = time.Second
 
-// rebalance sends waiting tasks back to their homes when another process has room for them. Homes choose by digests that
-// are up to a second old, so a burst may queue at some owners while the workers of another are idle.
+// rebalance sends waiting tasks back to their homes when another process has room for them. Homes choose by digests
+// that are up to a second old, so a burst may queue at some owners while the workers of another are idle.
 func (s *Service) rebalance(ctx context.Context) {
 	ticker := time.NewTicker(rebalanceInterval)
 	defer ticker.Stop()
--- a/internal/app/owner/reporter.go
+++ b/internal/app/owner/reporter.go
@@ -19,7 +19,8 @@
 	reportRetry = 250 * time.Millisecond
 )
 
-// reporter is the goroutine that tells homes of attempts that no call waits for, until the homes have taken the reports.
+// reporter is the goroutine that tells homes of attempts that no call waits for, until the homes have taken the
+// reports.
 type reporter struct {
 	service *Service
 	added   notify.Broadcast
--- a/internal/app/peering/peering_test.go
+++ b/internal/app/peering/peering_test.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// TestConnections guards the set of connections: a peer that moves is dialed at its new address, a live peer that leaves
-// the VM list keeps its connection until it is silent, and a seed is dialed without the VM list.
+// TestConnections guards the set of connections: a peer that moves is dialed at its new address, a live peer that
+// leaves the VM list keeps its connection until it is silent, and a seed is dialed without the VM list.
 func TestConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		vms := &list{}
--- a/internal/celltest/jobs_failure_test.go
+++ b/internal/celltest/jobs_failure_test.go
@@ -73,8 +73,8 @@
 	return 0, 1
 }
 
-// TestGangsContend guards against two gangs that wait for each other, and against one that starts in part: each needs more
-// than half of the cell, so they can only run one after the other.
+// TestGangsContend guards against two gangs that wait for each other, and against one that starts in part: each needs
+// more than half of the cell, so they can only run one after the other.
 func TestGangsContend(t *testing.T) {
 	t.Parallel()
 	cell, ctx, checks := jobsChecked(t, devcell.Settings{Processes: 3, Workers: 3})
@@ -117,8 +117,9 @@
 	return b.Peers.Place(ctx, to, call)
 }
 
-// TestGangHomeKilledBeforeCommit guards against room that stays reserved for a dead home, and against a gang that its new
-// home forgets or starts in part. The gang needs nearly the whole cell, so room that stays reserved would keep it from starting.
+// TestGangHomeKilledBeforeCommit guards against room that stays reserved for a dead home, and against a gang that its
+// new home forgets or starts in part. The gang needs nearly the whole cell, so room that stays reserved would keep it
+// from starting.
 func TestGangHomeKilledBeforeCommit(t *testing.T) {
 	t.Parallel()
 	var once sync.Once
@@ -159,9 +160,9 @@
 	return other
 }
 
-// TestProcessKilledUnderBatch guards against tasks that are lost or run in two places when an owner or the home dies. The
-// first batch fills the workers of the home, so that tasks of the second one are on those of the other processes. They
-// run on while nobody owns their workers, and there is room to start them elsewhere.
+// TestProcessKilledUnderBatch guards against tasks that are lost or run in two places when an owner or the home dies.
+// The first batch fills the workers of the home, so that tasks of the second one are on those of the other processes.
+// They run on while nobody owns their workers, and there is room to start them elsewhere.
 func TestProcessKilledUnderBatch(t *testing.T) {
 	for _, victim := range []string{"owner", "home"} {
 		t.Run(victim, func(t *testing.T) {
--- a/internal/celltest/journal_kill_test.go
+++ b/internal/celltest/journal_kill_test.go
@@ -19,8 +19,8 @@
 
 const doomed = "entry-9"
 
-// addDoomed starts an entry process of its own, which can be killed without a chance to drain, and waits until it is the
-// home of partitions.
+// addDoomed starts an entry process of its own, which can be killed without a chance to drain, and waits until it is
+// the home of partitions.
 func (c *onceCell) addDoomed() *exec.Cmd {
 	c.t.Helper()
 	binary := filepath.Join(c.t.TempDir(), "skylarkstall")
@@ -89,9 +89,9 @@
 	}
 }
 
-// TestHomeKilledInStoreOutage guards guarantees 3, 4 and 5 when the store is down and the home of running work dies: the
-// work goes on and is answered once the store is back, it is not started again, nobody is told that it did not run, and
-// repeatable requests of the same partitions are served in the meantime.
+// TestHomeKilledInStoreOutage guards guarantees 3, 4 and 5 when the store is down and the home of running work dies:
+// the work goes on and is answered once the store is back, it is not started again, nobody is told that it did not
+// run, and repeatable requests of the same partitions are served in the meantime.
 func TestHomeKilledInStoreOutage(t *testing.T) {
 	t.Parallel()
 	c := startOnceCell(t, 2)
--- a/internal/celltest/journal_test.go
+++ b/internal/celltest/journal_test.go
@@ -96,8 +96,8 @@
 
 func (c *onceCell) writes() int { return c.Store.Calls()[storehttp.PathPut] }
 
-// TestOnceWithStoreFaults guards guarantees 4 and 5 while the store is slow, loses answers and is down: a request that is
-// not repeatable starts once, or is refused and does not start.
+// TestOnceWithStoreFaults guards guarantees 4 and 5 while the store is slow, loses answers and is down: a request
+// that is not repeatable starts once, or is refused and does not start.
 func TestOnceWithStoreFaults(t *testing.T) {
 	t.Parallel()
 	c := startOnceCell(t, 2)
@@ -122,8 +122,8 @@
 	c.expect(c.Nodes[1].CallerAddress(), "print-order", "refused", 10)
 }
 
-// TestOutcomeWaitsForStore guards that the outcome of work that is not repeatable is stored before its answer: the store
-// fails after the start and is back before the deadline.
+// TestOutcomeWaitsForStore guards that the outcome of work that is not repeatable is stored before its answer: the
+// store fails after the start and is back before the deadline.
 func TestOutcomeWaitsForStore(t *testing.T) {
 	t.Parallel()
 	c := startOnceCell(t, 1)
@@ -149,8 +149,8 @@
 	c.expect(address, "print-order", "outage", 500)
 }
 
-// TestOnceThroughTwoProcesses guards deduplication: one id that arrives through two processes at once runs once, and the
-// same id with other content is refused.
+// TestOnceThroughTwoProcesses guards deduplication: one id that arrives through two processes at once runs once, and
+// the same id with other content is refused.
 func TestOnceThroughTwoProcesses(t *testing.T) {
 	t.Parallel()
 	c := startOnceCell(t, 2)
--- a/internal/celltest/ownership_drain_test.go
+++ b/internal/celltest/ownership_drain_test.go
@@ -12,8 +12,8 @@
 	"skylarkstall/internal/devcell"
 )
 
-// ownershipBalancer sends requests to ready processes, as the platform's load ownershipBalancer does: it asks each for its readiness from
-// time to time.
+// ownershipBalancer sends requests to ready processes, as the platform's load ownershipBalancer does: it asks each
+// for its readiness from time to time.
 type ownershipBalancer struct {
 	mu    sync.Mutex
 	nodes []*devcell.Node
--- a/internal/celltest/ownership_helper_test.go
+++ b/internal/celltest/ownership_helper_test.go
@@ -19,7 +19,8 @@
 	"skylarkstall/internal/standin/worker"
 )
 
-// ownershipWatcher checks on every start and end of an attempt that no task runs in two places and no worker is overfilled.
+// ownershipWatcher checks on every start and end of an attempt that no task runs in two places and no worker is
+// overfilled.
 type ownershipWatcher struct {
 	mu       sync.Mutex
 	capacity resource.Vector
--- a/internal/celltest/peers_config_test.go
+++ b/internal/celltest/peers_config_test.go
@@ -108,8 +108,8 @@
 	return all
 }
 
-// TestStartDuringOutage guards section 2.5: a process that starts while the store is down takes its documents from peers,
-// and one that has nobody to ask is not ready. Afterwards it applies changes again.
+// TestStartDuringOutage guards section 2.5: a process that starts while the store is down takes its documents from
+// peers, and one that has nobody to ask is not ready. Afterwards it applies changes again.
 func TestStartDuringOutage(t *testing.T) {
 	t.Parallel()
 	cell := peersStart(t, devcell.Settings{Processes: 2})
--- a/internal/celltest/peers_metrics_test.go
+++ b/internal/celltest/peers_metrics_test.go
@@ -15,8 +15,8 @@
 	"skylarkstall/internal/standin/worker"
 )
 
-// TestMetrics guards the wiring of the counts: one request and one refusal show up at the scrapers of the processes that
-// handled them.
+// TestMetrics guards the wiring of the counts: one request and one refusal show up at the scrapers of the processes
+// that handled them.
 func TestMetrics(t *testing.T) {
 	t.Parallel()
 	cell := peersStart(t, devcell.Settings{Processes: 3, Workers: 3})
--- a/internal/devcell/bench_test.go
+++ b/internal/devcell/bench_test.go
@@ -11,7 +11,8 @@
 	"skylarkstall/internal/devcell"
 )
 
-// BenchmarkRequest runs short requests through one process, 32 at a time: the cost of the whole path, stand-ins included.
+// BenchmarkRequest runs short requests through one process, 32 at a time: the cost of the whole path, stand-ins
+// included.
 func BenchmarkRequest(b *testing.B) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
--- a/internal/devcell/devcell.go
+++ b/internal/devcell/devcell.go
@@ -1,5 +1,5 @@
-// Package devcell runs a whole cell in one process: stand-ins for the platform and the workers, and entry processes that
-// talk to them and to each other over loopback.
+// Package devcell runs a whole cell in one process: stand-ins for the platform and the workers, and entry processes
+// that talk to them and to each other over loopback.
 package devcell
 
 import (
--- a/internal/devcell/invariants.go
+++ b/internal/devcell/invariants.go
@@ -9,8 +9,8 @@
 	"skylarkstall/internal/standin/worker"
 )
 
-// Invariants checks what the workers of a cell observe: that no worker holds more than its capacity and that no task runs
-// in two places.
+// Invariants checks what the workers of a cell observe: that no worker holds more than its capacity and that no task
+// runs in two places.
 type Invariants struct {
 	mu       sync.Mutex
 	capacity resource.Vector
--- a/internal/domain/fleet/bench_test.go
+++ b/internal/domain/fleet/bench_test.go
@@ -13,8 +13,8 @@
 	"skylarkstall/internal/domain/work"
 )
 
-// BenchmarkDecision measures one placement decision: a task is offered or taken from the queue, is confirmed, and a task
-// that ends makes room. It reports decisions a second and the quantiles of the time of a decision.
+// BenchmarkDecision measures one placement decision: a task is offered or taken from the queue, is confirmed, and a
+// task that ends makes room. It reports decisions a second and the quantiles of the time of a decision.
 func BenchmarkDecision(b *testing.B) {
 	for _, workers := range []int{50, 860} {
 		for _, queued := range []int{0, 1_000, 10_000} {
--- a/internal/domain/fleet/demand.go
+++ b/internal/domain/fleet/demand.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// demandWindow is the time over which the load of requests is counted. Demand grows ten times within 2 s, so a longer
-	// window would notice it late.
+	// demandWindow is the time over which the load of requests is counted. Demand grows ten times within 2 s, so a
+	// longer window would notice it late.
 	demandWindow = time.Second
-	// demandHalfLife is how long it takes the remembered peak to fall to a half: a second rush within some minutes meets
-	// room, and an idle evening gives the room to batch work.
+	// demandHalfLife is how long it takes the remembered peak to fall to a half: a second rush within some minutes
+	// meets room, and an idle evening gives the room to batch work.
 	demandHalfLife = time.Minute
 	// leastHeadroom is the share of the slots that is kept free for requests once a team has sent any.
 	leastHeadroom = 0.01
--- a/internal/domain/fleet/fair.go
+++ b/internal/domain/fleet/fair.go
@@ -28,8 +28,8 @@
 
 func (g *group) first() *waiting { return g.tasks.Front().Value.(*waiting) }
 
-// before orders groups by team, then by age; the key decides between equals so that decisions do not depend on the order
-// in which groups were emptied.
+// before orders groups by team, then by age; the key decides between equals so that decisions do not depend on the
+// order in which groups were emptied.
 func (g *group) before(o *group) bool {
 	if g.team != o.team && (g.team.before(o.team) || o.team.before(g.team)) {
 		return g.team.before(o.team)
@@ -155,7 +155,8 @@
 	return true
 }
 
-// discard removes a group, and its shape when it was the last of it; the last shape of the class takes that one's place.
+// discard removes a group, and its shape when it was the last of it; the last shape of the class takes that one's
+// place.
 func (q *fairQueue) discard(g *group) {
 	s := g.shape
 	heap.Remove(&s.groups, g.place)
--- a/internal/domain/fleet/feasible.go
+++ b/internal/domain/fleet/feasible.go
@@ -2,9 +2,9 @@
 
 import "skylarkstall/internal/domain/resource"
 
-// Feasible reports whether a size can ever fit on one of the workers of the given capacities. When it cannot, nearest is
-// the size that fits and asks the least less: the sum of the shares that are taken off the resources is the smallest.
-// nearest is zero when no capacity is known; such a size may fit later.
+// Feasible reports whether a size can ever fit on one of the workers of the given capacities. When it cannot, nearest
+// is the size that fits and asks the least less: the sum of the shares that are taken off the resources is the
+// smallest. nearest is zero when no capacity is known; such a size may fit later.
 func Feasible(size resource.Vector, capacities []resource.Vector) (nearest resource.Vector, fits bool) {
 	least := -1.0
 	for _, capacity := range capacities {
--- a/internal/domain/fleet/fleet.go
+++ b/internal/domain/fleet/fleet.go
@@ -85,9 +85,9 @@
 	return f
 }
 
-// Offer assigns the task to a worker, or queues it and returns false. It fails with Overloaded when the queue is full or
-// the task would wait too long, Conflict when the task waits or runs already, and DeadlineExceeded when its deadline has
-// passed.
+// Offer assigns the task to a worker, or queues it and returns false. It fails with Overloaded when the queue is full
+// or the task would wait too long, Conflict when the task waits or runs already, and DeadlineExceeded when its
+// deadline has passed.
 func (f *Fleet) Offer(now time.Time, spec work.Spec) (Assignment, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -215,9 +215,9 @@
 	}
 }
 
-// Update replaces the view of a worker by its report, less what is assigned and not yet reserved there. It decides which
-// waiting tasks now have room. A report that was taken just after a reservation and before its Confirm counts the task
-// twice until the next report: the view then errs towards less room.
+// Update replaces the view of a worker by its report, less what is assigned and not yet reserved there. It decides
+// which waiting tasks now have room. A report that was taken just after a reservation and before its Confirm counts
+// the task twice until the next report: the view then errs towards less room.
 func (f *Fleet) Update(now time.Time, report Row) Decisions {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/domain/fleet/fleet_test.go
+++ b/internal/domain/fleet/fleet_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestGangStartsAsPromised guards against work that keeps a gang waiting: long batch tasks that would take each slot that
-// becomes free on a worker that the gang needs, and a gang that starts in part.
+// TestGangStartsAsPromised guards against work that keeps a gang waiting: long batch tasks that would take each slot
+// that becomes free on a worker that the gang needs, and a gang that starts in part.
 func TestGangStartsAsPromised(t *testing.T) {
 	f := fleet.New(fleet.FairShare)
 	row := workerRow("w1", 4)
--- a/internal/domain/fleet/gang.go
+++ b/internal/domain/fleet/gang.go
@@ -18,8 +18,8 @@
 }
 
 // OfferGang assigns all tasks of a gang, or queues all of them and returns false. The first gang of the queue has a
-// promised start: on the workers that it needs, only work that is expected to end before then may start. Without the rule
-// of promises it fails with NoCapacity in place of queueing. It fails as Offer does otherwise.
+// promised start: on the workers that it needs, only work that is expected to end before then may start. Without the
+// rule of promises it fails with NoCapacity in place of queueing. It fails as Offer does otherwise.
 func (f *Fleet) OfferGang(now time.Time, specs []work.Spec) ([]Assignment, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -120,8 +120,8 @@
 	return -1
 }
 
-// promise finds when the gang can start if running tasks take as long as their kind usually does, and the workers that it
-// will need. A promise stands until it has passed.
+// promise finds when the gang can start if running tasks take as long as their kind usually does, and the workers
+// that it will need. A promise stands until it has passed.
 func (f *Fleet) promise(now time.Time, g *gang) {
 	if len(f.promised) > 0 && now.Before(g.start) {
 		return
--- a/internal/domain/fleet/property_test.go
+++ b/internal/domain/fleet/property_test.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// TestTeamsShareByWeight guards the bound of fairness: while both teams wait, their shares over weight differ by no more
-// than one task.
+// TestTeamsShareByWeight guards the bound of fairness: while both teams wait, their shares over weight differ by no
+// more than one task.
 func TestTeamsShareByWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := fleet.New(fleet.FairShare)
--- a/internal/domain/fleet/score.go
+++ b/internal/domain/fleet/score.go
@@ -37,8 +37,8 @@
 // tightness prefers the row with the least room.
 func tightness(r *row) float64 { return -r.key }
 
-// balance prefers the row whose free capacity is used up evenly: a remainder of one resource without the others cannot be
-// used by anyone.
+// balance prefers the row whose free capacity is used up evenly: a remainder of one resource without the others
+// cannot be used by anyone.
 func balance(r *row, size resource.Vector) float64 {
 	left := r.Free.Sub(size)
 	cores, memory := fraction(left.MilliCores, r.Capacity.MilliCores), fraction(left.MemoryBytes, r.Capacity.MemoryBytes)
--- a/internal/domain/fleet/shed.go
+++ b/internal/domain/fleet/shed.go
@@ -7,8 +7,8 @@
 	"skylarkstall/internal/fault"
 )
 
-// maxWait is the longest time that a task of a class waits in one process; 0 stands for its deadline. Requests are to start
-// within 1.1 s, of which a hop to another owner takes up to 0.1 s.
+// maxWait is the longest time that a task of a class waits in one process; 0 stands for its deadline. Requests are to
+// start within 1.1 s, of which a hop to another owner takes up to 0.1 s.
 var maxWait = [work.ClassCount]time.Duration{work.Request: time.Second}
 
 // shedAfter is the wait of the oldest task of a team's kind at which new ones are refused: those would be older than
--- a/internal/domain/fleet/tree.go
+++ b/internal/domain/fleet/tree.go
@@ -13,9 +13,9 @@
 	largest     resource.Vector // largest free amount of each resource in the subtree
 }
 
-// tree is an index over free capacity: a treap in order of room, the tightest rows first. Each subtree knows the largest
-// free amount of each resource in it, so that a search passes over what cannot fit. Its cost grows with the logarithm of
-// the number of rows, not with the number.
+// tree is an index over free capacity: a treap in order of room, the tightest rows first. Each subtree knows the
+// largest free amount of each resource in it, so that a search passes over what cannot fit. Its cost grows with the
+// logarithm of the number of rows, not with the number.
 type tree struct {
 	root  *row
 	count uint64
--- a/internal/domain/grant/grant.go
+++ b/internal/domain/grant/grant.go
@@ -1,6 +1,6 @@
-// Package grant holds the rules that a worker applies to the commands of entry processes: who may command it, what fits,
-// and when running tasks must stop. The worker is the arbiter of its own control lease, so two processes that both
-// believe that they own it cannot both place work on it.
+// Package grant holds the rules that a worker applies to the commands of entry processes: who may command it, what
+// fits, and when running tasks must stop. The worker is the arbiter of its own control lease, so two processes that
+// both believe that they own it cannot both place work on it.
 package grant
 
 import (
@@ -97,8 +97,8 @@
 	return inv
 }
 
-// check refuses an epoch that does not hold the control lease. Once the task lease has lapsed nobody does: others take it
-// that nothing runs here then, and a start that was on its way for that long must not change it.
+// check refuses an epoch that does not hold the control lease. Once the task lease has lapsed nobody does: others
+// take it that nothing runs here then, and a start that was on its way for that long must not change it.
 func (g *Grant) check(now time.Time, epoch ident.Epoch) error {
 	if g.lapsed(now) {
 		return fault.New(fault.StaleEpoch, "nobody renewed the control lease of epoch %d in time", g.epoch)
@@ -158,8 +158,8 @@
 }
 
 // Start admits an attempt. It returns false if the same attempt was admitted before. An attempt that was refused once
-// stays refused: its owner may have placed it elsewhere, and a copy of the start may arrive late. sent is when the start
-// was sent, by the worker's clock as far as it can tell.
+// stays refused: its owner may have placed it elsewhere, and a copy of the start may arrive late. sent is when the
+// start was sent, by the worker's clock as far as it can tell.
 func (g *Grant) Start(now, sent time.Time, start work.Start) (bool, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -222,7 +222,8 @@
 	return true
 }
 
-// Stop ends a running task, with an outcome that says so. It returns the attempt stopped, or 0 if the task does not run.
+// Stop ends a running task, with an outcome that says so. It returns the attempt stopped, or 0 if the task does not
+// run.
 func (g *Grant) Stop(now time.Time, epoch ident.Epoch, task ident.TaskID) (ident.Attempt, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/domain/health/health.go
+++ b/internal/domain/health/health.go
@@ -1,5 +1,5 @@
-// Package health tells faulty workers from faulty work. A worker goes on probation when distinct jobs fail on it that do
-// not fail elsewhere; a kind of work is stopped when it fails on distinct workers that do not fail everything.
+// Package health tells faulty workers from faulty work. A worker goes on probation when distinct jobs fail on it that
+// do not fail elsewhere; a kind of work is stopped when it fails on distinct workers that do not fail everything.
 package health
 
 import (
--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -108,8 +108,8 @@
 // attemptBits is how many attempts of one task can start within a millisecond.
 const attemptBits = 4
 
-// NextAttempt returns an attempt above prev. It grows with the time, so that a home that lost its memory does not use an
-// attempt that its predecessor used; a worker takes a repeated attempt for one that it has started.
+// NextAttempt returns an attempt above prev. It grows with the time, so that a home that lost its memory does not use
+// an attempt that its predecessor used; a worker takes a repeated attempt for one that it has started.
 func NextAttempt(now time.Time, prev Attempt) Attempt {
 	return max(Attempt(now.UnixMilli())<<attemptBits, prev+1)
 }
--- a/internal/domain/job/gang.go
+++ b/internal/domain/job/gang.go
@@ -49,9 +49,9 @@
 	return step
 }
 
-// Unreserved ends a round whose tasks were not started, because the room for all of them could not be reserved. The round
-// is tried again and does not count against the retries, unless the error says that it cannot succeed or the deadline has
-// passed.
+// Unreserved ends a round whose tasks were not started, because the room for all of them could not be reserved. The
+// round is tried again and does not count against the retries, unless the error says that it cannot succeed or the
+// deadline has passed.
 func (j *Job) Unreserved(now time.Time, cause error) Decision {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/domain/job/job.go
+++ b/internal/domain/job/job.go
@@ -1,5 +1,5 @@
-// Package job holds the rules of one job: which of its tasks may be attempted, what the end of an attempt means, and when
-// the job is complete.
+// Package job holds the rules of one job: which of its tasks may be attempted, what the end of an attempt means, and
+// when the job is complete.
 package job
 
 import (
@@ -184,9 +184,9 @@
 	Decision
 }
 
-// Attach tells which attempts owners hold, after every record was restored. Work that is not repeatable, was started by a
-// former home and is not held ends as unknown. The tasks of a canceled job are stopped, and so are those of a gang of
-// which some tasks do not run. The other tasks wait for their next attempt.
+// Attach tells which attempts owners hold, after every record was restored. Work that is not repeatable, was started
+// by a former home and is not held ends as unknown. The tasks of a canceled job are stopped, and so are those of a
+// gang of which some tasks do not run. The other tasks wait for their next attempt.
 func (j *Job) Attach(held map[uint32]ident.Attempt) Attached {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/domain/job/job_test.go
+++ b/internal/domain/job/job_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// TestEndOfAttempt guards against a task that is retried beyond its limit, is not retried after the system ended it, or,
-// when it is not repeatable, is started twice.
+// TestEndOfAttempt guards against a task that is retried beyond its limit, is not retried after the system ended it,
+// or, when it is not repeatable, is started twice.
 func TestEndOfAttempt(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -129,8 +129,8 @@
 	}
 }
 
-// TestGangAllOrNone guards against a gang of which some tasks go on after another one did not start, and against a round
-// that begins while a task of the last one runs.
+// TestGangAllOrNone guards against a gang of which some tasks go on after another one did not start, and against a
+// round that begins while a task of the last one runs.
 func TestGangAllOrNone(t *testing.T) {
 	j := job.New(id, 1, plan(work.Gang, 3), 1)
 	specs := j.Next(start).Start
--- a/internal/domain/journal/journal.go
+++ b/internal/domain/journal/journal.go
@@ -71,8 +71,8 @@
 	live     retained
 }
 
-// Open returns the journal with the contents, for a writer that has not taken it over yet. The nonce must be random: two
-// terms of one process tell their writes apart by it. It fails with Internal when a segment is missing.
+// Open returns the journal with the contents, for a writer that has not taken it over yet. The nonce must be random:
+// two terms of one process tell their writes apart by it. It fails with Internal when a segment is missing.
 func Open(writer ident.ProcessID, nonce uint64, contents Contents) (*Journal, error) {
 	j := &Journal{
 		writer: writer, first: nonce, nonce: nonce,
@@ -109,8 +109,8 @@
 	return j.write([]Record{{Kind: Takeover, Expires: now}})
 }
 
-// Append decides the write of further records. It fails with StaleEpoch when this process does not write the journal, and
-// with StoreUnavailable when no slot is free or the records would not fit into a snapshot.
+// Append decides the write of further records. It fails with StaleEpoch when this process does not write the journal,
+// and with StoreUnavailable when no slot is free or the records would not fit into a snapshot.
 func (j *Journal) Append(records []Record) (Write, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -163,8 +163,8 @@
 	j.slots[j.sequence%Slots] = revision
 }
 
-// ReadBack decides about a write whose answer was lost or was a refusal, from the slot as it is now; revision 0 means that
-// the slot is absent. After Moved the records must be appended again.
+// ReadBack decides about a write whose answer was lost or was a refusal, from the slot as it is now; revision 0 means
+// that the slot is absent. After Moved the records must be appended again.
 func (j *Journal) ReadBack(revision ident.Revision, found Segment) Finding {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/domain/journal/journal_test.go
+++ b/internal/domain/journal/journal_test.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// TestRingWithoutSnapshot guards that no segment is overwritten before a snapshot covers it, and that appends go on once
-// one does.
+// TestRingWithoutSnapshot guards that no segment is overwritten before a snapshot covers it, and that appends go on
+// once one does.
 func TestRingWithoutSnapshot(t *testing.T) {
 	m := newMemory()
 	j := take(t, m, "entry-1", 100)
--- a/internal/domain/ledger/journalled.go
+++ b/internal/domain/ledger/journalled.go
@@ -7,8 +7,8 @@
 )
 
 // Resume notes a request whose intent the journal holds without an outcome. It returns true if nobody follows the
-// request yet, so that its attempt must be searched for. A request that was adopted and ended without the journal counts
-// as running again, until its outcome is journalled.
+// request yet, so that its attempt must be searched for. A request that was adopted and ended without the journal
+// counts as running again, until its outcome is journalled.
 func (l *Ledger) Resume(id ident.WorkID, digest uint64, forget time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/domain/membership/membership.go
+++ b/internal/domain/membership/membership.go
@@ -67,10 +67,10 @@
 // Changed reports whether the choice of homes and owners, or what a live process holds, may have changed.
 func (c Change) Changed() bool { return len(c.Up)+len(c.Down)+len(c.Restarted) > 0 || c.Self }
 
-// Heartbeat notes a heartbeat. A peer that was never heard of is alive at once. A dead peer needs several heartbeats in a
-// row, also with a new incarnation, so that a process that pauses or restarts often does not make ownership flap. A
-// peer that restarts before it counts as dead stays alive. A heartbeat of a former incarnation is ignored while the
-// later one is alive.
+// Heartbeat notes a heartbeat. A peer that was never heard of is alive at once. A dead peer needs several heartbeats
+// in a row, also with a new incarnation, so that a process that pauses or restarts often does not make ownership
+// flap. A peer that restarts before it counts as dead stays alive. A heartbeat of a former incarnation is ignored
+// while the later one is alive.
 func (m *Membership) Heartbeat(now time.Time, peer Peer) Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/domain/reservation/reservation.go
+++ b/internal/domain/reservation/reservation.go
@@ -1,5 +1,5 @@
-// Package reservation keeps the room that an owner holds for gangs until their homes start them. A reservation expires, so
-// that a home that died holds no room for long.
+// Package reservation keeps the room that an owner holds for gangs until their homes start them. A reservation
+// expires, so that a home that died holds no room for long.
 package reservation
 
 import (
@@ -78,8 +78,8 @@
 	return released
 }
 
-// Expire gives up what has expired and returns the holds whose room is free again, and when the next one expires; zero if
-// none is left.
+// Expire gives up what has expired and returns the holds whose room is free again, and when the next one expires;
+// zero if none is left.
 func (b *Book) Expire(now time.Time) (expired []Hold, next time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/domain/reservation/reservation_test.go
+++ b/internal/domain/reservation/reservation_test.go
@@ -9,8 +9,8 @@
 	"skylarkstall/internal/fault"
 )
 
-// TestReservation guards against room that is used after it expired, used twice, released by an older attempt, or held for
-// ever by a home that died.
+// TestReservation guards against room that is used after it expired, used twice, released by an older attempt, or
+// held for ever by a home that died.
 func TestReservation(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	gang := ident.WorkID{Team: "vembanad", Request: "press"}
--- a/internal/domain/team/catalog.go
+++ b/internal/domain/team/catalog.go
@@ -257,8 +257,8 @@
 	return quotas
 }
 
-// Authorize returns the team's document if the token is the team's. It fails with Unauthorized, also for an unknown team,
-// so that the answer does not tell which teams exist.
+// Authorize returns the team's document if the token is the team's. It fails with Unauthorized, also for an unknown
+// team, so that the answer does not tell which teams exist.
 func (c *Catalog) Authorize(team ident.TeamID, token string) (Stored, error) {
 	stored, err := c.Get(team)
 	match := subtle.ConstantTimeCompare([]byte(stored.Document.Token), []byte(token)) == 1
--- a/internal/domain/timeline/timeline.go
+++ b/internal/domain/timeline/timeline.go
@@ -1,5 +1,5 @@
-// Package timeline records events of one process, stamped so that the events of all processes can be put in one order in
-// which a cause comes before its effect.
+// Package timeline records events of one process, stamped so that the events of all processes can be put in one order
+// in which a cause comes before its effect.
 package timeline
 
 import (
--- a/internal/domain/work/work.go
+++ b/internal/domain/work/work.go
@@ -72,8 +72,8 @@
 	LeaseExpiredMessage = "stopped: no process renewed the control lease"
 )
 
-// EvictedMessage is the message of an outcome that the owner caused, because the worker leaves or the task used more than
-// its size while the worker was full.
+// EvictedMessage is the message of an outcome that the owner caused, because the worker leaves or the task used more
+// than its size while the worker was full.
 const EvictedMessage = "stopped: its worker was needed or is leaving"
 
 // ID returns the attempt that the outcome is of.
--- a/internal/domain/worker/outcomes.go
+++ b/internal/domain/worker/outcomes.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// keepRepeatable is how long the outcome of repeatable work stays unacknowledged when its home does not say that it has
-	// it. If the owner dies in that time, the next owner finds the outcome in the inventory. The home notices the death
-	// within 3 s; the rest is room for its retries.
+	// keepRepeatable is how long the outcome of repeatable work stays unacknowledged when its home does not say that
+	// it has it. If the owner dies in that time, the next owner finds the outcome in the inventory. The home notices
+	// the death within 3 s; the rest is room for its retries.
 	keepRepeatable = 10 * time.Second
-	// keepOnce is the same for work that is not repeatable, whose outcome could not be had again. It is longer than a home
-	// keeps a request: at most 10 min of deadline and 15 min after it.
+	// keepOnce is the same for work that is not repeatable, whose outcome could not be had again. It is longer than a
+	// home keeps a request: at most 10 min of deadline and 15 min after it.
 	keepOnce = 30 * time.Minute
 )
 
--- a/internal/domain/worker/relief.go
+++ b/internal/domain/worker/relief.go
@@ -66,8 +66,8 @@
 	return w.leave(now, notice)
 }
 
-// Listed notes what the VM list says. The list lags and may be wrong, so it can also take back that the worker leaves. It
-// returns whether the worker begins to leave.
+// Listed notes what the VM list says. The list lags and may be wrong, so it can also take back that the worker
+// leaves. It returns whether the worker begins to leave.
 func (w *Worker) Listed(now time.Time, leaving bool, notice time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -138,7 +138,8 @@
 	return w.tasks[id].excess().DominantShare(w.capacity)
 }
 
-// next returns the next step about a task that uses more than it declared, and what earlier steps or this one will free.
+// next returns the next step about a task that uses more than it declared, and what earlier steps or this one will
+// free.
 func (r *reservation) next(now time.Time, id ident.TaskID) (Relief, resource.Vector, bool) {
 	switch {
 	case r.throttled.IsZero():
--- a/internal/domain/worker/worker.go
+++ b/internal/domain/worker/worker.go
@@ -60,8 +60,8 @@
 	return &Worker{id: id, lease: lease, tasks: map[ident.TaskID]*reservation{}}
 }
 
-// Claim returns the claim to send. Its epoch is above every one heard of and at least the time in milliseconds: a worker
-// that restarted has forgotten its epochs, and a small number could repeat one that a former owner still uses.
+// Claim returns the claim to send. Its epoch is above every one heard of and at least the time in milliseconds: a
+// worker that restarted has forgotten its epochs, and a small number could repeat one that a former owner still uses.
 func (w *Worker) Claim(now time.Time, process ident.ProcessID, supersede bool, taskLease time.Duration) work.Claim {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -141,8 +141,8 @@
 	return w.epoch, nil
 }
 
-// Reserved returns the epoch that the start of an attempt must carry for which capacity was reserved before. It fails with
-// StaleEpoch, also when the reservation was lost with a former control lease, or with Draining.
+// Reserved returns the epoch that the start of an attempt must carry for which capacity was reserved before. It fails
+// with StaleEpoch, also when the reservation was lost with a former control lease, or with Draining.
 func (w *Worker) Reserved(now time.Time, task ident.TaskID, attempt ident.Attempt) (ident.Epoch, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/domain/worker/worker_test.go
+++ b/internal/domain/worker/worker_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// TestUnsettledOutcomes guards guarantee 3: an outcome stays on the worker until its home has it, or long enough for the
-// next owner to find it when this one dies.
+// TestUnsettledOutcomes guards guarantee 3: an outcome stays on the worker until its home has it, or long enough for
+// the next owner to find it when this one dies.
 func TestUnsettledOutcomes(t *testing.T) {
 	w := held(t)
 	a, b := work.AttemptID{Task: spec(0, true, 0).ID, Attempt: 1}, work.AttemptID{Task: spec(1, true, 0).ID, Attempt: 1}
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestLeaving guards guarantee 6: a leaving worker takes no reservation, its tasks are evicted at the end of the notice,
-// and the VM list can take back what it said while the worker cannot.
+// TestLeaving guards guarantee 6: a leaving worker takes no reservation, its tasks are evicted at the end of the
+// notice, and the VM list can take back what it said while the worker cannot.
 func TestLeaving(t *testing.T) {
 	w := held(t, spec(0, true, work.Batch))
 	w.Listed(start, true, time.Minute)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// TestRunAndReport guards the way from a run against real processes to the page: every request counted, every plot drawn,
-// nothing loaded from a network.
+// TestRunAndReport guards the way from a run against real processes to the page: every request counted, every plot
+// drawn, nothing loaded from a network.
 func TestRunAndReport(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -1,5 +1,5 @@
-// Package load sends work to real processes at times that are fixed beforehand, so that a slow system does not slow its own
-// load, and measures from the intended start of each request.
+// Package load sends work to real processes at times that are fixed beforehand, so that a slow system does not slow
+// its own load, and measures from the intended start of each request.
 package load
 
 import (
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -22,7 +22,8 @@
 	Seconds []Second         `json:"seconds"`
 }
 
-// Kind is what was measured of one team's kind of work. Wait is the latency from the intended start without the run time.
+// Kind is what was measured of one team's kind of work. Wait is the latency from the intended start without the run
+// time.
 type Kind struct {
 	Sent     int            `json:"sent"`
 	Done     int            `json:"done"`
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,9 +12,9 @@
 	"skylarkstall/internal/pause"
 )
 
-// drain ends the process without interrupting work in progress. The process first says that it is not ready and serves on
-// until the balancer has noticed. Then it takes no new connections, gives its workers and partitions to the other
-// processes and finishes the calls that it has. All of it takes at most the drain timeout.
+// drain ends the process without interrupting work in progress. The process first says that it is not ready and
+// serves on until the balancer has noticed. Then it takes no new connections, gives its workers and partitions to the
+// other processes and finishes the calls that it has. All of it takes at most the drain timeout.
 func (n *Node) drain(inner context.Context, server *http.Server, stop func()) {
 	defer stop()
 	ctx, cancel := context.WithTimeout(inner, n.settings.DrainTimeout)
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -19,7 +19,8 @@
 	life    context.Context // of the process
 }
 
-// detached makes a local call behave as a remote one: when the caller gives up, the call goes on until the process ends.
+// detached makes a local call behave as a remote one: when the caller gives up, the call goes on until the process
+// ends.
 func detached[T any](ctx, life context.Context, call func(context.Context) (T, error)) (T, error) {
 	type answer struct {
 		value T
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,9 +65,9 @@
 	readyAfter = 2 * time.Second // with no peer heard of, the process is taken to be alone
 )
 
-// Retry budget of a process: further placements of refused or failed attempts per second, and how many may come at once.
-// At the peak of 530 starts per second over 17 processes, 30 per second let each start be tried twice on average, so a
-// zone that fails everything at most doubles the load on the others.
+// Retry budget of a process: further placements of refused or failed attempts per second, and how many may come at
+// once. At the peak of 530 starts per second over 17 processes, 30 per second let each start be tried twice on
+// average, so a zone that fails everything at most doubles the load on the others.
 const (
 	retryRate  = 30
 	retryBurst = 100
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// Jitter returns a time from d/2 to 3d/2 that depends on the key and the clock, so that processes that failed together do
-// not try again together. It is no random number, so that a session on a fake clock replays; the key names the process
-// and what it tries.
+// Jitter returns a time from d/2 to 3d/2 that depends on the key and the clock, so that processes that failed
+// together do not try again together. It is no random number, so that a session on a fake clock replays; the key
+// names the process and what it tries.
 func Jitter(d time.Duration, key string) time.Duration {
 	if d <= 0 {
 		return 0
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -101,7 +101,8 @@
 	Place(ctx context.Context, to ident.ProcessID, call Place) (work.Outcome, error)
 	TakeHome(ctx context.Context, to ident.ProcessID, call TakeHome) (Held, error)
 	Report(ctx context.Context, to ident.ProcessID, call Report) error
-	// Cancel stops tasks and returns those that the owner does not hold: they have ended, or are still on their way to it.
+	// Cancel stops tasks and returns those that the owner does not hold: they have ended, or are still on their way
+	// to it.
 	Cancel(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) ([]ident.TaskID, error)
 	Settle(ctx context.Context, to ident.ProcessID, tasks []ident.TaskID) error
 	Documents(ctx context.Context, to ident.ProcessID, after ident.Revision) (Documents, error)
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -62,8 +62,8 @@
 	List(ctx context.Context) ([]VM, error)
 }
 
-// WorkerClient reaches one worker. Refusals have kind StaleEpoch, NoCapacity, Draining, DeadlineExceeded or NotFound and
-// mean that nothing was done, as does Unavailable. Interrupted means that the call may have taken effect.
+// WorkerClient reaches one worker. Refusals have kind StaleEpoch, NoCapacity, Draining, DeadlineExceeded or NotFound
+// and mean that nothing was done, as does Unavailable. Interrupted means that the call may have taken effect.
 type WorkerClient interface {
 	// Claim asks for the control lease. On StaleEpoch the returned inventory has only the highest epoch granted and the
 	// holder.
--- a/internal/processtest/kill_test.go
+++ b/internal/processtest/kill_test.go
@@ -17,8 +17,8 @@
 	"skylarkstall/internal/standin/worker"
 )
 
-// TestKillOneOfSevenUnderLoad guards against work that is lost, doubled or answered with another request's output when an
-// entry process is killed while 300 requests run through seven processes.
+// TestKillOneOfSevenUnderLoad guards against work that is lost, doubled or answered with another request's output
+// when an entry process is killed while 300 requests run through seven processes.
 func TestKillOneOfSevenUnderLoad(t *testing.T) {
 	t.Parallel()
 	if testing.Short() {
--- a/internal/processtest/ownership_pause_test.go
+++ b/internal/processtest/ownership_pause_test.go
@@ -11,8 +11,8 @@
 	"skylarkstall/internal/adapter/callerhttp"
 )
 
-// TestPausedOwner guards against an owner that is stopped for longer than its control lease and wakes up: its workers were
-// taken over meanwhile, so what it does with its old epoch must be refused, and no task may run in two places.
+// TestPausedOwner guards against an owner that is stopped for longer than its control lease and wakes up: its workers
+// were taken over meanwhile, so what it does with its old epoch must be refused, and no task may run in two places.
 func TestPausedOwner(t *testing.T) {
 	t.Parallel()
 	if testing.Short() {
--- a/internal/processtest/peers_pause_test.go
+++ b/internal/processtest/peers_pause_test.go
@@ -13,8 +13,9 @@
 	"skylarkstall/internal/domain/timeline"
 )
 
-// TestPausedProcessUnderLoad guards against a process that is paused for longer than its leases and then goes on as if nothing had
-// happened: no task runs twice at once, every caller gets its answer, and the process leaves and comes back once.
+// TestPausedProcessUnderLoad guards against a process that is paused for longer than its leases and then goes on as
+// if nothing had happened: no task runs twice at once, every caller gets its answer, and the process leaves and comes
+// back once.
 func TestPausedProcessUnderLoad(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts 12 processes")
--- a/internal/ratelog/ratelog.go
+++ b/internal/ratelog/ratelog.go
@@ -19,8 +19,8 @@
 	maxLines = 1024
 )
 
-// Handler passes records on. Of records with an "error" attribute that are equal but for it, it passes a few and then one
-// each 10 s, which tells how many were left out.
+// Handler passes records on. Of records with an "error" attribute that are equal but for it, it passes a few and then
+// one each 10 s, which tells how many were left out.
 type Handler struct {
 	inner  slog.Handler
 	prefix string // attributes of With
--- a/internal/replay/arrival.go
+++ b/internal/replay/arrival.go
@@ -1,5 +1,5 @@
-// Package replay measures the placement and queueing decisions: it feeds a list of arrivals to the fleets and the routing
-// of a cell, with a virtual clock. Processes, networks and failures are not part of it.
+// Package replay measures the placement and queueing decisions: it feeds a list of arrivals to the fleets and the
+// routing of a cell, with a virtual clock. Processes, networks and failures are not part of it.
 package replay
 
 import (
--- a/internal/replay/profile.go
+++ b/internal/replay/profile.go
@@ -52,8 +52,8 @@
 	return Profile{}, fault.New(fault.Invalid, "profile %q: want one of %v", name, ProfileNames())
 }
 
-// Arrivals returns the list of the profile, in order of time. load scales the rate of requests: at 1 the overload profile
-// needs just the capacity of the cell.
+// Arrivals returns the list of the profile, in order of time. load scales the rate of requests: at 1 the overload
+// profile needs just the capacity of the cell.
 func (p Profile) Arrivals(shape Shape, seed uint64, load float64) []Arrival {
 	g := &generator{
 		random: rand.New(rand.NewPCG(seed, 1)), shape: shape, length: p.Length, load: load,
--- a/internal/session/scenario_test.go
+++ b/internal/session/scenario_test.go
@@ -26,8 +26,8 @@
 	})
 }
 
-// TestTakeover guards against a second run of a task whose owner died while it ran: its home must find it at the worker's
-// next owner.
+// TestTakeover guards against a second run of a task whose owner died while it ran: its home must find it at the
+// worker's next owner.
 func TestTakeover(t *testing.T) {
 	run(t, 3, 6, func(s *session) {
 		time.Sleep(settle)
@@ -39,8 +39,8 @@
 	})
 }
 
-// TestStoreOutageAcrossChange guards repeatable requests and the documents in force while the store is down, and the change
-// that waits for its return.
+// TestStoreOutageAcrossChange guards repeatable requests and the documents in force while the store is down, and the
+// change that waits for its return.
 func TestStoreOutageAcrossChange(t *testing.T) {
 	run(t, 3, 3, func(s *session) {
 		time.Sleep(settle)
@@ -77,8 +77,8 @@
 	})
 }
 
-// TestGangsContend guards against two gangs that each hold what the other needs: each needs more than half of the cell, so
-// one has to run after the other, and each starts whole.
+// TestGangsContend guards against two gangs that each hold what the other needs: each needs more than half of the
+// cell, so one has to run after the other, and each starts whole.
 func TestGangsContend(t *testing.T) {
 	run(t, 3, 3, func(s *session) {
 		time.Sleep(settle)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -1,5 +1,5 @@
-// Package session runs whole sessions of several processes, workers and the store on a fake clock, and compares their time
-// line with a golden file. The processes are the real ones; only the sockets are replaced.
+// Package session runs whole sessions of several processes, workers and the store on a fake clock, and compares their
+// time line with a golden file. The processes are the real ones; only the sockets are replaced.
 package session
 
 import (
--- a/internal/standin/local/network.go
+++ b/internal/standin/local/network.go
@@ -1,5 +1,5 @@
-// Package local connects the processes of a cell, their workers and the store inside one process without sockets, so that
-// a whole session can run on a fake clock.
+// Package local connects the processes of a cell, their workers and the store inside one process without sockets, so
+// that a whole session can run on a fake clock.
 package local
 
 import (
@@ -17,8 +17,8 @@
 	"skylarkstall/internal/port"
 )
 
-// latency is the one-way time between two ends. It differs from link to link, so that no two messages of different links
-// arrive in the same instant and a session has one order of events.
+// latency is the one-way time between two ends. It differs from link to link, so that no two messages of different
+// links arrive in the same instant and a session has one order of events.
 func latency(from, to string) time.Duration {
 	const least, steps = time.Millisecond, 997
 	return least + time.Duration(xxhash.Sum64String(from+">"+to)%steps)*time.Microsecond
