Tell "interrupted" when no home answered until the deadline

Cause: a request whose home could not be reached until its deadline was answered with stale_epoch or unavailable, which both tell "not run". Another caller may have had the same id run meanwhile, so that could be false.

Change: when the time is up without an answer of a home, the entry process answers interrupted: unknown, ask again with the same request id. A home's own refusals are told as before.

After: the tests of the services, the sessions and the command line pass; there is no test for this case yet.

Conclusion: the answer says less than it could when nobody else used the id, and is never false.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -175,9 +175,13 @@
 		if fault.Is(err, fault.Interrupted) {
 			interrupted = err
 		}
-		if !goesToHomeAgain(err) || !pause.For(ctx, pause.Jitter(retryPause, string(s.Self)+call.Spec.ID.String())) {
+		if !goesToHomeAgain(err) {
 			return work.Outcome{}, answerFor(err, interrupted)
 		}
+		if !pause.For(ctx, pause.Jitter(retryPause, string(s.Self)+call.Spec.ID.String())) {
+			// No home answered. Another caller may have had the same id run, so this is not "not run".
+			return work.Outcome{}, fault.As(fault.Interrupted, err, "no home answered; ask again with the same request id")
+		}
 	}
 }
 
