Fence a job's placement that broke off before looking for it

Cause: when the call that places a task of a job breaks off, the home asks all owners for the task and, if nobody holds it, starts another attempt. The call could still arrive after that: two attempts at once. Found by reading.

Change: a job raises the home epoch before it looks, and asks first the owner that it had called.

Conclusion: jobs and requests follow a lost call in the same way.

--- a/internal/app/home/job_run.go
+++ b/internal/app/home/job_run.go
@@ -130,7 +130,8 @@
 	}
 	outcome, err := r.p.service.Peers.Place(ctx, owner, call)
 	if fault.Is(err, fault.Interrupted) {
-		r.follow(ctx, call)
+		r.p.nextEpoch(ident.HomeEpoch{}) // fences the call that broke off, should it still arrive
+		r.follow(ctx, owner, call)
 		return
 	}
 	r.ended(ctx, call.Spec, job.End{Outcome: outcome, Err: err})
@@ -147,20 +148,20 @@
 }
 
 // follow sees an attempt through whose owner was lost.
-func (r *runner) follow(ctx context.Context, call port.Place) {
+func (r *runner) follow(ctx context.Context, owner ident.ProcessID, call port.Place) {
 	call.Reserved = false
-	ended, err := r.followed(ctx, call)
+	ended, err := r.followed(ctx, owner, call)
 	r.ended(ctx, call.Spec, job.End{Outcome: ended.outcome, Err: err, Lost: err != nil})
 	r.settle(ended.owner, call.Spec.ID)
 }
 
 // followed waits for the outcome of an attempt whose owner was lost.
-func (r *runner) followed(ctx context.Context, call port.Place) (ending, error) {
+func (r *runner) followed(ctx context.Context, owner ident.ProcessID, call port.Place) (ending, error) {
 	t := r.p.current()
 	if t == nil {
 		return ending{}, fault.New(fault.Interrupted, "the home of %s changed", call.Spec.ID)
 	}
-	return t.follow(ctx, call, "")
+	return t.follow(ctx, call, owner)
 }
 
 // followHeld sees an attempt through that a former home placed at the owner.
@@ -169,7 +170,7 @@
 	call := r.call(spec)
 	outcome, err := r.p.attach(ctx, owner, call)
 	if gone(err) {
-		r.follow(ctx, call)
+		r.follow(ctx, "", call)
 		return
 	}
 	r.ended(ctx, spec, job.End{Outcome: outcome, Err: err, Lost: err != nil})
