--- /dev/null
+++ b/internal/adapter/cellwire/mesh.go
@@ -0,0 +1,294 @@
+package cellwire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+)
+
+// protocolVersion changes when processes of two versions cannot work together.
+const protocolVersion = 1
+
+// Times of a session.
+const (
+	dialTimeout  = 400 * time.Millisecond
+	redialPause  = 100 * time.Millisecond
+	pingInterval = 500 * time.Millisecond
+	pingTimeout  = 1500 * time.Millisecond
+	replyTimeout = 5 * time.Second
+)
+
+// maxSessions bounds the sessions that other processes open.
+const maxSessions = 256
+
+// Handler answers the calls of other processes.
+type Handler interface {
+	port.Scheduler
+	port.Adviser
+}
+
+// Mesh holds the session to the leader and the sessions that other processes have opened to this one.
+type Mesh struct {
+	self        ident.ProcessID
+	incarnation uint64
+	listener    net.Listener
+	handler     Handler
+	log         *slog.Logger
+
+	mu       sync.Mutex
+	leader   *session
+	sessions map[ident.ProcessID]*session // opened by others
+	running  sync.WaitGroup
+}
+
+// session is one connection between two processes.
+type session struct {
+	peer        ident.ProcessID
+	incarnation uint64
+	conn        net.Conn
+	mux         *yamux.Session
+}
+
+// New returns a mesh that accepts sessions on the listener once Run is called.
+func New(self ident.ProcessID, incarnation uint64, listener net.Listener, handler Handler, log *slog.Logger) *Mesh {
+	return &Mesh{
+		self: self, incarnation: incarnation, listener: listener, handler: handler, log: log,
+		sessions: map[ident.ProcessID]*session{},
+	}
+}
+
+// Run accepts sessions until the context ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = m.listener.Close() })
+	defer stop()
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			m.running.Wait()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fault.As(fault.Unavailable, err, "accept a process")
+		}
+		m.running.Go(func() { m.accept(ctx, conn) })
+	}
+}
+
+// accept serves one session that another process opened, until it breaks.
+func (m *Mesh) accept(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	s, err := m.open(conn, yamux.Server)
+	if err != nil {
+		m.log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err)
+		return
+	}
+	defer s.mux.Close()
+	if !m.add(s) {
+		m.log.Warn("session refused: too many processes", "peer", s.peer, "limit", maxSessions)
+		return
+	}
+	defer m.remove(s)
+	m.log.Info("session opened", "peer", s.peer, "by", "peer")
+	err = m.serve(ctx, s)
+	m.log.Info("session ended", "peer", s.peer, "error", err)
+}
+
+func (m *Mesh) add(s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.sessions) >= maxSessions {
+		return false
+	}
+	if old := m.sessions[s.peer]; old != nil {
+		_ = old.conn.Close() // the peer has given it up
+	}
+	m.sessions[s.peer] = s
+	return true
+}
+
+func (m *Mesh) remove(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sessions[s.peer] == s {
+		delete(m.sessions, s.peer)
+	}
+}
+
+// open exchanges the first messages.
+func (m *Mesh) open(conn net.Conn, side func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*session, error) {
+	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+		return nil, fault.As(fault.Unavailable, err, "open a session")
+	}
+	own := &cellpb.Hello{Version: protocolVersion, Process: string(m.self), Incarnation: m.incarnation}
+	if err := frame.Write(conn, own); err != nil {
+		return nil, fault.As(fault.Unavailable, err, "open a session")
+	}
+	reader := bufio.NewReader(conn)
+	hello := &cellpb.Hello{}
+	if err := frame.Read(reader, hello); err != nil {
+		return nil, fault.As(fault.Unavailable, err, "open a session")
+	}
+	if hello.GetVersion() != protocolVersion {
+		return nil, fault.New(fault.Invalid, "process %q speaks protocol version %d, not %d",
+			hello.GetProcess(), hello.GetVersion(), protocolVersion)
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, fault.As(fault.Unavailable, err, "open a session")
+	}
+	mux, err := side(readConn{conn, reader}, sessionConfig())
+	if err != nil {
+		return nil, fault.As(fault.Unavailable, err, "open a session")
+	}
+	return &session{
+		peer: ident.ProcessID(hello.GetProcess()), incarnation: hello.GetIncarnation(), conn: conn, mux: mux,
+	}, nil
+}
+
+// readConn reads what the exchange of first messages left in its buffer.
+type readConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (c readConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false // pings of the dialing side find silent connections
+	config.ConnectionWriteTimeout = pingTimeout
+	config.StreamOpenTimeout = pingTimeout
+	config.LogOutput = io.Discard
+	return config
+}
+
+// Follow keeps one session to the leader until the session breaks or the context ends, and tells what ended it.
+func (m *Mesh) Follow(ctx context.Context, leader port.Leader) port.Liveness {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", leader.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		m.log.Info("leader refuses connections", "leader", leader.Process, "address", leader.Address)
+		return port.LeaderGone
+	}
+	if err != nil {
+		m.log.Info("leader not reached", "leader", leader.Process, "error", err)
+		pause.For(ctx, redialPause)
+		return port.LeaderUnclear
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	s, err := m.open(conn, yamux.Client)
+	if err != nil {
+		m.log.Info("leader not reached", "leader", leader.Process, "error", err)
+		pause.For(ctx, redialPause)
+		return port.LeaderUnclear
+	}
+	defer s.mux.Close()
+	if s.peer != leader.Process || s.incarnation != leader.Incarnation {
+		m.log.Info("another process answers for the leader", "leader", leader.Process, "answers", s.peer)
+		return port.LeaderGone
+	}
+	m.setLeader(s)
+	defer m.setLeader(nil)
+	m.log.Info("session opened", "peer", s.peer, "by", "self")
+	m.running.Go(func() { _ = m.serve(ctx, s) }) // ends with the session
+	err = m.watch(ctx, s)
+	m.log.Info("session to the leader ended", "leader", s.peer, "error", err)
+	return port.LeaderLeft
+}
+
+func (m *Mesh) setLeader(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leader = s
+}
+
+// watch sends pings until one stays unanswered.
+func (m *Mesh) watch(ctx context.Context, s *session) error {
+	for ctx.Err() == nil {
+		pinging, cancel := context.WithTimeout(ctx, pingTimeout)
+		_, err := s.call(pinging, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}})
+		cancel()
+		if err != nil {
+			return err
+		}
+		select {
+		case <-s.mux.CloseChan():
+			return fault.New(fault.Unavailable, "the connection broke")
+		case <-time.After(pingInterval):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// call makes one call on a stream of its own. It fails with Unavailable when nothing was sent and with Interrupted
+// when the reply did not arrive.
+func (s *session) call(ctx context.Context, call *cellpb.Call) (*cellpb.Reply, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, fault.As(fault.Unavailable, err, "open a stream to "+string(s.peer))
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := frame.Write(stream, call); err != nil {
+		return nil, fault.As(fault.Interrupted, err, "call to "+string(s.peer))
+	}
+	reply := &cellpb.Reply{}
+	if err := frame.Read(bufio.NewReader(stream), reply); err != nil {
+		return nil, fault.As(fault.Interrupted, errors.Join(ctx.Err(), err), "call to "+string(s.peer))
+	}
+	if f := reply.GetFailure(); f != nil {
+		return nil, fault.New(fault.Kind(f.GetKind()), "%s: %s", s.peer, f.GetMessage())
+	}
+	return reply, nil
+}
+
+// serve answers each call of the peer in a goroutine of its own, until the session breaks.
+func (m *Mesh) serve(ctx context.Context, s *session) error {
+	for {
+		stream, err := s.mux.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return err
+		}
+		m.running.Go(func() { m.answer(ctx, s, stream) })
+	}
+}
+
+func (m *Mesh) answer(ctx context.Context, s *session, stream *yamux.Stream) {
+	defer stream.Close()
+	if err := stream.SetDeadline(time.Now().Add(replyTimeout)); err != nil {
+		return
+	}
+	call := &cellpb.Call{}
+	if err := frame.Read(bufio.NewReader(stream), call); err != nil {
+		m.log.Info("call not read", "peer", s.peer, "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	reply, err := dispatch(ctx, m.handler, call)
+	if err != nil {
+		reply = &cellpb.Reply{Failure: &cellpb.Failure{Kind: uint32(fault.KindOf(err)), Message: err.Error()}}
+	}
+	if err := frame.Write(stream, reply); err != nil {
+		m.log.Info("reply not sent", "peer", s.peer, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/adapter/cellwire/records.go
@@ -0,0 +1,218 @@
+// Package cellwire encodes what a cell keeps in the store, and carries calls between its processes: one yamux session
+// from each process to the leader, one stream for each call.
+package cellwire
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// Records implements the encoding of what is kept in the store.
+type Records struct{}
+
+func marshal(m proto.Message) []byte {
+	// A message without required fields or invalid strings is always encoded; callers check their strings.
+	raw, _ := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	return raw
+}
+
+func unmarshal(raw []byte, m proto.Message, what string) error {
+	return fault.As(fault.Invalid, proto.Unmarshal(raw, m), "decode the record of "+what)
+}
+
+// EncodeJob returns the record of an accepted job.
+func (Records) EncodeJob(job port.Accepted) []byte { return marshal(encodeJob(job)) }
+
+// DecodeJob is the inverse of EncodeJob. It fails with Invalid.
+func (Records) DecodeJob(raw []byte) (port.Accepted, error) {
+	m := &cellpb.Job{}
+	if err := unmarshal(raw, m, "a job"); err != nil {
+		return port.Accepted{}, err
+	}
+	return decodeJob(m)
+}
+
+func encodeJob(job port.Accepted) *cellpb.Job {
+	spec := job.Spec
+	m := &cellpb.Job{
+		Id: string(spec.ID), Queue: encodeQueue(job.Queue), Payload: spec.Payload, Occurrences: int32(spec.Occurrences),
+		PeriodMs: spec.Period.Milliseconds(), AcceptedAtMs: job.At.UnixMilli(),
+	}
+	if spec.Occurrences > 0 {
+		m.FirstAtMs = spec.FirstAt.UnixMilli()
+	}
+	for i := range spec.Steps {
+		m.Steps = append(m.Steps, encodeStep(&spec.Steps[i]))
+	}
+	return m
+}
+
+func encodeQueue(q route.Queue) *cellpb.Queue {
+	m := &cellpb.Queue{
+		Name: q.Name, Service: q.Service, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+	}
+	if q.Advice != nil {
+		m.Advised, m.DecisionUs = true, q.Advice.Decision.Microseconds()
+		m.PerWorkerUs, m.ValidMs = q.Advice.PerWorker.Microseconds(), q.Advice.Valid.Milliseconds()
+	}
+	return m
+}
+
+func encodeStep(s *workflow.Step) *cellpb.Step {
+	m := &cellpb.Step{
+		Count: int32(s.Count), MilliCores: s.Size.MilliCores, MemoryBytes: s.Size.MemoryBytes,
+		Accelerators: s.Size.Accelerators, EstimateMs: s.Estimate.Milliseconds(), Gang: s.Gang, SameRack: s.SameRack,
+		Checkpointing: s.Checkpointing, Speculative: s.Speculative, LongRunning: s.LongRunning, Fills: s.Fills,
+		RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, MaxPerWorker: int32(s.MaxPerWorker), Image: s.Image,
+		TargetMs: s.Target.Milliseconds(), MayMiss: int32(s.MayMiss),
+	}
+	for _, earlier := range s.After {
+		m.After = append(m.After, int32(earlier))
+	}
+	return m
+}
+
+func decodeJob(m *cellpb.Job) (port.Accepted, error) {
+	spec := workflow.Spec{
+		ID: workflow.ID(m.GetId()), Queue: m.GetQueue().GetName(), Payload: m.GetPayload(),
+		Occurrences: int(m.GetOccurrences()), Period: millis(m.GetPeriodMs()),
+	}
+	if spec.Occurrences > 0 {
+		spec.FirstAt = time.UnixMilli(m.GetFirstAtMs())
+	}
+	for _, step := range m.GetSteps() {
+		spec.Steps = append(spec.Steps, decodeStep(step))
+	}
+	job := port.Accepted{Spec: spec, Queue: decodeQueue(m.GetQueue()), At: time.UnixMilli(m.GetAcceptedAtMs())}
+	return job, spec.Check()
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func decodeQueue(m *cellpb.Queue) route.Queue {
+	q := route.Queue{
+		Name: m.GetName(), Service: m.GetService(), Priority: int(m.GetPriority()), MaxAttempts: int(m.GetMaxAttempts()),
+	}
+	if m.GetAdvised() {
+		q.Advice = &route.Advice{
+			Decision:  time.Duration(m.GetDecisionUs()) * time.Microsecond,
+			PerWorker: time.Duration(m.GetPerWorkerUs()) * time.Microsecond, Valid: millis(m.GetValidMs()),
+		}
+	}
+	return q
+}
+
+func decodeStep(m *cellpb.Step) workflow.Step {
+	s := workflow.Step{
+		Count: int(m.GetCount()),
+		Size: resource.Vector{
+			MilliCores: m.GetMilliCores(), MemoryBytes: m.GetMemoryBytes(), Accelerators: m.GetAccelerators(),
+		},
+		Estimate: millis(m.GetEstimateMs()), Gang: m.GetGang(), SameRack: m.GetSameRack(),
+		Checkpointing: m.GetCheckpointing(), Speculative: m.GetSpeculative(), LongRunning: m.GetLongRunning(),
+		Fills: m.GetFills(), RequiredLabel: m.GetRequiredLabel(), DataRack: m.GetDataRack(),
+		MaxPerWorker: int(m.GetMaxPerWorker()), Image: m.GetImage(), Target: millis(m.GetTargetMs()),
+		MayMiss: int(m.GetMayMiss()),
+	}
+	for _, earlier := range m.GetAfter() {
+		s.After = append(s.After, int(earlier))
+	}
+	return s
+}
+
+// EncodeProgress returns the record of a job's progress.
+func (Records) EncodeProgress(p workflow.Progress) []byte {
+	m := &cellpb.Progress{State: uint32(p.State)}
+	for _, step := range p.Steps {
+		s := &cellpb.StepProgress{
+			Occurrence: int32(step.Occurrence), Step: int32(step.Step), Failures: int32(step.Failures),
+			Failed: uint64(step.Failed),
+		}
+		for _, t := range step.Tasks {
+			s.Tasks = append(s.Tasks, &cellpb.TaskProgress{
+				Index: int32(t.Index), Done: t.Done, Failures: int32(t.Failures), Ended: uint64(t.Ended),
+				Checkpoint: t.Checkpoint,
+			})
+		}
+		m.Steps = append(m.Steps, s)
+	}
+	return marshal(m)
+}
+
+// DecodeProgress is the inverse of EncodeProgress. It fails with Invalid.
+func (Records) DecodeProgress(raw []byte) (workflow.Progress, error) {
+	m := &cellpb.Progress{}
+	if err := unmarshal(raw, m, "progress"); err != nil {
+		return workflow.Progress{}, err
+	}
+	p := workflow.Progress{State: workflow.State(m.GetState())}
+	for _, step := range m.GetSteps() {
+		s := workflow.StepProgress{
+			Occurrence: int(step.GetOccurrence()), Step: int(step.GetStep()), Failures: int(step.GetFailures()),
+			Failed: workflow.Run(step.GetFailed()),
+		}
+		for _, t := range step.GetTasks() {
+			s.Tasks = append(s.Tasks, workflow.TaskProgress{
+				Index: int(t.GetIndex()), Done: t.GetDone(), Failures: int(t.GetFailures()),
+				Ended: workflow.Run(t.GetEnded()), Checkpoint: t.GetCheckpoint(),
+			})
+		}
+		p.Steps = append(p.Steps, s)
+	}
+	return p, nil
+}
+
+// EncodeLeader returns the record of who leads.
+func (Records) EncodeLeader(l port.Leader) []byte {
+	return marshal(&cellpb.Leader{
+		Process: string(l.Process), Address: l.Address, Incarnation: l.Incarnation, Term: l.Term,
+	})
+}
+
+// DecodeLeader is the inverse of EncodeLeader. It fails with Invalid.
+func (Records) DecodeLeader(raw []byte) (port.Leader, error) {
+	m := &cellpb.Leader{}
+	if err := unmarshal(raw, m, "the leader"); err != nil {
+		return port.Leader{}, err
+	}
+	return port.Leader{
+		Process: ident.ProcessID(m.GetProcess()), Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
+		Term: m.GetTerm(),
+	}, nil
+}
+
+// EncodeWorkers returns the record of the workers in use.
+func (Records) EncodeWorkers(workers []pool.Entry) []byte {
+	m := &cellpb.Workers{}
+	for _, w := range workers {
+		m.Workers = append(m.Workers, &cellpb.Worker{
+			Id: string(w.ID), Address: w.Address, Service: w.Service, Born: w.Born,
+		})
+	}
+	return marshal(m)
+}
+
+// DecodeWorkers is the inverse of EncodeWorkers. It fails with Invalid.
+func (Records) DecodeWorkers(raw []byte) ([]pool.Entry, error) {
+	m := &cellpb.Workers{}
+	if err := unmarshal(raw, m, "the workers"); err != nil {
+		return nil, err
+	}
+	var workers []pool.Entry
+	for _, w := range m.GetWorkers() {
+		workers = append(workers, pool.Entry{
+			ID: ident.WorkerID(w.GetId()), Address: w.GetAddress(), Service: w.GetService(), Born: w.GetBorn(),
+		})
+	}
+	return workers, nil
+}
--- a/internal/adapter/peerwire/frame.go
+++ b/internal/adapter/frame/frame.go
@@ -1,6 +1,5 @@
-// Package peerwire carries calls between the processes of a cell: one yamux session for each pair of processes, one
-// stream for each call, protobuf messages with a length before them.
-package peerwire
+// Package frame writes and reads protobuf messages with a length before them.
+package frame
 
 import (
 	"bufio"
@@ -15,26 +14,33 @@
 	"skylarkstall/internal/fault"
 )
 
-// writeFrame fails with TooLarge before anything was sent.
-func writeFrame(w io.Writer, m proto.Message) error {
-	if size := proto.Size(m); size > MaxFrame {
-		return fault.New(fault.TooLarge, "message of %d bytes; the limit is %d", size, MaxFrame)
+// Max is the largest message in bytes: a payload or output of 1 MB and its description.
+const Max = 2 << 20
+
+// Write fails with TooLarge before anything was sent.
+func Write(w io.Writer, m proto.Message) error {
+	if size := proto.Size(m); size > Max {
+		return fault.New(fault.TooLarge, "message of %d bytes; the limit is %d", size, Max)
 	}
 	_, err := protodelim.MarshalTo(w, m)
 	return err
 }
 
-// malformed is an error of readFrame: the peer sent bytes that are no message.
+// malformed is an error of Read: the peer sent bytes that are no message.
 type malformed struct{ error }
 
-func isMalformed(err error) bool {
+// Malformed marks an error of what the peer sent.
+func Malformed(err error) error { return malformed{err} }
+
+// IsMalformed reports whether the peer sent bytes that are no message, and not only the connection broke.
+func IsMalformed(err error) bool {
 	var m malformed
 	return errors.As(err, &m)
 }
 
-// readFrame reads one message of at most MaxFrame bytes.
-func readFrame(r *bufio.Reader, m proto.Message) error {
-	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
+// Read reads one message of at most Max bytes.
+func Read(r *bufio.Reader, m proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: Max}.UnmarshalFrom(r, m)
 	if err == nil || isTransport(err) {
 		return err
 	}
--- a/internal/adapter/httpjson/httpjson.go
+++ b/internal/adapter/httpjson/httpjson.go
@@ -80,7 +80,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return transportError(err)
+		return TransportError(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBody))
@@ -110,7 +110,8 @@
 	return request, nil
 }
 
-func transportError(err error) error {
+// TransportError gives a failed call its kind: Unavailable when nothing was sent, Interrupted otherwise.
+func TransportError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED) {
 		return fault.As(fault.Unavailable, err, "connect")
--- a/internal/adapter/httpjson/stream.go
+++ b/internal/adapter/httpjson/stream.go
@@ -18,7 +18,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return transportError(err)
+		return TransportError(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode >= http.StatusBadRequest {
--- a/internal/adapter/peerwire/accept.go
+++ b/internal/adapter/peerwire/accept.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
@@ -74,7 +75,7 @@
 			return err
 		}
 		call := &peerpb.Call{}
-		if err := readFrame(reader, call); err != nil {
+		if err := frame.Read(reader, call); err != nil {
 			return err
 		}
 		if err := t.heartbeatReceived(s, call.GetStamp(), call.GetHeartbeat()); err != nil {
@@ -84,7 +85,7 @@
 			Stamp: t.stamp(),
 			Body:  &peerpb.Reply_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
 		}
-		if err := writeFrame(stream, reply); err != nil {
+		if err := frame.Write(stream, reply); err != nil {
 			return err
 		}
 	}
@@ -112,7 +113,7 @@
 	defer stream.Close()
 	call, err := readCall(s, stream)
 	if err != nil {
-		if isMalformed(err) {
+		if frame.IsMalformed(err) {
 			s.end(err)
 		}
 		return
@@ -137,7 +138,7 @@
 		return nil, err
 	}
 	call := &peerpb.Call{}
-	return call, readFrame(bufio.NewReader(stream), call)
+	return call, frame.Read(bufio.NewReader(stream), call)
 }
 
 // writeReply sends a reply. One that is too large is replaced by a failure, so that the caller learns of it.
@@ -146,10 +147,10 @@
 		return err
 	}
 	t.traffic.messagesOut.Add(1)
-	err := writeFrame(stream, reply)
+	err := frame.Write(stream, reply)
 	if fault.Is(err, fault.TooLarge) {
 		failure := &peerpb.Failure{Kind: uint32(fault.Interrupted), Message: err.Error()}
-		return writeFrame(stream, &peerpb.Reply{Stamp: reply.GetStamp(), Failure: failure})
+		return frame.Write(stream, &peerpb.Reply{Stamp: reply.GetStamp(), Failure: failure})
 	}
 	return err
 }
--- a/internal/adapter/peerwire/bounds.go
+++ b/internal/adapter/peerwire/bounds.go
@@ -22,8 +22,6 @@
 
 // Bounds of what one peer can make this process hold.
 const (
-	// MaxFrame is the largest message in bytes: a payload or output of 1 MB and its description.
-	MaxFrame = 2 << 20
 	// maxStreams is how many calls to one peer, and how many calls of one peer, may be in progress. 22,000 running
 	// tasks on 17 processes give about 80 for a pair; the rest is for bursts.
 	maxStreams = 4096
--- a/internal/adapter/peerwire/dial.go
+++ b/internal/adapter/peerwire/dial.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
@@ -89,11 +90,11 @@
 			Stamp: t.stamp(),
 			Body:  &peerpb.Call_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
 		}
-		if err := writeFrame(stream, call); err != nil {
+		if err := frame.Write(stream, call); err != nil {
 			return fault.As(fault.Unavailable, err, "heartbeat")
 		}
 		reply := &peerpb.Reply{}
-		if err := readFrame(reader, reply); err != nil {
+		if err := frame.Read(reader, reply); err != nil {
 			return err
 		}
 		if err := t.heartbeatReceived(s, reply.GetStamp(), reply.GetHeartbeat()); err != nil {
@@ -106,7 +107,7 @@
 
 func (t *Transport) heartbeatReceived(s *session, stamp *peerpb.Stamp, beat *peerpb.Heartbeat) error {
 	if beat == nil {
-		return malformed{fault.New(fault.Invalid, "a message without a heartbeat on the stream of heartbeats")}
+		return frame.Malformed(fault.New(fault.Invalid, "a message without a heartbeat on the stream of heartbeats"))
 	}
 	t.traffic.messagesIn.Add(1)
 	t.traffic.messagesOut.Add(1)
--- a/internal/adapter/peerwire/fuzz_test.go
+++ b/internal/adapter/peerwire/fuzz_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/job"
@@ -71,14 +72,14 @@
 		{Stamp: &peerpb.Stamp{Wall: 1 << 62, Logical: 1<<32 - 1}, Body: &peerpb.Call_FetchStatus{}},
 	} {
 		var out bytes.Buffer
-		if err := writeFrame(&out, call); err != nil {
+		if err := frame.Write(&out, call); err != nil {
 			f.Fatal(err)
 		}
 		f.Add(out.Bytes())
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		call := &peerpb.Call{}
-		if err := readFrame(bufio.NewReader(bytes.NewReader(data)), call); err != nil {
+		if err := frame.Read(bufio.NewReader(bytes.NewReader(data)), call); err != nil {
 			return
 		}
 		transport.clock.Observe(time.Now(), decodeStamp(call.GetStamp()))
@@ -90,7 +91,7 @@
 			}
 			return
 		}
-		if err := writeFrame(&bytes.Buffer{}, reply); err != nil {
+		if err := frame.Write(&bytes.Buffer{}, reply); err != nil {
 			t.Errorf("the reply cannot be sent: %v", err)
 		}
 	})
@@ -102,7 +103,7 @@
 	f.Add([]byte{255, 255, 255, 255, 15})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		reply := &peerpb.Reply{}
-		if err := readFrame(bufio.NewReader(bytes.NewReader(data)), reply); err != nil {
+		if err := frame.Read(bufio.NewReader(bytes.NewReader(data)), reply); err != nil {
 			return
 		}
 		_ = decodeKind(reply.GetFailure().GetKind()).String()
--- a/internal/adapter/peerwire/session.go
+++ b/internal/adapter/peerwire/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
@@ -56,7 +57,7 @@
 // would try to send a last message on a connection that may be stuck.
 func (s *session) end(err error) {
 	s.ended.Do(func() {
-		if isMalformed(err) {
+		if frame.IsMalformed(err) {
 			s.log.Warn("malformed message; peer session ended", "error", err)
 		} else {
 			s.log.Info("peer session ended", "error", err)
@@ -82,12 +83,12 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := writeFrame(stream, call); err != nil {
+	if err := frame.Write(stream, call); err != nil {
 		return nil, callError(ctx, err, s.peer)
 	}
 	reply := &peerpb.Reply{}
-	if err := readFrame(bufio.NewReader(stream), reply); err != nil {
-		if isMalformed(err) {
+	if err := frame.Read(bufio.NewReader(stream), reply); err != nil {
+		if frame.IsMalformed(err) {
 			s.end(err)
 		}
 		return nil, callError(ctx, err, s.peer)
@@ -111,11 +112,11 @@
 	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return nil, fault.As(fault.Unavailable, err, "handshake")
 	}
-	if err := writeFrame(conn, self); err != nil {
+	if err := frame.Write(conn, self); err != nil {
 		return nil, fault.As(fault.Unavailable, err, "handshake")
 	}
 	hello := &peerpb.Hello{}
-	if err := readFrame(reader, hello); err != nil {
+	if err := frame.Read(reader, hello); err != nil {
 		return nil, fault.As(fault.Unavailable, err, "handshake")
 	}
 	if hello.GetVersion() != protocolVersion {
--- a/internal/adapter/peerwire/transport.go
+++ b/internal/adapter/peerwire/transport.go
@@ -1,3 +1,5 @@
+// Package peerwire carries calls between the processes of a cell: one yamux session for each pair of processes, one
+// stream for each call, protobuf messages with a length before them.
 package peerwire
 
 import (
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
@@ -217,7 +218,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := writeFrame(beats, &peerpb.Call{Body: &peerpb.Call_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}}); err != nil {
+	if err := frame.Write(beats, &peerpb.Call{Body: &peerpb.Call_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}}); err != nil {
 		t.Fatal(err)
 	}
 	return mux
@@ -236,17 +237,17 @@
 		send []byte
 		want fault.Kind // Internal for a success
 	}{
-		"twice":             {append(frame(t, right), frame(t, right)...), fault.Internal},
-		"cut short":         {frame(t, right)[:10], fault.Interrupted},
+		"twice":             {append(encodedFrame(t, right), encodedFrame(t, right)...), fault.Internal},
+		"cut short":         {encodedFrame(t, right)[:10], fault.Interrupted},
 		"none":              {nil, fault.Interrupted},
-		"of another task":   {frame(t, other), fault.Interrupted},
-		"of another kind":   {frame(t, done), fault.Interrupted},
-		"without a body":    {frame(t, &peerpb.Reply{}), fault.Interrupted},
+		"of another task":   {encodedFrame(t, other), fault.Interrupted},
+		"of another kind":   {encodedFrame(t, done), fault.Interrupted},
+		"without a body":    {encodedFrame(t, &peerpb.Reply{}), fault.Interrupted},
 		"not a message":     {[]byte{4, 255, 255, 255, 255}, fault.Interrupted},
 		"over the limit":    {[]byte{255, 255, 255, 255, 15}, fault.Interrupted},
-		"of unknown kind":   {frame(t, &peerpb.Reply{Failure: &peerpb.Failure{Kind: 9999}}), fault.Internal},
-		"a normal refusal":  {frame(t, &peerpb.Reply{Failure: &peerpb.Failure{Kind: uint32(fault.NoCapacity)}}), fault.NoCapacity},
-		"a late heartbeat ": {frame(t, &peerpb.Reply{Body: &peerpb.Reply_Heartbeat{}}), fault.Interrupted},
+		"of unknown kind":   {encodedFrame(t, &peerpb.Reply{Failure: &peerpb.Failure{Kind: 9999}}), fault.Internal},
+		"a normal refusal":  {encodedFrame(t, &peerpb.Reply{Failure: &peerpb.Failure{Kind: uint32(fault.NoCapacity)}}), fault.NoCapacity},
+		"a late heartbeat ": {encodedFrame(t, &peerpb.Reply{Body: &peerpb.Reply_Heartbeat{}}), fault.Interrupted},
 	}
 	b := startProcess(t, "b")
 	for name, test := range tests {
@@ -274,14 +275,14 @@
 		return
 	}
 	defer stream.Close()
-	_ = readFrame(bufio.NewReader(stream), &peerpb.Call{})
+	_ = frame.Read(bufio.NewReader(stream), &peerpb.Call{})
 	_, _ = stream.Write(reply)
 }
 
-func frame(t *testing.T, m proto.Message) []byte {
+func encodedFrame(t *testing.T, m proto.Message) []byte {
 	t.Helper()
 	var out bytes.Buffer
-	if err := writeFrame(&out, m); err != nil {
+	if err := frame.Write(&out, m); err != nil {
 		t.Fatal(err)
 	}
 	return out.Bytes()
--- /dev/null
+++ b/internal/app/scheduler/order.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+)
+
+// Times of orders.
+const (
+	orderTimeout = 400 * time.Millisecond
+	stopPause    = 100 * time.Millisecond
+)
+
+// launch is a start that was decided.
+type launch struct {
+	keeper *keeper
+	entry  *entry
+	target port.Target
+	order  port.StartOrder
+}
+
+// start orders a run, and finds out what became of it.
+func (s *Scheduler) start(ctx context.Context, l launch) {
+	sent := time.Now()
+	starting, cancel := context.WithTimeout(ctx, orderTimeout)
+	clock, err := s.ports.Runner.Start(starting, l.target, l.order)
+	cancel()
+	s.log.Debug("run ordered", "task", l.order.Task.String(), "run", l.order.Run, "worker", l.target.Worker,
+		"took_ms", time.Since(sent).Milliseconds(), "error", err)
+	switch {
+	case err == nil:
+		s.started(l, clock, sent)
+	case ctx.Err() != nil:
+	case fault.Is(err, fault.Interrupted):
+		s.resolve(ctx, l)
+	case fault.Is(err, fault.StaleEpoch):
+		s.lose("a worker has seen a higher token", err)
+	default:
+		s.refused(l, err)
+	}
+}
+
+func (s *Scheduler) started(l launch, clock time.Duration, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	l.keeper.worker.Answered(clock, sent, now)
+	if run := l.keeper.worker.Run(l.order.RunRef); run != nil && run.Started.IsZero() {
+		run.Started = now
+	}
+	if l.entry.flow.State().Final() {
+		s.stopAll([]workflow.Placement{{RunRef: l.order.RunRef, Worker: l.target.Worker}})
+	}
+}
+
+// refused takes back a start that was certainly not carried out.
+func (s *Scheduler) refused(l launch, err error) {
+	s.log.Info("run refused", "task", l.order.Task.String(), "run", l.order.Run, "worker", l.target.Worker,
+		"kind", fault.KindOf(err).String(), "error", err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.keeper.worker.Release(l.order.RunRef)
+	l.entry.flow.Forget(l.order.RunRef, l.target.Worker)
+	switch fault.KindOf(err) {
+	case fault.Unauthorized:
+		if p := l.entry.permits[l.order.Task.StepRef]; p != nil {
+			p.Reject(permit.Worker{ID: l.target.Worker, Born: l.keeper.worker.Entry().Born})
+		}
+	case fault.Unavailable, fault.Overloaded:
+		l.keeper.worker.Failed(l.order.Task.Job, time.Now())
+	}
+	s.regroup(l.entry, l.order.Task.StepRef, l.order.Run)
+	s.poke()
+}
+
+// resolve finds out whether a start without an answer was carried out. A look may list the run; otherwise it is
+// stopped, after which it can not begin any more. Until then it keeps its room.
+func (s *Scheduler) resolve(ctx context.Context, l launch) {
+	s.log.Warn("start without an answer", "task", l.order.Task.String(), "run", l.order.Run, "worker", l.target.Worker)
+	if err := s.look(ctx, l.keeper, 0); err == nil {
+		s.mu.Lock()
+		run := l.keeper.worker.Run(l.order.RunRef)
+		settled := run == nil || run.Listed
+		s.mu.Unlock()
+		if settled {
+			return
+		}
+	}
+	s.stop(ctx, l.keeper, l.order.RunRef)
+	s.mu.Lock()
+	s.regroup(l.entry, l.order.Task.StepRef, l.order.Run)
+	s.mu.Unlock()
+}
+
+// stopAll stops runs. The lock is held.
+func (s *Scheduler) stopAll(runs []workflow.Placement) {
+	for _, p := range runs {
+		if k := s.keepers[p.Worker]; k != nil {
+			s.running.Go(func() { s.stop(s.ctx, k, p.RunRef) })
+		}
+	}
+}
+
+// stop repeats an order to stop a run until the worker answers it or the run is gone, and then looks at once.
+func (s *Scheduler) stop(ctx context.Context, k *keeper, run workflow.RunRef) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		target, known := k.target(), k.worker.Run(run)
+		gone := known == nil || !known.Fenced.IsZero()
+		s.mu.Unlock()
+		if gone {
+			return
+		}
+		stopping, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := s.ports.Runner.Stop(stopping, target, run, s.term.Token)
+		cancel()
+		if err == nil {
+			s.fenced(k, run)
+			_ = s.look(ctx, k, 0) // the keeper's own looks tell of a failure
+			return
+		}
+		if fault.Is(err, fault.StaleEpoch) {
+			s.lose("a worker has seen a higher token", err)
+			return
+		}
+		s.log.Info("stop not answered", "task", run.Task.String(), "run", run.Run, "worker", target.Worker, "error", err)
+		pause.For(ctx, stopPause)
+	}
+}
+
+func (s *Scheduler) fenced(k *keeper, ref workflow.RunRef) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if run := k.worker.Run(ref); run != nil {
+		run.Fenced = time.Now()
+	}
+}
+
+// regroup stops the members of a gang of which one did not start, before they wait in vain. The lock is held.
+func (s *Scheduler) regroup(e *entry, ref workflow.StepRef, run workflow.Run) {
+	if !e.flow.Step(ref).Gang {
+		return
+	}
+	var others []workflow.Placement
+	for _, p := range e.flow.ActiveOf(ref) {
+		if p.Run == run {
+			others = append(others, p)
+		}
+	}
+	s.stopAll(others)
+}
+
+// pace orders a run to work at a share of its speed. An order that fails is given again by a later look.
+func (s *Scheduler) pace(k *keeper, pace pool.Pace) {
+	s.mu.Lock()
+	target := k.target()
+	s.mu.Unlock()
+	pacing, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	err := s.ports.Runner.Pace(pacing, target, pace, s.term.Token)
+	s.log.Debug("run paced", "task", pace.Task.String(), "worker", target.Worker, "percent", pace.Percent, "error", err)
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k.worker.Unpaced(pace.RunRef)
+}
+
+// ticketFor returns the ticket for a start on the worker, and false when it needs one and has none.
+func ticketFor(p *permit.Permits, id ident.WorkerID, born int64, now time.Time) (string, bool) {
+	if p == nil {
+		return "", true
+	}
+	return p.Ticket(permit.Worker{ID: id, Born: born}, now)
+}
--- /dev/null
+++ b/internal/cellnode/cellnode.go
@@ -0,0 +1,184 @@
+// Package cellnode wires one process of a cell that runs on the users' platform: every process answers callers, and one
+// of them leads.
+package cellnode
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"skylarkstall/internal/adapter/cellwire"
+	"skylarkstall/internal/app/gateway"
+	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/app/routing"
+	"skylarkstall/internal/app/scheduler"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+)
+
+// Settings are the settings of a process.
+type Settings struct {
+	Process     ident.ProcessID
+	Incarnation uint64 // differs between starts of a process
+	Callers     string // host:port
+	Readiness   string // host:port
+	Processes   string // host:port
+	ConfigKey   string // where the operator writes the configuration
+	Bounds      scheduler.Settings
+	StopWithin  time.Duration // from the order to stop to being killed
+}
+
+// Platform is what the process reaches outside the cell.
+type Platform struct {
+	Ledger  port.Ledger
+	Runner  port.Runner
+	Workers scheduler.WorkerList
+	Adviser port.Adviser
+	Decode  routing.Decode
+	// Callers and Ready make the handlers for callers and for the question whether the process is ready.
+	Callers func(*gateway.Gateway, *route.Table) http.Handler
+	Ready   func(func() bool) http.Handler
+}
+
+// Times of stopping.
+const (
+	// drainServe is how long a stopping process still takes requests: until the platform has noticed twice that it is not
+	// ready.
+	drainServe = 2500 * time.Millisecond
+	// stopReserve is kept for the end of the process.
+	stopReserve = 700 * time.Millisecond
+)
+
+// Bounds of a caller's connection.
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 20 * time.Second
+)
+
+// Node is one process.
+type Node struct {
+	settings Settings
+	platform Platform
+	log      *slog.Logger
+	table    *route.Table
+	leader   *leader
+	mesh     *cellwire.Mesh
+	election *leadership.Election
+	router   *routing.Router
+	callers  *http.Server
+	ready    *http.Server
+	draining chan struct{}
+}
+
+// New returns a process that starts once Run is called. It listens at once.
+func New(settings Settings, platform Platform, log *slog.Logger) (*Node, error) {
+	listener, err := net.Listen("tcp", settings.Processes)
+	if err != nil {
+		return nil, fault.As(fault.Invalid, err, "listen for processes")
+	}
+	n := &Node{
+		settings: settings, platform: platform, log: log, table: &route.Table{}, leader: &leader{},
+		draining: make(chan struct{}),
+	}
+	answers := &local{adviser: platform.Adviser}
+	answers.remote = notLeading{}
+	n.mesh = cellwire.New(settings.Process, settings.Incarnation, listener, answers, log)
+	n.leader.remote = n.mesh
+	self := port.Leader{Process: settings.Process, Address: settings.Processes, Incarnation: settings.Incarnation}
+	n.election = leadership.New(self, platform.Ledger, cellwire.Records{}, n.mesh, n.lead(answers), log)
+	n.router = routing.New(settings.ConfigKey, platform.Ledger, n.leader, platform.Decode, n.table, log)
+	g := gateway.New(platform.Ledger, cellwire.Records{}, n.leader, log)
+	n.callers = &http.Server{
+		Handler: platform.Callers(g, n.table), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	n.ready = &http.Server{Handler: platform.Ready(n.isReady), ReadHeaderTimeout: headerTimeout}
+	return n, nil
+}
+
+// lead returns the leader's work of this process.
+func (n *Node) lead(answers *local) leadership.Lead {
+	return func(ctx context.Context, term leadership.Term) {
+		ports := scheduler.Ports{
+			Ledger: n.platform.Ledger, Records: cellwire.Records{}, Runner: n.platform.Runner,
+			Workers: n.platform.Workers, Adviser: n.platform.Adviser, Advisers: n.mesh,
+		}
+		s := scheduler.New(n.settings.Process, n.settings.Bounds, ports, n.table, term, n.log)
+		n.leader.own.Store(s)
+		answers.own.Store(s)
+		s.Run(ctx)
+		answers.own.Store(nil)
+		n.leader.own.Store(nil)
+	}
+}
+
+// isReady reports whether new connections of callers are welcome.
+func (n *Node) isReady() bool {
+	select {
+	case <-n.draining:
+		return false
+	default:
+		return n.table.Config().Version > 0
+	}
+}
+
+// Run serves until the context ends, and then drains.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("process started", "process", n.settings.Process, "incarnation", n.settings.Incarnation)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return n.mesh.Run(work) })
+	group.Go(func() error { n.election.Run(work); return nil })
+	group.Go(func() error { n.router.Run(work); return nil })
+	group.Go(func() error { return n.serve(n.callers, n.settings.Callers) })
+	group.Go(func() error { return n.serve(n.ready, n.settings.Readiness) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.drain()
+		case <-work.Done():
+		}
+		stop()
+		return nil
+	})
+	err := group.Wait()
+	n.log.Info("process stopped", "error", err)
+	return err
+}
+
+func (n *Node) serve(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.As(fault.Invalid, err, "listen")
+	}
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		return fault.As(fault.Unavailable, err, "serve "+address)
+	}
+	return nil
+}
+
+// drain hands over leadership, keeps answering until the platform sends no new connections, and finishes what was
+// asked.
+func (n *Node) drain() {
+	began := time.Now()
+	n.log.Info("process drains")
+	close(n.draining)
+	n.election.Retire()
+	n.callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopWithin-stopReserve)
+	defer cancel()
+	pause.For(ctx, drainServe)
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.Warn("callers cut off at the end of the drain", "error", err)
+	}
+	_ = n.ready.Close() // nobody waits for its answers
+	n.log.Info("process drained", "took_ms", time.Since(began).Milliseconds())
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -58,7 +58,7 @@
 		ShortHelp:  "A cluster scheduler for teams that share one pool of VMs.",
 		FlagSet:    a.flags("skylarkstall"),
 		Subcommands: []*ffcli.Command{
-			a.serve(), a.dev(), a.run(), a.submit(), a.status(), a.wait(), a.cancel(),
+			a.serve(), a.platform(), a.dev(), a.run(), a.submit(), a.status(), a.wait(), a.cancel(),
 			a.cell(), a.timeline(), a.document(), a.version(),
 			a.load(), a.report(), a.replay(), a.standin(),
 		},
--- /dev/null
+++ b/internal/domain/pool/pace.go
@@ -0,0 +1,83 @@
+package pool
+
+import (
+	"time"
+
+	"skylarkstall/internal/domain/workflow"
+)
+
+const (
+	fullSpeed    = 100 // percent of a run that is not paced
+	unknownSpeed = -1  // after an order without an answer
+)
+
+// Bounds of pacing.
+const (
+	paceAfter   = 400 * time.Millisecond // how long response times are over a target before runs that fill are paced
+	paceStep    = 25                     // percent by which runs that fill are sped up again
+	recoverPart = 0.7                    // share of the target below which they are
+)
+
+// Report notes what the worker says of a run: a run that serves reports the tail of its response times.
+func (w *Worker) Report(ref workflow.RunRef, tail time.Duration, now time.Time) {
+	run := w.runs[ref]
+	if run == nil {
+		return
+	}
+	run.Listed = true
+	if !serves(&run.Step) {
+		return
+	}
+	run.reading = tail
+	if tail <= run.Step.Target {
+		run.over = time.Time{}
+	} else if run.over.IsZero() {
+		run.over = now
+	}
+}
+
+// Pace is an order to let a run work at a share of its speed.
+type Pace struct {
+	workflow.RunRef
+	Percent int
+}
+
+// Paces returns the orders that keep the runs that fill from disturbing those that serve. They count as sent.
+func (w *Worker) Paces(now time.Time) []Pace {
+	if w.filling == 0 {
+		return nil
+	}
+	over, near := false, false
+	for _, run := range w.runs {
+		if !serves(&run.Step) {
+			continue
+		}
+		over = over || !run.over.IsZero() && now.Sub(run.over) >= paceAfter
+		near = near || float64(run.reading) > recoverPart*float64(run.Step.Target)
+	}
+	var paces []Pace
+	for _, run := range w.runs {
+		if !run.Step.Fills || !run.Listed {
+			continue
+		}
+		percent := run.Percent
+		switch {
+		case over:
+			percent = 0
+		case !near && run.Percent < fullSpeed:
+			percent = min(max(run.Percent, 0)+paceStep, fullSpeed)
+		}
+		if percent != run.Percent {
+			run.Percent = percent
+			paces = append(paces, Pace{run.RunRef, percent})
+		}
+	}
+	return paces
+}
+
+// Unpaced takes back an order that may not have been carried out, so that another one follows.
+func (w *Worker) Unpaced(ref workflow.RunRef) {
+	if run := w.runs[ref]; run != nil {
+		run.Percent = unknownSpeed
+	}
+}
--- /dev/null
+++ b/internal/domain/workflow/end.go
@@ -0,0 +1,136 @@
+package workflow
+
+import "skylarkstall/internal/domain/ident"
+
+// Verdict tells what follows from an end.
+type Verdict struct {
+	Changed bool        // the progress has to be recorded before the end is acknowledged
+	Stop    []Placement // runs that are not needed any more
+}
+
+// Ended applies the end of a run. maxAttempts bounds the failed runs of a task that does not run for long. An end that
+// is applied again changes nothing.
+func (w *Workflow) Ended(end End, worker ident.WorkerID, maxAttempts int) Verdict {
+	t := w.task(end.Run.Task)
+	if t == nil || t.done {
+		return Verdict{}
+	}
+	// An end that an earlier leader recorded but did not acknowledge is listed again.
+	fresh := w.deactivate(end.Run, worker) || end.Run.Run > t.ended
+	t.last, t.ended = max(t.last, end.Run.Run), max(t.ended, end.Run.Run)
+	step := w.Step(end.Run.Task.StepRef)
+	if end.Checkpoint != "" && end.How != Done && end.Run.Run == t.last {
+		w.save(end.Run.Task, end.Checkpoint)
+	}
+	switch {
+	case step.LongRunning:
+		return Verdict{Changed: fresh && end.Checkpoint != ""}
+	case end.How == Done:
+		return w.done(end.Run, step)
+	case end.How == Failed && fresh:
+		return w.failed(end.Run, step, maxAttempts)
+	default:
+		return Verdict{Changed: fresh && end.Checkpoint != ""}
+	}
+}
+
+// deactivate reports whether the run was active.
+func (w *Workflow) deactivate(run RunRef, worker ident.WorkerID) bool {
+	t := w.task(run.Task)
+	for i, a := range t.active {
+		if a.run == run.Run && a.worker == worker {
+			t.active = append(t.active[:i], t.active[i+1:]...)
+			if len(t.active) == 0 {
+				w.step(run.Task.StepRef).waiting++
+			}
+			return true
+		}
+	}
+	return false
+}
+
+func (w *Workflow) done(run RunRef, step *Step) Verdict {
+	ref := run.Task.StepRef
+	verdict := Verdict{Changed: true}
+	if step.Gang {
+		for i := range w.step(ref).tasks {
+			w.markDone(TaskRef{ref, i})
+		}
+	} else {
+		verdict.Stop = w.copies(run.Task)
+		w.markDone(run.Task)
+	}
+	w.complete()
+	return verdict
+}
+
+// copies returns the active runs of one task.
+func (w *Workflow) copies(ref TaskRef) []Placement {
+	var runs []Placement
+	for _, a := range w.task(ref).active {
+		runs = append(runs, Placement{RunRef{ref, a.run}, a.worker})
+	}
+	return runs
+}
+
+func (w *Workflow) markDone(ref TaskRef) {
+	t, step := w.task(ref), w.step(ref.StepRef)
+	if t.done {
+		return
+	}
+	if len(t.active) == 0 {
+		step.waiting--
+	}
+	t.done, t.active, t.checkpoint = true, nil, ""
+	step.left--
+	w.rounds[ref.Occurrence].left--
+}
+
+func (w *Workflow) complete() {
+	for k := range w.rounds {
+		if w.rounds[k].left > 0 {
+			return
+		}
+	}
+	if !w.state.Final() {
+		w.state = Completed
+	}
+}
+
+func (w *Workflow) failed(run RunRef, step *Step, maxAttempts int) Verdict {
+	failures := &w.task(run.Task).failures
+	if step.Gang {
+		gang := w.step(run.Task.StepRef)
+		if run.Run <= gang.failed {
+			return Verdict{}
+		}
+		gang.failed, failures = run.Run, &gang.failures
+	}
+	*failures++
+	verdict := Verdict{Changed: true}
+	if *failures >= maxAttempts && !w.state.Final() {
+		w.state = FailedState
+		verdict.Stop = w.Active()
+	}
+	return verdict
+}
+
+// MayStart reports whether another run of the task is within the bound of failed runs.
+func (w *Workflow) MayStart(ref TaskRef, maxAttempts int) bool {
+	step := w.Step(ref.StepRef)
+	switch {
+	case step.LongRunning:
+		return true
+	case step.Gang:
+		return w.step(ref.StepRef).failures < maxAttempts
+	default:
+		return w.task(ref).failures < maxAttempts
+	}
+}
+
+// Forget drops a run that certainly neither runs nor will run, without counting it against the task.
+func (w *Workflow) Forget(run RunRef, worker ident.WorkerID) {
+	if t := w.task(run.Task); t != nil && !t.done {
+		w.deactivate(run, worker)
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -35,6 +35,8 @@
 	UnknownOutcome
 	TaskFailed
 	Interrupted
+	Compacted
+	Superseded
 	kindCount
 )
 
@@ -83,6 +85,8 @@
 	UnknownOutcome:   {"unknown_outcome", 504, 74, false, RanUnknown},
 	TaskFailed:       {"task_failed", 500, 1, false, RanYes},
 	Interrupted:      {"interrupted", 504, 75, true, RanUnknown},
+	Compacted:        {"compacted", 410, 75, true, RanNo},
+	Superseded:       {"superseded", 409, 75, true, RanNo},
 }
 
 // Kinds returns every kind in the order of the list.
