Let holds of silent workers run out, and count failed runs one by one

A worker replaced at its address answered 421 and was asked on. Change: no hold is asked for while a worker does not answer; 421 tells that the worker is over; failed runs are kept as a set; the wait for workers of the last leader is shorter when that process is certainly gone.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -135,13 +135,11 @@
 	m := &cellpb.Progress{State: uint32(p.State)}
 	for _, step := range p.Steps {
 		s := &cellpb.StepProgress{
-			Occurrence: int32(step.Occurrence), Step: int32(step.Step), Failures: int32(step.Failures),
-			Failed: uint64(step.Failed),
+			Occurrence: int32(step.Occurrence), Step: int32(step.Step), Failed: encodeRuns(step.Failed),
 		}
 		for _, t := range step.Tasks {
 			s.Tasks = append(s.Tasks, &cellpb.TaskProgress{
-				Index: int32(t.Index), Done: t.Done, Failures: int32(t.Failures), Ended: uint64(t.Ended),
-				Checkpoint: t.Checkpoint,
+				Index: int32(t.Index), Done: t.Done, Failed: encodeRuns(t.Failed), Checkpoint: t.Checkpoint,
 			})
 		}
 		m.Steps = append(m.Steps, s)
@@ -158,13 +156,12 @@
 	p := workflow.Progress{State: workflow.State(m.GetState())}
 	for _, step := range m.GetSteps() {
 		s := workflow.StepProgress{
-			Occurrence: int(step.GetOccurrence()), Step: int(step.GetStep()), Failures: int(step.GetFailures()),
-			Failed: workflow.Run(step.GetFailed()),
+			Occurrence: int(step.GetOccurrence()), Step: int(step.GetStep()), Failed: decodeRuns(step.GetFailed()),
 		}
 		for _, t := range step.GetTasks() {
 			s.Tasks = append(s.Tasks, workflow.TaskProgress{
-				Index: int(t.GetIndex()), Done: t.GetDone(), Failures: int(t.GetFailures()),
-				Ended: workflow.Run(t.GetEnded()), Checkpoint: t.GetCheckpoint(),
+				Index: int(t.GetIndex()), Done: t.GetDone(), Failed: decodeRuns(t.GetFailed()),
+				Checkpoint: t.GetCheckpoint(),
 			})
 		}
 		p.Steps = append(p.Steps, s)
@@ -172,6 +169,22 @@
 	return p, nil
 }
 
+func encodeRuns(runs []workflow.Run) []uint64 {
+	var numbers []uint64
+	for _, run := range runs {
+		numbers = append(numbers, uint64(run))
+	}
+	return numbers
+}
+
+func decodeRuns(numbers []uint64) []workflow.Run {
+	var runs []workflow.Run
+	for _, n := range numbers {
+		runs = append(runs, workflow.Run(n))
+	}
+	return runs
+}
+
 // EncodeLeader returns the record of who leads.
 func (Records) EncodeLeader(l port.Leader) []byte {
 	return marshal(&cellpb.Leader{
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -36,6 +36,7 @@
 	Token    ident.Epoch    // fencing token of its orders
 	Revision ident.Revision // of the leader's key, a condition of its writes
 	Succeeds bool           // there was a leader before
+	Alone    bool           // the process that led before is certainly gone
 }
 
 // Lead does the leader's work until the context ends or the process finds that it does not lead any more.
@@ -80,6 +81,7 @@
 	leader   port.Leader
 	revision ident.Revision // 0: there is no leader
 	asOf     ident.Revision
+	gone     bool // the process that holds the key is certainly gone
 }
 
 // Run follows the leader, or leads, until the context ends. A leader then gives up its key.
@@ -91,8 +93,10 @@
 			pause.For(ctx, retryPause)
 			continue
 		}
-		if s.revision != 0 && s.leader.Incarnation != e.self.Incarnation && !e.follow(ctx, s) {
-			continue
+		if s.revision != 0 && s.leader.Incarnation != e.self.Incarnation {
+			if s.gone = e.follow(ctx, s); !s.gone {
+				continue
+			}
 		}
 		if e.isRetired() {
 			pause.For(ctx, retryPause)
@@ -233,6 +237,7 @@
 	}
 	return Term{
 		Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, Succeeds: number > 0,
+		Alone: s.gone,
 	}, lease, nil
 }
 
--- a/internal/app/scheduler/keeper.go
+++ b/internal/app/scheduler/keeper.go
@@ -30,6 +30,7 @@
 	pending []pendingEnd // applied and not acknowledged, in order
 	asked   time.Time    // when the last report that was used was asked for
 	broken  bool         // the last look failed: the worker may have restarted
+	over    bool         // another worker answers at its address
 }
 
 // pendingEnd is an end that is acknowledged once the job's record has the version.
@@ -84,13 +85,14 @@
 }
 
 // holdOrder returns the order for the next look. After a failed look nothing is acknowledged and nothing is waited for:
-// the worker may have begun another life, whose ends count from 1. The lock is held.
+// the worker may have begun another life, whose ends count from 1. Nor is the hold prolonged, so that it can run out
+// while the worker does not answer. The lock is held.
 func (s *Scheduler) holdOrder(k *keeper, wait time.Duration) port.HoldOrder {
 	order := port.HoldOrder{Token: s.term.Token}
-	order.HoldUntil, _ = k.worker.HoldUntil(s.settings.holdLength(), time.Now())
 	if k.broken {
 		return order
 	}
+	order.HoldUntil, _ = k.worker.HoldUntil(s.settings.holdLength(), time.Now())
 	for len(k.pending) > 0 && (k.pending[0].job == nil || k.pending[0].job.stored >= k.pending[0].version) {
 		k.acked = k.pending[0].number
 		k.pending = k.pending[1:]
@@ -134,7 +136,11 @@
 		s.log.Warn("worker not reached", "worker", k.worker.Entry().ID, "runs", len(k.worker.Runs()), "error", err)
 	}
 	k.broken = true
-	if now := time.Now(); k.worker.Lapsed(now) {
+	switch {
+	case fault.Is(err, fault.NotFound):
+		k.over = true
+		s.drop(k, workflow.Lost)
+	case k.worker.Lapsed(time.Now()):
 		s.drop(k, workflow.Lapsed)
 	}
 }
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -118,11 +118,14 @@
 	if len(s.unseen) == 0 {
 		return true
 	}
-	longest := leadership.MaxUnconfirmed + s.settings.MaxHold + s.settings.MaxHold/10
+	longest := s.settings.holdLength() * 11 / 10
+	if !s.term.Alone {
+		longest += leadership.MaxUnconfirmed
+	}
 	for id, born := range s.unseen {
 		k := s.keepers[id]
 		later := k != nil && born != 0 && k.worker.Entry().Born > born
-		if k != nil && k.worker.Seen() || later || now.Sub(s.began) > longest {
+		if k != nil && (k.worker.Seen() || k.over) || later || now.Sub(s.began) > longest {
 			delete(s.unseen, id)
 		}
 	}
--- a/internal/app/scheduler/order.go
+++ b/internal/app/scheduler/order.go
@@ -16,7 +16,9 @@
 // Times of orders.
 const (
 	orderTimeout = 400 * time.Millisecond
-	stopPause    = 100 * time.Millisecond
+	// Pauses between orders to stop the same run.
+	stopPause        = 100 * time.Millisecond
+	longestStopPause = 800 * time.Millisecond
 )
 
 // launch is a start that was decided.
@@ -111,7 +113,7 @@
 
 // stop repeats an order to stop a run until the worker answers it or the run is gone, and then looks at once.
 func (s *Scheduler) stop(ctx context.Context, k *keeper, run workflow.RunRef) {
-	for ctx.Err() == nil {
+	for wait := stopPause; ctx.Err() == nil; wait = min(2*wait, longestStopPause) {
 		s.mu.Lock()
 		target, known := k.target(), k.worker.Run(run)
 		gone := known == nil || !known.Fenced.IsZero()
@@ -132,7 +134,7 @@
 			return
 		}
 		s.log.Info("stop not answered", "task", run.Task.String(), "run", run.Run, "worker", target.Worker, "error", err)
-		pause.For(ctx, stopPause)
+		pause.For(ctx, wait)
 	}
 }
 
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -96,7 +96,7 @@
 	var gone []ident.WorkerID
 	for id, k := range s.keepers {
 		_, unseen := s.unseen[id]
-		if !unseen && k.worker.Missing(now) > goneAfter && len(k.worker.Runs()) == 0 && len(k.pending) == 0 {
+		if !unseen && k.worker.Missing(now) > goneAfter && len(k.worker.Runs()) == 0 {
 			gone = append(gone, id)
 		}
 	}
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -26,9 +26,13 @@
 	return l.remote
 }
 
-func (l *leader) Record(ctx context.Context, job port.Accepted) error { return l.now().Record(ctx, job) }
+func (l *leader) Record(ctx context.Context, job port.Accepted) error {
+	return l.now().Record(ctx, job)
+}
 
-func (l *leader) Notify(ctx context.Context, job port.Accepted) error { return l.now().Notify(ctx, job) }
+func (l *leader) Notify(ctx context.Context, job port.Accepted) error {
+	return l.now().Notify(ctx, job)
+}
 
 func (l *leader) State(ctx context.Context, queue string, id workflow.ID) (workflow.State, error) {
 	return l.now().State(ctx, queue, id)
@@ -38,7 +42,9 @@
 	return l.now().Cancel(ctx, queue, id)
 }
 
-func (l *leader) Waiting(ctx context.Context, queue string) (int, error) { return l.now().Waiting(ctx, queue) }
+func (l *leader) Waiting(ctx context.Context, queue string) (int, error) {
+	return l.now().Waiting(ctx, queue)
+}
 
 func (l *leader) Config(ctx context.Context) ([]byte, error) { return l.now().Config(ctx) }
 
@@ -57,7 +63,9 @@
 
 func (n notLeading) Notify(context.Context, port.Accepted) error { return n.err() }
 
-func (n notLeading) State(context.Context, string, workflow.ID) (workflow.State, error) { return 0, n.err() }
+func (n notLeading) State(context.Context, string, workflow.ID) (workflow.State, error) {
+	return 0, n.err()
+}
 
 func (n notLeading) Cancel(context.Context, string, workflow.ID) error { return n.err() }
 
--- a/internal/domain/workflow/end.go
+++ b/internal/domain/workflow/end.go
@@ -1,6 +1,10 @@
 package workflow
 
-import "skylarkstall/internal/domain/ident"
+import (
+	"slices"
+
+	"skylarkstall/internal/domain/ident"
+)
 
 // Verdict tells what follows from an end.
 type Verdict struct {
@@ -15,22 +19,21 @@
 	if t == nil || t.done {
 		return Verdict{}
 	}
-	// An end that an earlier leader recorded but did not acknowledge is listed again.
-	fresh := w.deactivate(end.Run, worker) || end.Run.Run > t.ended
-	t.last, t.ended = max(t.last, end.Run.Run), max(t.ended, end.Run.Run)
+	known := w.deactivate(end.Run, worker)
+	t.last = max(t.last, end.Run.Run)
 	step := w.Step(end.Run.Task.StepRef)
 	if end.Checkpoint != "" && end.How != Done && end.Run.Run == t.last {
 		w.save(end.Run.Task, end.Checkpoint)
 	}
 	switch {
 	case step.LongRunning:
-		return Verdict{Changed: fresh && end.Checkpoint != ""}
+		return Verdict{Changed: known && end.Checkpoint != ""}
 	case end.How == Done:
 		return w.done(end.Run, step)
-	case end.How == Failed && fresh:
-		return w.failed(end.Run, step, maxAttempts)
+	case end.How == Failed:
+		return w.failed(end.Run, maxAttempts)
 	default:
-		return Verdict{Changed: fresh && end.Checkpoint != ""}
+		return Verdict{Changed: known && end.Checkpoint != ""}
 	}
 }
 
@@ -97,18 +100,34 @@
 	}
 }
 
-func (w *Workflow) failed(run RunRef, step *Step, maxAttempts int) Verdict {
-	failures := &w.task(run.Task).failures
-	if step.Gang {
-		gang := w.step(run.Task.StepRef)
-		if run.Run <= gang.failed {
-			return Verdict{}
-		}
-		gang.failed, failures = run.Run, &gang.failures
+// failures are the runs that count as failed. An end that an earlier leader recorded but did not acknowledge is listed
+// again, and the ends of several runs are listed in any order by their workers.
+type failures []Run
+
+// add reports whether the run did not count yet.
+func (f *failures) add(run Run) bool {
+	if slices.Contains(*f, run) {
+		return false
+	}
+	*f = append(*f, run)
+	return true
+}
+
+// failuresOf returns the failures that count for a task: its own, or those of its gang.
+func (w *Workflow) failuresOf(ref TaskRef) *failures {
+	if w.Step(ref.StepRef).Gang {
+		return &w.step(ref.StepRef).failed
+	}
+	return &w.task(ref).failed
+}
+
+func (w *Workflow) failed(run RunRef, maxAttempts int) Verdict {
+	counted := w.failuresOf(run.Task)
+	if !counted.add(run.Run) {
+		return Verdict{}
 	}
-	*failures++
 	verdict := Verdict{Changed: true}
-	if *failures >= maxAttempts && !w.state.Final() {
+	if len(*counted) >= maxAttempts && !w.state.Final() {
 		w.state = FailedState
 		verdict.Stop = w.Active()
 	}
@@ -117,15 +136,7 @@
 
 // MayStart reports whether another run of the task is within the bound of failed runs.
 func (w *Workflow) MayStart(ref TaskRef, maxAttempts int) bool {
-	step := w.Step(ref.StepRef)
-	switch {
-	case step.LongRunning:
-		return true
-	case step.Gang:
-		return w.step(ref.StepRef).failures < maxAttempts
-	default:
-		return w.task(ref).failures < maxAttempts
-	}
+	return w.Step(ref.StepRef).LongRunning || len(*w.failuresOf(ref)) < maxAttempts
 }
 
 // Forget drops a run that certainly neither runs nor will run, without counting it against the task.
--- a/internal/domain/workflow/progress.go
+++ b/internal/domain/workflow/progress.go
@@ -1,5 +1,7 @@
 package workflow
 
+import "slices"
+
 // Progress is what outlives a leader: the ends that were acknowledged to workers and the caller's cancellation.
 type Progress struct {
 	State State
@@ -10,8 +12,7 @@
 type StepProgress struct {
 	Occurrence int
 	Step       int
-	Failures   int // of a gang
-	Failed     Run // highest run of a gang that counts as a failure
+	Failed     []Run // runs of a gang that failed
 	Tasks      []TaskProgress
 }
 
@@ -19,8 +20,7 @@
 type TaskProgress struct {
 	Index      int
 	Done       bool
-	Failures   int
-	Ended      Run // highest run that has ended
+	Failed     []Run // runs that failed
 	Checkpoint string
 }
 
@@ -38,14 +38,14 @@
 }
 
 func (s *stepState) progress(occurrence, step int) *StepProgress {
-	p := &StepProgress{Occurrence: occurrence, Step: step, Failures: s.failures, Failed: s.failed}
+	p := &StepProgress{Occurrence: occurrence, Step: step, Failed: slices.Clone(s.failed)}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || t.failures > 0 || t.checkpoint != "" {
-			p.Tasks = append(p.Tasks, TaskProgress{i, t.done, t.failures, t.ended, t.checkpoint})
+		if t.done || len(t.failed) > 0 || t.checkpoint != "" {
+			p.Tasks = append(p.Tasks, TaskProgress{i, t.done, slices.Clone(t.failed), t.checkpoint})
 		}
 	}
-	if len(p.Tasks) == 0 && p.Failures == 0 {
+	if len(p.Tasks) == 0 && len(p.Failed) == 0 {
 		return nil
 	}
 	return p
@@ -59,7 +59,7 @@
 			continue
 		}
 		ref := StepRef{w.spec.ID, step.Occurrence, step.Step}
-		w.step(ref).failures, w.step(ref).failed = step.Failures, step.Failed
+		w.step(ref).failed = step.Failed
 		for _, t := range step.Tasks {
 			w.restoreTask(TaskRef{ref, t.Index}, t)
 		}
@@ -75,7 +75,10 @@
 	if t == nil {
 		return
 	}
-	t.failures, t.last, t.ended, t.checkpoint = p.Failures, p.Ended, p.Ended, p.Checkpoint
+	t.failed, t.checkpoint = p.Failed, p.Checkpoint
+	for _, run := range p.Failed {
+		t.last = max(t.last, run)
+	}
 	if p.Done {
 		w.markDone(ref)
 	}
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -22,18 +22,16 @@
 }
 
 type stepState struct {
-	tasks    []task
-	left     int // tasks that are not done
-	waiting  int // tasks that neither run nor are done
-	failures int // of the gang as a whole
-	failed   Run // highest run of the gang that counts as a failure
+	tasks   []task
+	left    int      // tasks that are not done
+	waiting int      // tasks that neither run nor are done
+	failed  failures // of the gang as a whole
 }
 
 type task struct {
 	done       bool
-	failures   int
+	failed     failures
 	last       Run // highest run used
-	ended      Run // highest run whose end was applied
 	checkpoint string
 	active     []active // one, or several copies
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -107,7 +107,8 @@
 
 // Runner gives orders to workers. Refusals mean that nothing was done: StaleEpoch for a lower token than the worker
 // has seen, Superseded for a run that is not higher than one that ended there, DeadlineExceeded for a hold that has run
-// out, NoCapacity, Unauthorized for a ticket, Invalid, and Unavailable. Interrupted means that the order may have been
+// out, NoCapacity, Unauthorized for a ticket, Invalid, Unavailable, and NotFound when another worker answers at the
+// address, so that this one is over. Interrupted means that the order may have been
 // carried out, or may be carried out later.
 type Runner interface {
 	// Start returns the reading of the worker's clock.
