--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -33,6 +33,7 @@
 	ConfigKey   string // where the operator writes the configuration
 	Bounds      scheduler.Settings
 	StopWithin  time.Duration // from the order to stop to being killed
+	DrainServe  time.Duration // how long a stopping process still takes new connections
 }
 
 // Platform is what the process reaches outside the cell.
@@ -47,14 +48,8 @@
 	Ready   func(func() bool) http.Handler
 }
 
-// Times of stopping.
-const (
-	// drainServe is how long a stopping process still takes requests: until the platform has noticed twice that it is not
-	// ready.
-	drainServe = 2500 * time.Millisecond
-	// stopReserve is kept for the end of the process.
-	stopReserve = 700 * time.Millisecond
-)
+// stopReserve is kept for the end of the process.
+const stopReserve = 700 * time.Millisecond
 
 // Bounds of a caller's connection.
 const (
@@ -175,7 +170,7 @@
 	n.callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopWithin-stopReserve)
 	defer cancel()
-	pause.For(ctx, drainServe)
+	pause.For(ctx, n.settings.DrainServe)
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("callers cut off at the end of the drain", "error", err)
 	}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -70,7 +70,7 @@
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), Callers: s.Callers,
 		Readiness: s.Readiness, Processes: s.Processes, ConfigKey: platform.ConfigKey,
 		Bounds:     scheduler.Settings{MaxHold: s.MaxHold, StatusKeep: s.StatusKeep},
-		StopWithin: s.StopWithin,
+		StopWithin: s.StopWithin, DrainServe: platform.ReadyNotice,
 	}
 }
 
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -96,7 +96,7 @@
 	switch {
 	case r.Step.Fills && w.serving > 0:
 		return 1
-	case serves(r.Step) && w.filling > 0:
+	case serves(r.Step) && w.fillers > 0:
 		return 1
 	default:
 		return 0
--- a/internal/domain/pool/pace.go
+++ b/internal/domain/pool/pace.go
@@ -44,7 +44,7 @@
 
 // Paces returns the orders that keep the runs that fill from disturbing those that serve. They count as sent.
 func (w *Worker) Paces(now time.Time) []Pace {
-	if w.filling == 0 {
+	if w.fillers == 0 {
 		return nil
 	}
 	over, near := false, false
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -42,7 +42,8 @@
 	missing  time.Time // since when the list lacks the entry; zero while it is there
 	runs     map[workflow.RunRef]*Run
 	used     resource.Vector
-	filling  int64 // thousandths of a core wanted by runs that fill
+	fillers  int   // runs that fill
+	filling  int64 // thousandths of a core that they want
 	serving  int   // long-running runs with a target
 	clock    clock
 	horizon  time.Duration // latest hold that was sent, on the worker's clock
@@ -113,7 +114,8 @@
 // Restarted begins another life of the worker and returns the runs that the last one took with it.
 func (w *Worker) Restarted(born int64) []*Run {
 	gone := w.Runs()
-	w.runs, w.used, w.filling, w.serving = map[workflow.RunRef]*Run{}, resource.Vector{}, 0, 0
+	w.runs, w.used = map[workflow.RunRef]*Run{}, resource.Vector{}
+	w.fillers, w.filling, w.serving = 0, 0, 0
 	w.entry.Born, w.clock, w.horizon = born, clock{}, 0
 	return gone
 }
@@ -184,6 +186,7 @@
 
 func (w *Worker) count(step *workflow.Step, sign int) {
 	if step.Fills {
+		w.fillers += sign
 		w.filling += int64(sign) * step.Size.MilliCores
 	}
 	if serves(step) {
