Read the settings again at SIGHUP; keep silent empty workers out of the record

Change: the signal reads the settings again; a worker that does not answer and on which nothing is left is taken out of the record of workers. TestSettingsChange ends with 'signal: hangup' before and passes after.

--- a/internal/app/scheduler/keeper.go
+++ b/internal/app/scheduler/keeper.go
@@ -31,6 +31,7 @@
 	asked   time.Time    // when the last report that was used was asked for
 	broken  bool         // the last look failed: the worker may have restarted
 	over    bool         // another worker answers at its address
+	since   time.Time    // when the worker was first heard of
 }
 
 // pendingEnd is an end that is acknowledged once the job's record has the version.
@@ -47,7 +48,7 @@
 // keep starts to hold a worker. The lock is held.
 func (s *Scheduler) keep(w pool.Entry) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	k := &keeper{worker: pool.NewWorker(w), cancel: cancel, broken: true}
+	k := &keeper{worker: pool.NewWorker(w), cancel: cancel, broken: true, since: time.Now()}
 	s.keepers[w.ID] = k
 	s.running.Go(func() { s.hold(ctx, k) })
 }
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -60,6 +60,7 @@
 	for _, w := range held {
 		s.unseen[w.ID] = w.Born
 		s.keep(w)
+		s.recorded[w.ID] = true
 	}
 	s.ready = true
 	s.log.Info("store read", "jobs", len(s.jobs), "open", len(s.open), "workers", len(held), "as_of", asOf)
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -183,7 +183,7 @@
 	var best *keeper
 	var bestScore float64
 	for id, k := range s.keepers {
-		if rack != "" && k.worker.Entry().Rack != rack || !k.worker.Eligible(&request) {
+		if !s.recorded[id] || rack != "" && k.worker.Entry().Rack != rack || !k.worker.Eligible(&request) {
 			continue
 		}
 		if _, ok := ticketFor(permits, id, k.worker.Entry().Born, now); !ok {
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -34,16 +34,16 @@
 	}
 }
 
-// follow takes a reading of the list. New workers are recorded before they get orders, so that the next leader looks
-// for runs there.
+// follow takes a reading of the list. Workers are recorded before they get orders, so that the next leader looks for
+// runs there; one that does not answer and on which nothing is left is taken out of the record.
 func (s *Scheduler) follow(ctx context.Context, workers []pool.Entry) {
 	s.mu.Lock()
-	added := s.update(workers, time.Now())
-	gone := s.departed(time.Now())
-	record := s.roster(added, gone)
+	s.update(workers, time.Now())
+	s.removeDeparted(time.Now())
+	record, changed := s.roster()
 	revision := s.enlisted
 	s.mu.Unlock()
-	if len(added) == 0 && len(gone) == 0 {
+	if !changed {
 		return
 	}
 	committed, ok := s.enlist(ctx, record, revision)
@@ -52,27 +52,23 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.enlisted = committed
-	for _, w := range added {
-		s.keep(w)
-		s.log.Info("worker added", "worker", w.ID, "address", w.Address, "service", w.Service)
-	}
-	for _, id := range gone {
-		s.keepers[id].cancel()
-		delete(s.keepers, id)
-		s.log.Info("worker removed", "worker", id)
+	s.enlisted, s.recorded, s.outdated = committed, map[ident.WorkerID]bool{}, false
+	for _, w := range record {
+		s.recorded[w.ID] = true
 	}
+	s.log.Info("workers recorded", "workers", len(record), "known", len(s.keepers))
+	s.poke()
 }
 
-// update notes what the list says of known workers, and returns the others. The lock is held.
-func (s *Scheduler) update(workers []pool.Entry, now time.Time) []pool.Entry {
-	var added []pool.Entry
+// update notes what the list says. The lock is held.
+func (s *Scheduler) update(workers []pool.Entry, now time.Time) {
 	listed := map[ident.WorkerID]bool{}
 	for _, w := range workers {
 		listed[w.ID] = true
 		k := s.keepers[w.ID]
 		if k == nil {
-			added = append(added, w)
+			s.keep(w)
+			s.log.Info("worker added", "worker", w.ID, "address", w.Address, "service", w.Service)
 			continue
 		}
 		if w.Draining && !k.worker.Entry().Draining {
@@ -88,34 +84,42 @@
 			k.worker.Unlisted(now)
 		}
 	}
-	return added
 }
 
-// departed returns the workers that are missing for good and on which nothing is left. The lock is held.
-func (s *Scheduler) departed(now time.Time) []ident.WorkerID {
-	var gone []ident.WorkerID
+// removeDeparted forgets workers that are missing for good and on which nothing is left. The lock is held.
+func (s *Scheduler) removeDeparted(now time.Time) {
 	for id, k := range s.keepers {
 		_, unseen := s.unseen[id]
 		if !unseen && k.worker.Missing(now) > goneAfter && len(k.worker.Runs()) == 0 {
-			gone = append(gone, id)
+			k.cancel()
+			s.outdated = s.outdated || s.recorded[id]
+			delete(s.keepers, id)
+			delete(s.recorded, id)
+			s.log.Info("worker removed", "worker", id)
 		}
 	}
-	return gone
 }
 
-// roster returns the record of workers after a change. The lock is held.
-func (s *Scheduler) roster(added []pool.Entry, gone []ident.WorkerID) []pool.Entry {
-	left := map[ident.WorkerID]bool{}
-	for _, id := range gone {
-		left[id] = true
-	}
-	record := append([]pool.Entry(nil), added...)
+// silentFrom is how long a worker may take to answer for the first time before it is left out of the record.
+const silentFrom = 2 * time.Second
+
+// roster returns what the record of workers should hold, and whether that differs from what it holds. Workers that are
+// to be left out get no orders from now on. The lock is held.
+func (s *Scheduler) roster() ([]pool.Entry, bool) {
+	var record []pool.Entry
+	added := false
 	for id, k := range s.keepers {
-		if !left[id] {
-			record = append(record, k.worker.Entry())
+		_, unseen := s.unseen[id]
+		answered := k.worker.Seen() || time.Since(k.since) > silentFrom
+		if k.broken && answered && !unseen && len(k.worker.Runs()) == 0 {
+			s.outdated = s.outdated || s.recorded[id]
+			delete(s.recorded, id)
+			continue
 		}
+		added = added || !s.recorded[id]
+		record = append(record, k.worker.Entry())
 	}
-	return record
+	return record, added || s.outdated
 }
 
 func (s *Scheduler) enlist(ctx context.Context, record []pool.Entry, revision ident.Revision) (ident.Revision, bool) {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -79,6 +79,8 @@
 	keepers  map[ident.WorkerID]*keeper
 	unseen   map[ident.WorkerID]int64 // workers of the last leader, with their births, that were not seen yet
 	enlisted ident.Revision           // of the record of workers
+	recorded map[ident.WorkerID]bool  // workers of the record that may get orders
+	outdated bool                     // the record has more workers than that
 	advisers map[ident.ProcessID]time.Time
 }
 
@@ -105,7 +107,7 @@
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		jobs: map[workflow.ID]*entry{}, open: map[workflow.ID]*entry{}, dirty: map[workflow.ID]*entry{},
 		keepers: map[ident.WorkerID]*keeper{}, unseen: map[ident.WorkerID]int64{},
-		advisers: map[ident.ProcessID]time.Time{},
+		recorded: map[ident.WorkerID]bool{}, advisers: map[ident.ProcessID]time.Time{},
 	}
 }
 
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -44,6 +46,9 @@
 }
 
 func (a *app) runPlatform(ctx context.Context, boot, level string) error {
+	changes := make(chan os.Signal, 1)
+	signal.Notify(changes, syscall.SIGHUP) // without a handler the signal would end the process
+	defer signal.Stop(changes)
 	l, err := logLevel(level)
 	if err != nil {
 		return err
@@ -55,16 +60,44 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(settings.MemoryMiB << 20 * softMemoryPercent / 100)
+	limitMemory(settings)
 	debug.SetGCPercent(collectPercent)
 	log := slog.New(slog.NewTextHandler(a.out, &slog.HandlerOptions{Level: l})).With("process", settings.Process)
 	node, err := cellnode.New(nodeSettings(settings), nodePlatform(settings, log), log)
 	if err != nil {
 		return err
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go reload(ctx, changes, boot, settings, log)
 	return node.Run(ctx)
 }
 
+func limitMemory(settings platform.Settings) {
+	debug.SetMemoryLimit(settings.MemoryMiB << 20 * softMemoryPercent / 100)
+}
+
+// reload reads the settings again at each signal. The limit of memory takes effect at once; the process would have to
+// start again for the others.
+func reload(ctx context.Context, changes <-chan os.Signal, boot string, settings platform.Settings, log *slog.Logger) {
+	for {
+		select {
+		case <-changes:
+		case <-ctx.Done():
+			return
+		}
+		next, err := platform.ReadSettings(boot)
+		if err != nil {
+			log.Error("settings not read again; the former ones stay in force", "error", err)
+			continue
+		}
+		limitMemory(next)
+		applied := settings
+		applied.MemoryMiB = next.MemoryMiB
+		log.Info("settings read again", "memory_mib", next.MemoryMiB, "needs_restart", next != applied)
+	}
+}
+
 func nodeSettings(s platform.Settings) cellnode.Settings {
 	return cellnode.Settings{
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), Callers: s.Callers,
