Close silent and draining workers in the record; evacuate draining ones

Long-running tasks went down with workers that had told that they leave. Change: the record of workers tells which got no further orders, and from which revision on; jobs stored later do not wait for them. Long-running and saving tasks are stopped on a draining worker and go on elsewhere.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -205,27 +205,35 @@
 }
 
 // EncodeWorkers returns the record of the workers in use.
-func (Records) EncodeWorkers(workers []pool.Entry) []byte {
+func (Records) EncodeWorkers(workers []port.Enlisted) []byte {
 	m := &cellpb.Workers{}
 	for _, w := range workers {
 		m.Workers = append(m.Workers, &cellpb.Worker{
-			Id: string(w.ID), Address: w.Address, Service: w.Service, Born: w.Born,
+			Id: string(w.ID), Address: w.Address, Service: w.Service, Born: w.Born, Closed: w.Closed,
+			ClosedAt: uint64(w.ClosedAt),
 		})
 	}
 	return marshal(m)
 }
 
 // DecodeWorkers is the inverse of EncodeWorkers. It fails with Invalid.
-func (Records) DecodeWorkers(raw []byte) ([]pool.Entry, error) {
+func (Records) DecodeWorkers(raw []byte, revision ident.Revision) ([]port.Enlisted, error) {
 	m := &cellpb.Workers{}
 	if err := unmarshal(raw, m, "the workers"); err != nil {
 		return nil, err
 	}
-	var workers []pool.Entry
+	var workers []port.Enlisted
 	for _, w := range m.GetWorkers() {
-		workers = append(workers, pool.Entry{
-			ID: ident.WorkerID(w.GetId()), Address: w.GetAddress(), Service: w.GetService(), Born: w.GetBorn(),
-		})
+		enlisted := port.Enlisted{
+			Entry: pool.Entry{
+				ID: ident.WorkerID(w.GetId()), Address: w.GetAddress(), Service: w.GetService(), Born: w.GetBorn(),
+			},
+			Closed: w.GetClosed(), ClosedAt: ident.Revision(w.GetClosedAt()),
+		}
+		if enlisted.Closed && enlisted.ClosedAt == 0 {
+			enlisted.ClosedAt = revision
+		}
+		workers = append(workers, enlisted)
 	}
 	return workers, nil
 }
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -62,7 +62,9 @@
 			s.log.Error("record of a job left out", "key", item.Key, "error", err)
 			continue
 		}
-		s.take(job)
+		if e := s.take(job); e.created == 0 {
+			e.created = item.Revision
+		}
 	}
 }
 
--- a/internal/app/scheduler/keeper.go
+++ b/internal/app/scheduler/keeper.go
@@ -25,13 +25,14 @@
 type keeper struct {
 	worker  *pool.Worker
 	cancel  context.CancelFunc
-	applied uint64       // highest end that was applied
-	acked   uint64       // highest end that need not be listed again
-	pending []pendingEnd // applied and not acknowledged, in order
-	asked   time.Time    // when the last report that was used was asked for
-	broken  bool         // the last look failed: the worker may have restarted
-	over    bool         // another worker answers at its address
-	since   time.Time    // when the worker was first heard of
+	applied uint64         // highest end that was applied
+	acked   uint64         // highest end that need not be listed again
+	pending []pendingEnd   // applied and not acknowledged, in order
+	asked   time.Time      // when the last report that was used was asked for
+	broken  bool           // the last look failed: the worker may have restarted
+	over    bool           // another worker answers at its address
+	since   time.Time      // when the worker was first heard of
+	closed  ident.Revision // of the record that closed the worker; 0 while it is open or the record is not written
 }
 
 // pendingEnd is an end that is acknowledged once the job's record has the version.
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -7,7 +7,6 @@
 
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
@@ -58,9 +57,9 @@
 		s.restoreProgress(item)
 	}
 	for _, w := range held {
-		s.unseen[w.ID] = w.Born
-		s.keep(w)
-		s.recorded[w.ID] = true
+		s.unseen[w.ID] = w
+		s.keep(w.Entry)
+		s.recorded[w.ID] = !w.Closed
 	}
 	s.ready = true
 	s.log.Info("store read", "jobs", len(s.jobs), "open", len(s.open), "workers", len(held), "as_of", asOf)
@@ -68,7 +67,7 @@
 }
 
 // readHeld returns the workers that the last leader gave orders to.
-func (s *Scheduler) readHeld(ctx context.Context) ([]pool.Entry, error) {
+func (s *Scheduler) readHeld(ctx context.Context) ([]port.Enlisted, error) {
 	record, err := s.ports.Ledger.Get(ctx, port.WorkersKey)
 	if fault.Is(err, fault.NotFound) {
 		return nil, nil
@@ -77,7 +76,7 @@
 		return nil, err
 	}
 	s.enlisted = record.Revision
-	return s.ports.Records.DecodeWorkers(record.Value)
+	return s.ports.Records.DecodeWorkers(record.Value, record.Revision)
 }
 
 func (s *Scheduler) restoreJob(item port.Entry) {
@@ -90,6 +89,7 @@
 		return
 	}
 	e := s.add(job)
+	e.created = item.Revision
 	if s.term.Succeeds {
 		e.flow.Inherit()
 	}
@@ -114,30 +114,44 @@
 	}
 }
 
-// accountFor reports whether every run that an earlier leader may have ordered is known or over. The lock is held.
-func (s *Scheduler) accountFor(now time.Time) bool {
+// accountFor looks for the workers of the last leader. Once each was seen, or nothing runs on it any more, every run that
+// an earlier leader may have ordered is known or over. The lock is held.
+func (s *Scheduler) accountFor(now time.Time) {
 	if len(s.unseen) == 0 {
-		return true
+		return
 	}
 	longest := s.settings.holdLength() * 11 / 10
 	if !s.term.Alone {
 		longest += leadership.MaxUnconfirmed
 	}
-	for id, born := range s.unseen {
+	for id, last := range s.unseen {
 		k := s.keepers[id]
-		later := k != nil && born != 0 && k.worker.Entry().Born > born
+		later := k != nil && last.Born != 0 && k.worker.Entry().Born > last.Born
 		if k != nil && (k.worker.Seen() || k.over) || later || now.Sub(s.began) > longest {
 			delete(s.unseen, id)
 		}
 	}
 	if len(s.unseen) > 0 {
-		return false
+		return
 	}
 	for _, e := range s.open {
 		e.flow.Settle()
 	}
 	s.log.Info("runs of earlier terms accounted for", "after_ms", now.Sub(s.began).Milliseconds())
-	return true
+}
+
+// mayRunUnseen reports whether tasks of a job may run on a worker that was not seen yet. A worker that was closed before
+// the job was stored has none of them. The lock is held.
+func (s *Scheduler) mayRunUnseen(e *entry) bool {
+	if !e.flow.Inherits() {
+		return false
+	}
+	for _, last := range s.unseen {
+		if !last.Closed || e.created < last.ClosedAt {
+			return true
+		}
+	}
+	return false
 }
 
 // lateOrders is how long a leader that was replaced may still take in jobs before it learns of that.
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -54,10 +54,10 @@
 func (s *Scheduler) place(now time.Time) ([]launch, []question) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	accounted := s.accountFor(now)
+	s.accountFor(now)
 	var launches []launch
 	var questions []question
-	for _, c := range s.candidates(now, accounted) {
+	for _, c := range s.candidates(now) {
 		placed, left := s.placeStep(c, now)
 		launches = append(launches, placed...)
 		if left == 0 || c.queue.Advice == nil {
@@ -71,10 +71,10 @@
 }
 
 // candidates returns the steps with tasks to start: urgent queues first, then by age.
-func (s *Scheduler) candidates(now time.Time, accounted bool) []candidate {
+func (s *Scheduler) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, e := range s.open {
-		if !accounted && e.flow.Inherits() {
+		if s.mayRunUnseen(e) {
 			continue
 		}
 		refs := e.flow.Ready(now)
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -6,6 +6,7 @@
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -52,9 +53,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.enlisted, s.recorded, s.outdated = committed, map[ident.WorkerID]bool{}, false
+	s.enlisted, s.outdated = committed, false
 	for _, w := range record {
-		s.recorded[w.ID] = true
+		k := s.keepers[w.ID]
+		if k == nil {
+			continue
+		}
+		s.recorded[w.ID] = !w.Closed
+		if w.Closed && k.closed == 0 {
+			k.closed = committed
+		}
 	}
 	s.log.Info("workers recorded", "workers", len(record), "known", len(s.keepers))
 	s.poke()
@@ -73,6 +81,7 @@
 		}
 		if w.Draining && !k.worker.Entry().Draining {
 			s.log.Info("worker drains", "worker", w.ID, "remaining_ms", w.Remaining.Milliseconds())
+			s.evacuate(k, w.Remaining, now)
 		}
 		if born := k.worker.Entry().Born; k.worker.Seen() && born != 0 {
 			w.Born = born // the worker itself tells of another life sooner
@@ -86,13 +95,31 @@
 	}
 }
 
+// evacuate stops what a draining worker would take with it and what can go on elsewhere: long-running tasks, and tasks
+// that save their progress and do not end in time. The lock is held.
+func (s *Scheduler) evacuate(k *keeper, remaining time.Duration, now time.Time) {
+	var runs []workflow.Placement
+	for _, run := range k.worker.Runs() {
+		left := run.Step.Estimate
+		if !run.Started.IsZero() {
+			left -= now.Sub(run.Started)
+		}
+		saves := run.Step.Checkpointing && !run.Step.Gang && left > remaining
+		if run.Step.LongRunning || saves {
+			runs = append(runs, workflow.Placement{RunRef: run.RunRef, Worker: k.worker.Entry().ID})
+		}
+	}
+	s.stopAll(runs)
+}
+
 // removeDeparted forgets workers that are missing for good and on which nothing is left. The lock is held.
 func (s *Scheduler) removeDeparted(now time.Time) {
 	for id, k := range s.keepers {
 		_, unseen := s.unseen[id]
 		if !unseen && k.worker.Missing(now) > goneAfter && len(k.worker.Runs()) == 0 {
 			k.cancel()
-			s.outdated = s.outdated || s.recorded[id]
+			_, known := s.recorded[id]
+			s.outdated = s.outdated || known
 			delete(s.keepers, id)
 			delete(s.recorded, id)
 			s.log.Info("worker removed", "worker", id)
@@ -100,29 +127,38 @@
 	}
 }
 
-// silentFrom is how long a worker may take to answer for the first time before it is left out of the record.
+// silentFrom is how long a worker may take to answer for the first time before it counts as silent.
 const silentFrom = 2 * time.Second
 
-// roster returns what the record of workers should hold, and whether that differs from what it holds. Workers that are
-// to be left out get no orders from now on. The lock is held.
-func (s *Scheduler) roster() ([]pool.Entry, bool) {
-	var record []pool.Entry
-	added := false
+// roster returns what the record of workers should hold, and whether that differs from what it holds. A worker that does
+// not answer, or drains, is closed: it gets no orders from now on. Once nothing is left on it, it is left out. The lock
+// is held.
+func (s *Scheduler) roster() ([]port.Enlisted, bool) {
+	var record []port.Enlisted
+	changed := s.outdated
 	for id, k := range s.keepers {
 		_, unseen := s.unseen[id]
-		answered := k.worker.Seen() || time.Since(k.since) > silentFrom
-		if k.broken && answered && !unseen && len(k.worker.Runs()) == 0 {
-			s.outdated = s.outdated || s.recorded[id]
+		silent := k.broken && (k.worker.Seen() || time.Since(k.since) > silentFrom)
+		closed := silent || k.worker.Entry().Draining
+		open, known := s.recorded[id]
+		if closed && !unseen && len(k.worker.Runs()) == 0 {
+			changed = changed || known
 			delete(s.recorded, id)
 			continue
 		}
-		added = added || !s.recorded[id]
-		record = append(record, k.worker.Entry())
+		changed = changed || !known || open == closed
+		if closed {
+			s.recorded[id] = false
+		} else {
+			k.closed = 0
+		}
+		record = append(record, port.Enlisted{Entry: k.worker.Entry(), Closed: closed, ClosedAt: k.closed})
 	}
-	return record, added || s.outdated
+	s.outdated = changed
+	return record, changed
 }
 
-func (s *Scheduler) enlist(ctx context.Context, record []pool.Entry, revision ident.Revision) (ident.Revision, bool) {
+func (s *Scheduler) enlist(ctx context.Context, record []port.Enlisted, revision ident.Revision) (ident.Revision, bool) {
 	writing, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	committed, err := s.ports.Ledger.Commit(writing, port.Txn{
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -77,17 +77,18 @@
 	open     map[workflow.ID]*entry // jobs that are not over
 	dirty    map[workflow.ID]*entry // jobs with unrecorded progress that no commit carries
 	keepers  map[ident.WorkerID]*keeper
-	unseen   map[ident.WorkerID]int64 // workers of the last leader, with their births, that were not seen yet
-	enlisted ident.Revision           // of the record of workers
-	recorded map[ident.WorkerID]bool  // workers of the record that may get orders
-	outdated bool                     // the record has more workers than that
+	unseen   map[ident.WorkerID]port.Enlisted // workers of the last leader that were not seen yet
+	enlisted ident.Revision                   // of the record of workers
+	recorded map[ident.WorkerID]bool          // workers of the record that may get orders
+	outdated bool                             // the record has more workers than that
 	advisers map[ident.ProcessID]time.Time
 }
 
 // entry is a job with what the scheduler keeps beside the aggregate.
 type entry struct {
 	flow     *workflow.Workflow
-	queue    route.Queue // as it was when the job was accepted
+	created  ident.Revision // of the job's record; 0 when it is not known
+	queue    route.Queue    // as it was when the job was accepted
 	accepted time.Time
 	permits  map[workflow.StepRef]*permit.Permits
 	avoid    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed
@@ -106,7 +107,7 @@
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		jobs: map[workflow.ID]*entry{}, open: map[workflow.ID]*entry{}, dirty: map[workflow.ID]*entry{},
-		keepers: map[ident.WorkerID]*keeper{}, unseen: map[ident.WorkerID]int64{},
+		keepers: map[ident.WorkerID]*keeper{}, unseen: map[ident.WorkerID]port.Enlisted{},
 		recorded: map[ident.WorkerID]bool{}, advisers: map[ident.ProcessID]time.Time{},
 	}
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -162,8 +162,9 @@
 	DecodeProgress(raw []byte) (workflow.Progress, error)
 	EncodeLeader(l Leader) []byte
 	DecodeLeader(raw []byte) (Leader, error)
-	EncodeWorkers(workers []pool.Entry) []byte
-	DecodeWorkers(raw []byte) ([]pool.Entry, error)
+	EncodeWorkers(workers []Enlisted) []byte
+	// DecodeWorkers reads the record that has the revision.
+	DecodeWorkers(raw []byte, revision ident.Revision) ([]Enlisted, error)
 }
 
 // Keys and prefixes of what a cell keeps in the store.
@@ -175,6 +176,13 @@
 	WorkersKey     = "cell/workers" // workers that the leader gives orders to
 )
 
+// Enlisted is a worker of the record of workers that the leader gives orders to.
+type Enlisted struct {
+	pool.Entry
+	Closed   bool           // it gets no further orders
+	ClosedAt ident.Revision // of the record that closed it
+}
+
 // Scheduler answers for the jobs of the cell. Calls that fail with NotReady found no leader.
 type Scheduler interface {
 	// Record stores a job on behalf of a process that does not reach the store itself.
