Name in a call for permits as many workers as it needs

Cause: the service takes at most 100 workers in a call. Change: calls name workers until they have room for three times the tasks that are left, by the share of workers that the queue's policy has allowed so far, and never over 100. Only workers with a ticket are looked at when a step is placed, and placing pauses 4 ms between passes. Processes with a small share of a core leave the lead to others first.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -44,7 +44,8 @@
 
 // Election is one process's part in the election.
 type Election struct {
-	self     port.Leader // without a term
+	self     port.Leader   // without a term
+	patience time.Duration // for which the key is left to other processes
 	ledger   port.Ledger
 	records  port.Records
 	follower port.Follower
@@ -54,12 +55,13 @@
 	retire   sync.Once
 }
 
-// New returns a part that takes effect once Run is called.
+// New returns a part that takes effect once Run is called. A process with more patience leads only when none with less
+// does.
 func New(
-	self port.Leader, ledger port.Ledger, records port.Records, follower port.Follower, lead Lead, log *slog.Logger,
+	self port.Leader, patience time.Duration, ledger port.Ledger, records port.Records, follower port.Follower, lead Lead, log *slog.Logger,
 ) *Election {
 	return &Election{
-		self: self, ledger: ledger, records: records, follower: follower, lead: lead, log: log,
+		self: self, patience: patience, ledger: ledger, records: records, follower: follower, lead: lead, log: log,
 		retired: make(chan struct{}),
 	}
 }
@@ -100,12 +102,24 @@
 		}
 		if e.isRetired() {
 			pause.For(ctx, retryPause)
-		} else if ctx.Err() == nil {
+		} else if e.isVacantStill(ctx, s) {
 			e.takeAndLead(ctx, s)
 		}
 	}
 }
 
+// isVacantStill leaves the key to other processes for a while, and reports whether none took it.
+func (e *Election) isVacantStill(ctx context.Context, s seat) bool {
+	if e.patience <= 0 {
+		return ctx.Err() == nil
+	}
+	if !pause.For(ctx, e.patience) {
+		return false
+	}
+	now, err := e.read(ctx)
+	return err == nil && now.revision == s.revision
+}
+
 func (e *Election) read(ctx context.Context) (seat, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/app/scheduler/ask.go
+++ b/internal/app/scheduler/ask.go
@@ -9,15 +9,18 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
-	"skylarkstall/internal/domain/workflow"
 )
 
 // Asking for permits.
 const (
-	// maxAsked bounds the workers of a call for queues whose calls take long.
-	maxAsked = 30
-	// quickDecision is how short a call's own part is for all workers to be named in it.
-	quickDecision = 100 * time.Millisecond
+	// maxNamed is the service's bound of the workers of a call.
+	maxNamed = 100
+	// maxNamedSlow bounds the time of the calls that take long for each worker.
+	maxNamedSlow = 30
+	// quickWorker is up to how long a worker of a call takes for the call to be quick.
+	quickWorker = time.Millisecond
+	// namedRoom is for how many times the tasks that are left the workers of a call should have room.
+	namedRoom = 3
 	// longestQueue is how much may wait at every process before no further call is made.
 	longestQueue = 1500 * time.Millisecond
 	// askSlack is added to the time that a call should take.
@@ -28,9 +31,7 @@
 
 // question is a call for permits.
 type question struct {
-	entry   *entry
-	ref     workflow.StepRef
-	permits *permit.Permits
+	candidate
 	at      ident.ProcessID // that makes the call
 	workers []permit.Worker
 	timeout time.Duration
@@ -51,44 +52,69 @@
 
 // questionFor returns the call that helps the tasks that are left of a step, and false when none would. The lock is held.
 func (s *Scheduler) questionFor(c candidate, left int, now time.Time) (question, bool) {
-	permits := s.permitsOf(c)
-	if permits.Asking() {
+	if c.permits.Asking() {
 		return question{}, false
 	}
-	workers := s.worthAsking(c, permits, left, now)
+	workers := s.worthAsking(c, left, now)
 	if len(workers) == 0 {
 		return question{}, false
 	}
 	took := c.queue.Advice.Decision + time.Duration(len(workers))*c.queue.Advice.PerWorker
-	at, wait := s.adviserFor(took, now)
+	at, wait := s.adviserFor(now)
 	if wait > longestQueue {
 		return question{}, false
 	}
 	s.advisers[at] = now.Add(wait + took)
-	permits.Ask()
-	return question{c.entry, c.ref, permits, at, workers, wait + took + askSlack}, true
+	c.permits.Ask()
+	return question{c, at, workers, wait + took + askSlack}, true
 }
 
-// worthAsking returns the workers that have room and no valid ticket: first those known to be allowed, then the least
-// loaded. Workers that are known to be allowed are enough once they have room for what is left.
-func (s *Scheduler) worthAsking(c candidate, permits *permit.Permits, left int, now time.Time) []permit.Worker {
+// asked is a worker that could be named in a call.
+type asked struct {
+	worker  permit.Worker
+	allowed bool
+	score   float64
+	room    int
+}
+
+// worthAsking returns the workers to name: those known to be allowed first, then the least loaded, until they have room
+// enough by what the queue's policy allows as a rule.
+func (s *Scheduler) worthAsking(c candidate, left int, now time.Time) []permit.Worker {
+	options := s.askable(c, now)
+	limit := maxNamed
+	if c.queue.Advice.PerWorker > quickWorker {
+		limit = maxNamedSlow
+	}
+	share := s.shareOf(c.queue.Name).Value()
+	var workers []permit.Worker
+	room := 0.0
+	for _, o := range options {
+		if len(workers) == limit || room >= float64(namedRoom*left) {
+			break
+		}
+		workers = append(workers, o.worker)
+		if o.allowed {
+			room += float64(o.room)
+		} else {
+			room += share * float64(o.room)
+		}
+	}
+	return workers
+}
+
+// askable returns the workers with room and without a valid ticket, in the order in which they are named.
+func (s *Scheduler) askable(c candidate, now time.Time) []asked {
 	step := c.entry.flow.Step(c.ref)
 	request := pool.Request{Ref: c.ref, Step: step, Service: c.queue.Service, Now: now}
-	type option struct {
-		worker  permit.Worker
-		allowed bool
-		score   float64
-		room    int
-	}
-	var options []option
+	var options []asked
 	for id, k := range s.keepers {
 		w := permit.Worker{ID: id, Born: k.worker.Entry().Born}
-		if _, valid := permits.Ticket(w, now); valid || permits.Refused(w) || !k.worker.Eligible(&request) {
+		if !s.recorded[id] || c.permits.Refused(w) || c.permits.Valid(w, now) || !k.worker.Eligible(&request) {
 			continue
 		}
-		options = append(options, option{w, permits.Allowed(w), k.worker.Score(&request), k.worker.Room(step)})
+		options = append(options, asked{w, c.permits.Allowed(w), k.worker.Score(&request), k.worker.Room(step)})
 	}
-	slices.SortFunc(options, func(a, b option) int {
+	slices.SortFunc(options, func(a, b asked) int {
 		if a.allowed != b.allowed {
 			if a.allowed {
 				return -1
@@ -97,29 +123,21 @@
 		}
 		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
-	limit := maxAsked
-	if c.queue.Advice.Decision <= quickDecision {
-		limit = len(options)
-	}
-	var workers []permit.Worker
-	room := 0
-	for _, o := range options[:min(limit, len(options))] {
-		if !o.allowed && room >= 2*left {
-			break
-		}
-		workers = append(workers, o.worker)
-		if o.allowed {
-			room += o.room
-		}
+	return options
+}
+
+func (s *Scheduler) shareOf(queue string) *permit.Share {
+	if s.shares[queue] == nil {
+		s.shares[queue] = &permit.Share{}
 	}
-	return workers
+	return s.shares[queue]
 }
 
-// adviserFor returns the process with the least to wait for. The lock is held.
-func (s *Scheduler) adviserFor(took time.Duration, now time.Time) (ident.ProcessID, time.Duration) {
+// adviserFor returns the process with the least to wait for; this one comes last, because it leads. The lock is held.
+func (s *Scheduler) adviserFor(now time.Time) (ident.ProcessID, time.Duration) {
 	best, wait := s.self, max(s.advisers[s.self].Sub(now), 0)
 	for _, peer := range s.ports.Advisers.Peers() {
-		if w := max(s.advisers[peer].Sub(now), 0); w < wait || w == wait && best == s.self && took > quickDecision {
+		if w := max(s.advisers[peer].Sub(now), 0); w < wait || w == wait && best == s.self {
 			best, wait = peer, w
 		}
 	}
@@ -144,7 +162,7 @@
 		q.permits.GiveUp()
 		s.advisers[q.at] = time.Now().Add(askPenalty)
 	} else {
-		q.permits.Answer(q.workers, tickets)
+		s.shareOf(q.queue.Name).Observe(q.permits.Answer(q.workers, tickets))
 	}
 	s.poke()
 }
--- a/internal/app/scheduler/order.go
+++ b/internal/app/scheduler/order.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
@@ -176,11 +175,3 @@
 	defer s.mu.Unlock()
 	k.worker.Unpaced(pace.RunRef)
 }
-
-// ticketFor returns the ticket for a start on the worker, and false when it needs one and has none.
-func ticketFor(p *permit.Permits, id ident.WorkerID, born int64, now time.Time) (string, bool) {
-	if p == nil {
-		return "", true
-	}
-	return p.Ticket(permit.Worker{ID: id, Born: born}, now)
-}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -10,6 +10,7 @@
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
 )
 
@@ -40,14 +41,26 @@
 		for _, q := range questions {
 			s.running.Go(func() { s.ask(ctx, q) })
 		}
+		pause.For(ctx, placePause)
 	}
 }
 
+// placePause bounds the work of placing while much happens at once.
+const placePause = 4 * time.Millisecond
+
 // candidate is a step with tasks to start.
 type candidate struct {
-	entry *entry
-	ref   workflow.StepRef
-	queue route.Queue
+	entry   *entry
+	ref     workflow.StepRef
+	queue   route.Queue
+	permits *permit.Permits // nil where the queue needs none
+	options []option
+}
+
+// option is a worker that may run tasks of a step, as far as its queue's policy goes.
+type option struct {
+	keeper *keeper
+	ticket string
 }
 
 // place decides which tasks start now, and for which steps permits are asked.
@@ -58,6 +71,8 @@
 	var launches []launch
 	var questions []question
 	for _, c := range s.candidates(now) {
+		c.permits = s.permitsOf(c)
+		c.options = s.optionsFor(c, now)
 		placed, left := s.placeStep(c, now)
 		launches = append(launches, placed...)
 		if left == 0 || c.queue.Advice == nil {
@@ -83,7 +98,7 @@
 		}
 		queue := s.queueOf(e)
 		for _, ref := range refs {
-			list = append(list, candidate{e, ref, queue})
+			list = append(list, candidate{entry: e, ref: ref, queue: queue})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -95,12 +110,31 @@
 	return list
 }
 
+// optionsFor returns the workers that may run tasks of a step. The lock is held.
+func (s *Scheduler) optionsFor(c candidate, now time.Time) []option {
+	var options []option
+	if c.permits == nil {
+		for id, k := range s.keepers {
+			if s.recorded[id] {
+				options = append(options, option{keeper: k})
+			}
+		}
+		return options
+	}
+	for worker, ticket := range c.permits.Tickets(now) {
+		k := s.keepers[worker.ID]
+		if k != nil && s.recorded[worker.ID] && k.worker.Entry().Born == worker.Born {
+			options = append(options, option{k, ticket})
+		}
+	}
+	return options
+}
+
 // placeStep starts tasks of a step and returns how many are left.
 func (s *Scheduler) placeStep(c candidate, now time.Time) ([]launch, int) {
-	permits := s.permitsOf(c)
 	waiting := c.entry.flow.Waiting(c.ref)
 	if c.entry.flow.Step(c.ref).Gang {
-		return s.placeGang(c, permits, waiting, now)
+		return s.placeGang(c, waiting, now)
 	}
 	var launches []launch
 	for i, index := range waiting {
@@ -108,23 +142,20 @@
 		if !c.entry.flow.MayStart(task, c.queue.MaxAttempts) {
 			continue
 		}
-		k := s.choose(c, permits, task, "", now)
-		if k == nil && len(c.entry.avoid[task]) == 0 {
+		run := workflow.RunRef{Task: task, Run: c.entry.flow.NextRun(task, s.firstRun())}
+		l, ok := s.reserve(c, run, "", now)
+		if !ok && len(c.entry.avoid[task]) == 0 {
 			return launches, len(waiting) - i // the further tasks are alike
 		}
-		if k == nil {
-			continue
+		if ok {
+			launches = append(launches, l)
 		}
-		run := c.entry.flow.NextRun(task, s.firstRun())
-		launches = append(launches, s.reserve(c, permits, k, workflow.RunRef{Task: task, Run: run}, now))
 	}
 	return launches, len(waiting) - len(launches)
 }
 
 // placeGang starts all tasks of a gang or none.
-func (s *Scheduler) placeGang(
-	c candidate, permits *permit.Permits, waiting []int, now time.Time,
-) ([]launch, int) {
+func (s *Scheduler) placeGang(c candidate, waiting []int, now time.Time) ([]launch, int) {
 	step := c.entry.flow.Step(c.ref)
 	first := workflow.TaskRef{StepRef: c.ref}
 	if len(waiting) < step.Count || !c.entry.flow.MayStart(first, c.queue.MaxAttempts) {
@@ -132,7 +163,7 @@
 	}
 	run := c.entry.flow.NextRun(first, s.firstRun())
 	for _, rack := range s.racks(step) {
-		if launches := s.tryGang(c, permits, run, rack, now); launches != nil {
+		if launches := s.tryGang(c, run, rack, now); launches != nil {
 			return launches, 0
 		}
 	}
@@ -154,63 +185,60 @@
 	return append(racks, "")
 }
 
-func (s *Scheduler) tryGang(
-	c candidate, permits *permit.Permits, run workflow.Run, rack string, now time.Time,
-) []launch {
+func (s *Scheduler) tryGang(c candidate, run workflow.Run, rack string, now time.Time) []launch {
 	var launches []launch
 	for index := range c.entry.flow.Step(c.ref).Count {
 		task := workflow.TaskRef{StepRef: c.ref, Index: index}
-		k := s.choose(c, permits, task, rack, now)
-		if k == nil {
+		l, ok := s.reserve(c, workflow.RunRef{Task: task, Run: run}, rack, now)
+		if !ok {
 			for _, l := range launches {
 				l.keeper.worker.Release(l.order.RunRef)
 				c.entry.flow.Forget(l.order.RunRef, l.target.Worker)
 			}
 			return nil
 		}
-		launches = append(launches, s.reserve(c, permits, k, workflow.RunRef{Task: task, Run: run}, now))
+		launches = append(launches, l)
 	}
 	return launches
 }
 
-// choose returns the best worker for a task, or nil. A rack restricts the choice unless it is empty.
-func (s *Scheduler) choose(
-	c candidate, permits *permit.Permits, task workflow.TaskRef, rack string, now time.Time,
-) *keeper {
+// reserve takes room for a run on the best worker. A rack restricts the choice unless it is empty. It reports false when
+// no worker will do.
+func (s *Scheduler) reserve(c candidate, ref workflow.RunRef, rack string, now time.Time) (launch, bool) {
+	step := c.entry.flow.Step(c.ref)
+	best := c.choose(ref.Task, rack, now)
+	if best.keeper == nil || best.keeper.worker.Reserve(ref, step) != nil {
+		return launch{}, false
+	}
+	worker := best.keeper.worker
+	c.entry.flow.Start(workflow.Placement{RunRef: ref, Worker: worker.Entry().ID}, now)
+	until, _ := worker.HoldUntil(s.settings.holdLength(), now)
+	return launch{
+		keeper: best.keeper, entry: c.entry, target: best.keeper.target(),
+		order: port.StartOrder{
+			RunRef: ref, Payload: c.entry.flow.Spec().Payload, Checkpoint: c.entry.flow.Checkpoint(ref.Task),
+			Ticket: best.ticket, Token: s.term.Token, HoldUntil: until,
+		},
+	}, true
+}
+
+// choose returns the best worker for a task; one without a keeper when none will do.
+func (c *candidate) choose(task workflow.TaskRef, rack string, now time.Time) option {
 	request := pool.Request{
 		Ref: c.ref, Step: c.entry.flow.Step(c.ref), Service: c.queue.Service, Avoid: c.entry.avoid[task], Now: now,
 	}
-	var best *keeper
+	var best option
 	var bestScore float64
-	for id, k := range s.keepers {
-		if !s.recorded[id] || rack != "" && k.worker.Entry().Rack != rack || !k.worker.Eligible(&request) {
-			continue
-		}
-		if _, ok := ticketFor(permits, id, k.worker.Entry().Born, now); !ok {
+	for _, o := range c.options {
+		worker := o.keeper.worker
+		if rack != "" && worker.Entry().Rack != rack || !worker.Eligible(&request) {
 			continue
 		}
-		score := k.worker.Score(&request)
-		if best == nil || score < bestScore || score == bestScore && id < best.worker.Entry().ID {
-			best, bestScore = k, score
+		score := worker.Score(&request)
+		tie := best.keeper != nil && score == bestScore && worker.Entry().ID < best.keeper.worker.Entry().ID
+		if best.keeper == nil || score < bestScore || tie {
+			best, bestScore = o, score
 		}
 	}
 	return best
 }
-
-// reserve takes room for a run that choose found a worker for.
-func (s *Scheduler) reserve(
-	c candidate, permits *permit.Permits, k *keeper, ref workflow.RunRef, now time.Time,
-) launch {
-	worker := k.worker.Entry()
-	k.worker.Adopt(ref, c.entry.flow.Step(c.ref))
-	c.entry.flow.Start(workflow.Placement{RunRef: ref, Worker: worker.ID}, now)
-	until, _ := k.worker.HoldUntil(s.settings.holdLength(), now)
-	ticket, _ := ticketFor(permits, worker.ID, worker.Born, now)
-	return launch{
-		keeper: k, entry: c.entry, target: k.target(),
-		order: port.StartOrder{
-			RunRef: ref, Payload: c.entry.flow.Spec().Payload, Checkpoint: c.entry.flow.Checkpoint(ref.Task),
-			Ticket: ticket, Token: s.term.Token, HoldUntil: until,
-		},
-	}
-}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -81,7 +81,8 @@
 	enlisted ident.Revision                   // of the record of workers
 	recorded map[ident.WorkerID]bool          // workers of the record that may get orders
 	outdated bool                             // the record has more workers than that
-	advisers map[ident.ProcessID]time.Time
+	advisers map[ident.ProcessID]time.Time    // until when each is busy with calls for permits
+	shares   map[string]*permit.Share         // of the workers that each queue's policy allows
 }
 
 // entry is a job with what the scheduler keeps beside the aggregate.
@@ -109,6 +110,7 @@
 		jobs: map[workflow.ID]*entry{}, open: map[workflow.ID]*entry{}, dirty: map[workflow.ID]*entry{},
 		keepers: map[ident.WorkerID]*keeper{}, unseen: map[ident.WorkerID]port.Enlisted{},
 		recorded: map[ident.WorkerID]bool{}, advisers: map[ident.ProcessID]time.Time{},
+		shares: map[string]*permit.Share{},
 	}
 }
 
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -33,6 +33,7 @@
 	ConfigKey   string // where the operator writes the configuration
 	Bounds      scheduler.Settings
 	StopWithin  time.Duration // from the order to stop to being killed
+	Patience    time.Duration // for which leading is left to other processes
 	DrainServe  time.Duration // how long a stopping process still takes new connections
 }
 
@@ -87,7 +88,7 @@
 	n.mesh = cellwire.New(settings.Process, settings.Incarnation, listener, answers, log)
 	n.leader.remote = n.mesh
 	self := port.Leader{Process: settings.Process, Address: settings.Processes, Incarnation: settings.Incarnation}
-	n.election = leadership.New(self, platform.Ledger, cellwire.Records{}, n.mesh, n.lead(answers), log)
+	n.election = leadership.New(self, settings.Patience, platform.Ledger, cellwire.Records{}, n.mesh, n.lead(answers), log)
 	n.router = routing.New(settings.ConfigKey, platform.Ledger, n.leader, platform.Decode, n.table, log)
 	g := gateway.New(platform.Ledger, cellwire.Records{}, n.leader, log)
 	n.callers = &http.Server{
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -103,10 +103,20 @@
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), Callers: s.Callers,
 		Readiness: s.Readiness, Processes: s.Processes, ConfigKey: platform.ConfigKey,
 		Bounds:     scheduler.Settings{MaxHold: s.MaxHold, StatusKeep: s.StatusKeep},
-		StopWithin: s.StopWithin, DrainServe: platform.ReadyNotice,
+		StopWithin: s.StopWithin, DrainServe: platform.ReadyNotice, Patience: patience(s.Processor),
 	}
 }
 
+// Leading takes a share of a core that grows with the cell, so processes with less of it leave the lead to others first.
+const (
+	amplePart       = 0.4 // of a core
+	longestPatience = 400 * time.Millisecond
+)
+
+func patience(processor float64) time.Duration {
+	return time.Duration(max(1-processor/amplePart, 0) * float64(longestPatience))
+}
+
 func nodePlatform(s platform.Settings, log *slog.Logger) cellnode.Platform {
 	client := platform.NewClient()
 	store := platform.NewStore(client, s.Store)
--- a/internal/cli/platform_test.go
+++ b/internal/cli/platform_test.go
@@ -53,7 +53,7 @@
 // TestSettingsChange guards against a process that SIGHUP ends, and against settings that are not read again.
 func TestSettingsChange(t *testing.T) {
 	boot := filepath.Join(t.TempDir(), "local.conf")
-	text := "node=entry-1\nplatform.address=127.0.0.1:1\nadvice=127.0.0.1:1\nlimits.memoryMb=284\nbounds.maxHoldMs=6000\n" +
+	text := "node=entry-1\nplatform.address=127.0.0.1:1\nadvice=127.0.0.1:1\nlimits.cpuShare=0.4\nlimits.memoryMb=284\nbounds.maxHoldMs=6000\n" +
 		"bounds.status_s=120\nbounds.graceS=1\nlisten.front=" + localAddress(t) + "\nlisten.ready=" + localAddress(t) +
 		"\nlisten.control=" + localAddress(t) + "\nsomething.new=1\n"
 	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
