Refuse at once while the store is away, and find the leader through others

Change: a guard watches the way to the store and refuses writes that were not sent; processes tell one another their addresses and who leads, and a process follows by their word while it does not reach the store.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -100,10 +100,14 @@
 }
 
 // dispatch answers one call of another process.
-func dispatch(ctx context.Context, handler Handler, call *cellpb.Call) (*cellpb.Reply, error) {
+func (m *Mesh) dispatch(ctx context.Context, call *cellpb.Call) (*cellpb.Reply, error) {
+	handler := m.handler
 	switch body := call.GetBody().(type) {
 	case *cellpb.Call_Ping:
-		return &cellpb.Reply{}, nil
+		_, leads := handler.Leading()
+		return &cellpb.Reply{Leads: leads, Peers: m.known()}, nil
+	case *cellpb.Call_Leader:
+		return &cellpb.Reply{Leader: encodeLeader(m.leads())}, nil
 	case *cellpb.Call_Record:
 		return withJob(body.Record, func(job port.Accepted) error { return handler.Record(ctx, job) })
 	case *cellpb.Call_Notify:
--- a/internal/adapter/cellwire/mesh.go
+++ b/internal/adapter/cellwire/mesh.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,38 +42,65 @@
 type Handler interface {
 	port.Scheduler
 	port.Adviser
+	// Leading returns this process with its term, and false when it does not lead.
+	Leading() (port.Leader, bool)
 }
 
 // Mesh holds the session to the leader and the sessions that other processes have opened to this one.
 type Mesh struct {
-	self        ident.ProcessID
-	incarnation uint64
-	listener    net.Listener
-	handler     Handler
-	log         *slog.Logger
-
-	mu       sync.Mutex
-	leader   *session
-	sessions map[ident.ProcessID]*session // opened by others
-	running  sync.WaitGroup
+	self     port.Leader // without a term
+	listener net.Listener
+	handler  Handler
+	log      *slog.Logger
+
+	mu        sync.Mutex
+	leader    *session
+	following port.Leader                  // of the session to the leader
+	sessions  map[ident.ProcessID]*session // opened by others
+	addresses map[string]bool              // where processes of the cell listen, or did
+	running   sync.WaitGroup
 }
 
 // session is one connection between two processes.
 type session struct {
 	peer        ident.ProcessID
 	incarnation uint64
+	address     string // where the peer listens
 	conn        net.Conn
 	mux         *yamux.Session
 }
 
-// New returns a mesh that accepts sessions on the listener once Run is called.
-func New(self ident.ProcessID, incarnation uint64, listener net.Listener, handler Handler, log *slog.Logger) *Mesh {
-	return &Mesh{
-		self: self, incarnation: incarnation, listener: listener, handler: handler, log: log,
-		sessions: map[ident.ProcessID]*session{},
+// New returns a mesh that accepts sessions on the listener once Run is called. Seeds are addresses where other processes
+// may listen.
+func New(self port.Leader, listener net.Listener, seeds []string, handler Handler, log *slog.Logger) *Mesh {
+	m := &Mesh{
+		self: self, listener: listener, handler: handler, log: log, sessions: map[ident.ProcessID]*session{},
+		addresses: map[string]bool{},
+	}
+	m.learn(seeds...)
+	return m
+}
+
+// maxAddresses bounds the addresses that are kept.
+const maxAddresses = 256
+
+// learn keeps addresses where processes listen.
+func (m *Mesh) learn(addresses ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, address := range addresses {
+		if address != "" && address != m.self.Address && len(m.addresses) < maxAddresses {
+			m.addresses[address] = true
+		}
 	}
 }
 
+func (m *Mesh) known() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.addresses))
+}
+
 // Run accepts sessions until the context ends.
 func (m *Mesh) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = m.listener.Close() })
@@ -120,6 +149,7 @@
 		_ = old.conn.Close() // the peer has given it up
 	}
 	m.sessions[s.peer] = s
+	m.addresses[s.address] = true
 	return true
 }
 
@@ -136,7 +166,10 @@
 	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return nil, fault.As(fault.Unavailable, err, "open a session")
 	}
-	own := &cellpb.Hello{Version: protocolVersion, Process: string(m.self), Incarnation: m.incarnation}
+	own := &cellpb.Hello{
+		Version: protocolVersion, Process: string(m.self.Process), Incarnation: m.self.Incarnation,
+		Address: m.self.Address,
+	}
 	if err := frame.Write(conn, own); err != nil {
 		return nil, fault.As(fault.Unavailable, err, "open a session")
 	}
@@ -157,7 +190,8 @@
 		return nil, fault.As(fault.Unavailable, err, "open a session")
 	}
 	return &session{
-		peer: ident.ProcessID(hello.GetProcess()), incarnation: hello.GetIncarnation(), conn: conn, mux: mux,
+		peer: ident.ProcessID(hello.GetProcess()), incarnation: hello.GetIncarnation(), address: hello.GetAddress(),
+		conn: conn, mux: mux,
 	}, nil
 }
 
@@ -204,8 +238,8 @@
 		m.log.Info("another process answers for the leader", "leader", leader.Process, "answers", s.peer)
 		return port.LeaderGone
 	}
-	m.setLeader(s)
-	defer m.setLeader(nil)
+	m.setLeader(s, leader)
+	defer m.setLeader(nil, port.Leader{})
 	m.log.Info("session opened", "peer", s.peer, "by", "self")
 	m.running.Go(func() { _ = m.serve(ctx, s) }) // ends with the session
 	err = m.watch(ctx, s)
@@ -213,21 +247,82 @@
 	return port.LeaderLeft
 }
 
-func (m *Mesh) setLeader(s *session) {
+func (m *Mesh) setLeader(s *session, leader port.Leader) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.leader = s
+	m.leader, m.following = s, leader
+}
+
+// AskLeader asks the processes that are known who leads, and returns the answer with the highest term. It reports false
+// when none knows.
+func (m *Mesh) AskLeader(ctx context.Context) (port.Leader, bool) {
+	asking, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	addresses := m.known()
+	answers := make(chan port.Leader, len(addresses))
+	for _, address := range addresses {
+		m.running.Go(func() { answers <- m.askAt(asking, address) })
+	}
+	var best port.Leader
+	for range addresses {
+		if answer := <-answers; answer.Term > best.Term {
+			best = answer
+		}
+	}
+	return best, best.Term > 0
 }
 
-// watch sends pings until one stays unanswered.
+// askAt returns who leads by the word of the process at an address; no term when it does not know.
+func (m *Mesh) askAt(ctx context.Context, address string) port.Leader {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return port.Leader{} // addresses may be stale
+	}
+	defer conn.Close()
+	s, err := m.open(conn, yamux.Client)
+	if err != nil {
+		return port.Leader{}
+	}
+	defer s.mux.Close()
+	reply, err := s.call(ctx, &cellpb.Call{Body: &cellpb.Call_Leader{Leader: true}})
+	if err != nil {
+		m.log.Info("process did not tell who leads", "peer", s.peer, "error", err)
+		return port.Leader{}
+	}
+	return decodeLeader(reply.GetLeader())
+}
+
+// leads returns who leads as far as this process knows.
+func (m *Mesh) leads() port.Leader {
+	if own, ok := m.handler.Leading(); ok {
+		return own
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.following
+}
+
+// notLeadingFor is how long the process that should lead may say that it does not: it may just begin.
+const notLeadingFor = time.Second
+
+// watch sends pings until one stays unanswered, or the process does not lead any more.
 func (m *Mesh) watch(ctx context.Context, s *session) error {
+	patience := time.Now().Add(notLeadingFor)
 	for ctx.Err() == nil {
 		pinging, cancel := context.WithTimeout(ctx, pingTimeout)
-		_, err := s.call(pinging, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}})
+		reply, err := s.call(pinging, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}})
 		cancel()
 		if err != nil {
 			return err
 		}
+		m.learn(reply.GetPeers()...)
+		led := reply.GetLeads()
+		if !led && !time.Now().Before(patience) {
+			return fault.New(fault.NotReady, "%s does not lead any more", s.peer)
+		}
+		if led {
+			patience = time.Now().Add(notLeadingFor)
+		}
 		select {
 		case <-s.mux.CloseChan():
 			return fault.New(fault.Unavailable, "the connection broke")
@@ -284,7 +379,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
-	reply, err := dispatch(ctx, m.handler, call)
+	reply, err := m.dispatch(ctx, call)
 	if err != nil {
 		reply = &cellpb.Reply{Failure: &cellpb.Failure{Kind: uint32(fault.KindOf(err)), Message: err.Error()}}
 	}
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -187,9 +187,13 @@
 
 // EncodeLeader returns the record of who leads.
 func (Records) EncodeLeader(l port.Leader) []byte {
-	return marshal(&cellpb.Leader{
+	return marshal(encodeLeader(l))
+}
+
+func encodeLeader(l port.Leader) *cellpb.Leader {
+	return &cellpb.Leader{
 		Process: string(l.Process), Address: l.Address, Incarnation: l.Incarnation, Term: l.Term,
-	})
+	}
 }
 
 // DecodeLeader is the inverse of EncodeLeader. It fails with Invalid.
@@ -198,10 +202,14 @@
 	if err := unmarshal(raw, m, "the leader"); err != nil {
 		return port.Leader{}, err
 	}
+	return decodeLeader(m), nil
+}
+
+func decodeLeader(m *cellpb.Leader) port.Leader {
 	return port.Leader{
 		Process: ident.ProcessID(m.GetProcess()), Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
 		Term: m.GetTerm(),
-	}, nil
+	}
 }
 
 // EncodeWorkers returns the record of the workers in use.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"skylarkstall/internal/domain/route"
@@ -21,8 +20,6 @@
 	retryPause    = 50 * time.Millisecond
 	// answerReserve is kept of a caller's time for sending the answer.
 	answerReserve = 150 * time.Millisecond
-	// storeTrial is how often a job tries a store that gave no answer; the others are refused meanwhile.
-	storeTrial = 400 * time.Millisecond
 )
 
 // Gateway is one process's service for callers.
@@ -31,10 +28,6 @@
 	records port.Records
 	leader  port.Scheduler
 	log     *slog.Logger
-
-	mu      sync.Mutex
-	silent  bool      // the last write to the store got no answer
-	trialAt time.Time // when the next job may try it
 }
 
 // New returns a gateway.
@@ -48,10 +41,6 @@
 	if err := spec.Check(); err != nil {
 		return err
 	}
-	if !g.mayTry(time.Now()) {
-		g.log.Info("job refused", "job", spec.ID, "queue", queue.Name, "reason", "the store does not answer")
-		return fault.New(fault.StoreUnavailable, "the store does not answer; the job was not accepted")
-	}
 	job := port.Accepted{Spec: spec, Queue: queue, At: time.Now()}
 	err := g.store(ctx, job)
 	g.log.Info("job submitted", "job", spec.ID, "queue", queue.Name, "steps", len(spec.Steps),
@@ -66,32 +55,6 @@
 	return fault.KindOf(err).String()
 }
 
-// mayTry reports whether a job may be tried on the store now.
-func (g *Gateway) mayTry(now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.silent {
-		return true
-	}
-	if now.Before(g.trialAt) {
-		return false
-	}
-	g.trialAt = now.Add(storeTrial)
-	return true
-}
-
-func (g *Gateway) note(silent bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if silent != g.silent {
-		g.log.Warn("store", "answers", !silent)
-	}
-	if silent && !g.silent {
-		g.trialAt = time.Now().Add(storeTrial)
-	}
-	g.silent = silent
-}
-
 // store writes the job, itself or through the leader. A write without an answer is repeated under the same condition
 // until it is known, because it may still be carried out.
 func (g *Gateway) store(ctx context.Context, job port.Accepted) error {
@@ -130,7 +93,6 @@
 		If:     []port.Condition{{Key: key}},
 		Writes: []port.Write{{Key: key, Value: g.records.EncodeJob(job)}},
 	})
-	g.note(fault.Is(err, fault.Interrupted))
 	if fault.Is(err, fault.Conflict) {
 		return nil // it is there already
 	}
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -92,6 +92,7 @@
 		s, err := e.read(ctx)
 		if err != nil {
 			e.log.Warn("leader not read", "error", err)
+			e.followByWord(ctx)
 			pause.For(ctx, retryPause)
 			continue
 		}
@@ -161,6 +162,30 @@
 	return dead
 }
 
+// followByWord follows the leader that other processes name, until the session breaks or the store is reached.
+func (e *Election) followByWord(ctx context.Context) {
+	leader, ok := e.follower.AskLeader(ctx)
+	if !ok || leader.Incarnation == e.self.Incarnation {
+		return
+	}
+	e.log.Info("following by the word of other processes", "leader", leader.Process, "term", leader.Term)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer cancel()
+		e.follower.Follow(ctx, leader)
+	}()
+	for pause.For(ctx, 2*retryPause) {
+		if _, err := e.read(ctx); err == nil {
+			break
+		}
+	}
+	cancel()
+	<-ended
+}
+
 // attend keeps a session to the leader. It returns true once the leader is certainly gone.
 func (e *Election) attend(ctx context.Context, leader port.Leader) bool {
 	for ctx.Err() == nil {
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -16,6 +16,7 @@
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/app/routing"
 	"skylarkstall/internal/app/scheduler"
+	"skylarkstall/internal/app/storeguard"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
@@ -26,11 +27,12 @@
 // Settings are the settings of a process.
 type Settings struct {
 	Process     ident.ProcessID
-	Incarnation uint64 // differs between starts of a process
-	Callers     string // host:port
-	Readiness   string // host:port
-	Processes   string // host:port
-	ConfigKey   string // where the operator writes the configuration
+	Incarnation uint64   // differs between starts of a process
+	Callers     string   // host:port
+	Readiness   string   // host:port
+	Processes   string   // host:port
+	Seeds       []string // host:port of other processes, which may be stale
+	ConfigKey   string   // where the operator writes the configuration
 	Bounds      scheduler.Settings
 	StopWithin  time.Duration // from the order to stop to being killed
 	Patience    time.Duration // for which leading is left to other processes
@@ -66,6 +68,7 @@
 	table    *route.Table
 	leader   *leader
 	mesh     *cellwire.Mesh
+	store    *storeguard.Guard
 	election *leadership.Election
 	router   *routing.Router
 	callers  *http.Server
@@ -85,12 +88,14 @@
 	}
 	answers := &local{adviser: platform.Adviser}
 	answers.remote = notLeading{}
-	n.mesh = cellwire.New(settings.Process, settings.Incarnation, listener, answers, log)
-	n.leader.remote = n.mesh
 	self := port.Leader{Process: settings.Process, Address: settings.Processes, Incarnation: settings.Incarnation}
-	n.election = leadership.New(self, settings.Patience, platform.Ledger, cellwire.Records{}, n.mesh, n.lead(answers), log)
-	n.router = routing.New(settings.ConfigKey, platform.Ledger, n.leader, platform.Decode, n.table, log)
-	g := gateway.New(platform.Ledger, cellwire.Records{}, n.leader, log)
+	answers.self = self
+	n.mesh = cellwire.New(self, listener, settings.Seeds, answers, log)
+	n.leader.remote = n.mesh
+	n.store = storeguard.New(platform.Ledger, log)
+	n.election = leadership.New(self, settings.Patience, n.store, cellwire.Records{}, n.mesh, n.lead(answers), log)
+	n.router = routing.New(settings.ConfigKey, n.store, n.leader, platform.Decode, n.table, log)
+	g := gateway.New(n.store, cellwire.Records{}, n.leader, log)
 	n.callers = &http.Server{
 		Handler: platform.Callers(g, n.table), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -103,10 +108,11 @@
 func (n *Node) lead(answers *local) leadership.Lead {
 	return func(ctx context.Context, term leadership.Term) {
 		ports := scheduler.Ports{
-			Ledger: n.platform.Ledger, Records: cellwire.Records{}, Runner: n.platform.Runner,
+			Ledger: n.store, Records: cellwire.Records{}, Runner: n.platform.Runner,
 			Workers: n.platform.Workers, Adviser: n.platform.Adviser, Advisers: n.mesh,
 		}
 		s := scheduler.New(n.settings.Process, n.settings.Bounds, ports, n.table, term, n.log)
+		answers.term.Store(term.Number)
 		n.leader.own.Store(s)
 		answers.own.Store(s)
 		s.Run(ctx)
@@ -134,6 +140,7 @@
 	group.Go(func() error { return n.mesh.Run(work) })
 	group.Go(func() error { n.election.Run(work); return nil })
 	group.Go(func() error { n.router.Run(work); return nil })
+	group.Go(func() error { n.store.Run(work); return nil })
 	group.Go(func() error { return n.serve(n.callers, n.settings.Callers) })
 	group.Go(func() error { return n.serve(n.ready, n.settings.Readiness) })
 	group.Go(func() error {
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -52,6 +52,18 @@
 type local struct {
 	leader
 	adviser port.Adviser
+	self    port.Leader // without a term
+	term    atomic.Uint64
+}
+
+// Leading implements cellwire.Handler.
+func (l *local) Leading() (port.Leader, bool) {
+	if l.own.Load() == nil {
+		return port.Leader{}, false
+	}
+	self := l.self
+	self.Term = l.term.Load()
+	return self, true
 }
 
 // notLeading refuses calls for the leader.
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -93,15 +94,15 @@
 		}
 		limitMemory(next)
 		applied := settings
-		applied.MemoryMiB = next.MemoryMiB
-		log.Info("settings read again", "memory_mib", next.MemoryMiB, "needs_restart", next != applied)
+		applied.MemoryMiB, applied.Seeds = next.MemoryMiB, next.Seeds // seeds count at the start only
+		log.Info("settings read again", "memory_mib", next.MemoryMiB, "needs_restart", !reflect.DeepEqual(next, applied))
 	}
 }
 
 func nodeSettings(s platform.Settings) cellnode.Settings {
 	return cellnode.Settings{
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), Callers: s.Callers,
-		Readiness: s.Readiness, Processes: s.Processes, ConfigKey: platform.ConfigKey,
+		Readiness: s.Readiness, Processes: s.Processes, Seeds: s.Seeds, ConfigKey: platform.ConfigKey,
 		Bounds:     scheduler.Settings{MaxHold: s.MaxHold, StatusKeep: s.StatusKeep},
 		StopWithin: s.StopWithin, DrainServe: platform.ReadyNotice, Patience: patience(s.Processor),
 	}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -152,6 +152,8 @@
 // Follower keeps a session to the leader until it breaks.
 type Follower interface {
 	Follow(ctx context.Context, leader Leader) Liveness
+	// AskLeader asks other processes who leads, and reports false when none knows.
+	AskLeader(ctx context.Context) (Leader, bool)
 }
 
 // Records encodes what a cell keeps in the store. Decoding fails with Invalid.
