Log each decision about a job, count events and calls, and explain a job from logs

Cause: the engineers on call have only logs and metrics, and a run's way was not in them. Change: a log with a bounded buffer and a writer of its own, which drops lines about single jobs last and tells how many; counters and latency histograms of events and calls on the metrics port; 'skylarkstall explain' joins the lines about a job and names the cause. Calls for permits name at least 16 workers, or 8 where they take long: with as few as needed the tasks of a step crowded on one worker and each repeated run asked again.

--- a/internal/app/scheduler/ask.go
+++ b/internal/app/scheduler/ask.go
@@ -19,6 +19,9 @@
 	maxNamedSlow = 30
 	// quickWorker is up to how long a worker of a call takes for the call to be quick.
 	quickWorker = time.Millisecond
+	// leastNamed leaves a choice of workers, also for runs that follow failed ones.
+	leastNamed     = 16
+	leastNamedSlow = 8
 	// namedRoom is for how many times the tasks that are left the workers of a call should have room.
 	namedRoom = 3
 	// longestQueue is how much may wait at every process before no further call is made.
@@ -81,15 +84,15 @@
 // enough by what the queue's policy allows as a rule.
 func (s *Scheduler) worthAsking(c candidate, left int, now time.Time) []permit.Worker {
 	options := s.askable(c, now)
-	limit := maxNamed
+	least, limit := leastNamed, maxNamed
 	if c.queue.Advice.PerWorker > quickWorker {
-		limit = maxNamedSlow
+		least, limit = leastNamedSlow, maxNamedSlow
 	}
 	share := s.shareOf(c.queue.Name).Value()
 	var workers []permit.Worker
 	room := 0.0
 	for _, o := range options {
-		if len(workers) == limit || room >= float64(namedRoom*left) {
+		if len(workers) == limit || len(workers) >= least && room >= float64(namedRoom*left) {
 			break
 		}
 		workers = append(workers, o.worker)
@@ -154,8 +157,8 @@
 	asking, cancel := context.WithTimeout(ctx, q.timeout)
 	defer cancel()
 	tickets, err := s.adviseAt(asking, q, ids)
-	s.log.Debug("permits asked", "step", q.ref.String(), "at", q.at, "workers", len(ids), "allowed", len(tickets),
-		"took_ms", time.Since(began).Milliseconds(), "error", err)
+	s.log.Info("permits asked", "step", q.ref.String(), "at", q.at, "workers", len(ids), "allowed", len(tickets),
+		"took_ms", time.Since(began).Milliseconds(), "kind", outcome(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
--- a/internal/app/scheduler/keeper.go
+++ b/internal/app/scheduler/keeper.go
@@ -227,8 +227,8 @@
 		e.avoid[end.Run.Task][worker] = true
 	}
 	verdict := e.flow.Ended(end, worker, s.queueOf(e).MaxAttempts)
-	s.log.Debug("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.How.String(),
-		"job_state", e.flow.State().String())
+	s.log.Info("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.How.String(),
+		"job_state", e.flow.State().String(), "recorded_first", verdict.Changed)
 	s.stopAll(verdict.Stop)
 	if !verdict.Changed {
 		return nil, 0
--- a/internal/app/scheduler/order.go
+++ b/internal/app/scheduler/order.go
@@ -26,6 +26,16 @@
 	entry  *entry
 	target port.Target
 	order  port.StartOrder
+	seen   time.Duration // since the worker's last answer
+	free   string        // room that the worker had
+}
+
+// outcome names how a call ended.
+func outcome(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return fault.KindOf(err).String()
 }
 
 // start orders a run, and finds out what became of it.
@@ -34,8 +44,9 @@
 	starting, cancel := context.WithTimeout(ctx, orderTimeout)
 	clock, err := s.ports.Runner.Start(starting, l.target, l.order)
 	cancel()
-	s.log.Debug("run ordered", "task", l.order.Task.String(), "run", l.order.Run, "worker", l.target.Worker,
-		"took_ms", time.Since(sent).Milliseconds(), "error", err)
+	s.log.Info("run ordered", "task", l.order.Task.String(), "run", l.order.Run, "worker", l.target.Worker,
+		"age_ms", sent.Sub(l.entry.accepted).Milliseconds(), "seen_ms", l.seen.Milliseconds(), "free", l.free,
+		"took_ms", time.Since(sent).Milliseconds(), "kind", outcome(err))
 	switch {
 	case err == nil:
 		s.started(l, clock, sent)
@@ -167,7 +178,8 @@
 	pacing, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	err := s.ports.Runner.Pace(pacing, target, pace, s.term.Token)
-	s.log.Debug("run paced", "task", pace.Task.String(), "worker", target.Worker, "percent", pace.Percent, "error", err)
+	s.log.Info("run paced", "task", pace.Task.String(), "run", pace.Run, "worker", target.Worker, "percent", pace.Percent,
+		"kind", outcome(err))
 	if err == nil {
 		return
 	}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -207,14 +207,18 @@
 func (s *Scheduler) reserve(c candidate, ref workflow.RunRef, rack string, now time.Time) (launch, bool) {
 	step := c.entry.flow.Step(c.ref)
 	best := c.choose(ref.Task, rack, now)
-	if best.keeper == nil || best.keeper.worker.Reserve(ref, step) != nil {
+	if best.keeper == nil {
 		return launch{}, false
 	}
 	worker := best.keeper.worker
+	free := worker.Free().String()
+	if worker.Reserve(ref, step) != nil {
+		return launch{}, false
+	}
 	c.entry.flow.Start(workflow.Placement{RunRef: ref, Worker: worker.Entry().ID}, now)
 	until, _ := worker.HoldUntil(s.settings.holdLength(), now)
 	return launch{
-		keeper: best.keeper, entry: c.entry, target: best.keeper.target(),
+		keeper: best.keeper, entry: c.entry, target: best.keeper.target(), seen: worker.Silent(now), free: free,
 		order: port.StartOrder{
 			RunRef: ref, Payload: c.entry.flow.Spec().Payload, Checkpoint: c.entry.flow.Checkpoint(ref.Task),
 			Ticket: best.ticket, Token: s.term.Token, HoldUntil: until,
--- a/internal/app/storeguard/storeguard.go
+++ b/internal/app/storeguard/storeguard.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -61,7 +62,7 @@
 
 // note keeps what a call says about the way to the store. A call that its own caller gave up says nothing.
 func (g *Guard) note(ctx context.Context, err error) {
-	if context.Cause(ctx) == context.Canceled {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	away := fault.Is(err, fault.Interrupted) || fault.Is(err, fault.Unavailable)
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -121,6 +121,15 @@
 	}
 }
 
+// State is what the process shows of itself.
+func (n *Node) State() port.CellState {
+	state := port.CellState{ConfigVersion: n.table.Config().Version}
+	if own := n.leader.own.Load(); own != nil {
+		own.Show(&state)
+	}
+	return state
+}
+
 // isReady reports whether new connections of callers are welcome.
 func (n *Node) isReady() bool {
 	select {
@@ -133,7 +142,7 @@
 
 // Run serves until the context ends, and then drains.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Info("process started", "process", n.settings.Process, "incarnation", n.settings.Incarnation)
+	n.log.Info("process started", "incarnation", n.settings.Incarnation)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,7 +59,7 @@
 		FlagSet:    a.flags("skylarkstall"),
 		Subcommands: []*ffcli.Command{
 			a.serve(), a.platform(), a.dev(), a.run(), a.submit(), a.status(), a.wait(), a.cancel(),
-			a.cell(), a.timeline(), a.document(), a.version(),
+			a.cell(), a.timeline(), a.explain(), a.document(), a.version(),
 			a.load(), a.report(), a.replay(), a.standin(),
 		},
 	}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -2,22 +2,28 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"reflect"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"skylarkstall/internal/adapter/metrics"
 	"skylarkstall/internal/app/gateway"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/cellnode"
 	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/eventlog"
 	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
 	"skylarkstall/platform"
 )
 
@@ -31,6 +37,7 @@
 	fs := a.flags("skylarkstall platform")
 	boot := fs.String("boot", "", "path of the settings file that the platform writes")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
+	port := fs.Int("metrics-port", 9464, "port of /metrics; 0 for none")
 	return &ffcli.Command{
 		Name: "platform", ShortUsage: "skylarkstall platform [flags]",
 		ShortHelp: "Run one process in front of the users' workers.",
@@ -41,12 +48,12 @@
 			if len(args) > 0 {
 				return fault.New(fault.Invalid, "unexpected argument %q", args[0])
 			}
-			return a.runPlatform(ctx, *boot, *level)
+			return a.runPlatform(ctx, *boot, *level, *port)
 		},
 	}
 }
 
-func (a *app) runPlatform(ctx context.Context, boot, level string) error {
+func (a *app) runPlatform(ctx context.Context, boot, level string, metricsPort int) error {
 	changes := make(chan os.Signal, 1)
 	signal.Notify(changes, syscall.SIGHUP) // without a handler the signal would end the process
 	defer signal.Stop(changes)
@@ -63,15 +70,51 @@
 	}
 	limitMemory(settings)
 	debug.SetGCPercent(collectPercent)
-	log := slog.New(slog.NewTextHandler(a.out, &slog.HandlerOptions{Level: l})).With("process", settings.Process)
-	node, err := cellnode.New(nodeSettings(settings), nodePlatform(settings, log), log)
+	counts := metrics.NewCell()
+	defer counts.Close() //nolint:errcheck // nobody is left to tell
+	events := eventlog.New(a.out, l, counts.Event)
+	log := events.Logger("process", settings.Process)
+	node, err := cellnode.New(nodeSettings(settings), nodePlatform(settings, counts.Call, log), log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(ctx)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		events.Run(work)
+	}()
+	go reload(work, changes, boot, settings, log)
+	go counts.Run(work, func() port.CellState {
+		state := node.State()
+		state.LogLinesDropped = events.Dropped()
+		return state
+	})
+	if metricsPort > 0 {
+		go serveMetrics(work, net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)), counts.Handler(), log)
+	}
+	err = node.Run(ctx)
+	stop()
+	select {
+	case <-written:
+	case <-time.After(lastLines):
+	}
+	return err
+}
+
+// lastLines is how long the end of a process waits for a reader of its log.
+const lastLines = 300 * time.Millisecond
+
+// serveMetrics answers scrapes. A process works without them.
+func serveMetrics(ctx context.Context, address string, handler http.Handler, log *slog.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", handler)
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	go reload(ctx, changes, boot, settings, log)
-	return node.Run(ctx)
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		log.Warn("metrics not served", "address", address, "error", err)
+	}
 }
 
 func limitMemory(settings platform.Settings) {
@@ -118,8 +161,8 @@
 	return time.Duration(max(1-processor/amplePart, 0) * float64(longestPatience))
 }
 
-func nodePlatform(s platform.Settings, log *slog.Logger) cellnode.Platform {
-	client := platform.NewClient()
+func nodePlatform(s platform.Settings, observe platform.Observe, log *slog.Logger) cellnode.Platform {
+	client := platform.NewClient(observe)
 	store := platform.NewStore(client, s.Store)
 	return cellnode.Platform{
 		Ledger: store, Runner: platform.NewRunners(client), Workers: platform.NewWorkers(store, log),
--- a/internal/cli/platform_test.go
+++ b/internal/cli/platform_test.go
@@ -62,7 +62,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	out := &lines{}
 	ended := make(chan int)
-	go func() { ended <- Main(ctx, []string{"platform", "--boot", boot}, out, io.Discard) }()
+	go func() {
+		ended <- Main(ctx, []string{"platform", "--boot", boot, "--metrics-port", "0"}, out, io.Discard)
+	}()
 	out.await(t, "process started")
 	if err := os.WriteFile(boot, []byte(strings.Replace(text, "=284", "=200", 1)), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/domain/workflow/workflow_test.go
+++ b/internal/domain/workflow/workflow_test.go
@@ -146,8 +146,10 @@
 	w := job(workflow.Step{Count: 1})
 	first := workflow.Placement{RunRef: run(0, 0, 1), Worker: "w"}
 	second := workflow.Placement{RunRef: run(0, 0, 2), Worker: "v"}
-	if !w.Adopt(first, now) || !w.Adopt(first, now) {
-		t.Fatal("the only run is not kept")
+	for range 2 {
+		if !w.Adopt(first, now) {
+			t.Fatal("the only run is not kept")
+		}
 	}
 	if w.Adopt(second, now) {
 		t.Fatal("a second run is kept")
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,95 @@
+package eventlog_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"skylarkstall/internal/eventlog"
+)
+
+// TestNobodyReads guards against a process that waits for whoever reads its log, and against a log without a bound. Lines
+// about single jobs are dropped last.
+func TestNobodyReads(t *testing.T) {
+	reader, writer := io.Pipe()
+	defer func() { _ = reader.Close() }()
+	log := eventlog.New(writer, slog.LevelInfo, nil)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		log.Run(ctx)
+	}()
+	logger := log.Logger("process", "entry-1")
+	logger.Info("process started")
+	began := time.Now()
+	general, jobs := 0, 0
+	for i := range 40_000 {
+		logger.Info("worker not reached", "worker", i)
+		before := log.Dropped()
+		logger.Info("job submitted", "job", i)
+		if log.Dropped() == before {
+			jobs++
+		}
+		general++
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("%d lines took %v", general+jobs, took)
+	}
+	if log.Dropped() == 0 {
+		t.Fatal("no line was dropped")
+	}
+	var text strings.Builder
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(&text, reader)
+	}()
+	stop()
+	<-ended
+	_ = writer.Close()
+	<-read
+	lines := strings.Count(text.String(), "msg=\"worker not reached\"")
+	kept := strings.Count(text.String(), "msg=\"job submitted\"")
+	if kept <= lines || text.Len() > 3<<20 {
+		t.Errorf("%d lines about jobs and %d others kept, in %d bytes", kept, lines, text.Len())
+	}
+	if !strings.Contains(text.String(), `msg="log lines dropped" event="worker not reached" lines=`) {
+		t.Error("nothing tells how many lines were dropped")
+	}
+}
+
+// TestObserve guards against counts that miss events below the level, or take an attribute wrongly.
+func TestObserve(t *testing.T) {
+	var mu sync.Mutex
+	var got []string
+	log := eventlog.New(io.Discard, slog.LevelWarn, func(e eventlog.Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		got = append(got, fmt.Sprint(e.Name, "/", e.Outcome, "/", e.Took))
+	})
+	logger := log.Logger()
+	logger.Info("job over", "state", "completed", "took_ms", int64(1500))
+	logger.Debug("run ended", "how", "done")
+	want := "[job over/completed/1.5s run ended/done/-1ns]"
+	if fmt.Sprint(got) != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	log := eventlog.New(io.Discard, slog.LevelInfo, func(eventlog.Event) {})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go log.Run(ctx)
+	logger := log.Logger("process", "entry-1")
+	b.ReportAllocs()
+	for i := range b.N {
+		logger.Info("run ordered", "task", "00aa.0.0.1", "run", 1, "worker", "w1", "took_ms", int64(i))
+	}
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -185,6 +185,18 @@
 	ClosedAt ident.Revision // of the record that closed it
 }
 
+// CellState is what a process shows of itself.
+type CellState struct {
+	Leads           bool
+	ConfigVersion   uint64
+	LogLinesDropped int64
+	Workers         int         // that the leader holds
+	Runs            int         // on them
+	Doubtful        int         // starts whose fate is open
+	Unrecorded      int         // jobs whose progress is not recorded
+	Waiting         map[int]int // tasks to start, by priority
+}
+
 // Scheduler answers for the jobs of the cell. Calls that fail with NotReady found no leader.
 type Scheduler interface {
 	// Record stores a job on behalf of a process that does not reach the store itself.
