Move stalled runs, copy runs of silent workers, and find a lost leader sooner

The fourth entry of a running row is progress, and was taken for the pace. Change: lease 2 s to 1.5 s, hold 4 s to 3.5 s, looks of 0.8 s, silent workers are asked again after 250 ms; copies start where a step allows them; runs without progress are stopped and go on elsewhere.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -17,9 +17,9 @@
 // Times of the election.
 const (
 	// leaseTTL is how long a leader that lost power keeps the key.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 1500 * time.Millisecond
 	// renewInterval leaves two further tries before the lease ends.
-	renewInterval = 600 * time.Millisecond
+	renewInterval = 400 * time.Millisecond
 	callTimeout   = 400 * time.Millisecond
 	// watchWait is how long one call waits for another leader.
 	watchWait  = 3 * time.Second
--- a/internal/app/scheduler/keeper.go
+++ b/internal/app/scheduler/keeper.go
@@ -14,9 +14,13 @@
 
 // Times of looking at a worker.
 const (
-	lookWait    = time.Second // how long a look waits for an end
-	lookTimeout = 600 * time.Millisecond
-	lookPause   = 100 * time.Millisecond
+	lookWait    = 800 * time.Millisecond // how long a look waits for an end
+	lookTimeout = 450 * time.Millisecond
+	// A worker that did not answer is asked again soon: its silence holds up other work.
+	askAgainTimeout = 250 * time.Millisecond
+	askAgainPause   = 50 * time.Millisecond
+	// copyAfter is how long a worker is silent before copies of its runs start elsewhere, where a step allows them.
+	copyAfter = 300 * time.Millisecond
 	// ackWait is how long the next look waits for ends to be recorded.
 	ackWait = 250 * time.Millisecond
 )
@@ -58,7 +62,7 @@
 func (s *Scheduler) hold(ctx context.Context, k *keeper) {
 	for ctx.Err() == nil {
 		if err := s.look(ctx, k, lookWait); err != nil {
-			pause.For(ctx, lookPause)
+			pause.For(ctx, askAgainPause)
 			continue
 		}
 		s.awaitAcks(ctx, k)
@@ -69,10 +73,13 @@
 func (s *Scheduler) look(ctx context.Context, k *keeper, wait time.Duration) error {
 	s.mu.Lock()
 	order := s.holdOrder(k, wait)
-	target := k.target()
+	target, timeout := k.target(), lookTimeout
+	if k.broken {
+		timeout = askAgainTimeout
+	}
 	s.mu.Unlock()
 	asked := time.Now()
-	looking, cancel := context.WithTimeout(ctx, order.Wait+lookTimeout)
+	looking, cancel := context.WithTimeout(ctx, order.Wait+timeout)
 	report, err := s.ports.Runner.Hold(looking, target, order)
 	cancel()
 	if ctx.Err() != nil {
@@ -144,6 +151,21 @@
 		s.drop(k, workflow.Lost)
 	case k.worker.Lapsed(time.Now()):
 		s.drop(k, workflow.Lapsed)
+	case k.worker.Silent(time.Now()) > lookWait+copyAfter:
+		s.copyElsewhere(k)
+	}
+}
+
+// copyElsewhere lets copies of a silent worker's runs start where their steps allow it. The runs keep their room. The lock
+// is held.
+func (s *Scheduler) copyElsewhere(k *keeper) {
+	for _, run := range k.worker.Runs() {
+		e := s.jobs[run.Task.Job]
+		if e != nil && run.Step.Speculative && e.flow.Forget(run.RunRef, k.worker.Entry().ID) {
+			s.log.Info("run copied", "task", run.Task.String(), "run", run.Run, "worker", k.worker.Entry().ID,
+				"silent_ms", k.worker.Silent(time.Now()).Milliseconds())
+			s.poke()
+		}
 	}
 }
 
@@ -221,10 +243,7 @@
 		k.worker.Succeeded()
 	case workflow.Failed:
 		k.worker.Failed(end.Run.Task.Job, now)
-		if e.avoid[end.Run.Task] == nil {
-			e.avoid[end.Run.Task] = map[ident.WorkerID]bool{}
-		}
-		e.avoid[end.Run.Task][worker] = true
+		e.avoidFor(end.Run.Task, worker)
 	}
 	verdict := e.flow.Ended(end, worker, s.queueOf(e).MaxAttempts)
 	s.log.Info("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.How.String(),
@@ -248,8 +267,12 @@
 		if k.worker.Run(r.RunRef) == nil {
 			s.adopt(k, e, r, now)
 		}
-		k.worker.Report(r.RunRef, time.Duration(r.Reading)*time.Millisecond, now)
+		k.worker.Report(r.RunRef, r.Progress, r.Reading, now)
+		if e != nil && e.flow.IsDone(r.Task) {
+			s.stopAll([]workflow.Placement{{RunRef: r.RunRef, Worker: k.worker.Entry().ID}}) // a copy was faster
+		}
 	}
+	s.stopStalled(k, now)
 	for _, run := range k.worker.Runs() {
 		over := !run.Fenced.IsZero() && run.Fenced.Before(asked) || !run.Started.IsZero() && run.Started.Before(asked)
 		if !listed[run.RunRef] && over {
@@ -261,6 +284,29 @@
 	}
 }
 
+// stopStalled stops runs that stand still, so that they go on elsewhere. The lock is held.
+func (s *Scheduler) stopStalled(k *keeper, now time.Time) {
+	worker := k.worker.Entry().ID
+	for _, run := range k.worker.Stalled(now) {
+		e := s.jobs[run.Task.Job]
+		if e == nil || !run.Fenced.IsZero() {
+			continue
+		}
+		s.log.Warn("run stands still", "task", run.Task.String(), "run", run.Run, "worker", worker)
+		k.worker.Failed(run.Task.Job, now)
+		e.avoidFor(run.Task, worker)
+		s.stopAll([]workflow.Placement{{RunRef: run.RunRef, Worker: worker}})
+	}
+}
+
+// avoidFor keeps further runs of a task from a worker.
+func (e *entry) avoidFor(task workflow.TaskRef, worker ident.WorkerID) {
+	if e.avoid[task] == nil {
+		e.avoid[task] = map[ident.WorkerID]bool{}
+	}
+	e.avoid[task][worker] = true
+}
+
 // adopt takes a run that this term did not order, or stops it when it does not count. The lock is held.
 func (s *Scheduler) adopt(k *keeper, e *entry, r port.RunReport, now time.Time) {
 	step := workflow.Step{}
@@ -271,8 +317,7 @@
 		step = *e.flow.Step(r.Task.StepRef)
 		counts = e.flow.Adopt(placement, now)
 	}
-	run := k.worker.Adopt(r.RunRef, &step)
-	run.Percent = r.Percent
+	k.worker.Adopt(r.RunRef, &step)
 	s.log.Info("run found", "task", r.Task.String(), "run", r.Run, "worker", worker, "kept", counts)
 	if !counts {
 		s.stopAll([]workflow.Placement{placement})
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -26,7 +26,7 @@
 
 // hold is how long runs go on without a look. It outlasts the change of a leader: the end of its lease, the reading of
 // the store and the first looks.
-const hold = 4 * time.Second
+const hold = 3500 * time.Millisecond
 
 // holdLength returns the length of the holds that are asked for.
 func (s Settings) holdLength() time.Duration { return min(hold, s.MaxHold) }
--- a/internal/domain/pool/pace.go
+++ b/internal/domain/pool/pace.go
@@ -8,7 +8,7 @@
 
 const (
 	fullSpeed    = 100 // percent of a run that is not paced
-	unknownSpeed = -1  // after an order without an answer
+	unknownSpeed = -1  // after an order without an answer, and of runs that an earlier leader ordered
 )
 
 // Bounds of pacing.
@@ -18,16 +18,23 @@
 	recoverPart = 0.7                    // share of the target below which they are
 )
 
-// Report notes what the worker says of a run: a run that serves reports the tail of its response times.
-func (w *Worker) Report(ref workflow.RunRef, tail time.Duration, now time.Time) {
+// Report notes what the worker says of a run: how far it is in percent, and, of one that serves, the tail of its response
+// times in milliseconds.
+func (w *Worker) Report(ref workflow.RunRef, progress int, reading int64, now time.Time) {
 	run := w.runs[ref]
 	if run == nil {
 		return
 	}
-	run.Listed = true
+	if !run.Listed {
+		run.Listed, run.first, run.advanced = true, now, now
+	}
+	if progress != run.progress {
+		run.progress, run.advanced = progress, now
+	}
 	if !serves(&run.Step) {
 		return
 	}
+	tail := time.Duration(reading) * time.Millisecond
 	run.reading = tail
 	if tail <= run.Step.Target {
 		run.over = time.Time{}
@@ -64,8 +71,10 @@
 		switch {
 		case over:
 			percent = 0
+		case !near && run.Percent == unknownSpeed:
+			percent = fullSpeed
 		case !near && run.Percent < fullSpeed:
-			percent = min(max(run.Percent, 0)+paceStep, fullSpeed)
+			percent = min(run.Percent+paceStep, fullSpeed)
 		}
 		if percent != run.Percent {
 			run.Percent = percent
--- a/internal/domain/pool/pool_test.go
+++ b/internal/domain/pool/pool_test.go
@@ -121,9 +121,9 @@
 		if err := w.Reserve(ref(i), s); err != nil {
 			t.Fatal(err)
 		}
-		w.Report(ref(i), 0, now)
+		w.Report(ref(i), 0, 0, now)
 	}
-	w.Report(ref(1), 80*time.Millisecond, now)
+	w.Report(ref(1), 100, 80, now)
 	if paces := w.Paces(now); len(paces) != 0 {
 		t.Fatalf("paced at the first reading: %v", paces)
 	}
@@ -132,8 +132,40 @@
 	if len(paces) != 1 || paces[0].RunRef != ref(0) || paces[0].Percent != 0 {
 		t.Fatalf("paces %v", paces)
 	}
-	w.Report(ref(1), 10*time.Millisecond, later)
+	w.Report(ref(1), 100, 10, later)
 	if paces := w.Paces(later); len(paces) != 1 || paces[0].Percent <= 0 {
 		t.Fatalf("paces %v after the response times fell", paces)
 	}
 }
+
+// TestStalled guards against runs that stand still for good, and against long runs that are stopped between two percents.
+func TestStalled(t *testing.T) {
+	filler, long, lasting := step(1000), step(1000), step(1000)
+	filler.Fills, long.Estimate, lasting.LongRunning = true, time.Hour, true
+	for name, c := range map[string]struct {
+		step     workflow.Step
+		progress []int // half a second apart
+		stalled  bool
+	}{
+		"works":     {step(1000), []int{1, 2, 3, 4, 5, 6}, false},
+		"stands":    {step(1000), []int{7, 14, 14, 14, 14, 14}, true},
+		"a moment":  {step(1000), []int{7, 14, 14, 14, 21, 21}, false},
+		"not begun": {step(1000), []int{0, 0, 0, 0, 0, 0}, true},
+		"fills":     {filler, []int{7, 7, 7, 7, 7, 7}, false},
+		"long":      {long, []int{0, 0, 0, 0, 0, 0}, false},
+		"lasts":     {lasting, []int{100, 100, 100, 100, 100, 100}, false},
+	} {
+		w := worker()
+		if err := w.Reserve(ref(0), &c.step); err != nil {
+			t.Fatal(err)
+		}
+		at := now
+		for _, progress := range c.progress {
+			at = at.Add(500 * time.Millisecond)
+			w.Report(ref(0), progress, 0, at)
+		}
+		if got := len(w.Stalled(at)) > 0; got != c.stalled {
+			t.Errorf("%s: stalled %v", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/domain/pool/stall.go
@@ -0,0 +1,33 @@
+package pool
+
+import "time"
+
+// A run stands still when its progress has not changed for the longest of these: progress is told in whole percents, so a
+// long run takes its time for one.
+const (
+	stallAfter    = 1500 * time.Millisecond
+	stallEstimate = 10 // part of the estimate
+	stallPercents = 4  // percents at the speed so far
+)
+
+// Stalled returns the runs that stand still. Runs that last, fill or wait for others of their gang may have to.
+func (w *Worker) Stalled(now time.Time) []*Run {
+	var stalled []*Run
+	for _, run := range w.runs {
+		if run.isStalled(now) {
+			stalled = append(stalled, run)
+		}
+	}
+	return stalled
+}
+
+func (r *Run) isStalled(now time.Time) bool {
+	if !r.Listed || r.Step.LongRunning || r.Step.Fills || r.Step.Gang || r.Percent == 0 {
+		return false
+	}
+	patience := max(stallAfter, r.Step.Estimate/stallEstimate)
+	if r.progress > 0 {
+		patience = max(patience, stallPercents*r.advanced.Sub(r.first)/time.Duration(r.progress))
+	}
+	return now.Sub(r.advanced) >= patience
+}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -27,13 +27,16 @@
 // Run is a run that counts against the room of a worker.
 type Run struct {
 	workflow.RunRef
-	Step    workflow.Step
-	Listed  bool      // the worker has listed it as running
-	Started time.Time // when the worker answered the start; zero before
-	Fenced  time.Time // when the worker answered a stop; zero before
-	Percent int       // share of its speed at which it may work
-	reading time.Duration
-	over    time.Time // since when its response times are over the target; zero while they are not
+	Step     workflow.Step
+	Listed   bool      // the worker has listed it as running
+	Started  time.Time // when the worker answered the start; zero before
+	Fenced   time.Time // when the worker answered a stop; zero before
+	Percent  int       // share of its speed at which it may work
+	reading  time.Duration
+	progress int       // percent of its work
+	advanced time.Time // when the progress last changed
+	first    time.Time // when it was first listed
+	over     time.Time // since when its response times are over the target; zero while they are not
 }
 
 // Worker is the aggregate of one life of a worker. It is not safe for concurrent use.
@@ -159,12 +162,12 @@
 	return nil
 }
 
-// Adopt takes a run that the worker lists, whether it fits or not.
-func (w *Worker) Adopt(ref workflow.RunRef, step *workflow.Step) *Run {
+// Adopt takes a run that the worker lists, whether it fits or not. Its pace is not known.
+func (w *Worker) Adopt(ref workflow.RunRef, step *workflow.Step) {
 	if w.runs[ref] == nil {
 		w.add(ref, step)
+		w.runs[ref].Percent = unknownSpeed
 	}
-	return w.runs[ref]
 }
 
 func (w *Worker) add(ref workflow.RunRef, step *workflow.Step) {
--- a/internal/domain/workflow/end.go
+++ b/internal/domain/workflow/end.go
@@ -139,9 +139,15 @@
 	return w.Step(ref.StepRef).LongRunning || len(*w.failuresOf(ref)) < maxAttempts
 }
 
-// Forget drops a run that certainly neither runs nor will run, without counting it against the task.
-func (w *Workflow) Forget(run RunRef, worker ident.WorkerID) {
-	if t := w.task(run.Task); t != nil && !t.done {
-		w.deactivate(run, worker)
-	}
+// Forget drops a run without counting it against the task: one that certainly neither runs nor will run, or one of a
+// speculative step. It reports whether the run was active.
+func (w *Workflow) Forget(run RunRef, worker ident.WorkerID) bool {
+	t := w.task(run.Task)
+	return t != nil && !t.done && w.deactivate(run, worker)
+}
+
+// IsDone reports whether a task needs no further run.
+func (w *Workflow) IsDone(ref TaskRef) bool {
+	t := w.task(ref)
+	return t != nil && t.done
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -87,7 +87,7 @@
 type RunReport struct {
 	workflow.RunRef
 	Checkpoint string
-	Percent    int
+	Progress   int   // percent of the work that is done; of a long-running task 100 while it is at work
 	Reading    int64 // of a run that serves: the tail of its response times in ms; of others: thousandths of a core
 }
 
