--- a/internal/app/scheduler/keeper.go
+++ b/internal/app/scheduler/keeper.go
@@ -187,7 +187,7 @@
 func (s *Scheduler) apply(k *keeper, report port.HoldReport, asked, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.noticeBirth(k, report)
+	s.noticeBirth(k, report, asked)
 	k.worker.Answered(report.Clock, asked, now)
 	if asked.Before(k.asked) {
 		return
@@ -206,15 +206,28 @@
 	s.poke()
 }
 
-// noticeBirth gives up what ran in an earlier life of the worker. The lock is held.
-func (s *Scheduler) noticeBirth(k *keeper, report port.HoldReport) {
+// noticeBirth gives up what ran in an earlier life of the worker. A start that was on its way may have been carried out in
+// the new life: a run that the new life lists, or whose start was not answered before the look, is kept. The lock is held.
+func (s *Scheduler) noticeBirth(k *keeper, report port.HoldReport, asked time.Time) {
 	if born := k.worker.Entry().Born; report.Born == 0 || report.Born == born {
 		return
 	}
-	s.log.Warn("worker restarted", "worker", k.worker.Entry().ID, "runs", len(k.worker.Runs()))
-	s.drop(k, workflow.Lost)
-	k.worker.Restarted(report.Born)
+	listed := map[workflow.RunRef]bool{}
+	for _, r := range report.Running {
+		listed[r.RunRef] = true
+	}
+	for _, end := range report.Ended {
+		listed[end.Run] = true
+	}
+	s.log.Warn("worker restarted", "worker", k.worker.Entry().ID, "runs", len(k.worker.Runs()), "listed", len(listed))
+	k.worker.Restarted(report.Born, report.Clock+s.settings.MaxHold)
 	k.applied, k.acked, k.pending, k.asked = 0, 0, nil, time.Time{}
+	for _, run := range k.worker.Runs() {
+		if !listed[run.RunRef] && !run.Started.IsZero() && run.Started.Before(asked) {
+			k.worker.Release(run.RunRef)
+			s.ended(k, workflow.End{Run: run.RunRef, How: workflow.Lost})
+		}
+	}
 }
 
 func (s *Scheduler) applyEnds(k *keeper, ends []port.EndReport) {
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -114,13 +114,10 @@
 	return w.clock.known && w.clock.least(now) > w.horizon+holdMargin
 }
 
-// Restarted begins another life of the worker and returns the runs that the last one took with it.
-func (w *Worker) Restarted(born int64) []*Run {
-	gone := w.Runs()
-	w.runs, w.used = map[workflow.RunRef]*Run{}, resource.Vector{}
-	w.fillers, w.filling, w.serving = 0, 0, 0
-	w.entry.Born, w.clock, w.horizon = born, clock{}, 0
-	return gone
+// Restarted begins another life of the worker. Orders that were on their way may hold it until the horizon, on its new
+// clock. The caller releases the runs that the last life took with it.
+func (w *Worker) Restarted(born int64, horizon time.Duration) {
+	w.entry.Born, w.clock, w.horizon = born, clock{}, horizon
 }
 
 // Runs returns the runs that count against the worker's room.
--- a/internal/eventlog/vocabulary_test.go
+++ b/internal/eventlog/vocabulary_test.go
@@ -26,7 +26,8 @@
 		t.Fatal(err)
 	}
 	listed := map[string]bool{}
-	for _, row := range regexp.MustCompile("(?m)^\\| `([^`]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+	_, events, _ := strings.Cut(string(page), "\n## Events\n")
+	for _, row := range regexp.MustCompile("(?m)^\\| `([^`]+)` \\|").FindAllStringSubmatch(events, -1) {
 		listed[row[1]] = true
 	}
 	logged := map[string]bool{"log lines dropped": true, "settings read again": true}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay is a stand-in for the network between two processes: it passes TCP connections on and can make the open
-// ones silent while new ones work.
+// Package relay is a stand-in for the network between two processes: it passes TCP connections on, can make the open ones
+// silent while new ones work, and can reset them.
 package relay
 
 import (
@@ -16,6 +16,7 @@
 
 	mu     sync.Mutex
 	frozen chan struct{} // closed when the connections that are open now become silent
+	open   map[net.Conn]bool
 	closed chan struct{}
 }
 
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, fault.As(fault.Unavailable, err, "listen")
 	}
-	r := &Relay{listener: listener, target: target, frozen: make(chan struct{}), closed: make(chan struct{})}
+	r := &Relay{listener: listener, target: target, frozen: make(chan struct{}), open: map[net.Conn]bool{}, closed: make(chan struct{})}
 	go r.run()
 	return r, nil
 }
@@ -47,6 +48,16 @@
 	r.frozen = make(chan struct{})
 }
 
+// Reset closes the open connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.open {
+		_ = conn.Close()
+	}
+	clear(r.open)
+}
+
 func (r *Relay) run() {
 	for {
 		near, err := r.listener.Accept()
@@ -60,16 +71,25 @@
 		}
 		r.mu.Lock()
 		frozen := r.frozen
+		r.open[near], r.open[far] = true, true
 		r.mu.Unlock()
 		go r.pass(near, far, frozen)
 		go r.pass(far, near, frozen)
 	}
 }
 
+func (r *Relay) forget(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range conns {
+		delete(r.open, conn)
+		_ = conn.Close()
+	}
+}
+
 // pass copies until the connection ends. A frozen one is held open until the relay is closed.
 func (r *Relay) pass(from, to net.Conn, frozen <-chan struct{}) {
-	defer from.Close()
-	defer to.Close()
+	defer r.forget(from, to)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
