--- a/internal/domain/pool/pace.go
+++ b/internal/domain/pool/pace.go
@@ -28,6 +28,9 @@
 	if !run.Listed {
 		run.Listed, run.first, run.advanced = true, now, now
 	}
+	if run.Started.IsZero() {
+		run.Started = now // the answer to its start was lost, or an earlier leader ordered it
+	}
 	if progress != run.progress {
 		run.progress, run.advanced = progress, now
 	}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -29,7 +29,7 @@
 	workflow.RunRef
 	Step     workflow.Step
 	Listed   bool      // the worker has listed it as running
-	Started  time.Time // when the worker answered the start; zero before
+	Started  time.Time // when the worker answered the start, or first listed the run; zero before
 	Fenced   time.Time // when the worker answered a stop; zero before
 	Percent  int       // share of its speed at which it may work
 	reading  time.Duration
