Stop gangs that stand still

Change: members of a gang count as standing still after 5 s, beyond the 3 s that they wait for one another. Result: the new case of TestStalled fails before and passes after.

--- a/internal/domain/pool/pool_test.go
+++ b/internal/domain/pool/pool_test.go
@@ -140,8 +140,8 @@
 
 // TestStalled guards against runs that stand still for good, and against long runs that are stopped between two percents.
 func TestStalled(t *testing.T) {
-	filler, long, lasting := step(1000), step(1000), step(1000)
-	filler.Fills, long.Estimate, lasting.LongRunning = true, time.Hour, true
+	filler, long, lasting, gang := step(1000), step(1000), step(1000), step(1000)
+	filler.Fills, long.Estimate, lasting.LongRunning, gang.Gang = true, time.Hour, true, true
 	for name, c := range map[string]struct {
 		step     workflow.Step
 		progress []int // half a second apart
@@ -153,6 +153,8 @@
 		"not begun": {step(1000), []int{0, 0, 0, 0, 0, 0}, true},
 		"fills":     {filler, []int{7, 7, 7, 7, 7, 7}, false},
 		"long":      {long, []int{0, 0, 0, 0, 0, 0}, false},
+		"gathers":   {gang, []int{0, 0, 0, 0, 0, 0}, false},
+		"gang":      {gang, []int{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}, true},
 		"lasts":     {lasting, []int{100, 100, 100, 100, 100, 100}, false},
 	} {
 		w := worker()
--- a/internal/domain/pool/stall.go
+++ b/internal/domain/pool/stall.go
@@ -8,9 +8,11 @@
 	stallAfter    = 1500 * time.Millisecond
 	stallEstimate = 10 // part of the estimate
 	stallPercents = 4  // percents at the speed so far
+	// stallGang is for members of a gang, which wait up to three seconds for one another before they begin.
+	stallGang = 5 * time.Second
 )
 
-// Stalled returns the runs that stand still. Runs that last, fill or wait for others of their gang may have to.
+// Stalled returns the runs that stand still. Runs that last or fill may have to.
 func (w *Worker) Stalled(now time.Time) []*Run {
 	var stalled []*Run
 	for _, run := range w.runs {
@@ -22,10 +24,13 @@
 }
 
 func (r *Run) isStalled(now time.Time) bool {
-	if !r.Listed || r.Step.LongRunning || r.Step.Fills || r.Step.Gang || r.Percent == 0 {
+	if !r.Listed || r.Step.LongRunning || r.Step.Fills || r.Percent == 0 {
 		return false
 	}
 	patience := max(stallAfter, r.Step.Estimate/stallEstimate)
+	if r.Step.Gang {
+		patience = max(patience, stallGang)
+	}
 	if r.progress > 0 {
 		patience = max(patience, stallPercents*r.advanced.Sub(r.first)/time.Duration(r.progress))
 	}
