--- /dev/null
+++ b/internal/adapter/cellwire/records_test.go
@@ -0,0 +1,83 @@
+package cellwire_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"skylarkstall/internal/adapter/cellwire"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// TestJobRecord guards against a field of a job that the next leader does not read back.
+func TestJobRecord(t *testing.T) {
+	job := port.Accepted{
+		At: time.UnixMilli(1_700_000_000_123),
+		Queue: route.Queue{
+			Name: "q", Service: "desk", Priority: 2, MaxAttempts: 3,
+			Advice: &route.Advice{Decision: 370 * time.Millisecond, PerWorker: 5300 * time.Microsecond, Valid: 2 * time.Second},
+		},
+		Spec: workflow.Spec{
+			ID: "5c0e7a21d94b36f8", Queue: "q", Payload: "p", Occurrences: 3, FirstAt: time.UnixMilli(1_700_000_001_000),
+			Period: time.Minute,
+			Steps: []workflow.Step{{Count: 1}, {
+				Count: 4, Size: resource.Vector{MilliCores: 500, MemoryBytes: 1 << 30, Accelerators: 1}, Estimate: time.Second,
+				After: []int{0}, Gang: true, SameRack: true, Checkpointing: true, Speculative: true, LongRunning: true, Fills: true,
+				RequiredLabel: "a", DataRack: "r1-2", MaxPerWorker: 2, Image: "i", Target: 50 * time.Millisecond, MayMiss: 1,
+			}},
+		},
+	}
+	got, err := cellwire.Records{}.DecodeJob(cellwire.Records{}.EncodeJob(job))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(job, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestProgressRecord guards against progress that is lost with a leader.
+func TestProgressRecord(t *testing.T) {
+	progress := workflow.Progress{State: workflow.Running, Steps: []workflow.StepProgress{{
+		Occurrence: 1, Step: 2, Failed: []workflow.Run{1, 1001},
+		Tasks: []workflow.TaskProgress{{Index: 3, Done: true}, {Index: 4, Failed: []workflow.Run{2}, Checkpoint: "c"}},
+	}}}
+	got, err := cellwire.Records{}.DecodeProgress(cellwire.Records{}.EncodeProgress(progress))
+	if diff := cmp.Diff(progress, got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
+
+// TestWorkersRecord guards against a closed worker that the next leader takes for an open one, or for one that was closed
+// at another revision.
+func TestWorkersRecord(t *testing.T) {
+	workers := []port.Enlisted{
+		{Entry: pool.Entry{ID: "a", Address: "h:1", Service: "desk", Born: 7}},
+		{Entry: pool.Entry{ID: "b", Address: "h:2", Service: "desk", Born: 8}, Closed: true},
+		{Entry: pool.Entry{ID: "c", Address: "h:3", Service: "desk", Born: 9}, Closed: true, ClosedAt: 40},
+	}
+	got, err := cellwire.Records{}.DecodeWorkers(cellwire.Records{}.EncodeWorkers(workers), 50)
+	workers[1].ClosedAt = 50
+	if diff := cmp.Diff(workers, got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
+
+// TestMalformedRecords guards against a leader that fails at a record which it cannot read.
+func TestMalformedRecords(t *testing.T) {
+	raw := []byte{0xff, 0xff, 0xff}
+	if _, err := (cellwire.Records{}).DecodeJob(raw); err == nil {
+		t.Error("a job is read from noise")
+	}
+	if _, err := (cellwire.Records{}).DecodeProgress(raw); err == nil {
+		t.Error("progress is read from noise")
+	}
+	if _, err := (cellwire.Records{}).DecodeLeader(raw); err == nil {
+		t.Error("a leader is read from noise")
+	}
+}
