Wait after a change of leader also for workers that have restarted

A new leader took a later birth in the list for proof that nothing of its predecessor ran there; but that one had given orders to the new life, and done tasks were started again (TWICE). Change: only a look at the worker, another worker at its address, or the end of the holds accounts for a worker of the last leader. Result: TestLeaderChangeAfterWorkerRestart: 'starts run 1001 on w1 and runs on w0' before, passes after.

--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -124,10 +124,9 @@
 	if !s.term.Alone {
 		longest += leadership.MaxUnconfirmed
 	}
-	for id, last := range s.unseen {
+	for id := range s.unseen {
 		k := s.keepers[id]
-		later := k != nil && last.Born != 0 && k.worker.Entry().Born > last.Born
-		if k != nil && (k.worker.Seen() || k.over) || later || now.Sub(s.began) > longest {
+		if k != nil && (k.worker.Seen() || k.over) || now.Sub(s.began) > longest {
 			delete(s.unseen, id)
 		}
 	}
