--- a/internal/app/routing/routing.go
+++ b/internal/app/routing/routing.go
@@ -9,7 +9,6 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
-	"skylarkstall/internal/notify"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
 )
@@ -26,13 +25,12 @@
 
 // Router follows the configuration.
 type Router struct {
-	key     string // where the operator writes
-	ledger  port.Ledger
-	leader  port.Scheduler
-	decode  Decode
-	table   *route.Table
-	log     *slog.Logger
-	applied notify.Broadcast
+	key    string // where the operator writes
+	ledger port.Ledger
+	leader port.Scheduler
+	decode Decode
+	table  *route.Table
+	log    *slog.Logger
 }
 
 // New returns a router of the table. The leader is asked while the store is not reached.
@@ -110,6 +108,5 @@
 	}
 	if r.table.Apply(config) {
 		r.log.Info("configuration in force", "version", config.Version, "queues", len(config.Queues), "from", from)
-		r.applied.Signal()
 	}
 }
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -215,7 +215,7 @@
 	if worker.Reserve(ref, step) != nil {
 		return launch{}, false
 	}
-	c.entry.flow.Start(workflow.Placement{RunRef: ref, Worker: worker.Entry().ID}, now)
+	c.entry.flow.Start(workflow.Placement{RunRef: ref, Worker: worker.Entry().ID})
 	until, _ := worker.HoldUntil(s.settings.holdLength(), now)
 	return launch{
 		keeper: best.keeper, entry: c.entry, target: best.keeper.target(), seen: worker.Silent(now), free: free,
--- /dev/null
+++ b/internal/app/scheduler/report.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// apply takes a report. One that was asked for before the last one that was applied is left out: what it misses is
+// listed again.
+func (s *Scheduler) apply(k *keeper, report port.HoldReport, asked, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noticeBirth(k, report, asked)
+	k.worker.Answered(report.Clock, asked, now)
+	if asked.Before(k.asked) {
+		return
+	}
+	k.asked = asked
+	if k.broken {
+		s.log.Info("worker reached", "worker", k.worker.Entry().ID, "running", len(report.Running), "ended", len(report.Ended))
+	}
+	k.broken = false
+	k.worker.ListedRuns()
+	s.applyEnds(k, report.Ended)
+	s.applyRunning(k, report.Running, asked, now)
+	for _, pace := range k.worker.Paces(now) {
+		s.running.Go(func() { s.pace(k, pace) })
+	}
+	s.poke()
+}
+
+// noticeBirth gives up what ran in an earlier life of the worker. A start that was on its way may have been carried out in
+// the new life: a run that the new life lists, or whose start was not answered before the look, is kept. The lock is held.
+func (s *Scheduler) noticeBirth(k *keeper, report port.HoldReport, asked time.Time) {
+	if born := k.worker.Entry().Born; report.Born == 0 || report.Born == born {
+		return
+	}
+	listed := map[workflow.RunRef]bool{}
+	for _, r := range report.Running {
+		listed[r.RunRef] = true
+	}
+	for _, end := range report.Ended {
+		listed[end.Run] = true
+	}
+	s.log.Warn("worker restarted", "worker", k.worker.Entry().ID, "runs", len(k.worker.Runs()), "listed", len(listed))
+	k.worker.Restarted(report.Born, report.Clock+s.settings.MaxHold)
+	k.applied, k.acked, k.pending, k.asked = 0, 0, nil, time.Time{}
+	for _, run := range k.worker.Runs() {
+		if !listed[run.RunRef] && !run.Started.IsZero() && run.Started.Before(asked) {
+			k.worker.Release(run.RunRef)
+			s.ended(k, workflow.End{Run: run.RunRef, How: workflow.Lost})
+		}
+	}
+}
+
+func (s *Scheduler) applyEnds(k *keeper, ends []port.EndReport) {
+	for _, end := range ends {
+		if end.Number <= k.applied {
+			continue
+		}
+		k.applied = end.Number
+		k.worker.Release(end.Run)
+		e, version := s.ended(k, end.End)
+		k.pending = append(k.pending, pendingEnd{end.Number, e, version})
+	}
+}
+
+// ended applies the end of a run. It returns the job and the version that its record must have, or nil when nothing has
+// to be recorded. The lock is held.
+func (s *Scheduler) ended(k *keeper, end workflow.End) (*entry, uint64) {
+	e := s.jobs[end.Run.Task.Job]
+	if e == nil {
+		return nil, 0
+	}
+	now := time.Now()
+	worker := k.worker.Entry().ID
+	switch end.How {
+	case workflow.Done:
+		k.worker.Succeeded()
+	case workflow.Failed:
+		k.worker.Failed(end.Run.Task.Job, now)
+		e.avoidFor(end.Run.Task, worker)
+	}
+	verdict := e.flow.Ended(end, worker, s.queueOf(e).MaxAttempts)
+	s.log.Info("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.How.String(),
+		"job_state", e.flow.State().String(), "recorded_first", verdict.Changed)
+	s.stopAll(verdict.Stop)
+	if !verdict.Changed {
+		return nil, 0
+	}
+	s.changed(e)
+	return e, e.version
+}
+
+func (s *Scheduler) applyRunning(k *keeper, running []port.RunReport, asked, now time.Time) {
+	listed := map[workflow.RunRef]bool{}
+	for _, r := range running {
+		listed[r.RunRef] = true
+		e := s.jobs[r.Task.Job]
+		if e != nil {
+			e.flow.Saved(r.RunRef, r.Checkpoint)
+		}
+		if k.worker.Run(r.RunRef) == nil {
+			s.adopt(k, e, r)
+		}
+		k.worker.Report(r.RunRef, r.Progress, r.Reading, now)
+		if e != nil && e.flow.IsDone(r.Task) {
+			s.stopAll([]workflow.Placement{{RunRef: r.RunRef, Worker: k.worker.Entry().ID}}) // a copy was faster
+		}
+	}
+	s.stopStalled(k, now)
+	for _, run := range k.worker.Runs() {
+		over := !run.Fenced.IsZero() && run.Fenced.Before(asked) || !run.Started.IsZero() && run.Started.Before(asked)
+		if !listed[run.RunRef] && over {
+			k.worker.Release(run.RunRef)
+			s.ended(k, workflow.End{Run: run.RunRef, How: workflow.Stopped})
+			s.log.Info("run is not there", "task", run.Task.String(), "run", run.Run, "worker", k.worker.Entry().ID,
+				"stopped", !run.Fenced.IsZero())
+		}
+	}
+}
+
+// stopStalled stops runs that stand still, so that they go on elsewhere. The lock is held.
+func (s *Scheduler) stopStalled(k *keeper, now time.Time) {
+	worker := k.worker.Entry().ID
+	for _, run := range k.worker.Stalled(now) {
+		e := s.jobs[run.Task.Job]
+		if e == nil || !run.Fenced.IsZero() {
+			continue
+		}
+		s.log.Warn("run stands still", "task", run.Task.String(), "run", run.Run, "worker", worker)
+		k.worker.Failed(run.Task.Job, now)
+		e.avoidFor(run.Task, worker)
+		s.stopAll([]workflow.Placement{{RunRef: run.RunRef, Worker: worker}})
+	}
+}
+
+// avoidFor keeps further runs of a task from a worker.
+func (e *entry) avoidFor(task workflow.TaskRef, worker ident.WorkerID) {
+	if e.avoid[task] == nil {
+		e.avoid[task] = map[ident.WorkerID]bool{}
+	}
+	e.avoid[task][worker] = true
+}
+
+// adopt takes a run that this term did not order, or stops it when it does not count. The lock is held.
+func (s *Scheduler) adopt(k *keeper, e *entry, r port.RunReport) {
+	step := workflow.Step{}
+	worker := k.worker.Entry().ID
+	placement := workflow.Placement{RunRef: r.RunRef, Worker: worker}
+	counts := false
+	if e != nil && r.Task.Step < len(e.flow.Spec().Steps) {
+		step = *e.flow.Step(r.Task.StepRef)
+		counts = e.flow.Adopt(placement)
+	}
+	k.worker.Adopt(r.RunRef, &step)
+	s.log.Info("run found", "task", r.Task.String(), "run", r.Run, "worker", worker, "kept", counts)
+	if !counts {
+		s.stopAll([]workflow.Placement{placement})
+	}
+}
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -59,11 +59,6 @@
 	return true
 }
 
-// Suitable reports whether the worker would do for the step if it had room.
-func (w *Worker) Suitable(r *Request) bool {
-	return sameService(w, r) && alive(w, r) && notDraining(w, r) && labelled(w, r) && size(r.Step).Fits(w.entry.Capacity)
-}
-
 // Weights of the scores; a lower sum is better.
 const (
 	weightLoad  = 1.0
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -31,7 +31,6 @@
 	Version uint64
 	Queues  []Queue
 	MaxBody int64 // bytes
-	Header  int   // bytes
 	Source  []byte
 }
 
--- /dev/null
+++ b/internal/domain/route/route_test.go
@@ -0,0 +1,38 @@
+package route_test
+
+import (
+	"testing"
+
+	"skylarkstall/internal/domain/route"
+)
+
+// TestNeverBack guards against an older version that replaces the one in force.
+func TestNeverBack(t *testing.T) {
+	var table route.Table
+	for _, c := range []struct {
+		version uint64
+		applied bool
+	}{{7, true}, {7, false}, {3, false}, {12, true}} {
+		if got := table.Apply(route.Config{Version: c.version}); got != c.applied {
+			t.Errorf("version %d applied: %v", c.version, got)
+		}
+	}
+	if v := table.Config().Version; v != 12 {
+		t.Errorf("version %d in force", v)
+	}
+}
+
+// TestMatch guards against a request that is taken for another queue's.
+func TestMatch(t *testing.T) {
+	var table route.Table
+	table.Apply(route.Config{Version: 1, Queues: []route.Queue{
+		{Name: "a", Host: "h", Prefix: "/a/"}, {Name: "deep", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "g", Prefix: "/"},
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"h", "/a/1", "a"}, {"h", "/a/b/1", "deep"}, {"h", "/b/1", ""}, {"g", "/a/1", "other"}, {"x", "/a/1", ""},
+	} {
+		if q, ok := table.Match(c.host, c.path); q.Name != c.want || ok != (c.want != "") {
+			t.Errorf("%s%s is of %q", c.host, c.path, q.Name)
+		}
+	}
+}
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -39,7 +39,6 @@
 type active struct {
 	run    Run
 	worker ident.WorkerID
-	since  time.Time
 }
 
 // New returns the aggregate of a job of which nothing has run.
@@ -103,16 +102,6 @@
 	return refs
 }
 
-// NextDue returns when the next occurrence begins after now, and false when none does.
-func (w *Workflow) NextDue(now time.Time) (time.Time, bool) {
-	for k := range w.rounds {
-		if due := w.spec.Due(k); due.After(now) {
-			return due, !w.state.Final()
-		}
-	}
-	return time.Time{}, false
-}
-
 func (w *Workflow) unblocked(occurrence, step int) bool {
 	for _, earlier := range w.spec.Steps[step].After {
 		if w.rounds[occurrence].steps[earlier].left > 0 {
@@ -164,15 +153,14 @@
 }
 
 // Start notes that a run was ordered. The caller has taken the task from Waiting.
-func (w *Workflow) Start(p Placement, now time.Time) {
-	t := w.task(p.Task)
-	w.activate(p, t, now)
+func (w *Workflow) Start(p Placement) {
+	w.activate(p, w.task(p.Task))
 	w.started = true
 }
 
 // Adopt notes a run that an earlier leader ordered and that a worker lists. It reports whether the run counts: one of
 // a task that is done, or of a job that is over, has to be stopped.
-func (w *Workflow) Adopt(p Placement, now time.Time) bool {
+func (w *Workflow) Adopt(p Placement) bool {
 	t := w.task(p.Task)
 	if t == nil || t.done || w.state.Final() {
 		return false
@@ -185,16 +173,16 @@
 	if len(t.active) > 0 && !w.Step(p.Task.StepRef).Speculative {
 		return false
 	}
-	w.activate(p, t, now)
+	w.activate(p, t)
 	w.started = true
 	return true
 }
 
-func (w *Workflow) activate(p Placement, t *task, now time.Time) {
+func (w *Workflow) activate(p Placement, t *task) {
 	if len(t.active) == 0 {
 		w.step(p.Task.StepRef).waiting--
 	}
-	t.active = append(t.active, active{p.Run, p.Worker, now})
+	t.active = append(t.active, active{p.Run, p.Worker})
 	t.last = max(t.last, p.Run)
 }
 
--- a/internal/domain/workflow/workflow_test.go
+++ b/internal/domain/workflow/workflow_test.go
@@ -21,7 +21,7 @@
 
 func start(w *workflow.Workflow, refs ...workflow.RunRef) {
 	for _, ref := range refs {
-		w.Start(workflow.Placement{RunRef: ref, Worker: "w"}, now)
+		w.Start(workflow.Placement{RunRef: ref, Worker: "w"})
 	}
 }
 
@@ -147,15 +147,15 @@
 	first := workflow.Placement{RunRef: run(0, 0, 1), Worker: "w"}
 	second := workflow.Placement{RunRef: run(0, 0, 2), Worker: "v"}
 	for range 2 {
-		if !w.Adopt(first, now) {
+		if !w.Adopt(first) {
 			t.Fatal("the only run is not kept")
 		}
 	}
-	if w.Adopt(second, now) {
+	if w.Adopt(second) {
 		t.Fatal("a second run is kept")
 	}
 	w.Cancel()
-	if w.Adopt(first, now) || len(w.Ready(now)) != 0 {
+	if w.Adopt(first) || len(w.Ready(now)) != 0 {
 		t.Fatal("a run of a cancelled job is kept")
 	}
 }
