--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// Leading takes a share of a core that grows with the cell, so processes with less of it leave the lead to others first.
+// Leading takes a share of a core that grows with the cell, so processes with less of it leave leadership to others first.
 const (
 	amplePart       = 0.4 // of a core
 	longestPatience = 400 * time.Millisecond
