Do not count the time without a processor as silence of peers

Cause: on a busy machine a process reads what its peers sent seconds late, counts them as dead and closes their sessions; partitions and workers change hands, which costs more processor time (trace of TestCancelWave beside 8 busy loops: both peers down within 2 s, then leases and partitions lost). Only a single lateness above 1 s was noticed. Change: the timer of the peering service runs every 100 ms and adds up by how much it is late. That time is given back to peers (Membership.Late) and to the time-outs of heartbeats. A process that really is silent is replaced as before when the timers are on time.

--- a/internal/adapter/peerwire/accept.go
+++ b/internal/adapter/peerwire/accept.go
@@ -71,26 +71,27 @@
 func (t *Transport) answerHeartbeats(s *session, stream *frame.Stream) error {
 	reader := bufio.NewReader(stream)
 	for {
-		if err := stream.SetDeadline(time.Now().Add(silenceLimit)); err != nil {
-			return err
-		}
-		call := &peerpb.Call{}
-		if err := frame.Read(reader, call); err != nil {
-			return err
-		}
-		if err := t.heartbeatReceived(s, call.GetStamp(), call.GetHeartbeat()); err != nil {
-			return err
-		}
-		reply := &peerpb.Reply{
-			Stamp: t.stamp(),
-			Body:  &peerpb.Reply_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
-		}
-		if err := frame.Write(stream, reply); err != nil {
+		if err := t.answerHeartbeat(s, stream, reader); err != nil {
 			return err
 		}
 	}
 }
 
+func (t *Transport) answerHeartbeat(s *session, stream *frame.Stream, reader *bufio.Reader) error {
+	defer t.expireAfter(context.Background(), stream, silenceLimit)()
+	call := &peerpb.Call{}
+	if err := frame.Read(reader, call); err != nil {
+		return err
+	}
+	if err := t.heartbeatReceived(s, call.GetStamp(), call.GetHeartbeat()); err != nil {
+		return err
+	}
+	return frame.Write(stream, &peerpb.Reply{
+		Stamp: t.stamp(),
+		Body:  &peerpb.Reply_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
+	})
+}
+
 // serveCalls serves each stream that the peer opens in a goroutine of its own.
 func (t *Transport) serveCalls(ctx context.Context, s *session) {
 	for {
--- a/internal/adapter/peerwire/dial.go
+++ b/internal/adapter/peerwire/dial.go
@@ -83,21 +83,7 @@
 	defer stop()
 	reader := bufio.NewReader(stream)
 	for ctx.Err() == nil {
-		if err := stream.SetDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
-			return fault.As(fault.Unavailable, err, "heartbeat")
-		}
-		call := &peerpb.Call{
-			Stamp: t.stamp(),
-			Body:  &peerpb.Call_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
-		}
-		if err := frame.Write(stream, call); err != nil {
-			return fault.As(fault.Unavailable, err, "heartbeat")
-		}
-		reply := &peerpb.Reply{}
-		if err := frame.Read(reader, reply); err != nil {
-			return err
-		}
-		if err := t.heartbeatReceived(s, reply.GetStamp(), reply.GetHeartbeat()); err != nil {
+		if err := t.exchangeHeartbeats(ctx, s, stream, reader); err != nil {
 			return err
 		}
 		pause.For(ctx, HeartbeatInterval)
@@ -105,6 +91,43 @@
 	return ctx.Err()
 }
 
+// exchangeHeartbeats sends a heartbeat and reads the peer's.
+func (t *Transport) exchangeHeartbeats(
+	ctx context.Context, s *session, stream *frame.Stream, reader *bufio.Reader,
+) error {
+	defer t.expireAfter(ctx, stream, HeartbeatTimeout)()
+	call := &peerpb.Call{
+		Stamp: t.stamp(),
+		Body:  &peerpb.Call_Heartbeat{Heartbeat: encodeHeartbeat(t.local.Heartbeat(time.Now()))},
+	}
+	if err := frame.Write(stream, call); err != nil {
+		return fault.As(fault.Unavailable, err, "heartbeat")
+	}
+	reply := &peerpb.Reply{}
+	if err := frame.Read(reader, reply); err != nil {
+		return err
+	}
+	return t.heartbeatReceived(s, reply.GetStamp(), reply.GetHeartbeat())
+}
+
+// expireAfter ends the reads and writes of a stream after a time, to which the time is added in which this process got
+// no processor: what the peer sent may wait unread. The returned function calls it off.
+func (t *Transport) expireAfter(ctx context.Context, stream *frame.Stream, limit time.Duration) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	lag := t.local.Lag()
+	go func() {
+		for wait := limit; pause.For(ctx, wait); {
+			now := t.local.Lag()
+			if now <= lag {
+				stream.Expire()
+				return
+			}
+			wait, lag = now-lag, now
+		}
+	}()
+	return cancel
+}
+
 func (t *Transport) heartbeatReceived(s *session, stamp *peerpb.Stamp, beat *peerpb.Heartbeat) error {
 	if beat == nil {
 		return frame.Malformed(fault.New(fault.Invalid, "a message without a heartbeat on the stream of heartbeats"))
--- a/internal/adapter/peerwire/transport.go
+++ b/internal/adapter/peerwire/transport.go
@@ -22,6 +22,8 @@
 	Heartbeat(now time.Time) port.Heartbeat
 	// HeartbeatReceived notes what a peer tells.
 	HeartbeatReceived(now time.Time, beat port.Heartbeat)
+	// Lag returns for how long the process got no processor since its start.
+	Lag() time.Duration
 }
 
 // Transport holds the sessions to the peers. It implements port.Peers.
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,8 +40,11 @@
 	mu    sync.Mutex
 	beats []time.Time
 	draws int
+	lag   atomic.Int64 // nanoseconds
 }
 
+func (p *process) Lag() time.Duration { return time.Duration(p.lag.Load()) }
+
 func (p *process) Heartbeat(time.Time) port.Heartbeat {
 	return port.Heartbeat{Peer: membership.Peer{ID: p.id, Incarnation: 1}}
 }
@@ -177,6 +181,41 @@
 	}
 }
 
+// TestSilenceWithoutProcessor guards against a process that takes its own lack of a processor for the silence of its
+// peers: on a busy machine every session was replaced, and every call in progress was broken off.
+func TestSilenceWithoutProcessor(t *testing.T) {
+	a, b := startProcess(t, "a"), startProcess(t, "b")
+	r, err := relay.Start(b.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	a.connect(t, r.Address())
+	eventually(t, 5*time.Second, "connected", func() bool { _, err := a.session("b"); return err == nil })
+	broken := make(chan error, 1)
+	go func() {
+		_, err := a.Execute(t.Context(), "b", spec("held", "wait"))
+		broken <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	r.Freeze()
+	const busy, step = 4 * time.Second, 50 * time.Millisecond
+	for began := time.Now(); time.Since(began) < busy; {
+		select {
+		case err := <-broken:
+			t.Fatalf("call broken off after %v in which the process had no processor: %v", time.Since(began), err)
+		case <-time.After(step):
+			a.lag.Add(int64(step))
+			b.lag.Add(int64(step))
+		}
+	}
+	select {
+	case <-broken:
+	case <-time.After(HeartbeatInterval + HeartbeatTimeout + time.Second):
+		t.Error("a silent connection stays open when the process has a processor again")
+	}
+}
+
 // TestAnswersOutOfOrder guards guarantee 3 on the wire: with many calls in progress whose answers leave in another
 // order, each caller gets the answer to its own call.
 func TestAnswersOutOfOrder(t *testing.T) {
--- a/internal/app/peering/peering.go
+++ b/internal/app/peering/peering.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"skylarkstall/internal/app/directory"
@@ -31,6 +32,7 @@
 	log      *slog.Logger
 	revision func() ident.Revision
 	digest   func(time.Time) fleet.Digest
+	lag      atomic.Int64 // nanoseconds for which the process got no processor, since its start
 
 	live  notify.Broadcast // the set of live processes changed
 	beats notify.Broadcast // a heartbeat arrived
@@ -116,12 +118,15 @@
 
 // Times of the process's own timer.
 const (
-	tick       = 500 * time.Millisecond
+	tick       = 100 * time.Millisecond
 	pauseLimit = time.Second // a timer that is later than this means that the process was paused
+	// lateLimit is what timers are late on an idle machine. A timer that is later means that the process waits for a
+	// processor.
+	lateLimit = 10 * time.Millisecond
 )
 
-// Run marks silent peers dead until the context ends. When its own timer is late, it first gives peers the time to be
-// heard again: what the process missed while it was paused is no evidence against them.
+// Run marks silent peers dead until the context ends. When its own timer is late, it first gives peers that time to be
+// heard: what the process missed while it was paused or had no processor is no evidence against them.
 func (s *Service) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		due := time.Now().Add(tick)
@@ -133,9 +138,17 @@
 	}
 }
 
+// Lag returns for how long the process got no processor since its start, as far as its timer can tell.
+func (s *Service) Lag() time.Duration { return time.Duration(s.lag.Load()) }
+
 // wake acts on the timer that was due.
 func (s *Service) wake(now, due time.Time) {
-	if late := now.Sub(due); late > pauseLimit {
+	late := now.Sub(due)
+	if late > lateLimit {
+		s.lag.Add(int64(late))
+		s.members.Late(now, late)
+	}
+	if late > pauseLimit {
 		s.log.Warn("the process was paused; it renews before it acts", "paused", late)
 		s.recorder.Record(now, timeline.Event{Kind: timeline.Paused, Detail: late.Round(time.Millisecond).String()})
 		s.announce(now, s.members.Resumed(now, late))
--- a/internal/app/peering/peering_test.go
+++ b/internal/app/peering/peering_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// TestLateTimers guards against a process on a busy machine that counts its peers as dead: each of its timers is late, and
+// what its peers sent waits unread.
+func TestLateTimers(t *testing.T) {
+	s, _ := newService(&list{})
+	now := time.Unix(100, 0)
+	s.HeartbeatReceived(now, port.Heartbeat{Peer: membership.Peer{ID: "b"}})
+	for range 10 {
+		due := now.Add(100 * time.Millisecond)
+		now = due.Add(500 * time.Millisecond)
+		s.wake(now, due)
+	}
+	if !s.members.Alive("b") {
+		t.Errorf("a peer counts as dead 6 s after its heartbeat, of which the process had a processor for 1 s")
+	}
+	if want := 5 * time.Second; s.Lag() != want {
+		t.Errorf("lag %v; want %v", s.Lag(), want)
+	}
+	for range 21 {
+		now = now.Add(100 * time.Millisecond)
+		s.wake(now, now)
+	}
+	if s.members.Alive("b") {
+		t.Error("a silent peer is alive after 3 s in which the process had a processor")
+	}
+}
+
 // TestConnections guards the set of connections: a peer that moves is dialed at its new address, a live peer that
 // leaves the VM list keeps its connection until it is silent, and a seed is dialed without the VM list.
 func TestConnections(t *testing.T) {
--- a/internal/domain/membership/membership.go
+++ b/internal/domain/membership/membership.go
@@ -130,6 +130,18 @@
 	return Change{Self: true}
 }
 
+// Late notes that the process itself got no processor for a while: what peers sent in that time may not have been read
+// yet, so it does not count as their silence.
+func (m *Membership) Late(now time.Time, late time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.last = p.last.Add(late); p.last.After(now) {
+			p.last = now
+		}
+	}
+}
+
 // Forget removes the dead peers that are not listed, and returns them.
 func (m *Membership) Forget(listed func(ident.ProcessID) bool) []ident.ProcessID {
 	m.mu.Lock()
--- a/internal/domain/membership/membership_test.go
+++ b/internal/domain/membership/membership_test.go
@@ -20,6 +20,7 @@
 	incarnation uint64
 	draining    bool
 	paused      int // milliseconds; the process itself was paused until now
+	late        int // milliseconds; the process itself waited that long for a processor until now
 	want        string
 }
 
@@ -78,6 +79,18 @@
 			{at: 3500, paused: 1500, want: "a b"},
 			{at: 6500, want: "a"},
 		},
+		"the time in which the process got no processor is no silence": {
+			{at: 0, beat: "b", want: "a b"},
+			{at: 2000, late: 900, want: "a b"},
+			{at: 3500, late: 900, want: "a b"},
+			{at: 4700, want: "a b"},
+			{at: 4800, want: "a"},
+		},
+		"a lateness gives a peer no more time than a heartbeat": {
+			{at: 0, beat: "b", want: "a b"},
+			{at: 500, late: 900, want: "a b"},
+			{at: 3500, want: "a"},
+		},
 		"after a long pause the process renews before it is a candidate": {
 			{at: 0, beat: "b", want: "a b"},
 			{at: 5000, paused: 5000, want: "b"},
@@ -107,6 +120,8 @@
 func apply(m *membership.Membership, s step) {
 	now := time.UnixMilli(int64(1_000_000 + s.at))
 	switch {
+	case s.late > 0:
+		m.Late(now, time.Duration(s.late)*time.Millisecond)
 	case s.paused > 0:
 		m.Resumed(now, time.Duration(s.paused)*time.Millisecond)
 	case s.beat != "":
