--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -210,7 +210,8 @@
 		}
 	}
 	select {
-	case <-broken:
+	case err := <-broken:
+		t.Logf("broken off: %v", err)
 	case <-time.After(HeartbeatInterval + HeartbeatTimeout + time.Second):
 		t.Error("a silent connection stays open when the process has a processor again")
 	}
