--- a/internal/celltest/ownership_drain_test.go
+++ b/internal/celltest/ownership_drain_test.go
@@ -18,6 +18,7 @@
 	mu    sync.Mutex
 	nodes []*devcell.Node
 	ready []*devcell.Node
+	asked time.Time // when the round of questions began that ready is from
 }
 
 func (b *ownershipBalancer) set(nodes []*devcell.Node) {
@@ -30,6 +31,7 @@
 	b.mu.Lock()
 	nodes := b.nodes
 	b.mu.Unlock()
+	asked := time.Now()
 	var ready []*devcell.Node
 	for _, n := range nodes {
 		client := callerhttp.NewClient(n.CallerAddress(), "")
@@ -39,17 +41,18 @@
 		_ = client.Close()
 	}
 	b.mu.Lock()
-	b.ready = ready
+	b.ready, b.asked = ready, asked
 	b.mu.Unlock()
 }
 
-func (b *ownershipBalancer) pick(i int) *devcell.Node {
+// pick returns a ready process and how old that knowledge is, or nil.
+func (b *ownershipBalancer) pick(i int) (*devcell.Node, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
-		return nil
+		return nil, 0
 	}
-	return b.ready[i%len(b.ready)]
+	return b.ready[i%len(b.ready)], time.Since(b.asked)
 }
 
 // ownershipLongRun is longer than the grace of a drain, so that requests are in progress when the listener closes.
@@ -63,7 +66,7 @@
 	for c := range callers {
 		running.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
-				n := b.pick(c + i)
+				n, age := b.pick(c + i)
 				if n == nil {
 					time.Sleep(10 * time.Millisecond)
 					continue
@@ -72,9 +75,11 @@
 				if c%4 == 0 {
 					d = ownershipLongRun
 				}
+				sent := time.Now()
 				if err := ownershipRun(context.Background(), n, id, d); err != nil {
 					mu.Lock()
-					failures = append(failures, fmt.Errorf("%s through %s: %w", id, n.ID, err))
+					failures = append(failures, fmt.Errorf("%s through %s, %v after it was picked, %v after it was asked: %w",
+						id, n.ID, time.Since(sent), age+time.Since(sent), err))
 					mu.Unlock()
 				}
 				count.Add(1)
