Carry the progress of a job in one transaction at a time

Cause: three committers took changed jobs without regard to the transactions in progress. A second transaction for a job was refused (its revision was that before the first), waited 100 ms and held up up to 15 other jobs. Change: a job that a transaction carries waits for its answer.

--- a/internal/app/scheduler/commit.go
+++ b/internal/app/scheduler/commit.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// nextBatch takes changed jobs that no other transaction carries.
+// nextBatch takes changed jobs that no other transaction carries: a second one would meet the revision that the first
+// writes, and be refused with all its jobs.
 func (s *Scheduler) nextBatch() batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,7 +57,11 @@
 		if len(b.entries) == jobsPerCommit {
 			break
 		}
+		if e.carried {
+			continue
+		}
 		delete(s.dirty, id)
+		e.carried = true
 		progress := e.flow.Progress()
 		key := port.ProgressPrefix + string(id)
 		b.entries, b.versions = append(b.entries, e), append(b.versions, e.version)
@@ -87,7 +92,7 @@
 func (s *Scheduler) stored(b batch, revision ident.Revision) {
 	s.mu.Lock()
 	for i, e := range b.entries {
-		e.revision, e.stored, e.shown = revision, b.versions[i], b.states[i]
+		e.revision, e.stored, e.shown, e.carried = revision, b.versions[i], b.states[i], false
 		if e.shown.Final() && e.finished.IsZero() {
 			e.finished = time.Now()
 			s.log.Info("job over", "job", e.flow.Spec().ID, "state", e.shown.String(), "queue", e.queue.Name,
@@ -105,6 +110,7 @@
 	defer s.mu.Unlock()
 	for _, e := range b.entries {
 		s.dirty[e.flow.Spec().ID] = e
+		e.carried = false
 	}
 	select {
 	case s.commits <- struct{}{}:
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -75,7 +75,7 @@
 	ready    bool // the store has been read
 	jobs     map[workflow.ID]*entry
 	open     map[workflow.ID]*entry // jobs that are not over
-	dirty    map[workflow.ID]*entry // jobs with unrecorded progress that no commit carries
+	dirty    map[workflow.ID]*entry // jobs with progress that no commit carries
 	keepers  map[ident.WorkerID]*keeper
 	unseen   map[ident.WorkerID]port.Enlisted // workers of the last leader that were not seen yet
 	enlisted ident.Revision                   // of the record of workers
@@ -96,6 +96,7 @@
 	revision ident.Revision                               // of the progress record; 0 while there is none
 	version  uint64                                       // counts changes of the progress
 	stored   uint64                                       // version that the record has
+	carried  bool                                         // a commit with the job is in progress
 	shown    workflow.State                               // recorded state
 	finished time.Time                                    // when the recorded state became final
 }
