Keep the session to the leader when the store drops its history

Cause: a follower whose watch of the leader's key ended with "compacted" dropped its session and followed the same leader anew. Change: the follower reads the key again and goes on watching when it has not changed. Test: TestLostHistory.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -210,13 +210,15 @@
 			after = max(asOf, after)
 			continue
 		}
-		if fault.Is(err, fault.Compacted) {
-			return
-		}
 		pause.For(ctx, retryPause)
-		if now, err := e.read(ctx); err == nil && now.revision != s.revision {
+		now, err := e.read(ctx)
+		if err != nil {
+			continue
+		}
+		if now.revision != s.revision {
 			return
 		}
+		after = max(now.asOf, after)
 	}
 }
 
