Let a task wait for the run that a former leader started while its job was not known yet

The next leader met the run before it had read of the job, told it to stop, and started the task elsewhere 250 ms later, while the run was still stopping. Ruled out: order by the former leader after the look (its token is refused then). Lines that showed it: "run found ... kept=false", then "run ordered ... run=2001", then "run ended ... run=1001 how=stopped". Change: runs of unknown jobs are kept by job; when the job is taken in they hold its tasks and their room until their ends are listed. Open: an end of such a run that is listed before the job is known is still acknowledged without a record.

--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -162,6 +162,7 @@
 		return e
 	}
 	e := s.add(job)
+	s.claimStrays(e)
 	if len(s.unseen) > 0 && time.Since(s.began) < lateOrders {
 		e.flow.Inherit()
 	}
--- a/internal/app/scheduler/report.go
+++ b/internal/app/scheduler/report.go
@@ -146,13 +146,22 @@
 	e.avoid[task][worker] = true
 }
 
+// stray is a run of a job that was not known when a worker listed it.
+type stray struct {
+	keeper *keeper
+	run    workflow.RunRef
+}
+
 // adopt takes a run that this term did not order, or stops it when it does not count. The lock is held.
 func (s *Scheduler) adopt(k *keeper, e *entry, r port.RunReport) {
 	step := workflow.Step{}
 	worker := k.worker.Entry().ID
 	placement := workflow.Placement{RunRef: r.RunRef, Worker: worker}
 	counts := false
-	if e != nil && r.Task.Step < len(e.flow.Spec().Steps) {
+	switch {
+	case e == nil:
+		s.strays[r.Task.Job] = append(s.strays[r.Task.Job], stray{k, r.RunRef})
+	case r.Task.Step < len(e.flow.Spec().Steps):
 		step = *e.flow.Step(r.Task.StepRef)
 		counts = e.flow.Adopt(placement)
 	}
@@ -162,3 +171,20 @@
 		s.stopAll([]workflow.Placement{placement})
 	}
 }
+
+// claimStrays notes the runs of a job that workers listed before the job was known: a former leader had taken it in. They
+// were told to stop, and keep their tasks from starting elsewhere until their ends are listed. The lock is held.
+func (s *Scheduler) claimStrays(e *entry) {
+	id := e.flow.Spec().ID
+	for _, found := range s.strays[id] {
+		worker, task := found.keeper.worker, found.run.Task
+		if worker.Run(found.run) == nil || task.Step >= len(e.flow.Spec().Steps) {
+			continue
+		}
+		worker.Identify(found.run, e.flow.Step(task.StepRef))
+		e.flow.Adopt(workflow.Placement{RunRef: found.run, Worker: worker.Entry().ID})
+		s.log.Info("run of a former leader waits for its stop", "task", task.String(), "run", found.run.Run,
+			"worker", worker.Entry().ID)
+	}
+	delete(s.strays, id)
+}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -78,6 +78,7 @@
 	dirty    map[workflow.ID]*entry // jobs with progress that no commit carries
 	keepers  map[ident.WorkerID]*keeper
 	unseen   map[ident.WorkerID]port.Enlisted // workers of the last leader that were not seen yet
+	strays   map[workflow.ID][]stray          // runs of jobs that are not known yet
 	enlisted ident.Revision                   // of the record of workers
 	recorded map[ident.WorkerID]bool          // workers of the record that may get orders
 	outdated bool                             // the record has more workers than that
@@ -110,6 +111,7 @@
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		jobs: map[workflow.ID]*entry{}, open: map[workflow.ID]*entry{}, dirty: map[workflow.ID]*entry{},
 		keepers: map[ident.WorkerID]*keeper{}, unseen: map[ident.WorkerID]port.Enlisted{},
+		strays:   map[workflow.ID][]stray{},
 		recorded: map[ident.WorkerID]bool{}, advisers: map[ident.ProcessID]time.Time{},
 		shares: map[string]*permit.Share{},
 	}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -167,6 +167,18 @@
 	}
 }
 
+// Identify gives a run that was adopted without its step the room that it takes.
+func (w *Worker) Identify(ref workflow.RunRef, step *workflow.Step) {
+	run := w.runs[ref]
+	if run == nil {
+		return
+	}
+	w.used = w.used.Sub(size(&run.Step)).Add(size(step))
+	w.count(&run.Step, -1)
+	w.count(step, 1)
+	run.Step = *step
+}
+
 func (w *Worker) add(ref workflow.RunRef, step *workflow.Step) {
 	w.runs[ref] = &Run{RunRef: ref, Step: *step, Percent: fullSpeed}
 	w.used = w.used.Add(size(step))
