Learn how fast workers are

Cause: workers were compared by load and data only. Urgent tasks went to workers on which they take several times as long: slow ones of the fleet, and those that turn slow for a while. Change: a run that ended done is compared with the others of its step; the worker's speed is an average of these. It is a score of the choice, a strong one for urgent work, which may so have fast workers that are fuller.

--- a/internal/app/scheduler/ask.go
+++ b/internal/app/scheduler/ask.go
@@ -108,7 +108,7 @@
 // askable returns the workers with room and without a valid ticket, in the order in which they are named.
 func (s *Scheduler) askable(c candidate, now time.Time) []asked {
 	step := c.entry.flow.Step(c.ref)
-	request := pool.Request{Ref: c.ref, Step: step, Service: c.queue.Service, Now: now}
+	request := pool.Request{Ref: c.ref, Step: step, Service: c.queue.Service, Now: now, Urgent: c.queue.Urgent()}
 	var options []asked
 	for id, k := range s.keepers {
 		w := permit.Worker{ID: id, Born: k.worker.Entry().Born}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -215,12 +215,14 @@
 	if worker.Reserve(ref, step) != nil {
 		return launch{}, false
 	}
+	checkpoint := c.entry.flow.Checkpoint(ref.Task)
+	worker.Run(ref).Partial = checkpoint != ""
 	c.entry.flow.Start(workflow.Placement{RunRef: ref, Worker: worker.Entry().ID})
 	until, _ := worker.HoldUntil(s.settings.holdLength(), now)
 	return launch{
 		keeper: best.keeper, entry: c.entry, target: best.keeper.target(), seen: worker.Silent(now), free: free,
 		order: port.StartOrder{
-			RunRef: ref, Payload: c.entry.flow.Spec().Payload, Checkpoint: c.entry.flow.Checkpoint(ref.Task),
+			RunRef: ref, Payload: c.entry.flow.Spec().Payload, Checkpoint: checkpoint,
 			Ticket: best.ticket, Token: s.term.Token, HoldUntil: until,
 		},
 	}, true
@@ -230,6 +232,7 @@
 func (c *candidate) choose(task workflow.TaskRef, rack string, now time.Time) option {
 	request := pool.Request{
 		Ref: c.ref, Step: c.entry.flow.Step(c.ref), Service: c.queue.Service, Avoid: c.entry.avoid[task], Now: now,
+		Urgent: c.queue.Urgent(),
 	}
 	var best option
 	var bestScore float64
--- a/internal/app/scheduler/report.go
+++ b/internal/app/scheduler/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -62,12 +63,29 @@
 			continue
 		}
 		k.applied = end.Number
+		if run := k.worker.Run(end.Run); run != nil && end.How == workflow.Done {
+			s.learn(k, run)
+		}
 		k.worker.Release(end.Run)
 		e, version := s.ended(k, end.End)
 		k.pending = append(k.pending, pendingEnd{end.Number, e, version})
 	}
 }
 
+// learn compares a run that ended done with the others of its step. Runs that wait for others, last, are paced or did only
+// a part of the work tell nothing of the worker's speed.
+func (s *Scheduler) learn(k *keeper, run *pool.Run) {
+	e := s.jobs[run.Task.Job]
+	step := &run.Step
+	if e == nil || run.Started.IsZero() || run.Partial || step.Gang || step.LongRunning || step.Fills {
+		return
+	}
+	if e.work[run.Task.StepRef] == nil {
+		e.work[run.Task.StepRef] = &pool.Work{}
+	}
+	e.work[run.Task.StepRef].Done(k.worker, time.Since(run.Started))
+}
+
 // ended applies the end of a run. It returns the job and the version that its record must have, or nil when nothing has
 // to be recorded. The lock is held.
 func (s *Scheduler) ended(k *keeper, end workflow.End) (*entry, uint64) {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -94,6 +94,7 @@
 	accepted time.Time
 	permits  map[workflow.StepRef]*permit.Permits
 	avoid    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed
+	work     map[workflow.StepRef]*pool.Work              // what the tasks of a step take
 	revision ident.Revision                               // of the progress record; 0 while there is none
 	version  uint64                                       // counts changes of the progress
 	stored   uint64                                       // version that the record has
@@ -166,6 +167,7 @@
 	e := &entry{
 		flow: workflow.New(job.Spec), queue: job.Queue, accepted: job.At,
 		permits: map[workflow.StepRef]*permit.Permits{}, avoid: map[workflow.TaskRef]map[ident.WorkerID]bool{},
+		work: map[workflow.StepRef]*pool.Work{},
 	}
 	s.jobs[job.Spec.ID] = e
 	s.open[job.Spec.ID] = e
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -21,6 +21,7 @@
 	Step    *workflow.Step
 	Service string
 	Avoid   map[ident.WorkerID]bool // workers on which an earlier run of the task failed
+	Urgent  bool
 	Now     time.Time
 }
 
@@ -64,11 +65,18 @@
 	weightLoad  = 1.0
 	weightData  = 0.6 // away from the data
 	weightShare = 0.5 // runs that fill beside runs that serve
+	weightSpeed = 0.1 // twice the time for a task
+	// weightUrgentSpeed lets urgent work have the fast workers, also fuller ones.
+	weightUrgentSpeed = 0.5
 )
 
 // Score rates a worker for the task; lower is better.
 func (w *Worker) Score(r *Request) float64 {
-	return weightLoad*load(w, r) + weightData*away(w, r) + weightShare*disturbance(w, r)
+	speed := weightSpeed
+	if r.Urgent {
+		speed = weightUrgentSpeed
+	}
+	return weightLoad*load(w, r) + weightData*away(w, r) + weightShare*disturbance(w, r) + speed*slowness(w, r)
 }
 
 func load(w *Worker, r *Request) float64 {
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -31,6 +31,7 @@
 	Listed   bool      // the worker has listed it as running
 	Started  time.Time // when the worker answered the start, or first listed the run; zero before
 	Fenced   time.Time // when the worker answered a stop; zero before
+	Partial  bool      // it went on from a checkpoint, or its start is not known
 	Percent  int       // share of its speed at which it may work
 	reading  time.Duration
 	progress int       // percent of its work
@@ -55,11 +56,12 @@
 	failures int           // runs that failed on it in a row, of distinct jobs
 	lastFail workflow.ID
 	nextTry  time.Time // no start before, after failures in a row
+	speed    float64   // against other workers
 }
 
 // NewWorker returns a worker that has not answered yet.
 func NewWorker(entry Entry) *Worker {
-	return &Worker{entry: entry, runs: map[workflow.RunRef]*Run{}}
+	return &Worker{entry: entry, runs: map[workflow.RunRef]*Run{}, speed: 1}
 }
 
 // Entry returns what the worker says of itself.
@@ -117,7 +119,7 @@
 // Restarted begins another life of the worker. Orders that were on their way may hold it until the horizon, on its new
 // clock. The caller releases the runs that the last life took with it.
 func (w *Worker) Restarted(born int64, horizon time.Duration) {
-	w.entry.Born, w.clock, w.horizon = born, clock{}, horizon
+	w.entry.Born, w.clock, w.horizon, w.speed = born, clock{}, horizon, 1
 }
 
 // Runs returns the runs that count against the worker's room.
@@ -163,7 +165,7 @@
 func (w *Worker) Adopt(ref workflow.RunRef, step *workflow.Step) {
 	if w.runs[ref] == nil {
 		w.add(ref, step)
-		w.runs[ref].Percent = unknownSpeed
+		w.runs[ref].Percent, w.runs[ref].Partial = unknownSpeed, true
 	}
 }
 
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -26,6 +26,9 @@
 	Advice      *Advice // nil: no permits are needed
 }
 
+// Urgent reports whether no queue's work goes before this one's.
+func (q *Queue) Urgent() bool { return q.Priority == 0 }
+
 // Config is one version of the configuration.
 type Config struct {
 	Version uint64
