Tell the next leader that the term is over when the key is given up

Cause: a new leader waits for workers that it cannot reach until their holds have run out, and 6 s more in which the former leader could go on without the store. It did so too after a leader had ended its work and deleted its key. Change: the transaction that deletes the key also marks the term as over; its successor leaves the 6 s out. Orders on their way are bounded by the hold that they carry.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 	Token    ident.Epoch    // fencing token of its orders
 	Revision ident.Revision // of the leader's key, a condition of its writes
 	Succeeds bool           // there was a leader before
-	Alone    bool           // the process that led before is certainly gone
+	Alone    bool           // whoever led before is certainly gone, or has ended its work
 }
 
 // Lead does the leader's work until the context ends or the process finds that it does not lead any more.
@@ -256,7 +257,7 @@
 func (e *Election) take(ctx context.Context, s seat) (Term, port.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
-	number, termRevision, err := e.lastTerm(ctx)
+	last, err := e.lastTerm(ctx)
 	if err != nil {
 		return Term{}, 0, err
 	}
@@ -265,9 +266,9 @@
 		return Term{}, 0, err
 	}
 	self := e.self
-	self.Term = number + 1
+	self.Term = last.number + 1
 	committed, err := e.ledger.Commit(ctx, port.Txn{
-		If: []port.Condition{{Key: port.LeaderKey, Revision: s.revision}, {Key: port.TermKey, Revision: termRevision}},
+		If: []port.Condition{{Key: port.LeaderKey, Revision: s.revision}, {Key: port.TermKey, Revision: last.revision}},
 		Writes: []port.Write{
 			{Key: port.LeaderKey, Value: e.records.EncodeLeader(self), Lease: lease},
 			{Key: port.TermKey, Value: []byte(strconv.FormatUint(self.Term, 10))},
@@ -277,22 +278,32 @@
 		return Term{}, 0, err
 	}
 	return Term{
-		Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, Succeeds: number > 0,
-		Alone: s.gone,
+		Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, Succeeds: last.number > 0,
+		Alone: s.gone || last.over,
 	}, lease, nil
 }
 
-// lastTerm returns the number of the last term and the revision of its key; zeros before the first.
-func (e *Election) lastTerm(ctx context.Context) (uint64, ident.Revision, error) {
+// lastTerm is the record of the last term.
+type lastTerm struct {
+	number   uint64 // 0 before the first
+	over     bool   // its leader had ended its work when it gave up the key
+	revision ident.Revision
+}
+
+// termOver follows the number of a term whose leader has ended its work.
+const termOver = " over"
+
+func (e *Election) lastTerm(ctx context.Context) (lastTerm, error) {
 	entry, err := e.ledger.Get(ctx, port.TermKey)
 	if fault.Is(err, fault.NotFound) {
-		return 0, 0, nil
+		return lastTerm{}, nil
 	}
 	if err != nil {
-		return 0, 0, err
+		return lastTerm{}, err
 	}
-	number, err := strconv.ParseUint(string(entry.Value), 10, 64)
-	return number, entry.Revision, fault.As(fault.Invalid, err, "read the number of the last term")
+	digits, over := strings.CutSuffix(string(entry.Value), termOver)
+	number, err := strconv.ParseUint(digits, 10, 64)
+	return lastTerm{number, over, entry.Revision}, fault.As(fault.Invalid, err, "read the number of the last term")
 }
 
 // renew keeps the lease and returns why it stopped.
@@ -317,12 +328,13 @@
 	return "the leader's work ended"
 }
 
-// giveUp deletes the key, so that the next leader need not wait for the end of the lease.
+// giveUp deletes the key, so that the next leader need not wait for the end of the lease, and records that no order follows.
 func (e *Election) giveUp(term Term) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	_, err := e.ledger.Commit(ctx, port.Txn{
 		If:      []port.Condition{{Key: port.LeaderKey, Revision: term.Revision}},
+		Writes:  []port.Write{{Key: port.TermKey, Value: []byte(strconv.FormatUint(term.Number, 10) + termOver)}},
 		Deletes: []string{port.LeaderKey},
 	})
 	if err != nil && !fault.Is(err, fault.Conflict) {
