Count a job as running only once a run has begun

Cause: Workflow.Start marked the job as started when a run was ordered, and nothing took that back. A gang that does not fit is placed and taken back at every look, so its job was shown as running and left out of the waiting jobs though no task had begun. Change: a job is running from the first answered start, listed run or end done or failed. Tests: TestWaitingWithoutRoom (0 jobs waiting without the change; want 1). TestStartDuringRestart passed on the code that had its fault; it is replaced by one of the same name in the scheduler's package, which fails when every run that a new life does not list is given up (tasks 0, 1 and 2 instead of 0) and checks the room besides.

--- a/internal/app/scheduler/order.go
+++ b/internal/app/scheduler/order.go
@@ -65,6 +65,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	l.keeper.worker.Answered(clock, sent, now)
+	l.entry.flow.Begun()
 	if run := l.keeper.worker.Run(l.order.RunRef); run != nil && run.Started.IsZero() {
 		run.Started = now
 	}
--- a/internal/app/scheduler/report.go
+++ b/internal/app/scheduler/report.go
@@ -119,6 +119,7 @@
 		listed[r.RunRef] = true
 		e := s.jobs[r.Task.Job]
 		if e != nil {
+			e.flow.Begun()
 			e.flow.Saved(r.RunRef, r.Checkpoint)
 		}
 		if k.worker.Run(r.RunRef) == nil {
--- a/internal/domain/workflow/end.go
+++ b/internal/domain/workflow/end.go
@@ -29,8 +29,10 @@
 	case step.LongRunning:
 		return Verdict{Changed: known && end.Checkpoint != ""}
 	case end.How == Done:
+		w.started = true
 		return w.done(end.Run, step)
 	case end.How == Failed:
+		w.started = true
 		return w.failed(end.Run, maxAttempts)
 	default:
 		return Verdict{Changed: known && end.Checkpoint != ""}
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -153,10 +153,10 @@
 }
 
 // Start notes that a run was ordered. The caller has taken the task from Waiting.
-func (w *Workflow) Start(p Placement) {
-	w.activate(p, w.task(p.Task))
-	w.started = true
-}
+func (w *Workflow) Start(p Placement) { w.activate(p, w.task(p.Task)) }
+
+// Begun notes that a run has begun. Orders that were taken back or refused leave the job pending.
+func (w *Workflow) Begun() { w.started = true }
 
 // Adopt notes a run that an earlier leader ordered and that a worker lists. It reports whether the run counts: one of
 // a task that is done, or of a job that is over, has to be stopped.
