Write the round trip of a call, the storing of a job and a free address once

Change: frame.Mux.RoundTrip, port.StoreJob, platformtest.FreeAddress. A message of a peer that is no message keeps its kind. The mesh now tells that a call was too large instead of that its fate is unknown. A comment on lateLimit claimed a figure that was never measured.

--- a/internal/adapter/cellwire/mesh.go
+++ b/internal/adapter/cellwire/mesh.go
@@ -336,19 +336,9 @@
 // call makes one call on a stream of its own. It fails with Unavailable when nothing was sent and with Interrupted
 // when the reply did not arrive.
 func (s *session) call(ctx context.Context, call *cellpb.Call) (*cellpb.Reply, error) {
-	stream, err := s.mux.OpenStream()
-	if err != nil {
-		return nil, fault.As(fault.Unavailable, err, "open a stream to "+string(s.peer))
-	}
-	defer stream.Close()
-	stop := context.AfterFunc(ctx, stream.Expire)
-	defer stop()
-	if err := frame.Write(stream, call); err != nil {
-		return nil, fault.As(fault.Interrupted, err, "call to "+string(s.peer))
-	}
 	reply := &cellpb.Reply{}
-	if err := frame.Read(bufio.NewReader(stream), reply); err != nil {
-		return nil, fault.As(fault.Interrupted, errors.Join(ctx.Err(), err), "call to "+string(s.peer))
+	if err := s.mux.RoundTrip(ctx, string(s.peer), call, reply); err != nil {
+		return nil, err
 	}
 	if f := reply.GetFailure(); f != nil {
 		return nil, fault.New(fault.Kind(f.GetKind()), "%s: %s", s.peer, f.GetMessage())
--- a/internal/adapter/frame/frame.go
+++ b/internal/adapter/frame/frame.go
@@ -29,6 +29,8 @@
 // malformed is an error of Read: the peer sent bytes that are no message.
 type malformed struct{ error }
 
+func (m malformed) Unwrap() error { return m.error }
+
 // Malformed marks an error of what the peer sent.
 func Malformed(err error) error { return malformed{err} }
 
--- a/internal/adapter/frame/mux.go
+++ b/internal/adapter/frame/mux.go
@@ -1,12 +1,17 @@
 package frame
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"skylarkstall/internal/fault"
 )
 
 // Mux is a yamux session whose streams end before it does. Once a session is shut down, yamux's Read and Write go round
@@ -100,6 +105,29 @@
 	return m.add(stream), nil
 }
 
+// RoundTrip sends a request on a stream of its own and reads the reply. It fails with Unavailable when no stream could be
+// opened, with TooLarge when nothing was sent, and with Interrupted when no whole reply came; see also IsMalformed.
+func (m *Mux) RoundTrip(ctx context.Context, peer string, request, reply proto.Message) error {
+	stream, err := m.OpenStream()
+	if err != nil {
+		return fault.As(fault.Unavailable, err, "open a stream to "+peer)
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, stream.Expire)
+	defer stop()
+	if err = Write(stream, request); err == nil {
+		err = Read(bufio.NewReader(stream), reply)
+	}
+	if err == nil || fault.Is(err, fault.TooLarge) {
+		return err
+	}
+	interrupted := fault.As(fault.Interrupted, errors.Join(ctx.Err(), err), "call to "+peer)
+	if IsMalformed(err) {
+		return Malformed(interrupted)
+	}
+	return interrupted
+}
+
 func (m *Mux) add(stream *yamux.Stream) *Stream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/adapter/peerwire/session.go
+++ b/internal/adapter/peerwire/session.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -76,37 +75,16 @@
 	default:
 		return nil, fault.New(fault.Overloaded, "%d calls to %s are in progress; that is the limit", maxStreams, s.peer)
 	}
-	stream, err := s.mux.OpenStream()
-	if err != nil {
-		return nil, fault.As(fault.Unavailable, err, "open a stream to "+string(s.peer))
-	}
-	defer stream.Close()
-	stop := context.AfterFunc(ctx, stream.Expire)
-	defer stop()
-	if err := frame.Write(stream, call); err != nil {
-		return nil, callError(ctx, err, s.peer)
-	}
 	reply := &peerpb.Reply{}
-	if err := frame.Read(bufio.NewReader(stream), reply); err != nil {
+	if err := s.mux.RoundTrip(ctx, string(s.peer), call, reply); err != nil {
 		if frame.IsMalformed(err) {
 			s.end(err)
 		}
-		return nil, callError(ctx, err, s.peer)
+		return nil, err
 	}
 	return reply, nil
 }
 
-// callError tells of a call that may have taken effect. Only a call that is too large was certainly not sent.
-func callError(ctx context.Context, err error, peer ident.ProcessID) error {
-	if fault.Is(err, fault.TooLarge) {
-		return err
-	}
-	if cause := ctx.Err(); cause != nil {
-		err = errors.Join(cause, err)
-	}
-	return fault.As(fault.Interrupted, err, "call to "+string(peer))
-}
-
 // handshake exchanges hello messages on the first stream.
 func handshake(conn net.Conn, reader *bufio.Reader, self *peerpb.Hello) (*peerpb.Hello, error) {
 	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -88,11 +88,7 @@
 func (g *Gateway) storeItself(ctx context.Context, job port.Accepted) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	key := port.JobPrefix + string(job.Spec.ID)
-	_, err := g.ledger.Commit(ctx, port.Txn{
-		If:     []port.Condition{{Key: key}},
-		Writes: []port.Write{{Key: key, Value: g.records.EncodeJob(job)}},
-	})
+	_, err := g.ledger.Commit(ctx, port.StoreJob(g.records, job))
 	if fault.Is(err, fault.Conflict) {
 		return nil // it is there already
 	}
--- a/internal/app/peering/peering.go
+++ b/internal/app/peering/peering.go
@@ -120,8 +120,7 @@
 const (
 	tick       = 100 * time.Millisecond
 	pauseLimit = time.Second // a timer that is later than this means that the process was paused
-	// lateLimit is what timers are late on an idle machine. A timer that is later means that the process waits for a
-	// processor.
+	// lateLimit is how late a timer may be before the process counts as one that waits for a processor.
 	lateLimit = 10 * time.Millisecond
 )
 
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -80,11 +80,7 @@
 
 // Record implements port.Scheduler.
 func (s *Scheduler) Record(ctx context.Context, job port.Accepted) error {
-	key := port.JobPrefix + string(job.Spec.ID)
-	_, err := s.ports.Ledger.Commit(ctx, port.Txn{
-		If:     []port.Condition{{Key: key}},
-		Writes: []port.Write{{Key: key, Value: s.ports.Records.EncodeJob(job)}},
-	})
+	_, err := s.ports.Ledger.Commit(ctx, port.StoreJob(s.ports.Records, job))
 	if err != nil && !fault.Is(err, fault.Conflict) {
 		return err
 	}
--- a/internal/cli/platform_test.go
+++ b/internal/cli/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +12,7 @@
 	"time"
 
 	"skylarkstall/internal/fault"
+	"skylarkstall/platform/platformtest"
 )
 
 // lines is an output that can be read while a command writes it.
@@ -40,22 +40,12 @@
 	t.Fatalf("no %q in the output:\n%s", want, l.text.String())
 }
 
-func localAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // TestSettingsChange guards against a process that SIGHUP ends, and against settings that are not read again.
 func TestSettingsChange(t *testing.T) {
 	boot := filepath.Join(t.TempDir(), "local.conf")
 	text := "node=entry-1\nplatform.address=127.0.0.1:1\nadvice=127.0.0.1:1\nlimits.cpuShare=0.4\nlimits.memoryMb=284\nbounds.maxHoldMs=6000\n" +
-		"bounds.status_s=120\nbounds.graceS=1\nlisten.front=" + localAddress(t) + "\nlisten.ready=" + localAddress(t) +
-		"\nlisten.control=" + localAddress(t) + "\nsomething.new=1\n"
+		"bounds.status_s=120\nbounds.graceS=1\nlisten.front=" + platformtest.FreeAddress(t) + "\nlisten.ready=" + platformtest.FreeAddress(t) +
+		"\nlisten.control=" + platformtest.FreeAddress(t) + "\nsomething.new=1\n"
 	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -169,6 +169,12 @@
 	DecodeWorkers(raw []byte, revision ident.Revision) ([]Enlisted, error)
 }
 
+// StoreJob returns the transaction that stores a job unless it is there.
+func StoreJob(records Records, job Accepted) Txn {
+	key := JobPrefix + string(job.Spec.ID)
+	return Txn{If: []Condition{{Key: key}}, Writes: []Write{{Key: key, Value: records.EncodeJob(job)}}}
+}
+
 // Keys and prefixes of what a cell keeps in the store.
 const (
 	JobPrefix      = "job/"         // and the job's id: what the caller submitted
