Use workers on which runs have failed as a last choice

Cause: a worker on which a run of the task failed or stalled was excluded for good, and one with failures of several jobs for up to 8 s. Change: such workers rank behind all others and are used when the step has waited 1.5 s and no other allowed worker could take the task, or the service uses less than half of its processors; own failures are ignored after 8 s. The permit service is asked about them too.

--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -8,7 +8,6 @@
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
-	"skylarkstall/internal/domain/pool"
 )
 
 // Parameters of calls to the permit service.
@@ -109,7 +108,8 @@
 // permitCandidates returns the eligible workers that have no valid ticket and were not refused, in order of preference.
 func (s *Scheduler) permitCandidates(c candidate, now time.Time) []permitCandidate {
 	step := c.entry.workflow.Step(c.ref)
-	request := pool.Request{Ref: c.ref, Step: step, Service: c.queue.Service, Now: now, TopPriority: c.queue.HasTopPriority()}
+	request := c.request(now)
+	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	var options []permitCandidate
 	for id, m := range s.monitors {
 		w := permit.Worker{ID: id, Incarnation: m.worker.Info().Incarnation}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"iter"
 	"slices"
 	"time"
 
@@ -60,6 +61,8 @@
 	queue   route.Queue
 	permits *permit.Permits // nil if the queue needs none
 	workers []allowedWorker
+	waited  time.Duration // for how long tasks of the step could not be placed
+	idle    func() bool   // whether the workers of the service have much unused capacity
 }
 
 // allowedWorker is a worker on which the policy of the queue allows a step to run.
@@ -78,7 +81,10 @@
 	for _, c := range s.candidates(now) {
 		c.permits = s.permitsOf(c)
 		c.workers = s.allowedWorkers(c, now)
+		c.waited = c.entry.waitedFor(c.ref, now)
+		c.idle = func() bool { return pool.Idle(c.queue.Service, s.workers(), now) }
 		placed, unplaced := s.placeStep(c, now)
+		c.entry.setUnplaced(c.ref, unplaced > 0, now)
 		launches = append(launches, placed...)
 		if unplaced == 0 || c.queue.PermitPolicy == nil {
 			continue
@@ -136,6 +142,17 @@
 	return workers
 }
 
+// workers returns the workers that the leader knows. The lock is held.
+func (s *Scheduler) workers() iter.Seq[*pool.Worker] {
+	return func(yield func(*pool.Worker) bool) {
+		for _, m := range s.monitors {
+			if !yield(m.worker) {
+				return
+			}
+		}
+	}
+}
+
 // placeStep places waiting tasks of a step and returns how many could not be placed.
 func (s *Scheduler) placeStep(c candidate, now time.Time) ([]launch, int) {
 	waiting := c.entry.workflow.Waiting(c.ref)
@@ -235,21 +252,48 @@
 	}, true
 }
 
-// chooseWorker returns the eligible worker with the best score for a task. The monitor of the result is nil when no
-// worker is eligible.
-func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
-	request := pool.Request{
-		Ref: c.ref, Step: c.entry.workflow.Step(c.ref), Service: c.queue.Service, Avoid: c.entry.avoidWorkers[task], Now: now,
+// request describes the tasks of the step to the filters and scores of workers.
+func (c *candidate) request(now time.Time) pool.Request {
+	return pool.Request{
+		Ref: c.ref, Step: c.entry.workflow.Step(c.ref), Service: c.queue.Service, Waited: c.waited, Now: now,
 		TopPriority: c.queue.HasTopPriority(),
 	}
+}
+
+// chooseWorker returns the best worker for a task. Workers on which runs have failed are the last choice. The monitor of
+// the result is nil when no worker is eligible.
+func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
+	request := c.request(now)
+	request.Avoid = c.entry.avoidWorkers[task]
+	best := c.bestWorker(&request, rack)
+	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), c.idle) {
+		request.LastChoice = true
+		best = c.bestWorker(&request, rack)
+	}
+	return best
+}
+
+// allowed returns the workers on which the step may run.
+func (c *candidate) allowed() iter.Seq[*pool.Worker] {
+	return func(yield func(*pool.Worker) bool) {
+		for _, allowed := range c.workers {
+			if !yield(allowed.monitor.worker) {
+				return
+			}
+		}
+	}
+}
+
+// bestWorker returns the eligible worker with the best score.
+func (c *candidate) bestWorker(request *pool.Request, rack string) allowedWorker {
 	var best allowedWorker
 	var bestScore float64
 	for _, allowed := range c.workers {
 		worker := allowed.monitor.worker
-		if rack != "" && worker.Info().Rack != rack || !worker.Eligible(&request) {
+		if rack != "" && worker.Info().Rack != rack || !worker.Eligible(request) {
 			continue
 		}
-		score := worker.Score(&request)
+		score := worker.Score(request)
 		tie := best.monitor != nil && score == bestScore && worker.Info().ID < best.monitor.worker.Info().ID
 		if best.monitor == nil || score < bestScore || tie {
 			best, bestScore = allowed, score
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// avoidWorker excludes a worker from further runs of a task.
+// avoidWorker makes a worker the last choice for further runs of a task.
 func (e *jobEntry) avoidWorker(task workflow.TaskRef, worker ident.WorkerID) {
 	if e.avoidWorkers[task] == nil {
 		e.avoidWorkers[task] = map[ident.WorkerID]bool{}
@@ -175,6 +175,25 @@
 	e.avoidWorkers[task][worker] = true
 }
 
+// waitedFor returns for how long a step has had tasks that could not be placed.
+func (e *jobEntry) waitedFor(ref workflow.StepRef, now time.Time) time.Duration {
+	if since, ok := e.unplacedSince[ref]; ok {
+		return now.Sub(since)
+	}
+	return 0
+}
+
+// setUnplaced records whether a step has tasks that could not be placed.
+func (e *jobEntry) setUnplaced(ref workflow.StepRef, unplaced bool, now time.Time) {
+	_, waits := e.unplacedSince[ref]
+	switch {
+	case !unplaced:
+		delete(e.unplacedSince, ref)
+	case !waits:
+		e.unplacedSince[ref] = now
+	}
+}
+
 // adoptRun adds a reported run that this term did not start, and stops it unless its job adopts it. The lock is held.
 func (s *Scheduler) adoptRun(m *workerMonitor, e *jobEntry, r port.RunningRun) {
 	step := workflow.Step{}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -95,6 +95,7 @@
 	accepted        time.Time
 	permits         map[workflow.StepRef]*permit.Permits
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
+	unplacedSince   map[workflow.StepRef]time.Time               // since when a step has had tasks that could not be placed
 	durations       map[workflow.StepRef]*pool.DurationEstimate  // learned durations of the tasks of each step
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
 	version         uint64                                       // incremented with each change of the progress
@@ -169,7 +170,7 @@
 	e := &jobEntry{
 		workflow: workflow.New(job.Spec), queue: job.Queue, accepted: job.AcceptedAt,
 		permits: map[workflow.StepRef]*permit.Permits{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
-		durations: map[workflow.StepRef]*pool.DurationEstimate{},
+		durations: map[workflow.StepRef]*pool.DurationEstimate{}, unplacedSince: map[workflow.StepRef]time.Time{},
 	}
 	s.jobs[job.Spec.ID] = e
 	s.openJobs[job.Spec.ID] = e
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -32,18 +32,22 @@
 		leadership.Term{Number: 2, Token: 9, HasPredecessor: true}, slog.New(slog.DiscardHandler))
 	s.ctx, s.cancel, s.startedAt, s.ready = ctx, cancel, time.Now(), true
 	t.Cleanup(func() { cancel(); s.wg.Wait() })
-	now := time.Now()
 	for _, id := range []ident.WorkerID{"w1", "w2"} {
-		m := &workerMonitor{worker: pool.NewWorker(pool.WorkerInfo{
-			ID: id, Service: "desk", Capacity: resource.Vector{MilliCores: 4000, MemoryBytes: 8 << 30}, Incarnation: 1,
-		})}
-		m.worker.ObserveClock(time.Second, now, now)
-		m.worker.MarkSynced()
-		s.monitors[id], s.recorded[id] = m, true
+		addTestWorker(s, id, 4000, time.Now())
 	}
 	return s
 }
 
+// addTestWorker adds a synced worker with 8 GiB.
+func addTestWorker(s *Scheduler, id ident.WorkerID, milliCores int64, now time.Time) {
+	m := &workerMonitor{worker: pool.NewWorker(pool.WorkerInfo{
+		ID: id, Service: "desk", Capacity: resource.Vector{MilliCores: milliCores, MemoryBytes: 8 << 30}, Incarnation: 1,
+	})}
+	m.worker.ObserveClock(time.Second, now, now)
+	m.worker.MarkSynced()
+	s.monitors[id], s.recorded[id] = m, true
+}
+
 // acceptTestJob accepts a job of one step with tasks of 3 cores.
 func acceptTestJob(s *Scheduler, step workflow.Step) *jobEntry {
 	step.Size = resource.Vector{MilliCores: 3000, MemoryBytes: 1 << 30}
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -21,6 +21,8 @@
 	Step        *workflow.Step
 	Service     string
 	Avoid       map[ident.WorkerID]bool // workers on which an earlier run of the task failed or stalled
+	Waited      time.Duration           // for how long the step has had tasks that no worker could take
+	LastChoice  bool                    // also use workers on which runs have failed
 	TopPriority bool                    // the queue has the highest priority
 	Now         time.Time
 }
@@ -28,7 +30,7 @@
 // filter reports whether a worker may run the task.
 type filter func(*Worker, *Request) bool
 
-var filters = []filter{sameService, responsive, notDraining, hasRequiredLabel, withinMaxPerWorker, healthy, fits}
+var filters = []filter{sameService, responsive, notDraining, hasRequiredLabel, withinMaxPerWorker, preferred, fits}
 
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
@@ -46,8 +48,6 @@
 	return r.Step.MaxPerWorker == 0 || w.CountRuns(r.Ref) < r.Step.MaxPerWorker
 }
 
-func healthy(w *Worker, r *Request) bool { return !w.InBackoff(r.Now) && !r.Avoid[w.info.ID] }
-
 func fits(w *Worker, r *Request) bool { return w.Fits(r.Step) }
 
 // Eligible reports whether a task may start on the worker now.
@@ -68,6 +68,7 @@
 	weightSpeed        = 0.1 // per unit of slowdown: 1 means twice the ordinary duration
 	// weightUrgentSpeed prefers fast workers for urgent tasks, even if they are more loaded.
 	weightUrgentSpeed = 0.5
+	weightFailures    = 1000.0 // runs have failed on the worker: the last choice
 )
 
 // Score returns the cost of placing the task on the worker; lower is better.
@@ -77,7 +78,7 @@
 		speed = weightUrgentSpeed
 	}
 	return weightLoad*load(w, r) + weightDataRack*offDataRack(w, r) +
-		weightInterference*interference(w, r) + speed*slowdown(w, r)
+		weightInterference*interference(w, r) + speed*slowdown(w, r) + weightFailures*failures(w, r)
 }
 
 func load(w *Worker, r *Request) float64 {
