Acknowledge the ends of a gang after the gang is recorded

Cause: the first member that ends as done completes its gang. The ends of the other members changed nothing, so they were acknowledged at once, also while the store was down and the completed gang was not recorded. Change: the end of a run of a known job is acknowledged once the recorded progress has the version of the job at that time, whether the end changed something or not. The same holds for copies of a step of which one has completed the task. Conclusion: no more calls to the store; the end waits for a record that was due anyway.

--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -94,7 +94,8 @@
 }
 
 // applyEnd applies the end of a run to its job. It returns the job and the version that its recorded progress must
-// reach before the end is acknowledged, or nil when nothing has to be recorded. The lock is held.
+// reach before the end is acknowledged, or nil when the job is not known. An end that changes nothing waits for the
+// present version too: the end that completed its task or its gang may not be recorded yet. The lock is held.
 func (s *Scheduler) applyEnd(m *workerMonitor, end workflow.End) (*jobEntry, uint64) {
 	e := s.jobs[end.Run.Task.Job]
 	if e == nil {
@@ -113,10 +114,9 @@
 	s.log.Info("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.Outcome.String(),
 		"job_state", e.workflow.State().String(), "recorded_first", effect.MustRecord)
 	s.stopRuns(effect.Stop)
-	if !effect.MustRecord {
-		return nil, 0
+	if effect.MustRecord {
+		s.markDirty(e)
 	}
-	s.markDirty(e)
 	return e, e.version
 }
 
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -189,3 +189,32 @@
 		t.Errorf("%d jobs are waiting, error %v; want 1", n, err)
 	}
 }
+
+// TestEndsOfGang guards against a member of a gang that runs again although it has ended as done: the end of the first
+// member completed the gang, and the ends of the others were acknowledged before that was recorded. The leader was lost,
+// and its successor knew of no end.
+func TestEndsOfGang(t *testing.T) {
+	s := newLeader(t)
+	e := acceptTestJob(s, workflow.Step{Count: 2, Gang: true})
+	if launches, _ := s.place(time.Now()); len(launches) != 2 {
+		t.Fatalf("%d members start, want 2", len(launches))
+	}
+	s.mu.Lock()
+	for _, p := range e.workflow.Active() {
+		s.applyEnds(s.monitors[p.Worker], []port.EndedRun{{Number: 1, End: workflow.End{Run: p.RunRef, Outcome: workflow.Done}}})
+	}
+	s.mu.Unlock()
+	for id, m := range s.monitors {
+		if n := ackedEnd(s, m); n != 0 {
+			t.Errorf("the end on %s is acknowledged before the progress of the job is recorded", id)
+		}
+	}
+	s.mu.Lock()
+	e.storedVersion = e.version
+	s.mu.Unlock()
+	for id, m := range s.monitors {
+		if n := ackedEnd(s, m); n != 1 {
+			t.Errorf("the end on %s is not acknowledged after the progress was recorded", id)
+		}
+	}
+}
