Pack workers, preempt for urgent work, and try waiting steps only when something changed

(2) Urgent tasks waited for tasks of lower priorities that resume from a checkpoint. Replies waited for the lock for seconds, starts timed out and were stopped, which made more work. (4) Each of several starts at once on one worker opened a connection. Change: (1) The fullest worker on which a task fits has the best score; best-effort tasks are still spread. (2) A step whose tasks wait 0.1 s (highest priority) or 0.5 s stops runs of lower priorities that have checkpoints; freed capacity is held for it for up to 2 s; a gang preempts for all members or none. (3) A waiting step is tried after a release on an allowed worker, after a change of its own or after 0.25 s. A pass takes at most 5 ms and is followed by a pause of twice its time. (4) One start or stop request at a time to a worker; a start that waited for 0.5 s is withdrawn instead of sent.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -29,6 +29,7 @@
 // workerMonitor keeps one worker's lease alive and tracks its runs. Its fields are guarded by the scheduler's lock.
 type workerMonitor struct {
 	worker           *pool.Worker
+	lanes            chan struct{} // holds a token for each start or stop request in progress
 	cancel           context.CancelFunc
 	appliedEnd       uint64         // highest number of an end that was applied
 	ackedEnd         uint64         // highest number of an end that the worker need not report again
@@ -57,10 +58,31 @@
 	return port.Target{Worker: m.worker.Info().ID, Address: m.worker.Info().Address}
 }
 
+// maxRequests bounds the start and stop requests in progress to one worker. Each request in progress needs a connection,
+// and opening one costs more than waiting for the next response of a worker.
+const maxRequests = 1
+
+func newMonitor(w pool.WorkerInfo) *workerMonitor {
+	return &workerMonitor{worker: pool.NewWorker(w), lanes: make(chan struct{}, maxRequests)}
+}
+
+// enterLane waits until a request may be sent to the worker. It returns false when the context ends first.
+func (m *workerMonitor) enterLane(ctx context.Context) bool {
+	select {
+	case m.lanes <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (m *workerMonitor) leaveLane() { <-m.lanes }
+
 // addWorker starts the monitor of a worker. The lock is held.
 func (s *Scheduler) addWorker(w pool.WorkerInfo) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	m := &workerMonitor{worker: pool.NewWorker(w), cancel: cancel, unreachable: true, addedAt: time.Now()}
+	m := newMonitor(w)
+	m.cancel, m.unreachable, m.addedAt = cancel, true, time.Now()
 	s.monitors[w.ID] = m
 	s.wg.Go(func() { s.monitor(ctx, m) })
 }
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -44,12 +44,11 @@
 	if c.queue.PermitPolicy == nil {
 		return nil
 	}
-	p := c.entry.permits[c.ref]
-	if p == nil {
-		p = permit.New()
-		c.entry.permits[c.ref] = p
+	step := c.entry.step(c.ref)
+	if step.permits == nil {
+		step.permits = permit.New()
 	}
-	return p
+	return step.permits
 }
 
 // planPermitCall returns a call for a step of which some tasks could not be placed, and false when a call is already in
@@ -58,15 +57,15 @@
 	if c.permits.CallInProgress() {
 		return permitCall{}, false
 	}
+	process, wait := s.leastBusyProcess(now)
+	if wait > maxCallBacklog {
+		return permitCall{}, false
+	}
 	workers := s.selectWorkers(c, unplaced, now)
 	if len(workers) == 0 {
 		return permitCall{}, false
 	}
 	duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(workers))*c.queue.PermitPolicy.WorkerLatency
-	process, wait := s.leastBusyProcess(now)
-	if wait > maxCallBacklog {
-		return permitCall{}, false
-	}
 	s.permitBusyUntil[process] = now.Add(wait + duration)
 	c.permits.BeginCall()
 	return permitCall{c, process, workers, wait + duration + callTimeoutSlack}, true
@@ -163,6 +162,7 @@
 		"took_ms", time.Since(started).Milliseconds(), "kind", resultKind(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	call.entry.step(call.ref).waiting.Retry()
 	if err != nil {
 		call.permits.AbortCall()
 		s.permitBusyUntil[call.process] = time.Now().Add(failedCallPenalty)
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -40,19 +40,27 @@
 		case <-ctx.Done():
 			return
 		}
-		launches, calls := s.place(time.Now())
+		started := time.Now()
+		launches, calls := s.place(started)
 		for _, l := range launches {
 			s.wg.Go(func() { s.startRun(ctx, l) })
 		}
 		for _, call := range calls {
 			s.wg.Go(func() { s.callPermits(ctx, call) })
 		}
-		pause.For(ctx, placePause)
+		pause.For(ctx, max(placePause, placePauseFactor*time.Since(started)))
 	}
 }
 
-// placePause limits the rate of placement when many changes arrive at once.
-const placePause = 4 * time.Millisecond
+const (
+	// placePause limits the rate of placement when many changes arrive at once.
+	placePause = 4 * time.Millisecond
+	// placePauseFactor is the pause as a multiple of the time that placement took: leases, ends and stops need the lock and
+	// the processor too, and starts are what may slow down under overload.
+	placePauseFactor = 2
+	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
+	maxPlaceTime = 5 * time.Millisecond
+)
 
 // candidate is a step with tasks to start.
 type candidate struct {
@@ -62,7 +70,25 @@
 	permits *permit.Permits // nil if the queue needs none
 	workers []allowedWorker
 	waited  time.Duration // for how long tasks of the step could not be placed
-	idle    func() bool   // whether the workers of the service have much unused capacity
+	pass    *placementPass
+}
+
+// placementPass caches what all steps that are tried in one pass have in common.
+type placementPass struct {
+	scheduler *Scheduler
+	now       time.Time
+	idle      map[string]bool // by service: whether much capacity is unused
+	recorded  []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
+}
+
+// isIdle reports whether the workers of the service have much unused capacity.
+func (p *placementPass) isIdle(service string) bool {
+	idle, known := p.idle[service]
+	if !known {
+		idle = pool.Idle(service, p.scheduler.workers(), p.now)
+		p.idle[service] = idle
+	}
+	return idle
 }
 
 // allowedWorker is a worker on which the policy of the queue allows a step to run.
@@ -78,14 +104,29 @@
 	s.updateUnsynced(now)
 	var launches []launch
 	var calls []permitCall
+	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+	started := time.Now()
 	for _, c := range s.candidates(now) {
+		if time.Since(started) > maxPlaceTime {
+			s.wakePlacement()
+			break
+		}
+		c.pass = pass
 		c.permits = s.permitsOf(c)
 		c.workers = s.allowedWorkers(c, now)
-		c.waited = c.entry.waitedFor(c.ref, now)
-		c.idle = func() bool { return pool.Idle(c.queue.Service, s.workers(), now) }
+		waiting, releases := &c.entry.step(c.ref).waiting, c.releases()
+		if !waiting.Due(now, releases) {
+			continue
+		}
+		c.waited = waiting.For(now)
 		placed, unplaced := s.placeStep(c, now)
-		c.entry.setUnplaced(c.ref, unplaced > 0, now)
+		waiting.Tried(now, releases, unplaced)
 		launches = append(launches, placed...)
+		if unplaced > 0 {
+			s.preempt(c, unplaced, now)
+		} else if c.waited > 0 {
+			s.dropHolds(c.ref)
+		}
 		if unplaced == 0 || c.queue.PermitPolicy == nil {
 			continue
 		}
@@ -126,12 +167,7 @@
 func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
 	var workers []allowedWorker
 	if c.permits == nil {
-		for id, m := range s.monitors {
-			if s.recorded[id] {
-				workers = append(workers, allowedWorker{monitor: m})
-			}
-		}
-		return workers
+		return s.recordedWorkers(c.pass)
 	}
 	for worker, ticket := range c.permits.Tickets(now) {
 		m := s.monitors[worker.ID]
@@ -142,6 +178,27 @@
 	return workers
 }
 
+// recordedWorkers returns the workers that may get runs. The lock is held.
+func (s *Scheduler) recordedWorkers(pass *placementPass) []allowedWorker {
+	if pass.recorded == nil {
+		for id, m := range s.monitors {
+			if s.recorded[id] {
+				pass.recorded = append(pass.recorded, allowedWorker{monitor: m})
+			}
+		}
+	}
+	return pass.recorded
+}
+
+// releases returns how many times capacity was released on the workers on which the step may run.
+func (c *candidate) releases() uint64 {
+	var n uint64
+	for w := range c.allowed() {
+		n += w.Releases()
+	}
+	return n
+}
+
 // workers returns the workers that the leader knows. The lock is held.
 func (s *Scheduler) workers() iter.Seq[*pool.Worker] {
 	return func(yield func(*pool.Worker) bool) {
@@ -240,11 +297,13 @@
 		return launch{}, false
 	}
 	checkpoint := c.entry.workflow.Checkpoint(ref.Task)
-	worker.Run(ref).Partial = checkpoint != ""
+	run := worker.Run(ref)
+	run.Partial, run.Priority = checkpoint != "", c.queue.Priority
 	c.entry.workflow.Start(workflow.Placement{RunRef: ref, Worker: worker.Info().ID})
 	leaseUntil, _ := worker.ExtendLease(s.settings.leaseDuration(), now)
 	return launch{
 		monitor: best.monitor, entry: c.entry, target: best.monitor.target(), silence: worker.SilentFor(now), free: free,
+		decided: now,
 		request: port.StartRequest{
 			RunRef: ref, Payload: c.entry.workflow.Spec().Payload, Checkpoint: checkpoint,
 			Ticket: best.ticket, Token: s.term.Token, LeaseExpiry: leaseUntil,
@@ -256,7 +315,7 @@
 func (c *candidate) request(now time.Time) pool.Request {
 	return pool.Request{
 		Ref: c.ref, Step: c.entry.workflow.Step(c.ref), Service: c.queue.Service, Waited: c.waited, Now: now,
-		TopPriority: c.queue.HasTopPriority(),
+		Priority: c.queue.Priority,
 	}
 }
 
@@ -266,7 +325,7 @@
 	request := c.request(now)
 	request.Avoid = c.entry.avoidWorkers[task]
 	best := c.bestWorker(&request, rack)
-	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), c.idle) {
+	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
 		request.LastChoice = true
 		best = c.bestWorker(&request, rack)
 	}
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -87,10 +87,7 @@
 	if e == nil || run.Started.IsZero() || run.Partial || step.Gang || step.LongRunning || step.BestEffort {
 		return
 	}
-	if e.durations[run.Task.StepRef] == nil {
-		e.durations[run.Task.StepRef] = &pool.DurationEstimate{}
-	}
-	e.durations[run.Task.StepRef].Observe(m.worker, time.Since(run.Started))
+	e.step(run.Task.StepRef).duration.Observe(m.worker, time.Since(run.Started))
 }
 
 // applyEnd applies the end of a run to its job. It returns the job and the version that its recorded progress must
@@ -110,6 +107,7 @@
 		m.worker.RecordFailure(end.Run.Task.Job, now)
 		e.avoidWorker(end.Run.Task, worker)
 	}
+	e.step(end.Run.Task.StepRef).waiting.Retry()
 	effect := e.workflow.ApplyEnd(end, worker, s.queueOf(e).MaxAttempts)
 	s.log.Info("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.Outcome.String(),
 		"job_state", e.workflow.State().String(), "recorded_first", effect.MustRecord)
@@ -175,25 +173,6 @@
 	e.avoidWorkers[task][worker] = true
 }
 
-// waitedFor returns for how long a step has had tasks that could not be placed.
-func (e *jobEntry) waitedFor(ref workflow.StepRef, now time.Time) time.Duration {
-	if since, ok := e.unplacedSince[ref]; ok {
-		return now.Sub(since)
-	}
-	return 0
-}
-
-// setUnplaced records whether a step has tasks that could not be placed.
-func (e *jobEntry) setUnplaced(ref workflow.StepRef, unplaced bool, now time.Time) {
-	_, waits := e.unplacedSince[ref]
-	switch {
-	case !unplaced:
-		delete(e.unplacedSince, ref)
-	case !waits:
-		e.unplacedSince[ref] = now
-	}
-}
-
 // adoptRun adds a reported run that this term did not start, and stops it unless its job adopts it. The lock is held.
 func (s *Scheduler) adoptRun(m *workerMonitor, e *jobEntry, r port.RunningRun) {
 	step := workflow.Step{}
@@ -208,6 +187,9 @@
 		kept = e.workflow.Adopt(placement)
 	}
 	m.worker.Adopt(r.RunRef, &step)
+	if e != nil {
+		m.worker.Run(r.RunRef).Priority = s.queueOf(e).Priority
+	}
 	s.log.Info("run found", "task", r.Task.String(), "run", r.Run, "worker", worker, "kept", kept)
 	if !kept {
 		s.stopRuns([]workflow.Placement{placement})
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -26,6 +26,7 @@
 	entry   *jobEntry
 	target  port.Target
 	request port.StartRequest
+	decided time.Time     // when the run was placed
 	silence time.Duration // since the worker's last response
 	free    string        // free capacity of the worker before the placement
 }
@@ -38,12 +39,13 @@
 	return fault.KindOf(err).String()
 }
 
+// maxOrderAge is how old a decision to start a run may be when the request is sent. Meanwhile the process may have been
+// paused, the lease may have shortened and the job may have been cancelled.
+const maxOrderAge = 500 * time.Millisecond
+
 // startRun sends the request to start a run and handles the result.
 func (s *Scheduler) startRun(ctx context.Context, l launch) {
-	sent := time.Now()
-	startCtx, cancel := context.WithTimeout(ctx, requestTimeout)
-	clock, err := s.ports.RunClient.Start(startCtx, l.target, l.request)
-	cancel()
+	sent, clock, err := s.requestStart(ctx, l)
 	s.log.Info("run ordered", "task", l.request.Task.String(), "run", l.request.Run, "worker", l.target.Worker,
 		"age_ms", sent.Sub(l.entry.accepted).Milliseconds(), "seen_ms", l.silence.Milliseconds(), "free", l.free,
 		"took_ms", time.Since(sent).Milliseconds(), "kind", resultKind(err))
@@ -60,6 +62,28 @@
 	}
 }
 
+// requestStart sends the request, unless the decision is too old by the time that the worker has a free lane.
+func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
+	if !l.monitor.enterLane(ctx) {
+		return time.Now(), 0, ctx.Err()
+	}
+	defer l.monitor.leaveLane()
+	sent = time.Now()
+	if age := sent.Sub(l.decided); age > maxOrderAge || s.isFinal(l.entry) {
+		return sent, 0, fault.New(fault.DeadlineExceeded, "start not requested %v after the decision", age)
+	}
+	startCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	clock, err = s.ports.RunClient.Start(startCtx, l.target, l.request)
+	return sent, clock, err
+}
+
+func (s *Scheduler) isFinal(e *jobEntry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.workflow.State().Final()
+}
+
 func (s *Scheduler) startAcked(l launch, clock time.Duration, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,9 +106,10 @@
 	defer s.mu.Unlock()
 	l.monitor.worker.Release(l.request.RunRef)
 	l.entry.workflow.DropRun(l.request.RunRef, l.target.Worker)
+	l.entry.step(l.request.Task.StepRef).waiting.Retry()
 	switch fault.KindOf(err) {
 	case fault.Unauthorized:
-		if p := l.entry.permits[l.request.Task.StepRef]; p != nil {
+		if p := l.entry.step(l.request.Task.StepRef).permits; p != nil {
 			p.DropTicket(permit.Worker{ID: l.target.Worker, Incarnation: l.monitor.worker.Info().Incarnation})
 		}
 	case fault.Unavailable, fault.Overloaded:
@@ -122,8 +147,8 @@
 	}
 }
 
-// stopRun repeats the request to stop a run until the worker acknowledges it or the run is gone. After an
-// acknowledgement it syncs with the worker immediately.
+// stopRun repeats the request to stop a run until the worker acknowledges it or the run is gone. The sync that waits for an
+// end reports that of a running run; otherwise it syncs with the worker immediately.
 func (s *Scheduler) stopRun(ctx context.Context, m *workerMonitor, run workflow.RunRef) {
 	for wait := minStopDelay; ctx.Err() == nil; wait = min(2*wait, maxStopDelay) {
 		s.mu.Lock()
@@ -133,12 +158,11 @@
 		if gone {
 			return
 		}
-		stopCtx, cancel := context.WithTimeout(ctx, requestTimeout)
-		err := s.ports.RunClient.Stop(stopCtx, target, run, s.term.Token)
-		cancel()
+		err := s.requestStop(ctx, m, target, run)
 		if err == nil {
-			s.markStopAcked(m, run)
-			_ = s.sync(ctx, m, 0) // the monitor handles failures with its own syncs
+			if !s.markStopAcked(m, run) {
+				_ = s.sync(ctx, m, 0) // the monitor handles failures with its own syncs
+			}
 			return
 		}
 		if fault.Is(err, fault.StaleEpoch) {
@@ -150,12 +174,27 @@
 	}
 }
 
-func (s *Scheduler) markStopAcked(m *workerMonitor, ref workflow.RunRef) {
+func (s *Scheduler) requestStop(ctx context.Context, m *workerMonitor, target port.Target, run workflow.RunRef) error {
+	if !m.enterLane(ctx) {
+		return ctx.Err()
+	}
+	defer m.leaveLane()
+	stopCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return s.ports.RunClient.Stop(stopCtx, target, run, s.term.Token)
+}
+
+// markStopAcked records the acknowledgement of a stop. It reports whether the worker will list the end of the run by
+// itself, because the run was running.
+func (s *Scheduler) markStopAcked(m *workerMonitor, ref workflow.RunRef) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if run := m.worker.Run(ref); run != nil {
-		run.StopAcked = time.Now()
+	run := m.worker.Run(ref)
+	if run == nil {
+		return true
 	}
+	run.StopAcked = time.Now()
+	return run.Reported
 }
 
 // stopGang stops the other members of a gang of which one did not start, so that they do not wait for it. The lock is
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -93,10 +93,8 @@
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
 	queue           route.Queue    // as it was when the job was accepted
 	accepted        time.Time
-	permits         map[workflow.StepRef]*permit.Permits
+	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
-	unplacedSince   map[workflow.StepRef]time.Time               // since when a step has had tasks that could not be placed
-	durations       map[workflow.StepRef]*pool.DurationEstimate  // learned durations of the tasks of each step
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
 	version         uint64                                       // incremented with each change of the progress
 	storedVersion   uint64                                       // version in the progress record
@@ -105,6 +103,22 @@
 	finished        time.Time                                    // when storedState became final
 }
 
+// stepEntry is a step of a job with the scheduler's own data on it.
+type stepEntry struct {
+	permits  *permit.Permits       // nil if none were needed yet
+	waiting  pool.Waiting          // tasks that could not be placed
+	duration pool.DurationEstimate // learned
+}
+
+func (e *jobEntry) step(ref workflow.StepRef) *stepEntry {
+	step := e.steps[ref]
+	if step == nil {
+		step = &stepEntry{}
+		e.steps[ref] = step
+	}
+	return step
+}
+
 // New returns a scheduler for one term, which Run starts.
 func New(
 	self ident.ProcessID, settings Settings, ports Ports, table *route.Table, term leadership.Term, log *slog.Logger,
@@ -169,8 +183,7 @@
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
 		workflow: workflow.New(job.Spec), queue: job.Queue, accepted: job.AcceptedAt,
-		permits: map[workflow.StepRef]*permit.Permits{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
-		durations: map[workflow.StepRef]*pool.DurationEstimate{}, unplacedSince: map[workflow.StepRef]time.Time{},
+		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 	}
 	s.jobs[job.Spec.ID] = e
 	s.openJobs[job.Spec.ID] = e
--- a/internal/domain/permit/permit.go
+++ b/internal/domain/permit/permit.go
@@ -3,6 +3,7 @@
 package permit
 
 import (
+	"iter"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -33,14 +34,14 @@
 }
 
 // Tickets returns the values of the tickets that are valid now.
-func (p *Permits) Tickets(now time.Time) map[Worker]string {
-	valid := make(map[Worker]string, len(p.tickets))
-	for worker, t := range p.tickets {
-		if now.Before(t.Expires) {
-			valid[worker] = t.Value
+func (p *Permits) Tickets(now time.Time) iter.Seq2[Worker, string] {
+	return func(yield func(Worker, string) bool) {
+		for worker, t := range p.tickets {
+			if now.Before(t.Expires) && !yield(worker, t.Value) {
+				return
+			}
 		}
 	}
-	return valid
 }
 
 // Valid reports whether there is a ticket for the worker that is valid now.
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -17,20 +17,20 @@
 
 // Request describes a task to place.
 type Request struct {
-	Ref         workflow.StepRef
-	Step        *workflow.Step
-	Service     string
-	Avoid       map[ident.WorkerID]bool // workers on which an earlier run of the task failed or stalled
-	Waited      time.Duration           // for how long the step has had tasks that no worker could take
-	LastChoice  bool                    // also use workers on which runs have failed
-	TopPriority bool                    // the queue has the highest priority
-	Now         time.Time
+	Ref        workflow.StepRef
+	Step       *workflow.Step
+	Service    string
+	Avoid      map[ident.WorkerID]bool // workers on which an earlier run of the task failed or stalled
+	Waited     time.Duration           // for how long the step has had tasks that no worker could take
+	LastChoice bool                    // also use workers on which runs have failed
+	Priority   int                     // of the queue; 0 is the highest
+	Now        time.Time
 }
 
 // filter reports whether a worker may run the task.
 type filter func(*Worker, *Request) bool
 
-var filters = []filter{sameService, responsive, notDraining, hasRequiredLabel, withinMaxPerWorker, preferred, fits}
+var filters = []filter{sameService, responsive, notDraining, hasRequiredLabel, withinMaxPerWorker, preferred}
 
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
@@ -48,10 +48,14 @@
 	return r.Step.MaxPerWorker == 0 || w.CountRuns(r.Ref) < r.Step.MaxPerWorker
 }
 
-func fits(w *Worker, r *Request) bool { return w.Fits(r.Step) }
+func fits(w *Worker, r *Request) bool {
+	return reservedSize(r.Step).Fits(w.Free().Sub(w.heldFromOthers(r)))
+}
 
 // Eligible reports whether a task may start on the worker now.
-func (w *Worker) Eligible(r *Request) bool {
+func (w *Worker) Eligible(r *Request) bool { return fits(w, r) && w.passesExceptFits(r) }
+
+func (w *Worker) passesExceptFits(r *Request) bool {
 	for _, passes := range filters {
 		if !passes(w, r) {
 			return false
@@ -62,7 +66,7 @@
 
 // Weights of the components of a score; the lowest sum wins.
 const (
-	weightLoad         = 1.0
+	weightUnused       = 1.0
 	weightDataRack     = 0.6 // the worker is not on the rack that holds the task's data
 	weightInterference = 0.5 // best-effort runs share the worker with runs that have a latency target
 	weightSpeed        = 0.1 // per unit of slowdown: 1 means twice the ordinary duration
@@ -74,17 +78,23 @@
 // Score returns the cost of placing the task on the worker; lower is better.
 func (w *Worker) Score(r *Request) float64 {
 	speed := weightSpeed
-	if r.TopPriority {
+	if r.Priority == 0 {
 		speed = weightUrgentSpeed
 	}
-	return weightLoad*load(w, r) + weightDataRack*offDataRack(w, r) +
+	return weightUnused*unused(w, r) + weightDataRack*offDataRack(w, r) +
 		weightInterference*interference(w, r) + speed*slowdown(w, r) + weightFailures*failures(w, r)
 }
 
-func load(w *Worker, r *Request) float64 {
+// unused returns the share of the worker that is still unused with the task. Full workers come first, so that others
+// stay empty enough for large tasks, which find no worker when the free capacity is spread evenly. Best-effort tasks live
+// on unused capacity and are spread.
+func unused(w *Worker, r *Request) float64 {
 	after := w.used.Add(reservedSize(r.Step))
 	share := after.DominantShare(w.info.Capacity)
-	if r.Step.BestEffort && w.info.Capacity.MilliCores > 0 {
+	if !r.Step.BestEffort {
+		return 1 - share
+	}
+	if w.info.Capacity.MilliCores > 0 {
 		share += float64(w.bestEffortMilliCores+r.Step.Size.MilliCores) / float64(w.info.Capacity.MilliCores)
 	}
 	return share
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -28,8 +28,10 @@
 type Run struct {
 	workflow.RunRef
 	Step            workflow.Step
+	Priority        int       // of its queue; 0 is the highest
 	Reported        bool      // the worker has reported it as running
 	Started         time.Time // when the worker acknowledged the start or first reported the run; zero before
+	preempted       bool      // it is being stopped for a task of a higher priority
 	StopAcked       time.Time // when the worker acknowledged a stop; zero before
 	Partial         bool      // it resumed from a checkpoint, or its start time is not known
 	SpeedPercent    int       // speed limit; unknownSpeed when it is not known
@@ -45,10 +47,12 @@
 	info                 WorkerInfo
 	missingSince         time.Time // since when the worker list lacks the entry; zero while it is listed
 	runs                 map[workflow.RunRef]*Run
+	holds                []hold // capacity that is kept free for tasks of certain steps
 	used                 resource.Vector
-	bestEffortRuns       int   // number of best-effort runs
-	bestEffortMilliCores int64 // processors that the best-effort runs could use
-	latencyRuns          int   // number of long-running runs with a latency target
+	releases             uint64 // number of times that capacity was released
+	bestEffortRuns       int    // number of best-effort runs
+	bestEffortMilliCores int64  // processors that the best-effort runs could use
+	latencyRuns          int    // number of long-running runs with a latency target
 	clock                clock
 	leaseExpiry          time.Duration // latest lease expiry that was sent, on the worker's clock
 	lastResponse         time.Time     // when the last response arrived
@@ -158,6 +162,7 @@
 		return fault.New(fault.NoCapacity, "worker %s has no free capacity for task %s", w.info.ID, ref.Task)
 	}
 	w.add(ref, step)
+	w.useHold(ref.Task.StepRef)
 	return nil
 }
 
@@ -194,6 +199,7 @@
 		return
 	}
 	delete(w.runs, ref)
+	w.releases++
 	w.used = w.used.Sub(reservedSize(&run.Step))
 	w.countRun(&run.Step, -1)
 }
@@ -210,6 +216,9 @@
 
 func hasLatencyTarget(step *workflow.Step) bool { return step.LongRunning && step.LatencyTarget > 0 }
 
+// Releases returns how many times capacity of the worker was released.
+func (w *Worker) Releases() uint64 { return w.releases }
+
 // CountRuns returns the number of runs of a step on the worker.
 func (w *Worker) CountRuns(ref workflow.StepRef) int {
 	n := 0
