Hand over leadership to a process with a larger share of a processor

Cause: when all processes start at once, one with 0.192 of a core can take the leader key before one with 0.8, and leads for good. Change: the record of the leader holds its election delay, which follows from its share of a processor. A process with a shorter delay that follows it offers to lead by a key with a lease of 2 s; the leader looks for an offer every 0.4 s while it has a delay, ends its term and releases its key. The record of the term says that it is over, so the next leader need not wait. Conclusion: a weak leader costs a read each 0.4 s; a cell of weak processes only has no offers. A leader that turns slow later still keeps the lead.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -194,6 +194,7 @@
 func encodeLeader(l port.Leader) *cellpb.Leader {
 	return &cellpb.Leader{
 		Process: string(l.Process), Address: l.Address, Incarnation: l.Incarnation, Term: l.Term,
+		ElectionDelayMs: uint32(l.ElectionDelay.Milliseconds()),
 	}
 }
 
@@ -209,7 +210,7 @@
 func decodeLeader(m *cellpb.Leader) port.Leader {
 	return port.Leader{
 		Process: ident.ProcessID(m.GetProcess()), Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
-		Term: m.GetTerm(),
+		Term: m.GetTerm(), ElectionDelay: time.Duration(m.GetElectionDelayMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -47,25 +47,24 @@
 
 // Election takes part in the election on behalf of one process.
 type Election struct {
-	self          port.Leader   // Term is not set
-	electionDelay time.Duration // wait before taking a vacant key, so that other processes can take it first
-	store         port.TxnStore
-	codec         port.RecordCodec
-	follower      port.Follower
-	lead          LeadFunc
-	log           *slog.Logger
-	resigned      chan struct{}
-	resignOnce    sync.Once
+	self       port.Leader // Term is not set
+	store      port.TxnStore
+	codec      port.RecordCodec
+	follower   port.Follower
+	lead       LeadFunc
+	log        *slog.Logger
+	resigned   chan struct{}
+	resignOnce sync.Once
 }
 
-// New returns an Election that starts with Run. Before it takes a vacant leader key it waits for electionDelay, so a
-// process with a longer delay becomes leader only if no process with a shorter one does.
+// New returns an Election that starts with Run. Before it takes a vacant leader key it waits for the election delay of
+// self, so a process with a longer delay becomes leader only if no process with a shorter one does.
 func New(
-	self port.Leader, electionDelay time.Duration, store port.TxnStore, codec port.RecordCodec, follower port.Follower,
+	self port.Leader, store port.TxnStore, codec port.RecordCodec, follower port.Follower,
 	lead LeadFunc, log *slog.Logger,
 ) *Election {
 	return &Election{
-		self: self, electionDelay: electionDelay, store: store, codec: codec, follower: follower, lead: lead, log: log,
+		self: self, store: store, codec: codec, follower: follower, lead: lead, log: log,
 		resigned: make(chan struct{}),
 	}
 }
@@ -115,10 +114,10 @@
 
 // isStillVacant waits for the election delay and reports whether no other process took the key in that time.
 func (e *Election) isStillVacant(ctx context.Context, s leaderState) bool {
-	if e.electionDelay <= 0 {
+	if e.self.ElectionDelay <= 0 {
 		return ctx.Err() == nil
 	}
-	if !pause.For(ctx, e.electionDelay) {
+	if !pause.For(ctx, e.self.ElectionDelay) {
 		return false
 	}
 	current, err := e.readLeader(ctx)
@@ -156,6 +155,11 @@
 		defer close(keyChanged)
 		e.awaitKeyChange(ctx, s)
 	}()
+	offerEnded := make(chan struct{})
+	go func() {
+		defer close(offerEnded)
+		e.offerToSucceed(ctx, s.leader)
+	}()
 	isDead := false
 	select {
 	case isDead = <-leaderDead:
@@ -164,6 +168,7 @@
 	cancel()
 	<-sessionEnded
 	<-keyChanged
+	<-offerEnded
 	return isDead
 }
 
@@ -253,6 +258,13 @@
 		defer cancel()
 		e.lead(leadCtx, term)
 	}()
+	if e.self.ElectionDelay > 0 {
+		go func() {
+			if e.awaitSuccessor(leadCtx) {
+				cancel()
+			}
+		}()
+	}
 	reason := e.renewLease(leadCtx, lease)
 	cancel()
 	<-leadEnded
--- a/internal/app/leadership/leadership_test.go
+++ b/internal/app/leadership/leadership_test.go
@@ -76,7 +76,7 @@
 		store, sessions := &fakeStore{}, &fakeFollower{}
 		store.set("a", 7)
 		self := port.Leader{Process: "c", Incarnation: 1}
-		election := leadership.New(self, 0, store, fakeCodec{}, sessions, nil, slog.New(slog.DiscardHandler))
+		election := leadership.New(self, store, fakeCodec{}, sessions, nil, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() { defer close(ended); election.Run(ctx) }()
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -88,13 +88,14 @@
 	}
 	handler := &peerHandler{permits: platform.PermitClient}
 	handler.remote = notLeader{}
-	self := port.Leader{Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation}
+	self := port.Leader{Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
+		ElectionDelay: settings.ElectionDelay}
 	handler.self = self
 	n.transport = cellwire.New(self, listener, settings.Seeds, handler, log)
 	n.leader.remote = n.transport
 	n.store = storeguard.New(platform.Store, log)
 	n.election = leadership.New(
-		self, settings.ElectionDelay, n.store, cellwire.RecordCodec{}, n.transport, n.leadFunc(handler), log,
+		self, n.store, cellwire.RecordCodec{}, n.transport, n.leadFunc(handler), log,
 	)
 	n.configWatcher = routing.New(settings.ConfigKey, n.store, n.leader, platform.Decode, n.table, log)
 	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, log)
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -141,6 +141,9 @@
 	Address     string // host:port for other processes
 	Incarnation uint64
 	Term        uint64
+	// ElectionDelay is how long the process waits before it takes the vacant key. It is longer for a process with a smaller
+	// share of a processor.
+	ElectionDelay time.Duration
 }
 
 // FollowResult is the reason why Follow returned.
@@ -182,11 +185,12 @@
 
 // Keys and key prefixes of a cell's records in the store.
 const (
-	JobPrefix      = "job/"         // followed by the job's id: the accepted job
-	ProgressPrefix = "run/"         // followed by the job's id: the progress of the job
-	LeaderKey      = "cell/leader"  // the leader, bound to a lease
-	TermKey        = "cell/term"    // number of the latest term
-	WorkersKey     = "cell/workers" // workers to which the leader may have sent requests
+	JobPrefix      = "job/"           // followed by the job's id: the accepted job
+	ProgressPrefix = "run/"           // followed by the job's id: the progress of the job
+	LeaderKey      = "cell/leader"    // the leader, bound to a lease
+	SuccessorKey   = "cell/successor" // a process that is better suited to lead, bound to a lease
+	TermKey        = "cell/term"      // number of the latest term
+	WorkersKey     = "cell/workers"   // workers to which the leader may have sent requests
 )
 
 // WorkerRecord is an entry of the record of workers to which the leader may have sent requests.
