Ask for the permits of a wide step in parallel, and keep urgent calls apart

(3) Only workers on which the task fits were asked about, so nothing could be preempted on others. Change: (1) Calls in progress count with the capacity that they are expected to find; a step of 8 waiting tasks or more makes up to 6 calls for different workers, those with the most free capacity first. (2) An eighth of the processes make only urgent calls. A pause after a pass is at most 50 ms.

--- a/internal/app/scheduler/last_choice_test.go
+++ b/internal/app/scheduler/last_choice_test.go
@@ -146,12 +146,13 @@
 		}
 		for _, call := range calls {
 			answer := map[ident.WorkerID]permit.Ticket{}
-			for _, w := range call.requested {
+			for _, w := range call.Workers {
 				if w.ID == "w1" {
 					answer["w1"] = permit.Ticket{Value: "t", Expires: now.Add(time.Minute)}
 				}
 			}
-			call.permits.ApplyResponse(call.requested, answer)
+			call.permits.EndCall(call.Call)
+			call.permits.ApplyResponse(call.Workers, answer)
 		}
 	}
 	t.Error("the task is not started within 3 s on the only worker that its queue allows")
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -8,6 +8,7 @@
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/pool"
 )
 
 // Parameters of calls to the permit service.
@@ -21,8 +22,16 @@
 	// The minimum leaves a choice of workers, also for runs that avoid workers after a failure.
 	minWorkersPerCall     = 16
 	minWorkersPerSlowCall = 8
-	// capacityFactor is the capacity of the workers in a call, as a multiple of the waiting tasks.
+	// capacityFactor is the expected capacity of the allowed workers in calls, as a multiple of the waiting tasks: other
+	// steps use some of it before the response.
 	capacityFactor = 3
+	// A wide step leaves less of a choice.
+	wideCapacityFactor = 1.5
+	// wideStep is the number of waiting tasks from which workers with much free capacity are preferred: fewer workers have
+	// to be asked about, and the tickets are valid at the same time.
+	wideStep = 8
+	// maxCallsOfWideStep bounds the calls for a wide step that are planned at once.
+	maxCallsOfWideStep = 6
 	// maxCallBacklog is the longest wait for the least busy process with which a call is still made.
 	maxCallBacklog = 1500 * time.Millisecond
 	// callTimeoutSlack is added to the expected duration of a call to get its timeout.
@@ -34,9 +43,9 @@
 // permitCall is a call to the permit service for the workers that may run a step.
 type permitCall struct {
 	candidate
-	process   ident.ProcessID // makes the call
-	requested []permit.Worker
-	timeout   time.Duration
+	permit.Call
+	process ident.ProcessID // makes the call
+	timeout time.Duration
 }
 
 // permitsOf returns the permits of a step, or nil if its queue needs none. The lock is held.
@@ -51,24 +60,39 @@
 	return step.permits
 }
 
-// planPermitCall returns a call for a step of which some tasks could not be placed, and false when a call is already in
-// progress, would not help, or would wait too long. The lock is held.
-func (s *Scheduler) planPermitCall(c candidate, unplaced int, now time.Time) (permitCall, bool) {
-	if c.permits.CallInProgress() {
-		return permitCall{}, false
+// planPermitCalls returns the calls for a step of which some tasks could not be placed. There is none when the calls in
+// progress are expected to suffice, or when a call would wait too long. The lock is held.
+func (s *Scheduler) planPermitCalls(c candidate, unplaced int, now time.Time) []permitCall {
+	missing, maxCalls := capacityFactor*float64(unplaced), 1
+	if unplaced >= wideStep {
+		missing, maxCalls = wideCapacityFactor*float64(unplaced), maxCallsOfWideStep
 	}
-	process, wait := s.leastBusyProcess(now)
-	if wait > maxCallBacklog {
-		return permitCall{}, false
+	missing -= c.permits.Expected()
+	if maxCalls == 1 && c.permits.CallInProgress() {
+		return nil
 	}
-	workers := s.selectWorkers(c, unplaced, now)
-	if len(workers) == 0 {
-		return permitCall{}, false
+	var calls []permitCall
+	var options []permitCandidate
+	for len(calls) < maxCalls && missing > 0 {
+		process, wait := s.leastBusyProcess(c.queue.HasTopPriority(), now)
+		if wait > maxCallBacklog {
+			break
+		}
+		if options == nil {
+			options = s.permitCandidates(c, unplaced, now)
+		}
+		if len(options) == 0 {
+			break
+		}
+		var call permit.Call
+		call, options = s.selectWorkers(c, options, missing)
+		missing -= call.Expected
+		duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(call.Workers))*c.queue.PermitPolicy.WorkerLatency
+		s.permitBusyUntil[process] = now.Add(wait + duration)
+		c.permits.BeginCall(call)
+		calls = append(calls, permitCall{c, call, process, wait + duration + callTimeoutSlack})
 	}
-	duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(workers))*c.queue.PermitPolicy.WorkerLatency
-	s.permitBusyUntil[process] = now.Add(wait + duration)
-	c.permits.BeginCall()
-	return permitCall{c, process, workers, wait + duration + callTimeoutSlack}, true
+	return calls
 }
 
 // permitCandidate is a worker that a call could include.
@@ -79,43 +103,50 @@
 	fitCount int // further tasks of the step that fit
 }
 
-// selectWorkers returns the workers to include in a call: those known to be allowed first, then those with the best
-// score, until their capacity is expected to suffice at the share of workers that the queue's policy usually allows.
-func (s *Scheduler) selectWorkers(c candidate, unplaced int, now time.Time) []permit.Worker {
-	options := s.permitCandidates(c, now)
+// selectWorkers returns a call for the first of the options, until their capacity is expected to suffice at the share of
+// workers that the queue's policy usually allows, and the remaining options.
+func (s *Scheduler) selectWorkers(c candidate, options []permitCandidate, missing float64) (permit.Call, []permitCandidate) {
 	minimum, limit := minWorkersPerCall, maxWorkersPerCall
 	if c.queue.PermitPolicy.WorkerLatency > fastCallPerWorker {
 		minimum, limit = minWorkersPerSlowCall, maxWorkersPerSlowCall
 	}
 	share := s.allowedShare(c.queue.Name).Estimate()
-	var workers []permit.Worker
-	capacity := 0.0
-	for _, o := range options {
-		if len(workers) == limit || len(workers) >= minimum && capacity >= float64(capacityFactor*unplaced) {
-			break
+	var call permit.Call
+	for i, o := range options {
+		if i == limit || i >= minimum && call.Expected >= missing {
+			return call, options[i:]
 		}
-		workers = append(workers, o.worker)
+		call.Workers = append(call.Workers, o.worker)
 		if o.allowed {
-			capacity += float64(o.fitCount)
+			call.Expected += float64(o.fitCount)
 		} else {
-			capacity += share * float64(o.fitCount)
+			call.Expected += share * float64(o.fitCount)
 		}
 	}
-	return workers
+	return call, nil
 }
 
-// permitCandidates returns the eligible workers that have no valid ticket and were not refused, in order of preference.
-func (s *Scheduler) permitCandidates(c candidate, now time.Time) []permitCandidate {
+// permitCandidates returns the eligible workers that have no valid ticket and were not refused, in order of preference:
+// those known to be allowed first, for a wide step those with the most free capacity, then those with the best score.
+func (s *Scheduler) permitCandidates(c candidate, unplaced int, now time.Time) []permitCandidate {
 	step := c.entry.workflow.Step(c.ref)
 	request := c.request(now)
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	var options []permitCandidate
 	for id, m := range s.monitors {
 		w := permit.Worker{ID: id, Incarnation: m.worker.Info().Incarnation}
-		if !s.recorded[id] || c.permits.Refused(w) || c.permits.Valid(w, now) || !m.worker.Eligible(&request) {
+		if !s.recorded[id] || c.permits.Refused(w) || c.permits.Asked(w) || c.permits.Valid(w, now) {
+			continue
+		}
+		option := permitCandidate{worker: w, allowed: c.permits.Allowed(w)}
+		if m.worker.Eligible(&request) {
+			option.score, option.fitCount = m.worker.Score(&request), min(m.worker.FitCount(step), unplaced)
+		} else if plan, ok := c.planLatePreemption(m.worker, &request); ok {
+			option.score, option.fitCount = preemptionScore+plan.Cost, 1
+		} else {
 			continue
 		}
-		options = append(options, permitCandidate{w, c.permits.Allowed(w), m.worker.Score(&request), m.worker.FitCount(step)})
+		options = append(options, option)
 	}
 	slices.SortFunc(options, func(a, b permitCandidate) int {
 		if a.allowed != b.allowed {
@@ -124,11 +155,25 @@
 			}
 			return 1
 		}
+		if unplaced >= wideStep && a.fitCount != b.fitCount {
+			return cmp.Compare(b.fitCount, a.fitCount)
+		}
 		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
 	return options
 }
 
+// preemptionScore ranks workers on which other runs have to be stopped behind all on which the task fits.
+const preemptionScore = 10
+
+// planLatePreemption returns the runs that a step which has waited for long would stop on a worker.
+func (c *candidate) planLatePreemption(w *pool.Worker, request *pool.Request) (pool.Preemption, bool) {
+	if c.waited < preemptDelay {
+		return pool.Preemption{}, false
+	}
+	return w.PlanPreemption(request)
+}
+
 func (s *Scheduler) allowedShare(queue string) *permit.AllowedShare {
 	if s.allowedShares[queue] == nil {
 		s.allowedShares[queue] = &permit.AllowedShare{}
@@ -136,11 +181,20 @@
 	return s.allowedShares[queue]
 }
 
+// urgentProcesses is the divisor of the number of processes that make only calls for the highest priority: the permit
+// service handles one call of a process at a time, and a call for another queue may take twenty times as long.
+const urgentProcesses = 8
+
 // leastBusyProcess returns the process with the shortest backlog of calls, and the backlog. Among equals this process
 // comes last, because the leader has other work. The lock is held.
-func (s *Scheduler) leastBusyProcess(now time.Time) (ident.ProcessID, time.Duration) {
+func (s *Scheduler) leastBusyProcess(urgent bool, now time.Time) (ident.ProcessID, time.Duration) {
+	peers := s.ports.PeerPermitClients.Peers()
+	slices.Sort(peers)
+	if !urgent {
+		peers = peers[(len(peers)+urgentProcesses-1)/urgentProcesses:]
+	}
 	best, wait := s.self, max(s.permitBusyUntil[s.self].Sub(now), 0)
-	for _, peer := range s.ports.PeerPermitClients.Peers() {
+	for _, peer := range peers {
 		if w := max(s.permitBusyUntil[peer].Sub(now), 0); w < wait || w == wait && best == s.self {
 			best, wait = peer, w
 		}
@@ -150,8 +204,8 @@
 
 // callPermits makes the call and applies the response.
 func (s *Scheduler) callPermits(ctx context.Context, call permitCall) {
-	ids := make([]ident.WorkerID, 0, len(call.requested))
-	for _, w := range call.requested {
+	ids := make([]ident.WorkerID, 0, len(call.Workers))
+	for _, w := range call.Workers {
 		ids = append(ids, w.ID)
 	}
 	started := time.Now()
@@ -163,11 +217,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call.entry.step(call.ref).waiting.Retry()
+	call.permits.EndCall(call.Call)
 	if err != nil {
-		call.permits.AbortCall()
 		s.permitBusyUntil[call.process] = time.Now().Add(failedCallPenalty)
 	} else {
-		s.allowedShare(call.queue.Name).Observe(call.permits.ApplyResponse(call.requested, tickets))
+		s.allowedShare(call.queue.Name).Observe(call.permits.ApplyResponse(call.Workers, tickets))
 	}
 	s.wakePlacement()
 }
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -48,7 +48,7 @@
 		for _, call := range calls {
 			s.wg.Go(func() { s.callPermits(ctx, call) })
 		}
-		pause.For(ctx, max(placePause, placePauseFactor*time.Since(started)))
+		pause.For(ctx, min(max(placePause, placePauseFactor*time.Since(started)), maxPlacePause))
 	}
 }
 
@@ -58,6 +58,8 @@
 	// placePauseFactor is the pause as a multiple of the time that placement took: leases, ends and stops need the lock and
 	// the processor too, and starts are what may slow down under overload.
 	placePauseFactor = 2
+	// maxPlacePause keeps starts going on a process that has hardly any processor time.
+	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
 )
@@ -130,9 +132,7 @@
 		if unplaced == 0 || c.queue.PermitPolicy == nil {
 			continue
 		}
-		if call, ok := s.planPermitCall(c, unplaced, now); ok {
-			calls = append(calls, call)
-		}
+		calls = append(calls, s.planPermitCalls(c, unplaced, now)...)
 	}
 	return launches, calls
 }
--- a/internal/domain/permit/permit.go
+++ b/internal/domain/permit/permit.go
@@ -23,14 +23,15 @@
 
 // Permits is the set of permits of one step. It is not safe for concurrent use.
 type Permits struct {
-	allowed map[Worker]bool // as the responses so far state; it does not change within an incarnation of a worker
-	tickets map[Worker]Ticket
-	calls   int // calls in progress
+	allowed  map[Worker]bool // as the responses so far state; it does not change within an incarnation of a worker
+	tickets  map[Worker]Ticket
+	asked    map[Worker]bool // workers in calls in progress
+	expected float64         // tasks that calls in progress are expected to make room for
 }
 
 // New returns an empty set of permits.
 func New() *Permits {
-	return &Permits{allowed: map[Worker]bool{}, tickets: map[Worker]Ticket{}}
+	return &Permits{allowed: map[Worker]bool{}, tickets: map[Worker]Ticket{}, asked: map[Worker]bool{}}
 }
 
 // Tickets returns the values of the tickets that are valid now.
@@ -59,19 +60,42 @@
 // Allowed reports whether the worker is known to be allowed.
 func (p *Permits) Allowed(worker Worker) bool { return p.allowed[worker] }
 
+// Call is a call for the permits of some workers.
+type Call struct {
+	Workers  []Worker
+	Expected float64 // tasks that the allowed ones of the workers are expected to have room for
+}
+
 // BeginCall records that a call is in progress.
-func (p *Permits) BeginCall() { p.calls++ }
+func (p *Permits) BeginCall(call Call) {
+	for _, worker := range call.Workers {
+		p.asked[worker] = true
+	}
+	p.expected += call.Expected
+}
+
+// Expected returns for how many tasks the calls in progress are expected to make room.
+func (p *Permits) Expected() float64 { return p.expected }
 
 // CallInProgress reports whether a call is in progress.
-func (p *Permits) CallInProgress() bool { return p.calls > 0 }
+func (p *Permits) CallInProgress() bool { return len(p.asked) > 0 }
 
-// AbortCall records that a call failed.
-func (p *Permits) AbortCall() { p.calls-- }
+// Asked reports whether a call for the worker is in progress.
+func (p *Permits) Asked(worker Worker) bool { return p.asked[worker] }
+
+// EndCall records that a call is no longer in progress. A call that failed needs nothing else.
+func (p *Permits) EndCall(call Call) {
+	for _, worker := range call.Workers {
+		delete(p.asked, worker)
+	}
+	if p.expected -= call.Expected; len(p.asked) == 0 {
+		p.expected = 0 // without rounding errors
+	}
+}
 
 // ApplyResponse applies the response to a call for the workers: those with a ticket are allowed. It returns how many of
 // the workers were unknown before, and how many of these are allowed.
 func (p *Permits) ApplyResponse(requested []Worker, tickets map[ident.WorkerID]Ticket) (unknown, unknownAllowed int) {
-	p.calls--
 	for _, worker := range requested {
 		ticket, allowed := tickets[worker.ID]
 		if _, known := p.allowed[worker]; !known {
--- a/internal/domain/permit/permit_test.go
+++ b/internal/domain/permit/permit_test.go
@@ -14,7 +14,12 @@
 func TestTickets(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	p, a, b := permit.New(), permit.Worker{ID: "a", Incarnation: 1}, permit.Worker{ID: "b", Incarnation: 1}
-	p.BeginCall()
+	call := permit.Call{Workers: []permit.Worker{a, b}, Expected: 1.5}
+	p.BeginCall(call)
+	if !p.Asked(a) || p.Expected() != 1.5 {
+		t.Errorf("worker a is asked about: %v; room expected for %v tasks", p.Asked(a), p.Expected())
+	}
+	p.EndCall(call)
 	unknown, allowed := p.ApplyResponse([]permit.Worker{a, b}, map[ident.WorkerID]permit.Ticket{"a": {Value: "t", Expires: now.Add(time.Second)}})
 	if unknown != 2 || allowed != 1 || p.CallInProgress() {
 		t.Errorf("%d workers unknown before, %d of them allowed, call in progress %v", unknown, allowed, p.CallInProgress())
