Keep a process running after a malformed record or a panic

Looked at: callers' jobs, workers' reports, the worker list, configurations, records of the store, calls of peers. A record of progress with a negative index panicked in the leader that read it, and would have done so in each of its successors. A panic in a task of the leader or in a peer's call ended the process. Change: indexes of records are checked, unknown states are refused; a panic in a task of the leader ends its term, because the state may be half changed, and the next term reads the store; one in a peer's call closes that connection and, on the leader, ends the term. Conclusion: found and fixed for records; nothing found in the other decoders so far.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -154,6 +154,9 @@
 	if err := unmarshal(raw, m, "progress"); err != nil {
 		return workflow.Progress{}, err
 	}
+	if m.GetState() > uint32(workflow.Cancelled) {
+		return workflow.Progress{}, fault.New(fault.Invalid, "record of progress: unknown state %d", m.GetState())
+	}
 	p := workflow.Progress{State: workflow.State(m.GetState())}
 	for _, step := range m.GetSteps() {
 		s := workflow.StepProgress{
--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"maps"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"syscall"
@@ -360,6 +362,12 @@
 
 func (t *Transport) handleCall(ctx context.Context, s *session, stream *frame.Stream) {
 	defer stream.Close()
+	defer func() {
+		if r := recover(); r != nil {
+			t.log.Error("panic in a call of a peer", "peer", s.peer, "panic", fmt.Sprint(r), "stack", string(debug.Stack()))
+			_ = s.conn.Close() // the peer opens another session
+		}
+	}()
 	if err := stream.SetDeadline(time.Now().Add(replyTimeout)); err != nil {
 		return
 	}
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -71,6 +71,7 @@
 
 // Notify implements port.Scheduler.
 func (s *Scheduler) Notify(_ context.Context, job port.AcceptedJob) error {
+	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ready {
@@ -104,6 +105,7 @@
 // State implements port.Scheduler. A final state is returned only after it has been recorded; until then the job counts
 // as running.
 func (s *Scheduler) State(_ context.Context, queue string, id workflow.ID) (workflow.State, error) {
+	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ready {
@@ -121,6 +123,7 @@
 
 // PendingJobs implements port.Scheduler. It counts the open jobs of which no task has started.
 func (s *Scheduler) PendingJobs(_ context.Context, queue string) (int, error) {
+	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ready {
@@ -140,6 +143,7 @@
 
 // Cancel implements port.Scheduler.
 func (s *Scheduler) Cancel(ctx context.Context, queue string, id workflow.ID) error {
+	defer s.guardCall()
 	e, err := s.lookUpJob(ctx, queue, id)
 	if err != nil {
 		return err
--- a/internal/app/scheduler/orphans.go
+++ b/internal/app/scheduler/orphans.go
@@ -32,7 +32,7 @@
 	s.log.Info("end of a run of an unknown job", "task", end.Run.Task.String(), "run", end.Run.Run,
 		"worker", m.worker.Info().ID, "how", end.Outcome.String())
 	if len(s.orphanEnds[id]) == 1 {
-		s.wg.Go(func() { s.lookUpOrphan(s.ctx, id) })
+		s.goTask(func() { s.lookUpOrphan(s.ctx, id) })
 	}
 }
 
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -43,10 +43,10 @@
 		started := time.Now()
 		launches, calls := s.place(started)
 		for _, l := range launches {
-			s.wg.Go(func() { s.startRun(ctx, l) })
+			s.goTask(func() { s.startRun(ctx, l) })
 		}
 		for _, call := range calls {
-			s.wg.Go(func() { s.callPermits(ctx, call) })
+			s.goTask(func() { s.callPermits(ctx, call) })
 		}
 		pause.For(ctx, min(max(placePause, placePauseFactor*time.Since(started)), maxPlacePause))
 	}
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -28,7 +28,7 @@
 	s.applyEnds(m, reply.Ended)
 	s.applyRunning(m, reply.Running, sentAt, now)
 	for _, throttle := range m.worker.Throttles(now) {
-		s.wg.Go(func() { s.throttleRun(m, throttle) })
+		s.goTask(func() { s.throttleRun(m, throttle) })
 	}
 	s.wakePlacement()
 }
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -218,3 +218,23 @@
 		}
 	}
 }
+
+// panickingCodec panics on every record of a job.
+type panickingCodec struct{ port.RecordCodec }
+
+func (panickingCodec) DecodeJob([]byte) (port.AcceptedJob, error) { panic("malformed") }
+
+// TestPanicEndsTerm guards against a panic in one task of the leader that ends the process, with all connections of its
+// callers, and against a leader that goes on with a state that was left half changed.
+func TestPanicEndsTerm(t *testing.T) {
+	s := newLeader(t)
+	s.ports.RecordCodec = panickingCodec{}
+	s.goTask(func() { s.acceptJobs([]port.Entry{{Key: "job/a", Value: []byte("x")}}) })
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the term goes on after a panic")
+	}
+	s.mu.Lock() // the lock is not held for good
+	defer s.mu.Unlock()
+}
--- a/internal/domain/workflow/progress.go
+++ b/internal/domain/workflow/progress.go
@@ -56,8 +56,8 @@
 func (w *Workflow) Restore(p Progress) {
 	w.started = p.State != Pending
 	for _, step := range p.Steps {
-		if step.Occurrence >= len(w.occurrences) || step.Step >= len(w.spec.Steps) {
-			continue
+		if step.Occurrence < 0 || step.Occurrence >= len(w.occurrences) || step.Step < 0 || step.Step >= len(w.spec.Steps) {
+			continue // not a record of this job
 		}
 		ref := StepRef{w.spec.ID, step.Occurrence, step.Step}
 		w.step(ref).failed = step.Failed
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -128,7 +128,8 @@
 
 // task returns the state of a task, or nil when the job has no such task.
 func (w *Workflow) task(ref TaskRef) *task {
-	if ref.Occurrence >= len(w.occurrences) || ref.Step >= len(w.spec.Steps) || ref.Index >= w.spec.Steps[ref.Step].Count {
+	if ref.Occurrence < 0 || ref.Occurrence >= len(w.occurrences) || ref.Step < 0 || ref.Step >= len(w.spec.Steps) ||
+		ref.Index < 0 || ref.Index >= w.spec.Steps[ref.Step].Count {
 		return nil
 	}
 	return &w.step(ref.StepRef).tasks[ref.Index]
