Check the leader's lease right before each request to a worker

A leader that was paused for seconds noticed it only when the next renewal failed. Until then it sent starts, stops and renewals of workers' leases. Workers that its successor had reached refuse its token; others cannot, and a task could run twice. Change: a request to a worker leaves only if the lease was renewed at most MaxRenewalGap (6 s) before, as the successor assumes; otherwise the term ends. Conclusion: what remains is the time between the check and the write of the request.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -39,6 +40,23 @@
 	Revision           ident.Revision // revision of the leader key, a condition of the leader's writes
 	HasPredecessor     bool           // an earlier term exists
 	PredecessorStopped bool           // the previous leader is certainly dead, or recorded the end of its term
+	Renewal            *Renewal       // when the lease was last renewed; nil in tests that need none
+}
+
+// Renewal is the time of the last confirmed renewal of the leader's lease. It is safe for concurrent use.
+type Renewal struct{ last atomic.Pointer[time.Time] }
+
+// Mark records a renewal that was requested at the given time.
+func (r *Renewal) Mark(at time.Time) { r.last.Store(&at) }
+
+// InForce reports whether the leader may still send requests to workers. It has to be asked right before a request is
+// sent, because the process may have been paused since the last decision.
+func (r *Renewal) InForce(now time.Time) bool {
+	if r == nil {
+		return true
+	}
+	last := r.last.Load()
+	return last != nil && now.Sub(*last) <= MaxRenewalGap
 }
 
 // LeadFunc runs the leader's work. It returns when the context ends, or when it finds that the process is no longer the
@@ -265,7 +283,7 @@
 			}
 		}()
 	}
-	reason := e.renewLease(leadCtx, lease)
+	reason := e.renewLease(leadCtx, lease, term.Renewal)
 	cancel()
 	<-leadEnded
 	e.log.Info("leadership ended", "term", term.Number, "reason", reason)
@@ -285,6 +303,7 @@
 	}
 	self := e.self
 	self.Term = last.number + 1
+	sentAt := time.Now()
 	committed, err := e.store.Commit(ctx, port.Txn{
 		If: []port.Condition{{Key: port.LeaderKey, Revision: s.revision}, {Key: port.TermKey, Revision: last.revision}},
 		Writes: []port.Write{
@@ -295,8 +314,10 @@
 	if err != nil {
 		return Term{}, 0, err
 	}
+	renewal := &Renewal{}
+	renewal.Mark(sentAt)
 	return Term{
-		Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, HasPredecessor: last.number > 0,
+		Renewal: renewal, Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, HasPredecessor: last.number > 0,
 		PredecessorStopped: s.dead || last.ended,
 	}, lease, nil
 }
@@ -325,7 +346,7 @@
 }
 
 // renewLease renews the lease until the lease is lost or the context ends, and returns the reason why it stopped.
-func (e *Election) renewLease(ctx context.Context, lease port.LeaseID) string {
+func (e *Election) renewLease(ctx context.Context, lease port.LeaseID, renewal *Renewal) string {
 	lastRenewal := time.Now()
 	for pause.For(ctx, renewInterval) {
 		sentAt := time.Now()
@@ -335,6 +356,7 @@
 		switch {
 		case err == nil:
 			lastRenewal = sentAt
+			renewal.Mark(sentAt)
 		case fault.Is(err, fault.NotFound):
 			return "the lease expired"
 		case time.Since(lastRenewal) > MaxRenewalGap:
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -84,7 +84,7 @@
 	m := newMonitor(w)
 	m.cancel, m.unreachable, m.addedAt = cancel, true, time.Now()
 	s.monitors[w.ID] = m
-	s.wg.Go(func() { s.monitor(ctx, m) })
+	s.goTask(func() { s.monitor(ctx, m) })
 }
 
 // monitor syncs with a worker until the context ends.
@@ -108,6 +108,10 @@
 	}
 	s.mu.Unlock()
 	sentAt := time.Now()
+	if err := s.checkInForce(sentAt); err != nil {
+		s.endTerm("another process may lead", err)
+		return err
+	}
 	syncCtx, cancel := context.WithTimeout(ctx, request.Wait+timeout)
 	reply, err := s.ports.RunClient.Sync(syncCtx, target, request)
 	cancel()
@@ -165,7 +169,7 @@
 
 func (s *Scheduler) syncFailed(m *workerMonitor, err error) {
 	if fault.Is(err, fault.StaleEpoch) {
-		s.endTerm("a worker has seen a higher fencing token", err)
+		s.endTerm("another process may lead", err)
 		return
 	}
 	s.mu.Lock()
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
@@ -56,7 +57,7 @@
 	case fault.Is(err, fault.Interrupted):
 		s.resolveStart(ctx, l)
 	case fault.Is(err, fault.StaleEpoch):
-		s.endTerm("a worker has seen a higher fencing token", err)
+		s.endTerm("another process may lead", err)
 	default:
 		s.startRefused(l, err)
 	}
@@ -69,6 +70,9 @@
 	}
 	defer l.monitor.leaveLane()
 	sent = time.Now()
+	if err := s.checkInForce(sent); err != nil {
+		return sent, 0, err
+	}
 	if age := sent.Sub(l.decided); age > maxOrderAge || s.isFinal(l.entry) {
 		return sent, 0, fault.New(fault.DeadlineExceeded, "start not requested %v after the decision", age)
 	}
@@ -78,6 +82,15 @@
 	return sent, clock, err
 }
 
+// checkInForce fails with StaleEpoch if the lease of the leader has not been renewed for too long: the
+// process may have been paused, and another one may lead.
+func (s *Scheduler) checkInForce(now time.Time) error {
+	if s.term.Renewal.InForce(now) {
+		return nil
+	}
+	return fault.New(fault.StaleEpoch, "the leader's lease has not been renewed for %v", leadership.MaxRenewalGap)
+}
+
 func (s *Scheduler) isFinal(e *jobEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,7 +155,7 @@
 func (s *Scheduler) stopRuns(runs []workflow.Placement) {
 	for _, p := range runs {
 		if m := s.monitors[p.Worker]; m != nil {
-			s.wg.Go(func() { s.stopRun(s.ctx, m, p.RunRef) })
+			s.goTask(func() { s.stopRun(s.ctx, m, p.RunRef) })
 		}
 	}
 }
@@ -166,7 +179,7 @@
 			return
 		}
 		if fault.Is(err, fault.StaleEpoch) {
-			s.endTerm("a worker has seen a higher fencing token", err)
+			s.endTerm("another process may lead", err)
 			return
 		}
 		s.log.Info("stop not answered", "task", run.Task.String(), "run", run.Run, "worker", target.Worker, "error", err)
@@ -179,6 +192,9 @@
 		return ctx.Err()
 	}
 	defer m.leaveLane()
+	if err := s.checkInForce(time.Now()); err != nil {
+		return err
+	}
 	stopCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	return s.ports.RunClient.Stop(stopCtx, target, run, s.term.Token)
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -143,12 +143,12 @@
 	if !ok {
 		return
 	}
-	s.wg.Go(func() { s.watchJobs(s.ctx, asOf) })
-	s.wg.Go(func() { s.watchWorkers(s.ctx) })
-	s.wg.Go(func() { s.runPlacement(s.ctx) })
-	s.wg.Go(func() { s.deleteFinished(s.ctx) })
+	s.goTask(func() { s.watchJobs(s.ctx, asOf) })
+	s.goTask(func() { s.watchWorkers(s.ctx) })
+	s.goTask(func() { s.runPlacement(s.ctx) })
+	s.goTask(func() { s.deleteFinished(s.ctx) })
 	for range committers {
-		s.wg.Go(func() { s.commitProgress(s.ctx) })
+		s.goTask(func() { s.commitProgress(s.ctx) })
 	}
 	<-s.ctx.Done()
 	s.wg.Wait()
