Do not count a worker's silence as missing progress of its runs

A run whose percentage had not changed for 1.5 s counted as stalled, also when the worker had not reported for 3 s: its first report after a silence shorter than the lease had all its runs stopped and started elsewhere. Result: TestSilentWorkerIsNotStalled fails on the old code for the silent worker and passes; stalled runs are found as fast as before. Conclusion: the other reactions to silence (lapsed leases, copies of steps that allow them) were read and wait for the lease.

--- a/internal/domain/pool/pool_test.go
+++ b/internal/domain/pool/pool_test.go
@@ -173,3 +173,32 @@
 		}
 	}
 }
+
+// TestSilentWorkerIsNotStalled guards against runs that are stopped and started again elsewhere although their worker was
+// only silent, or paused, for a time shorter than its lease: the first report after it shows the progress from before.
+func TestSilentWorkerIsNotStalled(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence time.Duration
+		reports int // after the silence, half a second apart
+		stalled bool
+	}{
+		"silent for 3 s":          {3 * time.Second, 1, false},
+		"silent, then stalled":    {3 * time.Second, 4, true},
+		"reports without silence": {500 * time.Millisecond, 4, true},
+	} {
+		w, s, at := worker(), step(1000), now
+		if err := w.Reserve(ref(0), &s); err != nil {
+			t.Fatal(err)
+		}
+		w.UpdateRun(ref(0), 40, 0, at)
+		at = at.Add(c.silence)
+		for range c.reports {
+			w.UpdateRun(ref(0), 40, 0, at)
+			at = at.Add(500 * time.Millisecond)
+		}
+		at = at.Add(-500 * time.Millisecond)
+		if got := len(w.Stalled(at)) > 0; got != c.stalled {
+			t.Errorf("%s: stalled %v, want %v", name, got, c.stalled)
+		}
+	}
+}
--- a/internal/domain/pool/stall.go
+++ b/internal/domain/pool/stall.go
@@ -11,6 +11,9 @@
 	// gangStallTimeout applies to the members of a gang, which wait up to three seconds for one another before they
 	// begin.
 	gangStallTimeout = 5 * time.Second
+	// maxReportInterval is the longest time between two reports of a worker that responds. A longer silence says nothing
+	// about the progress of its runs and does not count.
+	maxReportInterval = 1200 * time.Millisecond
 )
 
 // Stalled returns the stalled runs. Long-running and best-effort runs are never stalled: they may legitimately make no
--- a/internal/domain/pool/throttle.go
+++ b/internal/domain/pool/throttle.go
@@ -28,6 +28,10 @@
 	if !run.Reported {
 		run.Reported, run.firstReported, run.lastProgress = true, now, now
 	}
+	if silence := now.Sub(run.lastReport); !run.lastReport.IsZero() && silence > maxReportInterval {
+		run.lastProgress = run.lastProgress.Add(silence)
+	}
+	run.lastReport = now
 	if run.Started.IsZero() {
 		run.Started = now // the response to its start was lost, or an earlier leader started it
 	}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -38,6 +38,7 @@
 	tailLatency     time.Duration
 	progress        int       // percent of its work that is done
 	lastProgress    time.Time // when the progress last changed
+	lastReport      time.Time // when the worker last reported it
 	firstReported   time.Time // when the worker first reported it
 	overTargetSince time.Time // since when its tail latency exceeds the target; zero while it does not
 }
