Tell the leader of a job again while it cannot be reached

Cause: a process without a session to the leader at the moment of an acceptance told it once, and the leader read of the job up to several seconds later: its watch waits 3 s and may be repeated after 4.75 s when a connection goes silent. Change: the notification is repeated each 0.25 s for up to 4 s. Result: TestLeaderIsToldLater fails on the old code (told 0 times) and passes.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -19,6 +19,9 @@
 	storeTimeout  = 500 * time.Millisecond
 	leaderTimeout = 700 * time.Millisecond
 	retryInterval = 50 * time.Millisecond
+	// notifyTimeout is how long the leader is told of a job. It covers a change of leaders.
+	notifyTimeout       = 4 * time.Second
+	notifyRetryInterval = 250 * time.Millisecond
 	// responseMargin is the part of a caller's timeout that is reserved for sending the response.
 	responseMargin = 150 * time.Millisecond
 )
@@ -102,14 +105,29 @@
 	return g.leader.StoreJob(ctx, job)
 }
 
+// notifyLeader tells the leader of a stored job. It repeats the call while there is no leader or no session to it, because
+// a leader that has to read of the job from the store may do so seconds later.
 func (g *Gateway) notifyLeader(job port.AcceptedJob) {
-	ctx, cancel := context.WithTimeout(context.Background(), leaderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	if err := g.leader.Notify(ctx, job); err != nil {
-		g.log.Info("leader not told of a job; it will read of it", "job", job.Spec.ID, "error", err)
+	for {
+		err := g.notifyOnce(ctx, job)
+		if err == nil {
+			return
+		}
+		if !pause.For(ctx, notifyRetryInterval) {
+			g.log.Info("leader not told of a job; it will read of it", "job", job.Spec.ID, "error", err)
+			return
+		}
 	}
 }
 
+func (g *Gateway) notifyOnce(ctx context.Context, job port.AcceptedJob) error {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	return g.leader.Notify(ctx, job)
+}
+
 // State returns the state of a job. It fails with NotFound if the queue has no such job.
 func (g *Gateway) State(ctx context.Context, queue route.Queue, id workflow.ID) (workflow.State, error) {
 	leaderCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
