--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -88,8 +88,10 @@
 	}
 	handler := &peerHandler{permits: platform.PermitClient}
 	handler.remote = notLeader{}
-	self := port.Leader{Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
-		ElectionDelay: settings.ElectionDelay}
+	self := port.Leader{
+		Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
+		ElectionDelay: settings.ElectionDelay,
+	}
 	handler.self = self
 	n.transport = cellwire.New(self, listener, settings.Seeds, handler, log)
 	n.leader.remote = n.transport
