--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -29,7 +29,7 @@
 // workerMonitor keeps one worker's lease alive and tracks its runs. Its fields are guarded by the scheduler's lock.
 type workerMonitor struct {
 	worker           *pool.Worker
-	lanes            chan struct{} // holds a token for each start or stop request in progress
+	inFlight         chan struct{} // holds a token for each start or stop request in progress
 	cancel           context.CancelFunc
 	appliedEnd       uint64         // highest number of an end that was applied
 	ackedEnd         uint64         // highest number of an end that the worker need not report again
@@ -63,20 +63,20 @@
 const maxRequests = 1
 
 func newMonitor(w pool.WorkerInfo) *workerMonitor {
-	return &workerMonitor{worker: pool.NewWorker(w), lanes: make(chan struct{}, maxRequests)}
+	return &workerMonitor{worker: pool.NewWorker(w), inFlight: make(chan struct{}, maxRequests)}
 }
 
-// enterLane waits until a request may be sent to the worker. It returns false when the context ends first.
-func (m *workerMonitor) enterLane(ctx context.Context) bool {
+// acquireRequest waits until a request may be sent to the worker. It returns false when the context ends first.
+func (m *workerMonitor) acquireRequest(ctx context.Context) bool {
 	select {
-	case m.lanes <- struct{}{}:
+	case m.inFlight <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
-func (m *workerMonitor) leaveLane() { <-m.lanes }
+func (m *workerMonitor) releaseRequest() { <-m.inFlight }
 
 // addWorker starts the monitor of a worker. The lock is held.
 func (s *Scheduler) addWorker(w pool.WorkerInfo) {
--- /dev/null
+++ b/internal/app/scheduler/permits_test.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// peers makes calls for permits through processes with these names.
+type peers struct {
+	PeerPermitClients
+	names []ident.ProcessID
+}
+
+func (p peers) Peers() []ident.ProcessID { return p.names }
+
+// newPermitLeader returns a leader with further workers and 16 other processes.
+func newPermitLeader(t *testing.T, workers int) *Scheduler {
+	t.Helper()
+	s := newLeader(t)
+	for i := range workers {
+		addTestWorker(s, ident.WorkerID(fmt.Sprintf("x%d", i)), 4000, time.Now())
+	}
+	var names []ident.ProcessID
+	for i := range 16 {
+		names = append(names, ident.ProcessID(fmt.Sprintf("p%02d", i)))
+	}
+	s.ports.PeerPermitClients = peers{names: names}
+	return s
+}
+
+// TestPermitsOfWideStep guards against a gang whose tickets expire before all are there, because the workers are asked
+// about one call after the other, and against workers that are asked about twice.
+func TestPermitsOfWideStep(t *testing.T) {
+	for count, wantCalls := range map[int]int{2: 1, 60: 6} {
+		s := newPermitLeader(t, 400)
+		e := acceptTestJob(s, workflow.Step{Count: count, Gang: true})
+		e.queue.PermitPolicy = testPermitPolicy()
+		e.queue.PermitPolicy.WorkerLatency = 8 * time.Millisecond
+		_, calls := s.place(time.Now())
+		asked, processes := map[permit.Worker]bool{}, map[ident.ProcessID]bool{}
+		for _, call := range calls {
+			processes[call.process] = true
+			for _, w := range call.Workers {
+				if asked[w] {
+					t.Errorf("%d tasks: worker %s is asked about twice", count, w.ID)
+				}
+				asked[w] = true
+			}
+		}
+		if len(calls) != wantCalls || len(processes) != wantCalls {
+			t.Errorf("%d tasks: %d calls through %d processes, want %d", count, len(calls), len(processes), wantCalls)
+		}
+		e.step(firstRun(0).Task.StepRef).waiting.Retry()
+		if _, again := s.place(time.Now()); count == 2 && len(again) != 0 {
+			t.Errorf("%d more calls while one is in progress", len(again))
+		}
+	}
+}
+
+// TestUrgentCallsFindAProcess guards against an urgent call that waits behind calls for other queues, which take many times
+// as long.
+func TestUrgentCallsFindAProcess(t *testing.T) {
+	s, now := newPermitLeader(t, 0), time.Now()
+	for range 100 {
+		process, wait := s.leastBusyProcess(false, now)
+		s.permitBusyUntil[process] = now.Add(wait + time.Second)
+	}
+	if process, wait := s.leastBusyProcess(true, now); wait != 0 {
+		t.Errorf("an urgent call waits %v for process %s", wait, process)
+	}
+}
+
+// BenchmarkPlace measures one pass of placement in which every step waits for capacity, and one in which nothing has
+// changed since.
+func BenchmarkPlace(b *testing.B) {
+	for _, workers := range []int{50, 350, 1100} {
+		for _, steps := range []int{10, 100, 1000} {
+			for _, changed := range []bool{true, false} {
+				b.Run(fmt.Sprintf("workers=%d/steps=%d/changed=%v", workers, steps, changed), func(b *testing.B) {
+					benchmarkPlace(b, workers, steps, changed)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkPlace(b *testing.B, workers, steps int, changed bool) {
+	s := newLeaderFor(b)
+	now := time.Now()
+	full := workflow.Step{Count: 1}
+	full.Size.MilliCores = 4000
+	for i := range workers {
+		id := ident.WorkerID(fmt.Sprintf("x%d", i))
+		addTestWorker(s, id, 4000, now)
+		ref := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: "full"}, Index: i}, Run: 1}
+		if err := s.monitors[id].worker.Reserve(ref, &full); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range steps {
+		job := port.AcceptedJob{Spec: workflow.Spec{ID: workflow.ID(fmt.Sprintf("j%d", i)), Steps: []workflow.Step{full}}, AcceptedAt: now}
+		job.Queue.Name, job.Queue.Service, job.Queue.MaxAttempts = "q", "desk", 3
+		s.mu.Lock()
+		s.acceptJob(job)
+		s.mu.Unlock()
+	}
+	for range 200 { // a pass does not try all steps
+		s.place(now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if changed {
+			for _, e := range s.openJobs {
+				e.step(workflow.StepRef{Job: e.workflow.Spec().ID}).waiting.Retry()
+			}
+		}
+		s.place(now)
+	}
+}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -81,6 +81,7 @@
 	now       time.Time
 	idle      map[string]bool // by service: whether much capacity is unused
 	recorded  []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
+	releases  uint64          // releases on the recorded workers
 }
 
 // isIdle reports whether the workers of the service have much unused capacity.
@@ -114,27 +115,35 @@
 			break
 		}
 		c.pass = pass
-		c.permits = s.permitsOf(c)
-		c.workers = s.allowedWorkers(c, now)
-		waiting, releases := &c.entry.step(c.ref).waiting, c.releases()
-		if !waiting.Due(now, releases) {
-			continue
-		}
-		c.waited = waiting.For(now)
-		placed, unplaced := s.placeStep(c, now)
-		waiting.Tried(now, releases, unplaced)
-		launches = append(launches, placed...)
-		if unplaced > 0 {
-			s.preempt(c, unplaced, now)
-		} else if c.waited > 0 {
+		placed, asked := s.tryStep(c, now)
+		launches, calls = append(launches, placed...), append(calls, asked...)
+	}
+	return launches, calls
+}
+
+// tryStep places the waiting tasks of a step if something has changed since the last try. For tasks that do not fit it
+// prepares preemptions and calls for permits. The lock is held.
+func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
+	c.permits = s.permitsOf(c)
+	c.workers = s.allowedWorkers(c, now)
+	waiting, releases := &c.entry.step(c.ref).waiting, c.releases()
+	if !waiting.Due(now, releases) {
+		return nil, nil
+	}
+	c.waited = waiting.For(now)
+	launches, unplaced := s.placeStep(c, now)
+	waiting.Tried(now, releases, unplaced)
+	if unplaced == 0 {
+		if c.waited > 0 {
 			s.dropHolds(c.ref)
 		}
-		if unplaced == 0 || c.queue.PermitPolicy == nil {
-			continue
-		}
-		calls = append(calls, s.planPermitCalls(c, unplaced, now)...)
+		return launches, nil
 	}
-	return launches, calls
+	s.preempt(c, unplaced, now)
+	if c.queue.PermitPolicy == nil {
+		return launches, nil
+	}
+	return launches, s.planPermitCalls(c, unplaced, now)
 }
 
 // candidates returns the steps with tasks to start, by the priority of the queue and then by the age of the job.
@@ -184,6 +193,7 @@
 		for id, m := range s.monitors {
 			if s.recorded[id] {
 				pass.recorded = append(pass.recorded, allowedWorker{monitor: m})
+				pass.releases += m.worker.Releases()
 			}
 		}
 	}
@@ -192,6 +202,9 @@
 
 // releases returns how many times capacity was released on the workers on which the step may run.
 func (c *candidate) releases() uint64 {
+	if c.permits == nil {
+		return c.pass.releases
+	}
 	var n uint64
 	for w := range c.allowed() {
 		n += w.Releases()
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -63,12 +63,12 @@
 	}
 }
 
-// requestStart sends the request, unless the decision is too old by the time that the worker has a free lane.
+// requestStart sends the request once earlier requests to the worker have ended, unless the decision is too old by then.
 func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
-	if !l.monitor.enterLane(ctx) {
+	if !l.monitor.acquireRequest(ctx) {
 		return time.Now(), 0, ctx.Err()
 	}
-	defer l.monitor.leaveLane()
+	defer l.monitor.releaseRequest()
 	sent = time.Now()
 	if err := s.checkInForce(sent); err != nil {
 		return sent, 0, err
@@ -188,10 +188,10 @@
 }
 
 func (s *Scheduler) requestStop(ctx context.Context, m *workerMonitor, target port.Target, run workflow.RunRef) error {
-	if !m.enterLane(ctx) {
+	if !m.acquireRequest(ctx) {
 		return ctx.Err()
 	}
-	defer m.leaveLane()
+	defer m.releaseRequest()
 	if err := s.checkInForce(time.Now()); err != nil {
 		return err
 	}
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -26,15 +26,22 @@
 
 // newLeader returns the scheduler of a leader with two synced workers of 4 cores and 8 GiB, w1 and w2.
 func newLeader(t *testing.T) *Scheduler {
+	t.Helper()
+	s := newLeaderFor(t)
+	for _, id := range []ident.WorkerID{"w1", "w2"} {
+		addTestWorker(s, id, 4000, time.Now())
+	}
+	return s
+}
+
+// newLeaderFor returns the scheduler of a leader without workers.
+func newLeaderFor(t testing.TB) *Scheduler {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	s := New("b", Settings{MaxLease: 6 * time.Second}, Ports{RunClient: unresponsiveRunner{}}, &route.Table{},
 		leadership.Term{Number: 2, Token: 9, HasPredecessor: true}, slog.New(slog.DiscardHandler))
 	s.ctx, s.cancel, s.startedAt, s.ready = ctx, cancel, time.Now(), true
 	t.Cleanup(func() { cancel(); s.wg.Wait() })
-	for _, id := range []ident.WorkerID{"w1", "w2"} {
-		addTestWorker(s, id, 4000, time.Now())
-	}
 	return s
 }
 
