Begin a pass of placement where the last one ran out of time

Cause: a pass takes at most 5 ms and began with the highest priority each time. Change: a pass that ran out of time names the step at which the next one begins; the others follow. Result: TestLowerPriorityIsTried fails without it and passes. A shorter list of tries (20 ms between tries of a step) did not suffice and was dropped. Conclusion: while passes run out of time, capacity that is released between them may go to a lower priority first; preemption takes it back.

--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -123,3 +123,36 @@
 		s.place(now)
 	}
 }
+
+// TestLowerPriorityIsTried guards against waiting steps of the highest priority that take up every pass while capacity is
+// released all the time, so that a task of a lower priority never starts although it fits.
+func TestLowerPriorityIsTried(t *testing.T) {
+	s, now := newPermitLeader(t, 1100), time.Now()
+	accept := func(id workflow.ID, priority int, milliCores int64) {
+		job := port.AcceptedJob{Spec: workflow.Spec{ID: id, Steps: []workflow.Step{{Count: 1}}}, AcceptedAt: now}
+		job.Spec.Steps[0].Size.MilliCores = milliCores
+		job.Queue.Name, job.Queue.Service, job.Queue.MaxAttempts, job.Queue.Priority = "q", "desk", 3, priority
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.acceptJob(job)
+	}
+	for i := range 2000 {
+		accept(workflow.ID(fmt.Sprintf("urgent%d", i)), 0, 5000) // larger than any worker
+	}
+	accept("small", 2, 1000)
+	for pass := range 200 {
+		s.monitors["w1"].worker.Release(releasedRun(s, pass))
+		if launches := placeAt(s, time.Now()); len(launches) > 0 {
+			return
+		}
+	}
+	t.Error("the task of a lower priority is not started within 200 passes")
+}
+
+// releasedRun reserves capacity of w1 for a run and returns the run.
+func releasedRun(s *Scheduler, index int) workflow.RunRef {
+	step := workflow.Step{Count: 1}
+	ref := firstRun(index)
+	_ = s.monitors["w1"].worker.Reserve(ref, &step) // it needs no capacity
+	return ref
+}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -60,7 +60,7 @@
 	placePauseFactor = 2
 	// maxPlacePause keeps starts going on a process that has hardly any processor time.
 	maxPlacePause = 50 * time.Millisecond
-	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
+	// maxPlaceTime bounds one pass, in which the lock is held. The next pass begins with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
 )
 
@@ -109,8 +109,9 @@
 	var calls []permitCall
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
 	started := time.Now()
-	for _, c := range s.candidates(now) {
+	for _, c := range s.resume(s.candidates(now)) {
 		if time.Since(started) > maxPlaceTime {
+			s.resumeAt = c.ref
 			s.wakePlacement()
 			break
 		}
@@ -121,6 +122,17 @@
 	return launches, calls
 }
 
+// resume reorders the candidates so that a pass begins with the step at which the last one ran out of time: otherwise
+// waiting steps of the highest priority could take up every pass. The lock is held.
+func (s *Scheduler) resume(list []candidate) []candidate {
+	first := slices.IndexFunc(list, func(c candidate) bool { return c.ref == s.resumeAt })
+	s.resumeAt = workflow.StepRef{}
+	if first <= 0 {
+		return list
+	}
+	return slices.Concat(list[first:], list[:first])
+}
+
 // tryStep places the waiting tasks of a step if something has changed since the last try. For tasks that do not fit it
 // prepares preemptions and calls for permits. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
