Look at 16 steps in each pass of placement, however long it takes

The time of a pass also covered the collection of the open steps: with 2,000 of them on a slow processor it was used up before any step was tried, and with the race detector a pass tried about eight steps. Change: the time counts from the first step on, and a pass looks at 16 steps at least. The test has 400 urgent steps instead of 2,000 and a bound that follows from that minimum, 27 passes instead of 200, so that it does not depend on the speed of the machine. Conclusion: a leader with little processor time still starts runs.

--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -136,17 +136,19 @@
 		defer s.mu.Unlock()
 		s.acceptJob(job)
 	}
-	for i := range 2000 {
+	const urgentSteps = 400
+	for i := range urgentSteps {
 		accept(workflow.ID(fmt.Sprintf("urgent%d", i)), 0, 5000) // larger than any worker
 	}
 	accept("small", 2, 1000)
-	for pass := range 200 {
+	const passes = urgentSteps/minStepsPerPass + 2
+	for pass := range passes {
 		s.monitors["w1"].worker.Release(releasedRun(s, pass))
 		if launches := placeAt(s, time.Now()); len(launches) > 0 {
 			return
 		}
 	}
-	t.Error("the task of a lower priority is not started within 200 passes")
+	t.Errorf("the task of a lower priority is not started within %d passes", passes)
 }
 
 // releasedRun reserves capacity of w1 for a run and returns the run.
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -62,6 +62,8 @@
 	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass begins with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
+	// minStepsPerPass is how many steps a pass looks at even if it takes longer, on a slow or busy processor.
+	minStepsPerPass = 16
 )
 
 // candidate is a step with tasks to start.
@@ -108,9 +110,10 @@
 	var launches []launch
 	var calls []permitCall
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+	list := s.resume(s.candidates(now))
 	started := time.Now()
-	for _, c := range s.resume(s.candidates(now)) {
-		if time.Since(started) > maxPlaceTime {
+	for i, c := range list {
+		if i >= minStepsPerPass && time.Since(started) > maxPlaceTime {
 			s.resumeAt = c.ref
 			s.wakePlacement()
 			break
