--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -141,7 +141,8 @@
 		accept(workflow.ID(fmt.Sprintf("urgent%d", i)), 0, 5000) // larger than any worker
 	}
 	accept("small", 2, 1000)
-	const passes = urgentSteps/minStepsPerPass + 2
+	const stepsPerPass = 16
+	const passes = urgentSteps/stepsPerPass + 2
 	for pass := range passes {
 		s.monitors["w1"].worker.Release(releasedRun(s, pass))
 		if launches := placeAt(s, time.Now()); len(launches) > 0 {
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -60,10 +60,8 @@
 	placePauseFactor = 2
 	// maxPlacePause keeps starts going on a process that has hardly any processor time.
 	maxPlacePause = 50 * time.Millisecond
-	// maxPlaceTime bounds one pass, in which the lock is held. The next pass begins with the steps that were not tried.
+	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
-	// minStepsPerPass is how many steps a pass looks at even if it takes longer, on a slow or busy processor.
-	minStepsPerPass = 16
 )
 
 // candidate is a step with tasks to start.
@@ -110,11 +108,9 @@
 	var launches []launch
 	var calls []permitCall
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
-	list := s.resume(s.candidates(now))
 	started := time.Now()
-	for i, c := range list {
-		if i >= minStepsPerPass && time.Since(started) > maxPlaceTime {
-			s.resumeAt = c.ref
+	for _, c := range s.candidates(now) {
+		if time.Since(started) > maxPlaceTime {
 			s.wakePlacement()
 			break
 		}
@@ -125,17 +121,6 @@
 	return launches, calls
 }
 
-// resume reorders the candidates so that a pass begins with the step at which the last one ran out of time: otherwise
-// waiting steps of the highest priority could take up every pass. The lock is held.
-func (s *Scheduler) resume(list []candidate) []candidate {
-	first := slices.IndexFunc(list, func(c candidate) bool { return c.ref == s.resumeAt })
-	s.resumeAt = workflow.StepRef{}
-	if first <= 0 {
-		return list
-	}
-	return slices.Concat(list[first:], list[:first])
-}
-
 // tryStep places the waiting tasks of a step if something has changed since the last try. For tasks that do not fit it
 // prepares preemptions and calls for permits. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -83,7 +83,6 @@
 	workersRevision ident.Revision                       // revision of the record of workers
 	recorded        map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated  bool                                 // the record differs from the workers to record
-	resumeAt        workflow.StepRef                     // step at which the last pass of placement ran out of time
 	permitBusyUntil map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
 	allowedShares   map[string]*permit.AllowedShare      // by queue
 }
