Show when the configuration was last confirmed as the newest

Cause: the hypotheses on late configurations could not be told apart: neither log nor metrics said how old the evidence for the active version was, or which version a request without a route was judged by. Change: the routing table keeps the latest evidence (time and source). 'job submitted' states the version. The gateway decides on the route now, and the caller handler only translates. Conclusion: a process that cannot learn of changes can be seen.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -31,14 +31,36 @@
 	store  port.TxnStore
 	codec  port.RecordCodec
 	leader port.Scheduler
+	table  *route.Table
 	log    *slog.Logger
 }
 
 // New returns a Gateway that stores jobs with the codec and reaches the leader through the scheduler.
-func New(store port.TxnStore, codec port.RecordCodec, leader port.Scheduler, log *slog.Logger) *Gateway {
-	return &Gateway{store: store, codec: codec, leader: leader, log: log}
+func New(
+	store port.TxnStore, codec port.RecordCodec, leader port.Scheduler, table *route.Table, log *slog.Logger,
+) *Gateway {
+	return &Gateway{store: store, codec: codec, leader: leader, table: table, log: log}
 }
 
+// Route returns the queue that a request belongs to. It fails with NotReady before the first configuration is active, and
+// with NotFound if the active one has no route for the request.
+func (g *Gateway) Route(host, path string) (route.Queue, error) {
+	queue, ok := g.table.Match(host, path)
+	if ok {
+		return queue, nil
+	}
+	version, confirmed := g.table.Config().Version, g.table.Confirmed()
+	if version == 0 {
+		return route.Queue{}, fault.New(fault.NotReady, "no configuration is active yet")
+	}
+	g.log.Info("request without a route", "host", host, "path", path, "version", version,
+		"confirmed_ms", time.Since(confirmed.At).Milliseconds(), "from", confirmed.Source)
+	return route.Queue{}, fault.New(fault.NotFound, "configuration %d has no route for %s%s", version, host, path)
+}
+
+// MaxBodyBytes returns the limit of a request body in the active configuration, or 0 if it sets none.
+func (g *Gateway) MaxBodyBytes() int64 { return g.table.Config().MaxBodyBytes }
+
 // Submit returns when the job is stored. Submitting the same id again is idempotent. StoreUnavailable means that the job
 // was not stored and never runs; Interrupted means that it is unknown whether it was stored.
 func (g *Gateway) Submit(ctx context.Context, queue route.Queue, spec workflow.Spec) error {
@@ -47,7 +69,7 @@
 	}
 	job := port.AcceptedJob{Spec: spec, Queue: queue, AcceptedAt: time.Now()}
 	err := g.storeJob(ctx, job)
-	g.log.Info("job submitted", "job", spec.ID, "queue", queue.Name, "steps", len(spec.Steps),
+	g.log.Info("job submitted", "job", spec.ID, "queue", queue.Name, "steps", len(spec.Steps), "version", g.table.Config().Version,
 		"took_ms", time.Since(job.AcceptedAt).Milliseconds(), "kind", outcomeLabel(err), "error", err)
 	return err
 }
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -46,7 +46,7 @@
 func TestLeaderIsToldLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		leader := &electedLater{electedAt: time.Now().Add(2 * time.Second)}
-		g := gateway.New(acceptingStore{}, jobCodec{}, leader, slog.New(slog.DiscardHandler))
+		g := gateway.New(acceptingStore{}, jobCodec{}, leader, &route.Table{}, slog.New(slog.DiscardHandler))
 		spec := workflow.Spec{ID: "j", Steps: []workflow.Step{{Count: 1}}}
 		if err := g.Submit(t.Context(), route.Queue{Name: "q"}, spec); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/app/routing/routing_test.go
@@ -0,0 +1,96 @@
+package routing_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkstall/internal/app/routing"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+const configKey = "op/config"
+
+// fakeStore holds a configuration, whose value is its version. No watch reports an event.
+type fakeStore struct {
+	port.TxnStore
+	mu      sync.Mutex
+	version int
+	down    bool
+}
+
+func (s *fakeStore) set(version int, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.down = version, down
+}
+
+func (s *fakeStore) List(context.Context, string) ([]port.Entry, ident.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, fault.New(fault.Unavailable, "the store is down")
+	}
+	return []port.Entry{{Key: configKey, Value: []byte(strconv.Itoa(s.version))}}, 1, nil
+}
+
+func (s *fakeStore) Watch(
+	ctx context.Context, _ string, _ ident.Revision, wait time.Duration,
+) ([]port.Entry, ident.Revision, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return nil, 1, ctx.Err()
+}
+
+// noLeader fails every call.
+type noLeader struct{ port.Scheduler }
+
+func (noLeader) Config(context.Context) ([]byte, error) {
+	return nil, fault.New(fault.NotReady, "there is no leader")
+}
+
+func decode(source []byte) (route.Config, error) {
+	version, err := strconv.ParseUint(string(source), 10, 64)
+	return route.Config{Version: version, Source: source}, err
+}
+
+// TestOutdatedIsReported guards against a process that serves an old configuration while neither its log nor its metrics
+// show that it cannot learn of changes.
+func TestOutdatedIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, table, log := &fakeStore{version: 7}, &route.Table{}, &bytes.Buffer{}
+		watcher := routing.New(configKey, store, noLeader{}, decode, table, slog.New(slog.NewTextHandler(log, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); watcher.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		if age := time.Since(table.Confirmed().At); age > time.Second {
+			t.Errorf("confirmed %v ago while the store is up, want at most 1 s", age)
+		}
+		store.set(9, true)
+		time.Sleep(5 * time.Second)
+		store.set(9, false)
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-ended
+		for _, event := range []string{"configuration may be outdated", "configuration confirmed again"} {
+			if n := strings.Count(log.String(), event); n != 1 {
+				t.Errorf("%q logged %d times, want once", event, n)
+			}
+		}
+		if version := table.Config().Version; version != 9 {
+			t.Errorf("version %d is active, want 9", version)
+		}
+	})
+}
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -47,7 +47,7 @@
 	PermitClient port.PermitClient
 	Decode       routing.DecodeFunc
 	// NewCallerHandler and NewReadinessHandler return the HTTP handlers for callers and for the readiness probe.
-	NewCallerHandler    func(*gateway.Gateway, *route.Table) http.Handler
+	NewCallerHandler    func(*gateway.Gateway) http.Handler
 	NewReadinessHandler func(func() bool) http.Handler
 }
 
@@ -100,9 +100,9 @@
 		self, n.store, cellwire.RecordCodec{}, n.transport, n.leadFunc(handler), log,
 	)
 	n.configWatcher = routing.New(settings.ConfigKey, n.store, n.leader, platform.Decode, n.table, log)
-	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, log)
+	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log)
 	n.callerServer = &http.Server{
-		Handler: platform.NewCallerHandler(g, n.table), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: platform.NewCallerHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	n.readinessServer = &http.Server{Handler: platform.NewReadinessHandler(n.isReady), ReadHeaderTimeout: headerTimeout}
@@ -129,6 +129,9 @@
 // State returns the state of the process for its metrics.
 func (n *Node) State() port.ProcessState {
 	state := port.ProcessState{ConfigVersion: n.table.Config().Version}
+	if confirmed := n.table.Confirmed(); !confirmed.At.IsZero() {
+		state.ConfigAge = time.Since(confirmed.At)
+	}
 	if local := n.leader.local.Load(); local != nil {
 		local.FillState(&state)
 	}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -17,10 +17,8 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"skylarkstall/internal/adapter/metrics"
-	"skylarkstall/internal/app/gateway"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/cellnode"
-	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/eventlog"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -169,7 +167,7 @@
 	return cellnode.Platform{
 		Store: store, RunClient: platform.NewRunClient(client), Workers: platform.NewWorkerRegistry(store, log),
 		PermitClient: platform.NewPermitClient(client, s.PermitAddress), Decode: platform.DecodeConfig,
-		NewCallerHandler:    func(g *gateway.Gateway, table *route.Table) http.Handler { return platform.NewCallerHandler(g, table) },
+		NewCallerHandler:    platform.NewCallerHandler,
 		NewReadinessHandler: platform.NewReadinessHandler,
 	}
 }
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -37,12 +37,19 @@
 	Source       []byte // as the operator wrote it
 }
 
+// Confirmation is the latest evidence that the active configuration is the newest one.
+type Confirmation struct {
+	At     time.Time // no newer version existed at this time; zero if there is no evidence yet
+	Source string    // who stated it
+}
+
 // Table holds the active configuration, indexed by queue name and host. It is safe for concurrent use.
 type Table struct {
-	mu     sync.RWMutex
-	config Config
-	byName map[string]*Queue
-	byHost map[string][]*Queue
+	mu        sync.RWMutex
+	config    Config
+	confirmed Confirmation
+	byName    map[string]*Queue
+	byHost    map[string][]*Queue
 }
 
 // Apply activates the configuration if its version is newer than the active one, and reports whether it did.
@@ -62,6 +69,23 @@
 	return true
 }
 
+// Confirm records that the version was the newest one at the given time. Evidence about another version than the active
+// one, or older evidence, changes nothing.
+func (t *Table) Confirm(version uint64, at time.Time, source string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version == t.config.Version && at.After(t.confirmed.At) {
+		t.confirmed = Confirmation{At: at, Source: source}
+	}
+}
+
+// Confirmed returns the latest evidence that the active configuration is the newest one.
+func (t *Table) Confirmed() Confirmation {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.confirmed
+}
+
 // Config returns the active configuration. Its version is 0 if there is none yet.
 func (t *Table) Config() Config {
 	t.mu.RLock()
--- a/internal/domain/route/route_test.go
+++ b/internal/domain/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"skylarkstall/internal/domain/route"
 )
@@ -36,3 +37,27 @@
 		}
 	}
 }
+
+// TestConfirmation guards against a configuration that counts as confirmed by evidence about another version, or whose
+// age falls when older evidence arrives late.
+func TestConfirmation(t *testing.T) {
+	var table route.Table
+	table.Apply(route.Config{Version: 7})
+	start := time.Unix(1_700_000_000, 0)
+	for _, c := range []struct {
+		version uint64
+		at      time.Duration
+		want    time.Duration
+	}{
+		{7, 10 * time.Second, 10 * time.Second},
+		{3, 20 * time.Second, 10 * time.Second},
+		{9, 20 * time.Second, 10 * time.Second},
+		{7, 5 * time.Second, 10 * time.Second},
+		{7, 12 * time.Second, 12 * time.Second},
+	} {
+		table.Confirm(c.version, start.Add(c.at), "store")
+		if got := table.Confirmed().At.Sub(start); got != c.want {
+			t.Errorf("after evidence about version %d at %v: confirmed at %v, want %v", c.version, c.at, got, c.want)
+		}
+	}
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -204,6 +204,7 @@
 type ProcessState struct {
 	IsLeader          bool
 	ConfigVersion     uint64
+	ConfigAge         time.Duration // since the configuration was last confirmed as the newest; 0 if it never was
 	DroppedLogLines   int64
 	Workers           int         // workers that the leader controls
 	Runs              int         // runs on these workers
