Leave a leader that says it was replaced, also without the store

What callers saw: a process that the store rejects answered 404 on added routes and served removed ones until the store took it back, and refused jobs. Cause: a follower ended its session only when the leader key changed in the store or the leader's process was dead. If the store rejects the follower, and the leader was replaced and lives on, the follower opened the session to the former leader again and again, and asked only that process for the configuration. Class: a decision that waits for a source that is away, although the other side has already given the answer. Change: Follow reports LeaderReplaced, which ends the session's loop; the process then reads the leader, or asks the other processes for it. A leader that has led in a session and does not any more gets no second of grace.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -246,6 +246,9 @@
 	t.goroutines.Go(func() { _ = t.serve(ctx, s) }) // ends with the session
 	err = t.monitorLeader(ctx, s)
 	t.log.Info("session to the leader ended", "leader", s.peer, "error", err)
+	if fault.Is(err, fault.NotReady) {
+		return port.LeaderReplaced
+	}
 	return port.LeaderSessionLost
 }
 
@@ -304,11 +307,11 @@
 	return t.followedLeader
 }
 
-// notLeadingGrace is how long the elected process may report that it is not the leader, because it may still be starting its
-// term.
+// notLeadingGrace is how long the elected process may report that it is not the leader before it has reported that it is,
+// because it may still be starting its term.
 const notLeadingGrace = time.Second
 
-// monitorLeader sends pings until one fails or the peer is no longer the leader.
+// monitorLeader sends pings until one fails or the peer is no longer the leader, in which case it fails with NotReady.
 func (t *Transport) monitorLeader(ctx context.Context, s *session) error {
 	graceEnd := time.Now().Add(notLeadingGrace)
 	for ctx.Err() == nil {
@@ -324,7 +327,7 @@
 			return fault.New(fault.NotReady, "%s is no longer the leader", s.peer)
 		}
 		if leads {
-			graceEnd = time.Now().Add(notLeadingGrace)
+			graceEnd = time.Now()
 		}
 		select {
 		case <-s.mux.CloseChan():
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -156,17 +156,17 @@
 	return leaderState{leader: leader, revision: entries[0].Revision, asOf: asOf}, nil
 }
 
-// followLeader keeps a session to the leader. It returns false when the leader key changes or the context ends, and true
-// when the leader is certainly dead.
+// followLeader keeps a session to the leader. It returns true when the leader is certainly dead, and false when the leader
+// key changes, another process leads or the context ends.
 func (e *Election) followLeader(ctx context.Context, s leaderState) bool {
 	e.log.Info("following", "leader", s.leader.Process, "term", s.leader.Term)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	leaderDead := make(chan bool, 1)
+	sessionResult := make(chan port.FollowResult, 1)
 	sessionEnded := make(chan struct{})
 	go func() {
 		defer close(sessionEnded)
-		leaderDead <- e.keepSession(ctx, s.leader)
+		sessionResult <- e.keepSession(ctx, s.leader)
 	}()
 	keyChanged := make(chan struct{})
 	go func() {
@@ -178,16 +178,16 @@
 		defer close(offerEnded)
 		e.offerToSucceed(ctx, s.leader)
 	}()
-	isDead := false
+	result := port.LeaderSessionLost
 	select {
-	case isDead = <-leaderDead:
+	case result = <-sessionResult:
 	case <-keyChanged:
 	}
 	cancel()
 	<-sessionEnded
 	<-keyChanged
 	<-offerEnded
-	return isDead
+	return result == port.LeaderDead
 }
 
 // followDiscovered follows the leader that other processes report, until the session breaks or the store is reachable
@@ -215,15 +215,14 @@
 	<-sessionEnded
 }
 
-// keepSession opens a session to the leader, and opens it again when it breaks. It returns true when the leader is
-// certainly dead.
-func (e *Election) keepSession(ctx context.Context, leader port.Leader) bool {
-	for ctx.Err() == nil {
-		if e.follower.Follow(ctx, leader) == port.LeaderDead {
-			return true
-		}
+// keepSession opens a session to the leader, and opens it again when it breaks, until the leader is dead or replaced or the
+// context ends.
+func (e *Election) keepSession(ctx context.Context, leader port.Leader) port.FollowResult {
+	result := port.LeaderSessionLost
+	for ctx.Err() == nil && result != port.LeaderDead && result != port.LeaderReplaced {
+		result = e.follower.Follow(ctx, leader)
 	}
-	return false
+	return result
 }
 
 // awaitKeyChange returns when the leader key differs from what was read, or when the context ends.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -154,6 +154,7 @@
 	LeaderUnreachable FollowResult = iota // no response; the leader may be running
 	LeaderDead                            // connections to its address are refused, or another process responds there
 	LeaderSessionLost                     // an open session broke
+	LeaderReplaced                        // it responds, but does not lead any more
 )
 
 // Follower connects to the leader.
