Send the version of the configuration with the pings between processes

What callers saw: 404 on an added route, and answers on a removed one, from a process that the store rejects while the leader is rejected too. Cause: such a process took the configuration from the leader, whatever the leader had, and only after the store had failed: one way after the other, each with its timeout. No message carried the version, so a leader that was behind did not notice, although other processes had the newest one. Class: a fall-back that is assumed to be up to date. Change: a ping and its reply carry the version and the age of the evidence that it is the newest; whichever side has the newer configuration passes it on, in the same call or the next. This goes on beside the reads and the watch of the store. The call for the leader's configuration is gone. routing.Replica applies configurations, whoever they come from; the watcher of the store is one source.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -55,12 +55,6 @@
 	return int(reply.GetWaiting()), err
 }
 
-// Config implements port.Scheduler.
-func (t *Transport) Config(ctx context.Context) ([]byte, error) {
-	reply, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Config{Config: true}})
-	return reply.GetConfig(), err
-}
-
 // Peers returns the processes that have an open session to this one.
 func (t *Transport) Peers() []ident.ProcessID {
 	t.mu.Lock()
@@ -100,12 +94,13 @@
 }
 
 // dispatch executes a call from another process and returns the reply.
-func (t *Transport) dispatch(ctx context.Context, call *cellpb.Call) (*cellpb.Reply, error) {
+func (t *Transport) dispatch(ctx context.Context, s *session, call *cellpb.Call) (*cellpb.Reply, error) {
 	handler := t.handler
 	switch body := call.GetBody().(type) {
 	case *cellpb.Call_Ping:
 		_, leads := handler.OwnTerm()
-		return &cellpb.Reply{Leads: leads, Peers: t.knownAddresses()}, nil
+		status, config := t.answerConfigStatus(s.peer, call.GetConfigStatus())
+		return &cellpb.Reply{Leads: leads, Peers: t.knownAddresses(), ConfigStatus: status, Config: config}, nil
 	case *cellpb.Call_Leader:
 		return &cellpb.Reply{Leader: encodeLeader(t.knownLeader())}, nil
 	case *cellpb.Call_Record:
@@ -120,9 +115,9 @@
 	case *cellpb.Call_Waiting:
 		n, err := handler.PendingJobs(ctx, body.Waiting)
 		return &cellpb.Reply{Waiting: int64(n)}, err
-	case *cellpb.Call_Config:
-		source, err := handler.Config(ctx)
-		return &cellpb.Reply{Config: source}, err
+	case *cellpb.Call_NewConfig:
+		t.replica.Apply(body.NewConfig, string(s.peer))
+		return &cellpb.Reply{}, nil
 	case *cellpb.Call_Advise:
 		return requestPermits(ctx, handler, body.Advise)
 	default:
--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -53,6 +53,7 @@
 	self     port.Leader // Term is not set
 	listener net.Listener
 	handler  Handler
+	replica  port.ConfigReplica
 	log      *slog.Logger
 
 	mu             sync.Mutex
@@ -74,9 +75,11 @@
 
 // New returns a transport that accepts sessions on the listener when Run is called. Seeds are possible addresses of other
 // processes.
-func New(self port.Leader, listener net.Listener, seeds []string, handler Handler, log *slog.Logger) *Transport {
+func New(
+	self port.Leader, listener net.Listener, seeds []string, handler Handler, replica port.ConfigReplica, log *slog.Logger,
+) *Transport {
 	t := &Transport{
-		self: self, listener: listener, handler: handler, log: log, inbound: map[ident.ProcessID]*session{},
+		self: self, listener: listener, handler: handler, replica: replica, log: log, inbound: map[ident.ProcessID]*session{},
 		addresses: map[string]bool{},
 	}
 	t.addAddresses(seeds...)
@@ -311,16 +314,18 @@
 // because it may still be starting its term.
 const notLeadingGrace = time.Second
 
-// monitorLeader sends pings until one fails or the peer is no longer the leader, in which case it fails with NotReady.
+// monitorLeader sends pings, which carry the version of the configuration, until one fails or the peer is no longer the
+// leader, in which case it fails with NotReady.
 func (t *Transport) monitorLeader(ctx context.Context, s *session) error {
 	graceEnd := time.Now().Add(notLeadingGrace)
 	for ctx.Err() == nil {
-		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		reply, err := s.call(pingCtx, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}})
-		cancel()
+		reply, err := t.ping(ctx, s)
 		if err != nil {
 			return err
 		}
+		if err := t.exchangeConfig(ctx, s, reply); err != nil {
+			return err
+		}
 		t.addAddresses(reply.GetPeers()...)
 		leads := reply.GetLeads()
 		if !leads && !time.Now().Before(graceEnd) {
@@ -339,6 +344,13 @@
 	return ctx.Err()
 }
 
+func (t *Transport) ping(ctx context.Context, s *session) (*cellpb.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	status, _ := t.replica.Current()
+	return s.call(ctx, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}, ConfigStatus: encodeConfigStatus(status)})
+}
+
 // call makes one call on a new stream. It fails with Unavailable or TooLarge if nothing was sent, with Interrupted if no
 // reply arrived, and otherwise with the error that the peer returned.
 func (s *session) call(ctx context.Context, call *cellpb.Call) (*cellpb.Reply, error) {
@@ -381,7 +393,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
-	reply, err := t.dispatch(ctx, call)
+	reply, err := t.dispatch(ctx, s, call)
 	if err != nil {
 		reply = &cellpb.Reply{Failure: &cellpb.Failure{Kind: uint32(fault.KindOf(err)), Message: err.Error()}}
 	}
--- /dev/null
+++ b/internal/app/routing/replica.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"log/slog"
+	"time"
+
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/port"
+)
+
+// DecodeFunc parses a configuration as the operator wrote it. It fails with Invalid.
+type DecodeFunc func(source []byte) (route.Config, error)
+
+// Replica applies configurations to the routing table of a process, whoever they come from. It implements
+// port.ConfigReplica.
+type Replica struct {
+	table  *route.Table
+	decode DecodeFunc
+	log    *slog.Logger
+}
+
+// NewReplica returns a replica that updates the table.
+func NewReplica(table *route.Table, decode DecodeFunc, log *slog.Logger) *Replica {
+	return &Replica{table: table, decode: decode, log: log}
+}
+
+// Current implements port.ConfigReplica.
+func (r *Replica) Current() (port.ConfigStatus, []byte) {
+	config := r.table.Config()
+	return port.ConfigStatus{Version: config.Version, Confirmed: r.table.Confirmed().At}, config.Source
+}
+
+// Apply implements port.ConfigReplica.
+func (r *Replica) Apply(source []byte, from string) { r.apply(source, from) }
+
+// apply activates the configuration if it is newer than the active one, and returns its version, or 0 if it cannot be
+// decoded.
+func (r *Replica) apply(source []byte, from string) uint64 {
+	config, err := r.decode(source)
+	if err != nil {
+		r.log.Error("configuration not understood", "from", from, "error", err)
+		return 0
+	}
+	confirmed := r.table.Confirmed()
+	if r.table.Apply(config) {
+		r.log.Info("configuration in force", "version", config.Version, "queues", len(config.Queues), "from", from,
+			"confirmed_ms", ageMs(confirmed))
+	}
+	return config.Version
+}
+
+// ageMs returns how long ago the configuration was confirmed, or 0 if it never was.
+func ageMs(c route.Confirmation) int64 {
+	if c.At.IsZero() {
+		return 0
+	}
+	return time.Since(c.At).Milliseconds()
+}
+
+// Confirm implements port.ConfigReplica.
+func (r *Replica) Confirm(status port.ConfigStatus, from string) {
+	r.table.Confirm(status.Version, status.Confirmed, from)
+}
--- a/internal/app/routing/routing.go
+++ b/internal/app/routing/routing.go
@@ -1,4 +1,5 @@
-// Package routing keeps the routing table of a process up to date with the configuration that the operator wrote.
+// Package routing keeps the routing table of a process up to date with the configuration that the operator wrote. It comes
+// from the store, and beside that from other processes, so that a process that the store rejects learns of changes too.
 package routing
 
 import (
@@ -7,7 +8,6 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -23,36 +23,29 @@
 	unconfirmedAfter = 2 * time.Second
 )
 
-// DecodeFunc parses a configuration as the operator wrote it. It fails with Invalid.
-type DecodeFunc func(source []byte) (route.Config, error)
-
-// ConfigWatcher watches the configuration and applies changes to a routing table.
+// ConfigWatcher watches the configuration in the store and applies changes to the replica.
 type ConfigWatcher struct {
-	key    string // key of the configuration in the store
-	store  port.TxnStore
-	leader port.Scheduler
-	decode DecodeFunc
-	table  *route.Table
-	log    *slog.Logger
+	key     string // key of the configuration in the store
+	store   port.TxnStore
+	replica *Replica
+	log     *slog.Logger
 
 	unconfirmed bool // reported as not confirmed
 }
 
-// New returns a watcher that updates the table. While the store is unreachable it reads the configuration from the leader.
-func New(
-	key string, store port.TxnStore, leader port.Scheduler, decode DecodeFunc, table *route.Table, log *slog.Logger,
-) *ConfigWatcher {
-	return &ConfigWatcher{key: key, store: store, leader: leader, decode: decode, table: table, log: log}
+// New returns a watcher that updates the replica.
+func New(key string, store port.TxnStore, replica *Replica, log *slog.Logger) *ConfigWatcher {
+	return &ConfigWatcher{key: key, store: store, replica: replica, log: log}
 }
 
 // Run applies changes of the configuration until the context ends.
 func (w *ConfigWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		asOf, err := w.readFromStore(ctx)
+		asOf, err := w.read(ctx)
 		w.reportAge(time.Now())
 		if err != nil {
-			w.log.Warn("configuration not read", "error", err, "in_force", w.table.Config().Version)
-			w.readFromLeader(ctx)
+			status, _ := w.replica.Current()
+			w.log.Warn("configuration not read", "error", err, "in_force", status.Version)
 			pause.For(ctx, retryInterval)
 			continue
 		}
@@ -60,8 +53,8 @@
 	}
 }
 
-// readFromStore applies the stored configuration and returns the revision to watch from.
-func (w *ConfigWatcher) readFromStore(ctx context.Context) (ident.Revision, error) {
+// read applies the stored configuration and returns the revision to watch from.
+func (w *ConfigWatcher) read(ctx context.Context) (ident.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := time.Now()
@@ -71,7 +64,8 @@
 	}
 	for _, entry := range entries {
 		if entry.Key == w.key {
-			w.table.Confirm(w.apply(entry.Value, "store"), sentAt, "store")
+			version := w.replica.apply(entry.Value, "store")
+			w.replica.Confirm(port.ConfigStatus{Version: version, Confirmed: sentAt}, "store")
 		}
 	}
 	return asOf, nil
@@ -79,7 +73,7 @@
 
 // reportAge logs when the configuration has not been confirmed for long, and when it is confirmed again.
 func (w *ConfigWatcher) reportAge(now time.Time) {
-	version, confirmed := w.table.Config().Version, w.table.Confirmed()
+	version, confirmed := w.replica.table.Config().Version, w.replica.table.Confirmed()
 	if version == 0 {
 		return
 	}
@@ -106,45 +100,7 @@
 	}
 	for _, event := range events {
 		if event.Key == w.key && event.Value != nil {
-			w.apply(event.Value, "watch")
+			w.replica.apply(event.Value, "watch")
 		}
 	}
 }
-
-// readFromLeader applies the leader's configuration while the store is unreachable.
-func (w *ConfigWatcher) readFromLeader(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	source, err := w.leader.Config(ctx)
-	if err != nil {
-		w.log.Info("configuration not had from the leader", "error", err)
-		return
-	}
-	if len(source) > 0 {
-		w.apply(source, "leader")
-	}
-}
-
-// apply activates the configuration if it is newer than the active one, and returns its version, or 0 if it cannot be
-// decoded.
-func (w *ConfigWatcher) apply(source []byte, from string) uint64 {
-	config, err := w.decode(source)
-	if err != nil {
-		w.log.Error("configuration not understood", "from", from, "error", err)
-		return 0
-	}
-	confirmed := w.table.Confirmed()
-	if w.table.Apply(config) {
-		w.log.Info("configuration in force", "version", config.Version, "queues", len(config.Queues), "from", from,
-			"confirmed_ms", ageMs(confirmed))
-	}
-	return config.Version
-}
-
-// ageMs returns how long ago the configuration was confirmed, or 0 if it never was.
-func ageMs(c route.Confirmation) int64 {
-	if c.At.IsZero() {
-		return 0
-	}
-	return time.Since(c.At).Milliseconds()
-}
--- a/internal/app/routing/routing_test.go
+++ b/internal/app/routing/routing_test.go
@@ -53,13 +53,6 @@
 	return nil, 1, ctx.Err()
 }
 
-// noLeader fails every call.
-type noLeader struct{ port.Scheduler }
-
-func (noLeader) Config(context.Context) ([]byte, error) {
-	return nil, fault.New(fault.NotReady, "there is no leader")
-}
-
 func decode(source []byte) (route.Config, error) {
 	version, err := strconv.ParseUint(string(source), 10, 64)
 	return route.Config{Version: version, Source: source}, err
@@ -70,7 +63,8 @@
 func TestOutdatedIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, table, log := &fakeStore{version: 7}, &route.Table{}, &bytes.Buffer{}
-		watcher := routing.New(configKey, store, noLeader{}, decode, table, slog.New(slog.NewTextHandler(log, nil)))
+		logger := slog.New(slog.NewTextHandler(log, nil))
+		watcher := routing.New(configKey, store, routing.NewReplica(table, decode, logger), logger)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() { defer close(ended); watcher.Run(ctx) }()
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -138,9 +138,6 @@
 	return n, nil
 }
 
-// Config implements port.Scheduler.
-func (s *Scheduler) Config(context.Context) ([]byte, error) { return s.table.Config().Source, nil }
-
 // Cancel implements port.Scheduler.
 func (s *Scheduler) Cancel(ctx context.Context, queue string, id workflow.ID) error {
 	defer s.guardCall()
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -93,13 +93,14 @@
 		ElectionDelay: settings.ElectionDelay,
 	}
 	handler.self = self
-	n.transport = cellwire.New(self, listener, settings.Seeds, handler, log)
+	replica := routing.NewReplica(n.table, platform.Decode, log)
+	n.transport = cellwire.New(self, listener, settings.Seeds, handler, replica, log)
 	n.leader.remote = n.transport
 	n.store = storeguard.New(platform.Store, log)
 	n.election = leadership.New(
 		self, n.store, cellwire.RecordCodec{}, n.transport, n.leadFunc(handler), log,
 	)
-	n.configWatcher = routing.New(settings.ConfigKey, n.store, n.leader, platform.Decode, n.table, log)
+	n.configWatcher = routing.New(settings.ConfigKey, n.store, replica, log)
 	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log)
 	n.callerServer = &http.Server{
 		Handler: platform.NewCallerHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -46,8 +46,6 @@
 	return c.target().PendingJobs(ctx, queue)
 }
 
-func (c *leaderClient) Config(ctx context.Context) ([]byte, error) { return c.target().Config(ctx) }
-
 // peerHandler serves calls from other processes. It never forwards them.
 type peerHandler struct {
 	leaderClient
@@ -83,8 +81,6 @@
 
 func (n notLeader) PendingJobs(context.Context, string) (int, error) { return 0, n.err() }
 
-func (n notLeader) Config(context.Context) ([]byte, error) { return nil, n.err() }
-
 // RequestPermits implements port.PermitClient on behalf of the leader.
 func (h *peerHandler) RequestPermits(
 	ctx context.Context, step workflow.StepRef, workers []ident.WorkerID,
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -226,6 +226,20 @@
 	Cancel(ctx context.Context, queue string, id workflow.ID) error
 	// PendingJobs returns the number of jobs in the queue of which no task has started.
 	PendingJobs(ctx context.Context, queue string) (int, error)
-	// Config returns the newest configuration known to the leader, as the operator wrote it.
-	Config(ctx context.Context) ([]byte, error)
+}
+
+// ConfigStatus describes the active configuration of a process.
+type ConfigStatus struct {
+	Version   uint64    // 0 if there is none
+	Confirmed time.Time // when it was last confirmed as the newest; zero if it never was
+}
+
+// ConfigReplica is the copy of the configuration that a process exchanges with its peers.
+type ConfigReplica interface {
+	// Current returns the status of the active configuration, and its source as the operator wrote it.
+	Current() (ConfigStatus, []byte)
+	// Apply activates the configuration if it is newer than the active one.
+	Apply(source []byte, from string)
+	// Confirm records evidence of another process.
+	Confirm(status ConfigStatus, from string)
 }
