Give up a task under which three workers have crashed

Cause: only runs that end as failed counted towards a limit. A run whose worker vanished counted towards nothing and was started again at once, on the fullest worker, by every leader in turn. Class: a retry without a budget, because the failure is reported by the wrong party. Change: a crash counts against the runs that may be its cause: those that the worker had not run for 1 s; if some of these tasks are suspected already, those with the most crashes and those started last. A suspected task runs apart from others that have just started, on the emptiest worker, and is cleared after 1 s on a worker. Three crashes end the job. The count is part of the job's progress, and a suspected task does not start before the crash is recorded. A run that was given up on a silent worker counts until the worker is back, so that neither a copy of a speculative task nor a start after a lapsed lease gets around it. Conclusion: fixed for tasks that crash the worker within 1 s of their start. A task that does so later has no limit yet.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -140,7 +140,8 @@
 		}
 		for _, t := range step.Tasks {
 			s.Tasks = append(s.Tasks, &cellpb.TaskProgress{
-				Index: int32(t.Index), Done: t.Done, Failed: encodeRuns(t.Failed), Checkpoint: t.Checkpoint,
+				Index: int32(t.Index), Done: t.Done, Failed: encodeRuns(t.Failed), Crashed: encodeRuns(t.Crashed),
+				Checkpoint: t.Checkpoint,
 			})
 		}
 		m.Steps = append(m.Steps, s)
@@ -165,6 +166,7 @@
 		for _, t := range step.GetTasks() {
 			s.Tasks = append(s.Tasks, workflow.TaskProgress{
 				Index: int(t.GetIndex()), Done: t.GetDone(), Failed: decodeRuns(t.GetFailed()),
+				Crashed:    decodeRuns(t.GetCrashed()),
 				Checkpoint: t.GetCheckpoint(),
 			})
 		}
--- /dev/null
+++ b/internal/app/scheduler/crash.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"slices"
+
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/workflow"
+)
+
+// blameCrash records that a worker crashed under those of its runs that may be the cause. Runs that were given up when its
+// lease expired count too, because only its restart shows that it crashed and was not merely out of reach. The lock is held.
+func (s *Scheduler) blameCrash(m *workerMonitor, runs []*pool.Run) {
+	suspects := pool.CrashSuspects(slices.Concat(m.lapsed, runs))
+	s.resolveLapsed(m)
+	for _, run := range suspects {
+		e := s.jobs[run.Task.Job]
+		if e == nil {
+			continue
+		}
+		effect := e.workflow.RecordCrash(run.RunRef)
+		s.log.Warn("worker crashed under a run", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
+			"suspects", len(suspects), "crashes", e.workflow.Crashes(run.Task), "job_state", e.workflow.State().String())
+		s.stopRuns(effect.Stop)
+		if effect.MustRecord {
+			s.markDirty(e)
+			e.crashVersion = e.version
+		}
+	}
+}
+
+// doubtRuns records that runs were given up on a silent worker. The lock is held.
+func (s *Scheduler) doubtRuns(runs []*pool.Run) {
+	for _, run := range runs {
+		if e := s.jobs[run.Task.Job]; e != nil && run.OnProbation() {
+			e.workflow.Doubt(run.RunRef)
+		}
+	}
+}
+
+// resolveLapsed records that the worker of runs that were given up did not crash under them, or is gone for good. The lock
+// is held.
+func (s *Scheduler) resolveLapsed(m *workerMonitor) {
+	for _, run := range m.lapsed {
+		if e := s.jobs[run.Task.Job]; e != nil {
+			e.workflow.ResolveDoubt(run.RunRef)
+		}
+	}
+	m.lapsed = nil
+}
+
+// mustNotStart reports whether a task must not start now because workers crashed under it: too many of them, or one of
+// them is not recorded yet. The next leader counts only recorded crashes.
+func (e *jobEntry) mustNotStart(task workflow.TaskRef) bool {
+	return e.workflow.MayHarmWorker(task) || e.crashVersion > e.storedVersion && e.workflow.Crashes(task) > 0
+}
+
+// acquitRuns clears the tasks of runs that a worker has survived. The lock is held.
+func (s *Scheduler) acquitRuns(m *workerMonitor) {
+	for _, run := range m.worker.Acquit() {
+		if e := s.jobs[run.Task.Job]; e != nil && e.workflow.ClearCrashes(run.Task) {
+			s.log.Info("run does not crash its worker", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID)
+			s.markDirty(e)
+		}
+	}
+}
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -37,6 +37,7 @@
 	lastSyncSent     time.Time      // when the request of the last reply that was applied was sent
 	unreachable      bool           // the last sync failed: the worker may have restarted
 	replaced         bool           // another worker responds at its address
+	lapsed           []*pool.Run    // runs that were given up when the lease expired, and the worker has not responded since
 	addedAt          time.Time      // when the worker was added
 	cordonedRevision ident.Revision // of the record that cordoned the worker; 0 while there is none
 }
@@ -197,6 +198,7 @@
 		if e != nil && run.Step.Speculative && e.workflow.DropRun(run.RunRef, m.worker.Info().ID) {
 			s.log.Info("run copied", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
 				"silent_ms", m.worker.SilentFor(time.Now()).Milliseconds())
+			s.doubtRuns([]*pool.Run{run})
 			s.wakePlacement()
 		}
 	}
@@ -209,6 +211,12 @@
 		m.worker.Release(run.RunRef)
 		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: outcome})
 	}
+	if outcome == workflow.Lost {
+		s.blameCrash(m, runs)
+	} else {
+		m.lapsed = append(m.lapsed, runs...)
+		s.doubtRuns(runs)
+	}
 	if len(runs) > 0 {
 		s.log.Warn("runs of a worker given up", "worker", m.worker.Info().ID, "runs", len(runs), "how", outcome.String())
 		s.wakePlacement()
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -232,7 +232,7 @@
 	var launches []launch
 	for i, index := range waiting {
 		task := workflow.TaskRef{StepRef: c.ref, Index: index}
-		if !c.entry.workflow.HasAttemptsLeft(task, c.queue.MaxAttempts) {
+		if !c.entry.workflow.HasAttemptsLeft(task, c.queue.MaxAttempts) || c.entry.mustNotStart(task) {
 			continue
 		}
 		run := workflow.RunRef{Task: task, Run: c.entry.workflow.NextRun(task, s.runNumberFloor())}
@@ -254,6 +254,11 @@
 	if len(waiting) < step.Count || !c.entry.workflow.HasAttemptsLeft(first, c.queue.MaxAttempts) {
 		return nil, 0 // members of an earlier run are still active, or no attempts are left
 	}
+	for _, index := range waiting {
+		if c.entry.mustNotStart(workflow.TaskRef{StepRef: c.ref, Index: index}) {
+			return nil, 0
+		}
+	}
 	run := c.entry.workflow.NextRun(first, s.runNumberFloor())
 	for _, rack := range s.racks(step) {
 		if launches := s.tryGang(c, run, rack, now); launches != nil {
@@ -312,6 +317,7 @@
 	checkpoint := c.entry.workflow.Checkpoint(ref.Task)
 	run := worker.Run(ref)
 	run.Partial, run.Priority = checkpoint != "", c.queue.Priority
+	worker.Suspect(ref, c.entry.workflow.Crashes(ref.Task))
 	c.entry.workflow.Start(workflow.Placement{RunRef: ref, Worker: worker.Info().ID})
 	leaseUntil, _ := worker.ExtendLease(s.settings.leaseDuration(), now)
 	return launch{
@@ -336,7 +342,7 @@
 // the result is nil when no worker is eligible.
 func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
 	request := c.request(now)
-	request.Avoid = c.entry.avoidWorkers[task]
+	request.Avoid, request.Crashes = c.entry.avoidWorkers[task], c.entry.workflow.Crashes(task)
 	best := c.bestWorker(&request, rack)
 	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
 		request.LastChoice = true
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -15,6 +15,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.detectRestart(m, reply, sentAt)
+	s.resolveLapsed(m)
 	m.worker.ObserveClock(reply.WorkerClock, sentAt, now)
 	if sentAt.Before(m.lastSyncSent) {
 		return
@@ -50,12 +51,20 @@
 	s.log.Warn("worker restarted", "worker", m.worker.Info().ID, "runs", len(m.worker.Runs()), "listed", len(reported))
 	m.worker.ResetAfterRestart(reply.Incarnation, reply.WorkerClock+s.settings.MaxLease)
 	m.appliedEnd, m.ackedEnd, m.pendingEnds, m.lastSyncSent = 0, 0, nil, time.Time{}
+	var lost []*pool.Run
 	for _, run := range m.worker.Runs() {
-		if !reported[run.RunRef] && !run.Started.IsZero() && run.Started.Before(sentAt) {
-			m.worker.Release(run.RunRef)
-			s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: workflow.Lost})
+		if reported[run.RunRef] {
+			continue
+		}
+		if run.Started.IsZero() || !run.Started.Before(sentAt) {
+			run.Doubtful = true
+			continue
 		}
+		m.worker.Release(run.RunRef)
+		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: workflow.Lost})
+		lost = append(lost, run)
 	}
+	s.blameCrash(m, lost)
 }
 
 // applyEnds applies the ends that a worker reports, except those that have been applied before. The lock is held.
@@ -119,8 +128,8 @@
 }
 
 // applyRunning applies the list of running runs from a reply to a sync that was sent at sentAt. Runs that are missing
-// from it although the worker acknowledged their start or stop before sentAt are released and end as stopped. The lock is
-// held.
+// from it although the worker acknowledged their start or stop before sentAt are released and end as stopped, or as lost if
+// the worker has restarted meanwhile. The lock is held.
 func (s *Scheduler) applyRunning(m *workerMonitor, running []port.RunningRun, sentAt, now time.Time) {
 	reported := map[workflow.RunRef]bool{}
 	for _, r := range running {
@@ -129,6 +138,7 @@
 		if e != nil {
 			e.workflow.MarkStarted()
 			e.workflow.RecordCheckpoint(r.RunRef, r.Checkpoint)
+			e.workflow.ResolveDoubt(r.RunRef)
 		}
 		if m.worker.Run(r.RunRef) == nil {
 			s.adoptRun(m, e, r)
@@ -138,16 +148,25 @@
 			s.stopRuns([]workflow.Placement{{RunRef: r.RunRef, Worker: m.worker.Info().ID}}) // a copy completed first
 		}
 	}
+	s.acquitRuns(m)
 	s.stopStalled(m, now)
+	var lost []*pool.Run
 	for _, run := range m.worker.Runs() {
 		acked := !run.StopAcked.IsZero() && run.StopAcked.Before(sentAt) || !run.Started.IsZero() && run.Started.Before(sentAt)
-		if !reported[run.RunRef] && acked {
-			m.worker.Release(run.RunRef)
-			s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: workflow.Stopped})
-			s.log.Info("run is not there", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
-				"stopped", !run.StopAcked.IsZero())
+		if reported[run.RunRef] || !acked {
+			continue
+		}
+		m.worker.Release(run.RunRef)
+		outcome := workflow.Stopped
+		if run.Doubtful {
+			outcome = workflow.Lost
+			lost = append(lost, run)
 		}
+		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: outcome})
+		s.log.Info("run is not there", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
+			"stopped", !run.StopAcked.IsZero())
 	}
+	s.blameCrash(m, lost)
 }
 
 // stopStalled stops stalled runs, so that their tasks are restarted on other workers. The lock is held.
@@ -189,6 +208,7 @@
 	m.worker.Adopt(r.RunRef, &step)
 	if e != nil {
 		m.worker.Run(r.RunRef).Priority = s.queueOf(e).Priority
+		m.worker.Suspect(r.RunRef, e.workflow.Crashes(r.Task))
 	}
 	s.log.Info("run found", "task", r.Task.String(), "run", r.Run, "worker", worker, "kept", kept)
 	if !kept {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -101,6 +101,7 @@
 	committing      bool                                         // a transaction with the job is in progress
 	storedState     workflow.State                               // state in the progress record
 	finished        time.Time                                    // when storedState became final
+	crashVersion    uint64                                       // version that counts the last crash of a worker under a task
 }
 
 // stepEntry is a step of a job with the scheduler's own data on it.
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -119,6 +119,7 @@
 		_, unsynced := s.unsynced[id]
 		if !unsynced && m.worker.MissingFor(now) > removeAfter && len(m.worker.Runs()) == 0 {
 			m.cancel()
+			s.resolveLapsed(m)
 			_, known := s.recorded[id]
 			s.recordOutdated = s.recordOutdated || known
 			delete(s.monitors, id)
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -23,6 +23,7 @@
 	Avoid      map[ident.WorkerID]bool // workers on which an earlier run of the task failed or stalled
 	Waited     time.Duration           // for how long the step has had tasks that no worker could take
 	LastChoice bool                    // also use workers on which runs have failed
+	Crashes    int                     // number of workers that crashed under the task
 	Priority   int                     // of the queue; 0 is the highest
 	Now        time.Time
 }
@@ -73,6 +74,7 @@
 	// weightUrgentSpeed prefers fast workers for urgent tasks, even if they are more loaded.
 	weightUrgentSpeed = 0.5
 	weightFailures    = 1000.0 // runs have failed on the worker: the last choice
+	weightSuspicion   = 100.0  // a crash of the worker would not show its cause
 )
 
 // Score returns the cost of placing the task on the worker; lower is better.
@@ -82,15 +84,19 @@
 		speed = weightUrgentSpeed
 	}
 	return weightUnused*unused(w, r) + weightDataRack*offDataRack(w, r) +
-		weightInterference*interference(w, r) + speed*slowdown(w, r) + weightFailures*failures(w, r)
+		weightInterference*interference(w, r) + speed*slowdown(w, r) + weightFailures*failures(w, r) +
+		weightSuspicion*blursSuspicion(w, r)
 }
 
 // unused returns the share of the worker that is still unused with the task. Full workers come first, so that others
 // stay empty enough for large tasks, which find no worker when the free capacity is spread evenly. Best-effort tasks live
-// on unused capacity and are spread.
+// on unused capacity and are spread. A task that may crash the worker goes where it ends the least other work.
 func unused(w *Worker, r *Request) float64 {
 	after := w.used.Add(reservedSize(r.Step))
 	share := after.DominantShare(w.info.Capacity)
+	if r.Crashes > 0 {
+		return share
+	}
 	if !r.Step.BestEffort {
 		return 1 - share
 	}
--- a/internal/domain/pool/throttle.go
+++ b/internal/domain/pool/throttle.go
@@ -31,7 +31,7 @@
 	if silence := now.Sub(run.lastReport); !run.lastReport.IsZero() && silence > maxReportInterval {
 		run.lastProgress = run.lastProgress.Add(silence)
 	}
-	run.lastReport = now
+	run.lastReport, run.Doubtful = now, false
 	if run.Started.IsZero() {
 		run.Started = now // the response to its start was lost, or an earlier leader started it
 	}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -31,6 +31,8 @@
 	Priority        int       // of its queue; 0 is the highest
 	Reported        bool      // the worker has reported it as running
 	Started         time.Time // when the worker acknowledged the start or first reported the run; zero before
+	Doubtful        bool      // the worker restarted when its start was in flight, and has not reported it since
+	crashes         int       // number of workers that crashed under its task; 0 if the task is not suspected
 	preempted       bool      // it is being stopped for a task of a higher priority
 	StopAcked       time.Time // when the worker acknowledged a stop; zero before
 	Partial         bool      // it resumed from a checkpoint, or its start time is not known
@@ -51,6 +53,7 @@
 	holds                []hold // capacity that is kept free for tasks of certain steps
 	used                 resource.Vector
 	releases             uint64 // number of times that capacity was released
+	suspects             int    // number of runs of suspected tasks
 	bestEffortRuns       int    // number of best-effort runs
 	bestEffortMilliCores int64  // processors that the best-effort runs could use
 	latencyRuns          int    // number of long-running runs with a latency target
@@ -200,6 +203,9 @@
 		return
 	}
 	delete(w.runs, ref)
+	if run.crashes > 0 {
+		w.suspects--
+	}
 	w.releases++
 	w.used = w.used.Sub(reservedSize(&run.Step))
 	w.countRun(&run.Step, -1)
--- /dev/null
+++ b/internal/domain/workflow/crash.go
@@ -0,0 +1,65 @@
+package workflow
+
+import "slices"
+
+// MaxCrashes is the number of workers that may crash under a task before its job is given up.
+const MaxCrashes = 3
+
+// RecordCrash records that a worker crashed under a run, and that the run may be the cause. Recording the same run again
+// changes nothing.
+func (w *Workflow) RecordCrash(run RunRef) EndEffect {
+	w.ResolveDoubt(run)
+	t := w.task(run.Task)
+	if t == nil || t.done || !t.crashed.add(run.Run) {
+		return EndEffect{}
+	}
+	w.started = true
+	t.lastRun = max(t.lastRun, run.Run)
+	effect := EndEffect{MustRecord: true}
+	if len(t.crashed) >= MaxCrashes && !w.state.Final() {
+		w.state = FailedState
+		effect.Stop = w.Active()
+	}
+	return effect
+}
+
+// Crashes returns the number of workers that crashed under a task since it last ran without harm.
+func (w *Workflow) Crashes(ref TaskRef) int {
+	t := w.task(ref)
+	if t == nil {
+		return 0
+	}
+	return len(t.crashed)
+}
+
+// ClearCrashes records that a run of the task did not harm its worker, and reports whether that changes anything.
+func (w *Workflow) ClearCrashes(ref TaskRef) bool {
+	t := w.task(ref)
+	if t == nil || len(t.crashed) == 0 {
+		return false
+	}
+	t.crashed = nil
+	return true
+}
+
+// Doubt records that a run was given up on a silent worker, which may have crashed under it. It counts towards MaxCrashes
+// until ResolveDoubt or RecordCrash.
+func (w *Workflow) Doubt(run RunRef) {
+	if t := w.task(run.Task); t != nil {
+		t.inDoubt.add(run.Run)
+	}
+}
+
+// ResolveDoubt records that the worker did not crash under a run, or is gone for good.
+func (w *Workflow) ResolveDoubt(run RunRef) {
+	if t := w.task(run.Task); t != nil && len(t.inDoubt) > 0 {
+		t.inDoubt = slices.DeleteFunc(t.inDoubt, func(n RunNumber) bool { return n == run.Run })
+	}
+}
+
+// MayHarmWorker reports whether so many workers have crashed, or may have crashed, under the task that it must not start
+// on another one now.
+func (w *Workflow) MayHarmWorker(ref TaskRef) bool {
+	t := w.task(ref)
+	return t != nil && len(t.crashed)+len(t.inDoubt) >= MaxCrashes
+}
--- a/internal/domain/workflow/end.go
+++ b/internal/domain/workflow/end.go
@@ -19,6 +19,7 @@
 	if t == nil || t.done {
 		return EndEffect{}
 	}
+	w.ResolveDoubt(end.Run)
 	wasActive := w.deactivate(end.Run, worker)
 	t.lastRun = max(t.lastRun, end.Run.Run)
 	step := w.Step(end.Run.Task.StepRef)
--- a/internal/domain/workflow/progress.go
+++ b/internal/domain/workflow/progress.go
@@ -22,6 +22,7 @@
 	Index      int
 	Done       bool
 	Failed     []RunNumber // failed runs
+	Crashed    []RunNumber // runs under which a worker crashed
 	Checkpoint string
 }
 
@@ -42,8 +43,8 @@
 	p := &StepProgress{Occurrence: occurrence, Step: step, Failed: slices.Clone(s.failed)}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.failed) > 0 || t.checkpoint != "" {
-			p.Tasks = append(p.Tasks, TaskProgress{i, t.done, slices.Clone(t.failed), t.checkpoint})
+		if t.done || len(t.failed) > 0 || len(t.crashed) > 0 || t.checkpoint != "" {
+			p.Tasks = append(p.Tasks, TaskProgress{i, t.done, slices.Clone(t.failed), slices.Clone(t.crashed), t.checkpoint})
 		}
 	}
 	if len(p.Tasks) == 0 && len(p.Failed) == 0 {
@@ -76,8 +77,8 @@
 	if t == nil {
 		return
 	}
-	t.failed, t.checkpoint = p.Failed, p.Checkpoint
-	for _, run := range p.Failed {
+	t.failed, t.crashed, t.checkpoint = p.Failed, p.Crashed, p.Checkpoint
+	for _, run := range slices.Concat(p.Failed, p.Crashed) {
 		t.lastRun = max(t.lastRun, run)
 	}
 	if p.Done {
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -30,6 +30,8 @@
 type task struct {
 	done       bool
 	failed     failures
+	crashed    failures  // runs under which a worker crashed
+	inDoubt    failures  // runs that were given up before it was known whether the worker crashed under them
 	lastRun    RunNumber // highest run number used
 	checkpoint string
 	active     []activeRun // more than one only for copies of a speculative step
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -151,6 +151,12 @@
 }
 
 func (h *History) failureCause() string {
+	for _, l := range h.jobLines {
+		if l.get("msg") == "worker crashed under a run" && l.get("job_state") == "failed" {
+			return fmt.Sprintf("%s workers crashed right after they had started task %s, which is the maximum for a task.",
+				l.get("crashes"), l.get("task"))
+		}
+	}
 	failures := map[string]int{}
 	for _, l := range h.jobLines {
 		if l.get("msg") == "run ended" && l.get("how") == "failed" {
