Start nothing on a worker that the last request did not reach

Cause: a worker counts as responsive for 1.8 s after its last response, and full workers come first. A worker that refuses connections was therefore the first choice again 5 ms after each refused start: one task reached run 80 within 0.4 s, and found no other worker meanwhile. Change: a failed sync, or a start that could not be sent, keeps a worker from getting starts until it responds. Conclusion: a task moves on at once when its worker is gone.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -179,6 +179,7 @@
 		s.log.Warn("worker not reached", "worker", m.worker.Info().ID, "runs", len(m.worker.Runs()), "error", err)
 	}
 	m.unreachable = true
+	m.worker.MarkUnreached()
 	switch {
 	case fault.Is(err, fault.NotFound):
 		m.replaced = true
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -125,7 +125,10 @@
 		if p := l.entry.step(l.request.Task.StepRef).permits; p != nil {
 			p.DropTicket(permit.Worker{ID: l.target.Worker, Incarnation: l.monitor.worker.Info().Incarnation})
 		}
-	case fault.Unavailable, fault.Overloaded:
+	case fault.Unavailable:
+		l.monitor.worker.MarkUnreached()
+		l.monitor.worker.RecordFailure(l.request.Task.Job, time.Now())
+	case fault.Overloaded:
 		l.monitor.worker.RecordFailure(l.request.Task.Job, time.Now())
 	}
 	s.stopGang(l.entry, l.request.Task.StepRef, l.request.Run)
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -36,7 +36,7 @@
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
 func responsive(w *Worker, r *Request) bool {
-	return w.synced && w.clock.known && w.SilentFor(r.Now) < silenceLimit && w.MissingFor(r.Now) < missingLimit
+	return w.synced && !w.unreached && w.clock.known && w.SilentFor(r.Now) < silenceLimit && w.MissingFor(r.Now) < missingLimit
 }
 
 func notDraining(w *Worker, _ *Request) bool { return !w.info.Draining }
--- a/internal/domain/pool/pool_test.go
+++ b/internal/domain/pool/pool_test.go
@@ -202,3 +202,21 @@
 		}
 	}
 }
+
+// TestNoStartsOnUnreachedWorker guards against start after start on a worker that refuses connections: it responded a moment
+// ago, and is the first choice because it is full.
+func TestNoStartsOnUnreachedWorker(t *testing.T) {
+	w, s := worker(), step(100)
+	request := pool.Request{Ref: workflow.StepRef{Job: "j"}, Step: &s, Service: "desk", Now: now.Add(time.Second)}
+	if !w.Eligible(&request) {
+		t.Fatal("a worker that responded 1 s ago gets no starts")
+	}
+	w.MarkUnreached()
+	if w.Eligible(&request) {
+		t.Error("a worker gets starts although the last request did not reach it")
+	}
+	w.ObserveClock(time.Minute+time.Second, request.Now, request.Now)
+	if !w.Eligible(&request) {
+		t.Error("a worker that responds again gets no starts")
+	}
+}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -60,6 +60,7 @@
 	clock                clock
 	leaseExpiry          time.Duration // latest lease expiry that was sent, on the worker's clock
 	lastResponse         time.Time     // when the last response arrived
+	unreached            bool          // the last sync failed, and nothing has arrived since
 	synced               bool          // it has reported its runs in this term
 	consecutiveFailures  int           // of distinct jobs
 	lastFailedJob        workflow.ID
@@ -99,9 +100,12 @@
 // ObserveClock records a response with a reading of the worker's clock.
 func (w *Worker) ObserveClock(reading time.Duration, sent, received time.Time) {
 	w.clock.observe(reading, sent, received)
-	w.lastResponse = received
+	w.lastResponse, w.unreached = received, false
 }
 
+// MarkUnreached records that a request got no response. The worker gets no starts until it responds.
+func (w *Worker) MarkUnreached() { w.unreached = true }
+
 // MarkSynced records that the worker has reported its runs in this term.
 func (w *Worker) MarkSynced() { w.synced = true }
 
