Record runs that were given up on a silent worker before a copy starts

Cause: copies of a speculative task start 1.1 s after a worker fell silent, long before it is known that it crashed. Such runs in doubt counted only in the memory of the leader, which was killed after the third; the next one started three more. Class: a count kept only by the process that is about to be lost. Change: runs in doubt are part of the job's progress, and the task does not start again before they are recorded. Once a new leader has accounted for the runs of earlier terms, a run in doubt that no worker reports counts as a crash. Result: TestDoubtSurvivesLeader does not compile before. Conclusion: fixed; a run that the lost leader had just ordered, and of which it knew nothing more, is still not counted.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -141,6 +141,7 @@
 		for _, t := range step.Tasks {
 			s.Tasks = append(s.Tasks, &cellpb.TaskProgress{
 				Index: int32(t.Index), Done: t.Done, Failed: encodeRuns(t.Failed), Crashed: encodeRuns(t.Crashed),
+				InDoubt:    encodeRuns(t.InDoubt),
 				Checkpoint: t.Checkpoint,
 			})
 		}
@@ -166,7 +167,7 @@
 		for _, t := range step.GetTasks() {
 			s.Tasks = append(s.Tasks, workflow.TaskProgress{
 				Index: int(t.GetIndex()), Done: t.GetDone(), Failed: decodeRuns(t.GetFailed()),
-				Crashed:    decodeRuns(t.GetCrashed()),
+				Crashed: decodeRuns(t.GetCrashed()), InDoubt: decodeRuns(t.GetInDoubt()),
 				Checkpoint: t.GetCheckpoint(),
 			})
 		}
--- a/internal/adapter/cellwire/records_test.go
+++ b/internal/adapter/cellwire/records_test.go
@@ -48,7 +48,13 @@
 func TestProgressRecord(t *testing.T) {
 	progress := workflow.Progress{State: workflow.Running, Steps: []workflow.StepProgress{{
 		Occurrence: 1, Step: 2, Failed: []workflow.RunNumber{1, 1001},
-		Tasks: []workflow.TaskProgress{{Index: 3, Done: true}, {Index: 4, Failed: []workflow.RunNumber{2}, Checkpoint: "c"}},
+		Tasks: []workflow.TaskProgress{
+			{Index: 3, Done: true},
+			{
+				Index: 4, Failed: []workflow.RunNumber{2}, Crashed: []workflow.RunNumber{3}, InDoubt: []workflow.RunNumber{4, 5},
+				Checkpoint: "c",
+			},
+		},
 	}}}
 	got, err := cellwire.RecordCodec{}.DecodeProgress(cellwire.RecordCodec{}.EncodeProgress(progress))
 	if diff := cmp.Diff(progress, got); err != nil || diff != "" {
--- a/internal/app/scheduler/crash.go
+++ b/internal/app/scheduler/crash.go
@@ -22,17 +22,35 @@
 			"suspects", len(suspects), "crashes", e.workflow.Crashes(run.Task), "job_state", e.workflow.State().String())
 		s.stopRuns(effect.Stop)
 		if effect.MustRecord {
-			s.markDirty(e)
-			e.crashVersion = e.version
+			s.markSuspected(e)
 		}
 	}
 }
 
+// markSuspected queues the record of a job of which a task is suspected. The task waits for it. The lock is held.
+func (s *Scheduler) markSuspected(e *jobEntry) {
+	s.markDirty(e)
+	e.crashVersion = e.version
+}
+
+// settleDoubts counts the runs as crashes that the previous leader gave up on a silent worker and that no worker has
+// reported. The lock is held.
+func (s *Scheduler) settleDoubts(e *jobEntry) {
+	effect := e.workflow.ClearUnknownRuns()
+	if !effect.MustRecord {
+		return
+	}
+	s.log.Warn("runs in doubt have vanished", "job", e.workflow.Spec().ID, "job_state", e.workflow.State().String())
+	s.stopRuns(effect.Stop)
+	s.markSuspected(e)
+}
+
 // doubtRuns records that runs were given up on a silent worker. The lock is held.
 func (s *Scheduler) doubtRuns(runs []*pool.Run) {
 	for _, run := range runs {
 		if e := s.jobs[run.Task.Job]; e != nil && run.OnProbation() {
 			e.workflow.Doubt(run.RunRef)
+			s.markSuspected(e)
 		}
 	}
 }
@@ -51,7 +69,7 @@
 // mustNotStart reports whether a task must not start now because workers crashed under it: too many of them, or one of
 // them is not recorded yet. The next leader counts only recorded crashes.
 func (e *jobEntry) mustNotStart(task workflow.TaskRef) bool {
-	return e.workflow.MayHarmWorker(task) || e.crashVersion > e.storedVersion && e.workflow.Crashes(task) > 0
+	return e.workflow.MayHarmWorker(task) || e.crashVersion > e.storedVersion && e.workflow.IsSuspected(task)
 }
 
 // acquitRuns clears the tasks of runs that a worker has survived. The lock is held.
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -118,7 +118,7 @@
 // so, or certainly runs nothing any more, every run that an earlier leader may have started is known or has ended. The
 // lock is held.
 func (s *Scheduler) updateUnsynced(now time.Time) {
-	if len(s.unsynced) == 0 {
+	if s.accounted {
 		return
 	}
 	maxWait := s.settings.leaseDuration() * 11 / 10 // with a margin of 10 %
@@ -134,8 +134,9 @@
 	if len(s.unsynced) > 0 {
 		return
 	}
+	s.accounted = true
 	for _, e := range s.openJobs {
-		e.workflow.ClearUnknownRuns()
+		s.settleDoubts(e)
 	}
 	s.log.Info("runs of earlier terms accounted for", "after_ms", now.Sub(s.startedAt).Milliseconds())
 }
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -77,6 +77,7 @@
 	openJobs        map[workflow.ID]*jobEntry // jobs whose state is not final
 	dirty           map[workflow.ID]*jobEntry // jobs with changed progress that is not being committed
 	monitors        map[ident.WorkerID]*workerMonitor
+	accounted       bool                                 // every run of earlier terms is known or has ended
 	unsynced        map[ident.WorkerID]port.WorkerRecord // workers of the previous leader that have not reported their runs yet
 	orphans         map[workflow.ID][]orphanRun          // runs of unknown jobs
 	orphanEnds      map[workflow.ID][]orphanEnd          // ends of runs of unknown jobs
--- a/internal/domain/workflow/crash.go
+++ b/internal/domain/workflow/crash.go
@@ -63,3 +63,29 @@
 	t := w.task(ref)
 	return t != nil && len(t.crashed)+len(t.inDoubt) >= MaxCrashes
 }
+
+// ClearUnknownRuns records that every run of earlier leaders is known or has ended. A run in doubt that was not found has
+// vanished with its worker, and counts as a crash.
+func (w *Workflow) ClearUnknownRuns() EndEffect {
+	w.unknownRuns = false
+	var effect EndEffect
+	for k := range w.occurrences {
+		for i := range w.occurrences[k].steps {
+			for index := range w.occurrences[k].steps[i].tasks {
+				t := &w.occurrences[k].steps[i].tasks[index]
+				for _, number := range slices.Clone(t.inDoubt) {
+					recorded := w.RecordCrash(RunRef{TaskRef{StepRef{w.spec.ID, k, i}, index}, number})
+					effect.MustRecord = effect.MustRecord || recorded.MustRecord
+					effect.Stop = append(effect.Stop, recorded.Stop...)
+				}
+			}
+		}
+	}
+	return effect
+}
+
+// IsSuspected reports whether a worker has crashed under the task, or may have.
+func (w *Workflow) IsSuspected(ref TaskRef) bool {
+	t := w.task(ref)
+	return t != nil && len(t.crashed)+len(t.inDoubt) > 0
+}
--- a/internal/domain/workflow/crash_test.go
+++ b/internal/domain/workflow/crash_test.go
@@ -67,3 +67,29 @@
 		t.Error("the doubt remains although both runs turned out to be harmless")
 	}
 }
+
+// TestDoubtSurvivesLeader guards against a new leader that starts a task as often again, because its predecessor had given up
+// the runs before it was known whether their workers crashed.
+func TestDoubtSurvivesLeader(t *testing.T) {
+	w := job(workflow.Step{Count: 2})
+	vanished, running := run(0, 0, 0).Task, run(0, 1, 0).Task
+	for number := workflow.RunNumber(1); number <= workflow.MaxCrashes; number++ {
+		w.Doubt(run(0, 0, number))
+	}
+	w.Doubt(run(0, 1, 1))
+	restored := job(workflow.Step{Count: 2})
+	restored.Restore(w.Progress())
+	restored.MarkUnknownRuns()
+	if !restored.MayHarmWorker(vanished) {
+		t.Error("a task with three runs in doubt may start under the new leader")
+	}
+	restored.Adopt(workflow.Placement{RunRef: run(0, 1, 1), Worker: "w"})
+	restored.ResolveDoubt(run(0, 1, 1))
+	effect := restored.ClearUnknownRuns()
+	if restored.State() != workflow.FailedState || !effect.MustRecord || len(effect.Stop) != 1 {
+		t.Errorf("state %v, effect %+v after three runs have vanished; want failed, and the other run stopped", restored.State(), effect)
+	}
+	if n := restored.Crashes(running); n != 0 {
+		t.Errorf("%d crashes under the task that runs, want 0", n)
+	}
+}
--- a/internal/domain/workflow/progress.go
+++ b/internal/domain/workflow/progress.go
@@ -23,6 +23,7 @@
 	Done       bool
 	Failed     []RunNumber // failed runs
 	Crashed    []RunNumber // runs under which a worker crashed
+	InDoubt    []RunNumber // runs that were given up on a silent worker
 	Checkpoint string
 }
 
@@ -43,8 +44,11 @@
 	p := &StepProgress{Occurrence: occurrence, Step: step, Failed: slices.Clone(s.failed)}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.failed) > 0 || len(t.crashed) > 0 || t.checkpoint != "" {
-			p.Tasks = append(p.Tasks, TaskProgress{i, t.done, slices.Clone(t.failed), slices.Clone(t.crashed), t.checkpoint})
+		if t.done || len(t.failed) > 0 || len(t.crashed) > 0 || len(t.inDoubt) > 0 || t.checkpoint != "" {
+			p.Tasks = append(p.Tasks, TaskProgress{
+				Index: i, Done: t.done, Failed: slices.Clone(t.failed), Crashed: slices.Clone(t.crashed),
+				InDoubt: slices.Clone(t.inDoubt), Checkpoint: t.checkpoint,
+			})
 		}
 	}
 	if len(p.Tasks) == 0 && len(p.Failed) == 0 {
@@ -77,8 +81,8 @@
 	if t == nil {
 		return
 	}
-	t.failed, t.crashed, t.checkpoint = p.Failed, p.Crashed, p.Checkpoint
-	for _, run := range slices.Concat(p.Failed, p.Crashed) {
+	t.failed, t.crashed, t.inDoubt, t.checkpoint = p.Failed, p.Crashed, p.InDoubt, p.Checkpoint
+	for _, run := range slices.Concat(p.Failed, p.Crashed, p.InDoubt) {
 		t.lastRun = max(t.lastRun, run)
 	}
 	if p.Done {
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -81,9 +81,6 @@
 // MayHaveUnknownRuns reports whether unknown runs of an earlier leader may still be active.
 func (w *Workflow) MayHaveUnknownRuns() bool { return w.unknownRuns }
 
-// ClearUnknownRuns records that every run of earlier leaders is known or has ended.
-func (w *Workflow) ClearUnknownRuns() { w.unknownRuns = false }
-
 // Ready returns the steps that have tasks to start now.
 func (w *Workflow) Ready(now time.Time) []StepRef {
 	if w.state.Final() {
