Preempt nothing for a task that must not start yet, and forget settled doubts

Cause: found when reading the change. A task that waits for the record of a crash, or has three runs in doubt, counted as one without a worker: the step preempted other work and asked for permits for it. And a doubt that was settled stayed in the record until the next change of the job, so that a new leader could count it. Change: such tasks are left out of what a step lacks; settling a doubt queues the record. The age of evidence that a peer states has an upper bound.

--- a/internal/adapter/cellwire/config.go
+++ b/internal/adapter/cellwire/config.go
@@ -48,11 +48,14 @@
 	return m
 }
 
+// maxConfirmedAge bounds the age of evidence that a peer states.
+const maxConfirmedAge = 24 * time.Hour
+
 // decodeConfigStatus counts the age from now. The time on the way makes evidence look younger, by at most pingTimeout.
 func decodeConfigStatus(m *cellpb.ConfigStatus) port.ConfigStatus {
 	s := port.ConfigStatus{Version: m.GetVersion()}
 	if m != nil && m.ConfirmedMs != nil {
-		s.Confirmed = time.Now().Add(-millis(max(m.GetConfirmedMs(), 0)))
+		s.Confirmed = time.Now().Add(-millis(min(max(m.GetConfirmedMs(), 0), maxConfirmedAge.Milliseconds())))
 	}
 	return s
 }
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -141,8 +141,7 @@
 		for _, t := range step.Tasks {
 			s.Tasks = append(s.Tasks, &cellpb.TaskProgress{
 				Index: int32(t.Index), Done: t.Done, Failed: encodeRuns(t.Failed), Crashed: encodeRuns(t.Crashed),
-				InDoubt:    encodeRuns(t.InDoubt),
-				Checkpoint: t.Checkpoint,
+				InDoubt: encodeRuns(t.InDoubt), Checkpoint: t.Checkpoint,
 			})
 		}
 		m.Steps = append(m.Steps, s)
--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -89,8 +89,7 @@
 	}
 	for name, value := range map[string]float64{
 		"leads": leads, "config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
-		"workers": float64(s.Workers),
-		"runs":    float64(s.Runs), "doubtful_starts": float64(s.UnconfirmedStarts), "unrecorded_jobs": float64(s.UnrecordedJobs),
+		"workers": float64(s.Workers), "runs": float64(s.Runs), "doubtful_starts": float64(s.UnconfirmedStarts), "unrecorded_jobs": float64(s.UnrecordedJobs),
 	} {
 		c.scope.Gauge(name).Update(value)
 	}
--- a/internal/app/scheduler/crash.go
+++ b/internal/app/scheduler/crash.go
@@ -59,13 +59,18 @@
 // is held.
 func (s *Scheduler) resolveLapsed(m *workerMonitor) {
 	for _, run := range m.lapsed {
-		if e := s.jobs[run.Task.Job]; e != nil {
-			e.workflow.ResolveDoubt(run.RunRef)
-		}
+		s.resolveDoubt(s.jobs[run.Task.Job], run.RunRef)
 	}
 	m.lapsed = nil
 }
 
+// resolveDoubt records that a worker did not crash under a run, if that was in doubt. The lock is held.
+func (s *Scheduler) resolveDoubt(e *jobEntry, run workflow.RunRef) {
+	if e != nil && e.workflow.ResolveDoubt(run) {
+		s.markDirty(e)
+	}
+}
+
 // mustNotStart reports whether a task must not start now because workers crashed under it: too many of them, or one of
 // them is not recorded yet. The next leader counts only recorded crashes.
 func (e *jobEntry) mustNotStart(task workflow.TaskRef) bool {
--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -60,3 +60,22 @@
 	s.mu.Unlock()
 	startOnly(t, s)
 }
+
+// TestNoPreemptionForSuspects guards against stopping other work for a task that must not start yet.
+func TestNoPreemptionForSuspects(t *testing.T) {
+	s := newLeader(t)
+	e := acceptTestJob(s, workflow.Step{Count: 1})
+	run, _ := startOnly(t, s)
+	s.mu.Lock()
+	e.workflow.DropRun(run, "w1")
+	e.workflow.DropRun(run, "w2")
+	for number := range workflow.RunNumber(workflow.MaxCrashes) {
+		e.workflow.Doubt(workflow.RunRef{Task: run.Task, Run: number + 1})
+	}
+	c := candidate{entry: e, ref: run.Task.StepRef, queue: e.queue}
+	launches, unplaced := s.placeStep(c, time.Now())
+	s.mu.Unlock()
+	if len(launches) != 0 || unplaced != 0 {
+		t.Errorf("%d starts and %d tasks without a worker; a task that must not start needs none", len(launches), unplaced)
+	}
+}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -229,10 +229,13 @@
 	if c.entry.workflow.Step(c.ref).Gang {
 		return s.placeGang(c, waiting, now)
 	}
+	waiting = slices.DeleteFunc(waiting, func(index int) bool {
+		return c.entry.mustNotStart(workflow.TaskRef{StepRef: c.ref, Index: index})
+	})
 	var launches []launch
 	for i, index := range waiting {
 		task := workflow.TaskRef{StepRef: c.ref, Index: index}
-		if !c.entry.workflow.HasAttemptsLeft(task, c.queue.MaxAttempts) || c.entry.mustNotStart(task) {
+		if !c.entry.workflow.HasAttemptsLeft(task, c.queue.MaxAttempts) {
 			continue
 		}
 		run := workflow.RunRef{Task: task, Run: c.entry.workflow.NextRun(task, s.runNumberFloor())}
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -138,7 +138,7 @@
 		if e != nil {
 			e.workflow.MarkStarted()
 			e.workflow.RecordCheckpoint(r.RunRef, r.Checkpoint)
-			e.workflow.ResolveDoubt(r.RunRef)
+			s.resolveDoubt(e, r.RunRef)
 		}
 		if m.worker.Run(r.RunRef) == nil {
 			s.adoptRun(m, e, r)
--- a/internal/domain/workflow/crash.go
+++ b/internal/domain/workflow/crash.go
@@ -50,11 +50,15 @@
 	}
 }
 
-// ResolveDoubt records that the worker did not crash under a run, or is gone for good.
-func (w *Workflow) ResolveDoubt(run RunRef) {
-	if t := w.task(run.Task); t != nil && len(t.inDoubt) > 0 {
-		t.inDoubt = slices.DeleteFunc(t.inDoubt, func(n RunNumber) bool { return n == run.Run })
+// ResolveDoubt records that the worker did not crash under a run, or is gone for good, and reports whether the run was in
+// doubt.
+func (w *Workflow) ResolveDoubt(run RunRef) bool {
+	t := w.task(run.Task)
+	if t == nil || !slices.Contains(t.inDoubt, run.Run) {
+		return false
 	}
+	t.inDoubt = slices.DeleteFunc(t.inDoubt, func(n RunNumber) bool { return n == run.Run })
+	return true
 }
 
 // MayHarmWorker reports whether so many workers have crashed, or may have crashed, under the task that it must not start
