Let review case 4 show that a job that lasts is given up

Cause: the fault is graver for a job that lasts, whose failed runs have no limit. Change: the flapping worker is the one that runs such a job. The stand-ins and the case alone change.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -138,29 +138,44 @@
 		}
 		paths = append(paths, path)
 	}
-	for range 6 { // 48 of 50 places for tasks of this size
-		submit("/batch/"+randomID(), job(taskSpec{Ms: 25_000}, 8, 5500, 11_000))
-		time.Sleep(300 * time.Millisecond)
+	for range 9 { // each job fills one worker to 27.5 of 32 cores
+		submit("/batch/"+randomID(), job(taskSpec{Ms: 45_000}, 5, 5500, 11_000))
+		time.Sleep(200 * time.Millisecond)
 	}
 	watch := "/watch/" + randomID()
-	submit(watch, job(taskSpec{Lasts: true}, 2, 4000, 8_000))
+	submit(watch, job(taskSpec{Lasts: true}, 4, 6700, 25_000))
 	time.Sleep(3 * time.Second)
+	host := rec.workerOf(watch)
 	if trouble() {
-		w := workers[0]
-		rec.say("worker %s goes down and up, period %v, for %v", w.id, flapPeriod, flapDuration)
-		for began := time.Now(); time.Since(began) < flapDuration; {
-			w.crash()
-			time.Sleep(flapPeriod / 2)
-			w.restart()
-			time.Sleep(flapPeriod / 2)
+		for _, w := range workers {
+			if w.id == host {
+				flap(rec, w)
+			}
 		}
-		rec.say("worker %s stays up", w.id)
 	}
-	time.Sleep(4 * time.Second)
-	states := c.awaitStates(paths, 60*time.Second)
+	time.Sleep(lastsBound + calmBound)
+	states := c.awaitStates(paths, 45*time.Second-lastsBound-calmBound)
+	rec.say("tasks of %s that run now: %d of 4", watch, rec.running(watch))
 	return reportFailed(rec, paths, states)
 }
 
+// Bounds of LOST for tasks that last: from 6 s after the last run, 3 s and the 4 s before them calm.
+const (
+	lastsBound = 6 * time.Second
+	calmBound  = 7 * time.Second
+)
+
+func flap(rec *recorder, w *worker) {
+	rec.say("worker %s goes down and up, period %v, for %v", w.id, flapPeriod, flapDuration)
+	for began := time.Now(); time.Since(began) < flapDuration; {
+		w.crash()
+		time.Sleep(flapPeriod / 2)
+		w.restart()
+		time.Sleep(flapPeriod / 2)
+	}
+	rec.say("worker %s stays up", w.id)
+}
+
 // reportFailed checks LOST: no job is shown as failed without a run that ended "failed".
 func reportFailed(rec *recorder, paths []string, states map[string]string) bool {
 	failedRuns, lostRuns := map[string]int{}, map[string]int{}
--- a/review/standins/record.go
+++ b/review/standins/record.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -137,3 +138,30 @@
 	}
 	return false
 }
+
+// workerOf returns the worker on which the first run of a job is.
+func (r *recorder) workerOf(path string) string {
+	for task, runs := range r.runsByTask() {
+		if taskOf(task, path) {
+			return runs[0].worker
+		}
+	}
+	return ""
+}
+
+// running returns how many tasks of a job run now.
+func (r *recorder) running(path string) int {
+	n := 0
+	for task, runs := range r.runsByTask() {
+		if taskOf(task, path) && runs[len(runs)-1].ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// taskOf reports whether a task belongs to the job at a path.
+func taskOf(task, path string) bool {
+	id, _, _ := strings.Cut(task, ".")
+	return strings.HasSuffix(path, "/"+id)
+}
