Add review case 3: nothing starts any more after the loss of the leader on small links

Cause: a new leader reads all stored jobs within one timeout of 3 s and begins again from the first page after it; with the jobs of a minute and a link of 10 Mbit/s it never gets to the end, and keeps the lead. Change: a script and a limit of the link in the stand-in of the store.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -16,14 +16,14 @@
 )
 
 // newSmallCell starts three processes, and workers of 32 cores and 128 GB in racks of eight.
-func newSmallCell(rec *recorder, workers int) (*cell, []*worker) {
+func newSmallCell(rec *recorder, kind machineKind, workers int) (*cell, []*worker) {
 	s := newStore()
 	var list []*worker
 	for i := range workers {
 		rack := fmt.Sprintf("rza-%d", 1+i/8)
 		list = append(list, newWorker(fmt.Sprintf("i-%02d", i+1), "printdesk", rack, 32_000, 128<<10, s, rec))
 	}
-	current = newCell(3, s, rec)
+	current = newCell(3, kind, s, rec)
 	current.configure()
 	current.awaitReady()
 	time.Sleep(2 * time.Second) // the leader gets to know the workers
@@ -61,7 +61,7 @@
 
 // manyEnds reports whether a task was started again after a run of it had ended "done" and this end was taken note of.
 func manyEnds(rec *recorder) bool {
-	c, _ := newSmallCell(rec, 4)
+	c, _ := newSmallCell(rec, ordinaryMachine, 4)
 	var paths []string
 	var submitting sync.WaitGroup
 	for range endsJobs {
@@ -130,7 +130,7 @@
 
 // flappingWorker reports whether a job is shown as failed although no run of it has ended "failed".
 func flappingWorker(rec *recorder) bool {
-	c, workers := newSmallCell(rec, 10)
+	c, workers := newSmallCell(rec, ordinaryMachine, 10)
 	var paths []string
 	submit := func(path string, body any) {
 		if !c.submit(path, body) {
@@ -215,7 +215,7 @@
 // cancelUnknown reports whether a task starts later than cancel_ms after the cancelling of its job was acknowledged, and later
 // than stabilityWindowMs after the last answer of the store was lost.
 func cancelUnknown(rec *recorder) bool {
-	c, _ := newSmallCell(rec, 6)
+	c, _ := newSmallCell(rec, ordinaryMachine, 6)
 	calm := time.Now()
 	if trouble() {
 		rec.say("%.0f %% of the writes get no answer for %v, and are executed 1 to 6 s later", 100*cancelLostShare, cancelWindow)
@@ -279,3 +279,60 @@
 	}
 	return time.Time{}
 }
+
+// Case "load": the leader is lost when the store holds the jobs of a minute, on machines with small links.
+const (
+	loadWindow  = 66 * time.Second
+	loadGap     = time.Second / 36 // 35.5 jobs a second, as grown/LATER.md gives them
+	loadLarge   = 9                // each so many jobs one is a colour-separation: 4.05 of 35.5
+	loadProof   = 1000             // bytes of the spec of a proof-check, the site file's mean
+	loadColour  = 2400             // and of a colour-separation
+	loadProbes  = 10
+	loadPatient = 25 * time.Second
+)
+
+// slowLoad reports whether accepted jobs have nothing running for 25 s on an idle pool.
+func slowLoad(rec *recorder) bool {
+	c, _ := newSmallCell(rec, smallMachine, 6)
+	var clients sync.WaitGroup
+	for began, n := time.Now(), 0; time.Since(began) < loadWindow; n++ {
+		size := loadProof
+		if n%loadLarge == 0 {
+			size = loadColour
+		}
+		path, body := "/proof/"+randomID(), jobOfSize(size)
+		clients.Go(func() { c.submit(path, body) })
+		time.Sleep(loadGap)
+	}
+	clients.Wait()
+	ended := len(rec.runsByTask())
+	rec.say("%d jobs have run", ended)
+	if trouble() {
+		c.killLeader()
+	}
+	time.Sleep(2 * time.Second)
+	var paths []string
+	for range loadProbes {
+		path := "/proof/" + randomID()
+		if c.submit(path, jobOfSize(loadProof)) {
+			paths = append(paths, path)
+		}
+	}
+	states := c.awaitStates(paths, loadPatient)
+	hanging := 0
+	for _, path := range paths {
+		if rec.workerOf(path) == "" {
+			hanging++
+		}
+		rec.log("%s is shown as %s", path, states[path])
+	}
+	rec.say("%d jobs were accepted after that; %d of them have not begun %v later, with nothing else on the workers", len(paths), hanging, loadPatient)
+	return hanging > 0
+}
+
+// jobOfSize returns the body of a job with one task of 0.1 s and a spec of the given size.
+func jobOfSize(size int) map[string]any {
+	body := job(taskSpec{Ms: 100}, 1, 500, 500)
+	body["spec"] = fmt.Sprintf(`{"ms":100,"text":"%s"}`, strings.Repeat("x", size-22))
+	return body
+}
--- a/review/standins/cell.go
+++ b/review/standins/cell.go
@@ -44,8 +44,20 @@
 	return listener.Addr().String()
 }
 
+// machineKind is a kind of entry VM in the site files.
+type machineKind struct {
+	cpuShare         float64
+	memoryMb, maxFds int
+	linkMbps         float64
+}
+
+var (
+	ordinaryMachine = machineKind{0.4, 284, 4100, 1000}
+	smallMachine    = machineKind{0.192, 184, 4100, 10} // 23 of the 29 machines of grown/napkinhub-kl-grown.toml
+)
+
 // newCell starts count processes of the program in front of the store.
-func newCell(count int, s *store, rec *recorder) *cell {
+func newCell(count int, kind machineKind, s *store, rec *recorder) *cell {
 	dir, err := os.MkdirTemp("", "review-")
 	check(err)
 	c := &cell{dir: dir, store: s, rec: rec}
@@ -61,10 +73,9 @@
 	for _, n := range c.nodes[:min(3, count)] {
 		seeds = append(seeds, n.control)
 	}
-	address := s.listen()
 	for _, n := range c.nodes {
 		n.settings = filepath.Join(dir, n.name+".conf")
-		check(os.WriteFile(n.settings, []byte(settings(n, seeds, address)), 0o600))
+		check(os.WriteFile(n.settings, []byte(settings(n, kind, seeds, s.listen(kind.linkMbps))), 0o600))
 		n.log, err = os.Create(filepath.Join(dir, n.name+".log"))
 		check(err)
 		n.start()
@@ -73,7 +84,7 @@
 }
 
 // settings returns a settings file as DEPLOY.md shows it, with the bounds of SYSTEM.md.
-func settings(n *node, seeds []string, storeAddress string) string {
+func settings(n *node, kind machineKind, seeds []string, storeAddress string) string {
 	return fmt.Sprintf(`node=%s
 role=node
 machineClass=frontend
@@ -87,11 +98,11 @@
 listen.control=%s
 seeds=%s
 bootstrap=true
-limits.cpuShare=0.4
+limits.cpuShare=%g
 limits.cores=1
-limits.memoryMb=284
-limits.maxFds=4100
-limits.linkMbps=1000.0
+limits.memoryMb=%d
+limits.maxFds=%d
+limits.linkMbps=%g
 discovery=platform
 entry=vip
 heartbeatMs=1500
@@ -117,7 +128,7 @@
 platform.historyS=20
 platform.valueBytes=1048576
 platform.minTtlMs=1000
-`, n.name, n.ip, n.front, n.ready, n.control, strings.Join(seeds, ","), storeAddress)
+`, n.name, n.ip, n.front, n.ready, n.control, strings.Join(seeds, ","), kind.cpuShare, kind.memoryMb, kind.maxFds, kind.linkMbps, storeAddress)
 }
 
 func (n *node) start() {
@@ -268,3 +279,16 @@
 	}
 	return "no answer"
 }
+
+// killLeader kills the process that holds the key of the leader, for good.
+func (c *cell) killLeader() {
+	for i, n := range c.nodes {
+		if c.store.names("cell/leader", n.name) {
+			c.rec.say("%s, which leads, is killed and does not come back", n.name)
+			n.kill()
+			c.nodes = append(c.nodes[:i:i], c.nodes[i+1:]...)
+			return
+		}
+	}
+	giveUp("no process leads")
+}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,7 +29,7 @@
 }
 
 func main() {
-	cases := map[string]func(*recorder) bool{"ends": manyEnds, "flap": flappingWorker, "cancel": cancelUnknown}
+	cases := map[string]func(*recorder) bool{"ends": manyEnds, "load": slowLoad, "cancel": cancelUnknown, "flap": flappingWorker}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		giveUp("usage: standins CASE FOLDER")
 	}
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -67,11 +67,11 @@
 	return s
 }
 
-// listen serves the store on a free loopback port and returns its address.
-func (s *store) listen() string {
+// listen serves the store to one machine, over a link of the given bandwidth, on a free loopback port. It returns the address.
+func (s *store) listen(mbps float64) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	go http.Serve(listener, s) //nolint:errcheck // ends with the process
+	go http.Serve(newLink(listener, mbps), s) //nolint:errcheck // ends with the process
 	return listener.Addr().String()
 }
 
@@ -126,12 +126,11 @@
 	s.signal()
 }
 
-// has reports whether a key exists.
-func (s *store) has(key string) bool {
+// names reports whether the value of a key contains the text.
+func (s *store) names(key, text string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
+	return strings.Contains(string(s.items[key].Value), text)
 }
 
 // signal wakes the watches. The lock is held.
