End calls to a peer by their context also while no stream can be opened

Cause: yamux opens no stream while 256 are not accepted by the other side, and its OpenStream knows no context. After 256 calls to a lost machine every further call to it waited for good, and the step of the call was never placed again.

Change: Mux.OpenStream takes a context and fails when it ends. RoundTrip then returns Unavailable, as nothing was sent. peerwire uses the same function; its sessions end by missing heartbeats, and the open of the heartbeat stream has a deadline now.

Conclusion: nothing hangs any more, but the leader goes on to call the lost machines, which costs each such step its timeout.

--- a/internal/adapter/frame/mux.go
+++ b/internal/adapter/frame/mux.go
@@ -87,13 +87,30 @@
 	m.streams = nil
 }
 
-// OpenStream opens a stream to the peer.
-func (m *Mux) OpenStream() (*Stream, error) {
-	stream, err := m.Session.OpenStream()
-	if err != nil {
+// OpenStream opens a stream to the peer. It returns when the context ends, although yamux waits without a limit once the peer
+// has not accepted the last AcceptBacklog streams.
+func (m *Mux) OpenStream(ctx context.Context) (*Stream, error) {
+	opened, failed := make(chan *yamux.Stream), make(chan error, 1)
+	go func() {
+		stream, err := m.Session.OpenStream()
+		if err != nil {
+			failed <- err
+			return
+		}
+		select {
+		case opened <- stream:
+		case <-ctx.Done():
+			_ = stream.Close() // nothing was sent on it
+		}
+	}()
+	select {
+	case stream := <-opened:
+		return m.track(stream), nil
+	case err := <-failed:
 		return nil, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return m.track(stream), nil
 }
 
 // AcceptStreamWithContext accepts a stream that the peer opened.
@@ -109,7 +126,7 @@
 // with TooLarge if the request exceeds the maximum size, and with Interrupted if no complete reply arrived; see also
 // IsMalformed. With Unavailable and TooLarge nothing was sent.
 func (m *Mux) RoundTrip(ctx context.Context, peer string, request, reply proto.Message) error {
-	stream, err := m.OpenStream()
+	stream, err := m.OpenStream(ctx)
 	if err != nil {
 		return fault.WrapAs(fault.Unavailable, err, "open a stream to "+peer)
 	}
--- a/internal/adapter/peerwire/dial.go
+++ b/internal/adapter/peerwire/dial.go
@@ -69,7 +69,9 @@
 	if err != nil {
 		return nil, nil, fault.WrapAs(fault.Unavailable, err, "create the yamux session")
 	}
-	heartbeatStream, err := mux.OpenStream()
+	openCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	heartbeatStream, err := mux.OpenStream(openCtx)
 	if err != nil {
 		_ = mux.Close() // the session was not used
 		return nil, nil, fault.WrapAs(fault.Unavailable, err, "open the heartbeat stream")
