End sessions of other processes on which nothing arrives

Cause: only the process that opens a session pings. The leader accepts its sessions, so it never noticed that one had gone silent, and named the lost process for calls for permits until TCP gave up.

Change: a session that another process opened ends when nothing has arrived for 3 s. The other side pings every 0.5 s. The time is waited for in two halves, so that a process that was paused itself reads what has arrived before it judges.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -35,6 +36,9 @@
 	pingInterval = 500 * time.Millisecond
 	pingTimeout  = 1500 * time.Millisecond
 	replyTimeout = 5 * time.Second
+	// silenceTimeout is how long the process that opened a session may send nothing. Its pings are at most pingInterval and
+	// pingTimeout apart.
+	silenceTimeout = 2 * pingTimeout
 )
 
 // maxSessions is the maximum number of sessions that other processes open to this one.
@@ -128,7 +132,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	s, err := t.handshake(conn, yamux.Server)
+	s, err := t.handshake(conn, yamux.Server, silenceTimeout)
 	if err != nil {
 		t.log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err)
 		return
@@ -166,8 +170,11 @@
 	}
 }
 
-// handshake exchanges hello messages and starts a multiplexed session.
-func (t *Transport) handshake(conn net.Conn, newSession frame.SessionFunc) (*session, error) {
+// handshake exchanges hello messages and starts a multiplexed session. The session ends when the peer sends nothing for
+// silenceTimeout, unless that is 0.
+func (t *Transport) handshake(
+	conn net.Conn, newSession frame.SessionFunc, silenceTimeout time.Duration,
+) (*session, error) {
 	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
 	}
@@ -190,7 +197,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
 	}
-	mux, err := frame.NewMux(newSession, bufferedConn{conn, reader}, sessionConfig())
+	mux, err := frame.NewMux(newSession, bufferedConn{conn, reader, silenceTimeout}, sessionConfig())
 	if err != nil {
 		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
 	}
@@ -200,17 +207,38 @@
 	}, nil
 }
 
-// bufferedConn reads through the buffer of the handshake, which may contain data that follows the hello message.
+// bufferedConn reads through the buffer of the handshake, which may contain data that follows the hello message. If it has a
+// silence timeout, a read fails once nothing has arrived for that long: a connection whose other end was lost may stay open
+// without a reset.
 type bufferedConn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader         *bufio.Reader
+	silenceTimeout time.Duration
 }
 
-func (c bufferedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+// Read waits twice for half of the timeout: a process that was paused itself finds the first deadline expired, and data that
+// arrived meanwhile unread.
+func (c bufferedConn) Read(p []byte) (int, error) {
+	if c.silenceTimeout == 0 {
+		return c.reader.Read(p)
+	}
+	n, err := c.readWithin(p, c.silenceTimeout/2)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readWithin(p, c.silenceTimeout/2)
+	}
+	return n, err
+}
+
+func (c bufferedConn) readWithin(p []byte, timeout time.Duration) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, err
+	}
+	return c.reader.Read(p)
+}
 
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = false // the dialing side detects broken connections with pings of its own
+	config.EnableKeepAlive = false // the dialing side pings; the other side ends a session on which no pings arrive
 	config.ConnectionWriteTimeout = pingTimeout
 	config.StreamOpenTimeout = 0 // otherwise yamux closes the session if the peer accepts a stream late
 	config.LogOutput = io.Discard
@@ -232,7 +260,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	s, err := t.handshake(conn, yamux.Client)
+	s, err := t.handshake(conn, yamux.Client, 0)
 	if err != nil {
 		t.log.Info("leader not reached", "leader", leader.Process, "error", err)
 		pause.For(ctx, redialDelay)
@@ -287,7 +315,7 @@
 		return port.Leader{} // the address may be outdated
 	}
 	defer conn.Close()
-	s, err := t.handshake(conn, yamux.Client)
+	s, err := t.handshake(conn, yamux.Client, 0)
 	if err != nil {
 		return port.Leader{}
 	}
--- /dev/null
+++ b/internal/adapter/cellwire/transport_test.go
@@ -0,0 +1,110 @@
+package cellwire
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// leadingHandler is the handler of a leader that schedules nothing.
+type leadingHandler struct {
+	port.Scheduler
+	leader port.Leader
+}
+
+func (h leadingHandler) OwnTerm() (port.Leader, bool) { return h.leader, true }
+
+func (leadingHandler) RequestPermits(
+	context.Context, workflow.StepRef, []ident.WorkerID,
+) (map[ident.WorkerID]permit.Ticket, error) {
+	return nil, nil
+}
+
+// noConfig is a replica without a configuration.
+type noConfig struct{}
+
+func (noConfig) Current() (port.ConfigStatus, []byte) { return port.ConfigStatus{}, nil }
+func (noConfig) Apply([]byte, string)                 {}
+func (noConfig) Confirm(port.ConfigStatus, string)    {}
+
+// startTransport runs a transport of a process until the test ends.
+func startTransport(t *testing.T, name ident.ProcessID) *Transport {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := port.Leader{Process: name, Incarnation: 1, Address: listener.Addr().String()}
+	leading := self
+	leading.Term = 1
+	transport := New(self, listener, nil, leadingHandler{leader: leading}, noConfig{}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- transport.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return transport
+}
+
+// openSilentSession opens a session under the name and then neither reads nor sends.
+func openSilentSession(t *testing.T, name, address string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := frame.Write(conn, &cellpb.Hello{Version: protocolVersion, Process: name}); err != nil {
+		t.Fatal(err)
+	}
+	if err := frame.Read(bufio.NewReader(conn), &cellpb.Hello{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := yamux.Client(conn, sessionConfig()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSilentFollowerIsDropped guards against a leader that goes on to call a process that was lost without a reset of its
+// connection, and against one that ends the session of a process that merely has nothing to call.
+func TestSilentFollowerIsDropped(t *testing.T) {
+	t.Parallel()
+	leader, follower := startTransport(t, "leader"), startTransport(t, "follower")
+	ctx, cancel := context.WithCancel(t.Context())
+	followed := make(chan port.FollowResult, 1)
+	go func() { followed <- follower.Follow(ctx, leader.handler.(leadingHandler).leader) }()
+	openSilentSession(t, "lost", leader.self.Address)
+	opened := time.Now()
+	var lostAfter time.Duration
+	for limit := opened.Add(silenceTimeout + 2*time.Second); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		peers := leader.Peers()
+		if lostAfter == 0 && time.Since(opened) > dialTimeout && !slices.Contains(peers, "lost") {
+			lostAfter = time.Since(opened)
+		}
+		if time.Since(opened) > dialTimeout && !slices.Contains(peers, "follower") {
+			t.Fatal("the session of a process that answers was ended")
+		}
+	}
+	if lostAfter == 0 || lostAfter > silenceTimeout+time.Second {
+		t.Errorf("the lost process is dropped after %v, want at most %v", lostAfter, silenceTimeout+time.Second)
+	}
+	cancel()
+	<-followed
+}
