Let the workers tell a new leader that its predecessor has stopped

Cause: a leader may let tasks run for 6 s without a renewal of its lease, so as to bridge outages of the store. Its successor had to assume that it does so on each worker that does not answer, and held back all stored jobs for 6 s and the lease of the worker.

Change: the workers are witnesses, as they refuse a leader once the next one has called them. Without renewals a leader starts runs and extends leases only while more than half of the recorded workers answered requests that it sent within 1 s. A successor that two thirds of the record have answered waits 1 s in place of 6 s. Answers count from when the request was sent, so that a process that was paused does not take old ones for new. While renewals fail, syncs wait for 0.4 s in place of 0.8 s.

Treating a worker whose entry is missing as gone was ruled out: it may be cut off together with the old leader.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -49,16 +49,19 @@
 // Mark records a renewal that was requested at the given time.
 func (r *Renewal) Mark(at time.Time) { r.last.Store(&at) }
 
-// InForce reports whether the leader may still send requests to workers. It has to be asked right before a request is
-// sent, because the process may have been paused since the last decision.
-func (r *Renewal) InForce(now time.Time) bool {
+// Within reports whether the lease was renewed less than the given time ago.
+func (r *Renewal) Within(limit time.Duration, now time.Time) bool {
 	if r == nil {
 		return true
 	}
 	last := r.last.Load()
-	return last != nil && now.Sub(*last) <= MaxRenewalGap
+	return last != nil && now.Sub(*last) <= limit
 }
 
+// InForce reports whether the leader may still send requests to workers. It has to be asked right before a request is
+// sent, because the process may have been paused since the last decision.
+func (r *Renewal) InForce(now time.Time) bool { return r.Within(MaxRenewalGap, now) }
+
 // LeadFunc runs the leader's work. It returns when the context ends, or when it finds that the process is no longer the
 // leader.
 type LeadFunc func(ctx context.Context, term Term)
--- /dev/null
+++ b/internal/app/scheduler/authority.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/fault"
+)
+
+// A leader that cannot renew its lease may have been replaced, or the store may be away for every process. The workers tell
+// which: they refuse requests of a leader once the next one has called them. So a leader lets tasks run only while its lease was
+// renewed, or more than half of the recorded workers answered, within authorityWindow. Once its successor has been answered by two
+// thirds of the same record, both sets have workers in common, and the predecessor grants nothing after another window.
+const (
+	authorityWindow = time.Second
+	// confirmInterval limits how often the answers of all workers are looked through.
+	confirmInterval = 20 * time.Millisecond
+	// shortSyncAfter is the age of the last renewal from which syncs wait for less, so that answers stay recent.
+	shortSyncAfter = 600 * time.Millisecond
+	shortSyncWait  = 400 * time.Millisecond
+)
+
+// authority tracks until when the answers of workers confirm that no other leader has called most of them.
+type authority struct {
+	workers        []ident.WorkerID // in the record of workers as it was last read or stored
+	confirmedUntil time.Time
+	checked        time.Time // when the answers were last looked through
+	doubtful       bool      // the last check found no confirmation
+}
+
+// mayLetRun reports whether the leader may start runs and extend their leases. The lock is held.
+func (s *Scheduler) mayLetRun(now time.Time) bool {
+	confirmed := s.term.Renewal.Within(authorityWindow, now) || s.confirmedByWorkers(now)
+	if a := &s.authority; confirmed == a.doubtful {
+		a.doubtful = !confirmed
+		if confirmed {
+			s.log.Info("leader confirmed again")
+		} else {
+			s.log.Warn("leader not confirmed; runs are neither started nor extended", "workers", len(a.workers))
+		}
+	}
+	return confirmed
+}
+
+func (s *Scheduler) confirmedByWorkers(now time.Time) bool {
+	a := &s.authority
+	if !now.Before(a.confirmedUntil) && now.Sub(a.checked) >= confirmInterval {
+		a.checked, a.confirmedUntil = now, s.majorityAnswered().Add(authorityWindow)
+	}
+	return now.Before(a.confirmedUntil)
+}
+
+// majorityAnswered returns the latest time from which on more than half of the recorded workers were sent a request that they
+// answered. It is zero if there is none. The lock is held.
+func (s *Scheduler) majorityAnswered() time.Time {
+	var answered []time.Time
+	for _, id := range s.authority.workers {
+		if m := s.monitors[id]; m != nil && !m.worker.LastAnswered().IsZero() {
+			answered = append(answered, m.worker.LastAnswered())
+		}
+	}
+	majority := len(s.authority.workers)/2 + 1
+	if len(answered) < majority {
+		return time.Time{}
+	}
+	slices.SortFunc(answered, func(a, b time.Time) int { return b.Compare(a) })
+	return answered[majority-1]
+}
+
+// renewalOverdue reports whether renewals of the leader's lease fail, so that the answers of workers matter.
+func (s *Scheduler) renewalOverdue(now time.Time) bool {
+	return !s.term.Renewal.Within(shortSyncAfter, now)
+}
+
+// syncWait returns how long a worker may delay the answer to a sync.
+func (s *Scheduler) syncWait(now time.Time) time.Duration {
+	if s.renewalOverdue(now) {
+		return shortSyncWait
+	}
+	return syncWait
+}
+
+// checkInForce fails with StaleEpoch if the lease of the leader has not been renewed for too long: the
+// process may have been paused, and another one may lead.
+func (s *Scheduler) checkInForce(now time.Time) error {
+	if s.term.Renewal.InForce(now) {
+		return nil
+	}
+	return fault.New(fault.StaleEpoch, "the leader's lease has not been renewed for %v", leadership.MaxRenewalGap)
+}
+
+// checkMayStart fails with StaleEpoch like checkInForce, and with NotReady while nothing confirms that this process still leads.
+func (s *Scheduler) checkMayStart(now time.Time) error {
+	if err := s.checkInForce(now); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.mayLetRun(now) {
+		return fault.New(fault.NotReady, "neither the store nor most workers confirm that this process leads")
+	}
+	return nil
+}
+
+// predecessor is what a leader knows of the one before it.
+type predecessor struct {
+	workers  []ident.WorkerID // in its record
+	fencedAt time.Time        // when enough of them had answered this leader that they stop it; zero before
+}
+
+// observeFencing notes when two thirds of the predecessor's workers have answered this leader. The lock is held.
+func (s *Scheduler) observeFencing(now time.Time) {
+	p := &s.predecessor
+	if len(p.workers) == 0 || !p.fencedAt.IsZero() {
+		return
+	}
+	answered := 0
+	for _, id := range p.workers {
+		if m := s.monitors[id]; m != nil && m.worker.Synced() {
+			answered++
+		}
+	}
+	if 3*answered >= 2*len(p.workers) {
+		p.fencedAt = now
+	}
+}
+
+// fencedAfter returns how long after the start of the term the predecessor's workers were fenced, and -1 ms if they were not.
+func (s *Scheduler) fencedAfter() time.Duration {
+	if s.predecessor.fencedAt.IsZero() {
+		return -time.Millisecond
+	}
+	return s.predecessor.fencedAt.Sub(s.startedAt)
+}
+
+// predecessorSilentAt returns the time from which the previous leader certainly grants no leases any more. The lock is held.
+func (s *Scheduler) predecessorSilentAt() time.Time {
+	if s.term.PredecessorStopped {
+		return s.startedAt
+	}
+	latest := s.startedAt.Add(leadership.MaxRenewalGap)
+	if fenced := s.predecessor.fencedAt.Add(authorityWindow); !s.predecessor.fencedAt.IsZero() && fenced.Before(latest) {
+		return fenced
+	}
+	return latest
+}
+
+// predecessorLapsedAt returns the time from which nothing that an earlier leader started runs on a worker that does not answer.
+// The lock is held.
+func (s *Scheduler) predecessorLapsedAt() time.Time {
+	return s.predecessorSilentAt().Add(pool.LapseTime(s.settings.leaseDuration()))
+}
--- /dev/null
+++ b/internal/app/scheduler/authority_test.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// newSuccessor returns a leader that has just taken over three recorded workers, of which those named have answered it, and a job
+// that was stored before.
+func newSuccessor(t *testing.T, answered ...ident.WorkerID) (*Scheduler, time.Time) {
+	t.Helper()
+	s := newLeaderFor(t)
+	now := s.startedAt
+	for _, id := range []ident.WorkerID{"w1", "w2", "w3"} {
+		addTestWorker(s, id, 4000, now)
+		s.unsynced[id] = port.WorkerRecord{WorkerInfo: s.monitors[id].worker.Info()}
+		s.predecessor.workers = append(s.predecessor.workers, id)
+	}
+	for _, id := range []ident.WorkerID{"w1", "w2", "w3"} {
+		silent := true
+		for _, a := range answered {
+			silent = silent && a != id
+		}
+		if silent {
+			s.monitors[id] = newMonitor(s.monitors[id].worker.Info())
+		}
+	}
+	acceptTestJob(s, workflow.Step{Count: 1}).workflow.MarkUnknownRuns()
+	return s, now
+}
+
+// TestSilentWorkerDelaysTakeover guards against tasks that stay away for 10 s after the loss of a rack and then of the leader: a
+// new leader that has reached most workers need not wait until its predecessor would have stopped without them. It must still
+// wait for the lease of the worker that it cannot reach.
+func TestSilentWorkerDelaysTakeover(t *testing.T) {
+	lease := Settings{MaxLease: 6 * time.Second}.leaseDuration()
+	for name, c := range map[string]struct {
+		answered []ident.WorkerID
+		longest  time.Duration
+	}{
+		"two thirds answered": {[]ident.WorkerID{"w1", "w2"}, authorityWindow + pool.LapseTime(lease) + 2*placeInterval},
+		"one third answered":  {[]ident.WorkerID{"w1"}, leadership.MaxRenewalGap + pool.LapseTime(lease) + 2*placeInterval},
+	} {
+		s, now := newSuccessor(t, c.answered...)
+		waited, started := time.Duration(0), false
+		for ; !started && waited < 12*time.Second; waited += placeInterval {
+			at := now.Add(waited)
+			for _, id := range c.answered {
+				s.monitors[id].worker.ObserveClock(at.Sub(now)+time.Minute, at, at)
+			}
+			launches, _ := s.place(at)
+			started = len(launches) > 0
+		}
+		if shortest := c.longest - 3*placeInterval; !started || waited > c.longest+placeInterval || waited < shortest {
+			t.Errorf("%s: started %v after %v, want between %v and %v", name, started, waited, shortest, c.longest)
+		}
+	}
+}
+
+// TestLeaderWithoutConfirmation guards against a replaced leader that keeps tasks running on workers that its successor cannot
+// reach. Without renewals of its lease it may let tasks run only while more than half of the recorded workers answer it: the
+// successor has called two thirds of them, and these refuse it.
+func TestLeaderWithoutConfirmation(t *testing.T) {
+	for name, c := range map[string]struct {
+		renewed  time.Duration // age of the last renewal
+		answered map[ident.WorkerID]time.Duration
+		want     bool
+	}{
+		"renewed":               {renewed: authorityWindow / 2, want: true},
+		"store away":            {renewed: 3 * time.Second, answered: map[ident.WorkerID]time.Duration{"w1": 0, "w3": authorityWindow - 300*time.Millisecond}, want: true},
+		"most answers too old":  {renewed: 3 * time.Second, answered: map[ident.WorkerID]time.Duration{"w1": 0, "w2": 2 * time.Second, "w3": authorityWindow + 1}},
+		"cut off with a worker": {renewed: 3 * time.Second, answered: map[ident.WorkerID]time.Duration{"w2": 0}},
+		"no answers":            {renewed: 3 * time.Second},
+	} {
+		s, now := newLeaderFor(t), time.Now()
+		s.term.Renewal = &leadership.Renewal{}
+		s.term.Renewal.Mark(now.Add(-c.renewed))
+		for _, id := range []ident.WorkerID{"w1", "w2", "w3"} {
+			addTestWorker(s, id, 4000, now.Add(-time.Minute))
+			s.authority.workers = append(s.authority.workers, id)
+			if age, ok := c.answered[id]; ok {
+				// The answer was delayed: it arrives only now.
+				s.monitors[id].worker.ObserveClock(2*time.Minute, now.Add(-age), now)
+			}
+		}
+		m := s.monitors["w1"]
+		m.unreachable = false
+		acceptTestJob(s, workflow.Step{Count: 1})
+		s.mu.Lock()
+		got := s.mayLetRun(now)
+		s.mu.Unlock()
+		if got != c.want {
+			t.Errorf("%s: may let tasks run: %v, want %v", name, got, c.want)
+		}
+		if launches, _ := s.place(now); len(launches) > 0 && !c.want {
+			t.Errorf("%s: a task starts", name)
+		}
+		if extended := s.syncRequest(m, 0).LeaseExpiry > 0; extended != c.want {
+			t.Errorf("%s: lease extended: %v, want %v", name, extended, c.want)
+		}
+	}
+}
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -58,6 +57,8 @@
 	}
 	for _, w := range workers {
 		s.unsynced[w.ID] = w
+		s.predecessor.workers = append(s.predecessor.workers, w.ID)
+		s.authority.workers = append(s.authority.workers, w.ID)
 		s.addWorker(w.WorkerInfo)
 		s.recorded[w.ID] = !w.Cordoned
 	}
@@ -121,13 +122,11 @@
 	if s.accounted {
 		return
 	}
-	maxWait := s.settings.leaseDuration() * 11 / 10 // with a margin of 10 %
-	if !s.term.PredecessorStopped {
-		maxWait += leadership.MaxRenewalGap
-	}
+	s.observeFencing(now)
+	lapsed := now.After(s.predecessorLapsedAt())
 	for id := range s.unsynced {
 		m := s.monitors[id]
-		if m != nil && (m.worker.Synced() || m.replaced) || now.Sub(s.startedAt) > maxWait {
+		if m != nil && (m.worker.Synced() || m.replaced) || lapsed {
 			delete(s.unsynced, id)
 		}
 	}
@@ -138,7 +137,8 @@
 	for _, e := range s.openJobs {
 		s.settleDoubts(e)
 	}
-	s.log.Info("runs of earlier terms accounted for", "after_ms", now.Sub(s.startedAt).Milliseconds())
+	s.log.Info("runs of earlier terms accounted for", "after_ms", now.Sub(s.startedAt).Milliseconds(),
+		"fenced_ms", s.fencedAfter().Milliseconds())
 }
 
 // mayRunOnUnsynced reports whether tasks of a job may be running on a worker that has not reported its runs yet. A
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -88,14 +88,17 @@
 	s.goTask(func() { s.monitor(ctx, m) })
 }
 
-// monitor syncs with a worker until the context ends.
+// monitor syncs with a worker until the context ends. While the store is away, nothing can be recorded, and the answer to the
+// next sync is needed soon.
 func (s *Scheduler) monitor(ctx context.Context, m *workerMonitor) {
 	for ctx.Err() == nil {
-		if err := s.sync(ctx, m, syncWait); err != nil {
+		if err := s.sync(ctx, m, s.syncWait(time.Now())); err != nil {
 			pause.For(ctx, retrySyncDelay)
 			continue
 		}
-		s.awaitAcks(ctx, m)
+		if !s.renewalOverdue(time.Now()) {
+			s.awaitAcks(ctx, m)
+		}
 	}
 }
 
@@ -135,7 +138,9 @@
 	if m.unreachable {
 		return request
 	}
-	request.LeaseExpiry, _ = m.worker.ExtendLease(s.settings.leaseDuration(), time.Now())
+	if now := time.Now(); s.mayLetRun(now) {
+		request.LeaseExpiry, _ = m.worker.ExtendLease(s.settings.leaseDuration(), now)
+	}
 	for len(m.pendingEnds) > 0 && m.pendingEnds[0].acknowledgeable() {
 		m.ackedEnd = m.pendingEnds[0].number
 		m.pendingEnds = m.pendingEnds[1:]
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -105,6 +105,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateUnsynced(now)
+	if !s.mayLetRun(now) {
+		return nil, nil
+	}
 	var launches []launch
 	var calls []permitCall
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
@@ -70,7 +69,7 @@
 	}
 	defer l.monitor.releaseRequest()
 	sent = time.Now()
-	if err := s.checkInForce(sent); err != nil {
+	if err := s.checkMayStart(sent); err != nil {
 		return sent, 0, err
 	}
 	if age := sent.Sub(l.decided); age > maxOrderAge || s.isFinal(l.entry) {
@@ -82,15 +81,6 @@
 	return sent, clock, err
 }
 
-// checkInForce fails with StaleEpoch if the lease of the leader has not been renewed for too long: the
-// process may have been paused, and another one may lead.
-func (s *Scheduler) checkInForce(now time.Time) error {
-	if s.term.Renewal.InForce(now) {
-		return nil
-	}
-	return fault.New(fault.StaleEpoch, "the leader's lease has not been renewed for %v", leadership.MaxRenewalGap)
-}
-
 func (s *Scheduler) isFinal(e *jobEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -77,6 +77,8 @@
 	openJobs        map[workflow.ID]*jobEntry // jobs whose state is not final
 	dirty           map[workflow.ID]*jobEntry // jobs with changed progress that is not being committed
 	monitors        map[ident.WorkerID]*workerMonitor
+	authority       authority
+	predecessor     predecessor
 	accounted       bool                                 // every run of earlier terms is known or has ended
 	unsynced        map[ident.WorkerID]port.WorkerRecord // workers of the previous leader that have not reported their runs yet
 	orphans         map[workflow.ID][]orphanRun          // runs of unknown jobs
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -55,7 +55,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.workersRevision, s.recordOutdated = newRevision, false
+	s.authority.workers = nil
 	for _, w := range record {
+		s.authority.workers = append(s.authority.workers, w.ID)
 		m := s.monitors[w.ID]
 		if m == nil {
 			continue
--- a/internal/domain/pool/clock.go
+++ b/internal/domain/pool/clock.go
@@ -11,6 +11,11 @@
 // shortly after the expiry.
 const leaseMargin = 150 * time.Millisecond
 
+// LapseTime returns how long after a lease was extended the worker's runs have certainly ended.
+func LapseTime(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/minClockRate) + leaseMargin
+}
+
 // clock is the last known reading of a worker's monotonic clock, which counts from the worker's start.
 type clock struct {
 	reading  time.Duration // taken between sent and received
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -60,6 +60,7 @@
 	clock                clock
 	leaseExpiry          time.Duration // latest lease expiry that was sent, on the worker's clock
 	lastResponse         time.Time     // when the last response arrived
+	lastAnswered         time.Time     // when the latest request that was answered was sent
 	unreached            bool          // the last sync failed, and nothing has arrived since
 	synced               bool          // it has reported its runs in this term
 	consecutiveFailures  int           // of distinct jobs
@@ -101,8 +102,15 @@
 func (w *Worker) ObserveClock(reading time.Duration, sent, received time.Time) {
 	w.clock.observe(reading, sent, received)
 	w.lastResponse, w.unreached = received, false
+	if sent.After(w.lastAnswered) {
+		w.lastAnswered = sent
+	}
 }
 
+// LastAnswered returns when the latest request that the worker has answered was sent. Unlike the arrival of the answer, it is
+// never later than the answer itself.
+func (w *Worker) LastAnswered() time.Time { return w.lastAnswered }
+
 // MarkUnreached records that a request got no response. The worker gets no starts until it responds.
 func (w *Worker) MarkUnreached() { w.unreached = true }
 
--- a/spec/leader.pml
+++ b/spec/leader.pml
@@ -1,16 +1,24 @@
 /*
- * Model of a change of leader of a cell on the users' platform: one task, two workers, and two leaders, one after the
- * other. The first leader keeps sending requests until it stops or a worker rejects one. Start requests may be delayed.
- * Sync calls get their response at once, unless the leader cannot reach the worker.
+ * Model of a change of leader of a cell on the users' platform: one task, three workers, and two leaders, one after the
+ * other. The first leader keeps sending requests until it stops or a worker rejects one. It starts tasks and extends leases only
+ * while the store or two of the three workers have confirmed a short time ago that it leads. The second leader waits for a
+ * worker that it cannot reach until the first one has stopped, or, once two workers have answered it, until such a confirmation
+ * would have run out. Start requests may be delayed. Sync calls get their response at once, unless the leader cannot reach the
+ * worker.
  *
  * Checked properties: the task never runs in two places, and it does not start after its end was acknowledged.
  *
  * Variants that must fail: NO_WAIT (the second leader does not wait for workers that it cannot reach), NO_FENCE (workers
  * accept start requests with any token), ACK_FIRST (an end is acknowledged before it is recorded), NO_STOP (a leader that
- * has lost its lease never stops).
+ * has lost its lease goes on without a confirmation), MINORITY (the answer of one worker confirms that a leader leads).
  */
-// broken: NO_WAIT NO_FENCE ACK_FIRST NO_STOP
-#define WORKERS 2
+// broken: NO_WAIT NO_FENCE ACK_FIRST NO_STOP MINORITY
+#define WORKERS 3
+#ifdef MINORITY
+#define QUORUM 1
+#else
+#define QUORUM 2
+#endif
 
 byte token[WORKERS]; /* highest fencing token that the worker has seen */
 bool running[WORKERS];
@@ -21,12 +29,23 @@
 bool acknowledged;
 byte currentLeader = 1; /* leader according to the store */
 bool firstStopped;      /* the first leader sends no further requests */
+bool confirmed = true;  /* the first leader may let tasks run */
+bool fenced;            /* two workers have answered the second leader */
 
 inline check() {
-	assert(!(running[0] && running[1]));
-	assert(!(acknowledged && (running[0] || running[1])));
+	assert(running[0] + running[1] + running[2] <= 1);
+	assert(!(acknowledged && (running[0] || running[1] || running[2])));
 }
 
+#define ALL(a) (a[0] && a[1] && a[2])
+#define NONE(a) (!a[0] && !a[1] && !a[2])
+
+#ifdef NO_STOP
+#define MAY_LET_RUN true
+#else
+#define MAY_LET_RUN (self == 2 || confirmed)
+#endif
+
 /* A worker handles a start request in flight, ends its run, or kills it when the lease expires. */
 proctype Worker(byte w) {
 	do
@@ -55,32 +74,31 @@
 	byte w;
 	atomic { self == 1 || (self == 2 && currentLeader == 1); currentLeader = self; endKnown = recorded }
 	if
-	:: self == 1 -> synced[0] = true; synced[1] = true  /* there was no earlier leader */
+	:: self == 1 -> synced[0] = true; synced[1] = true; synced[2] = true  /* there was no earlier leader */
 	:: else -> skip
 	fi;
 	do
 	:: atomic { self == 1 && firstStopped -> break }
 	:: atomic { self == 1 && currentLeader == 2 -> firstStopped = true; break }
-	:: atomic { w == 1 -> w = 0 }
-	:: atomic { w == 0 -> w = 1 }
+	:: atomic { w = (w + 1) % WORKERS }
+	:: atomic { self == 1 && confirmed -> confirmed = false }  /* the confirmation is too old */
+	:: atomic { self == 1 && !confirmed &&
+		(currentLeader == 1 || (token[0] <= 1) + (token[1] <= 1) + (token[2] <= 1) >= QUORUM) -> confirmed = true }
 	:: atomic { token[w] > self -> break }  /* a sync or start request is rejected */
-	:: atomic { token[w] <= self ->  /* a sync call */
+	:: atomic { token[w] <= self && MAY_LET_RUN ->  /* a sync call */
 		token[w] = self; leaseExpired[w] = false; synced[w] = true;
+		fenced = fenced || (self == 2 && synced[0] + synced[1] + synced[2] >= 2);
 		endKnown = endKnown || ended[w];
 		placed[w] = running[w] || pendingStart[w] == self }
 #ifdef NO_WAIT
 	:: atomic { self == 2 && !synced[w] -> synced[w] = true }
 #else
-#ifdef NO_STOP
-	:: atomic { self == 2 && !synced[w] && leaseExpired[w] -> synced[w] = true }
-#else
-	:: atomic { self == 2 && !synced[w] && leaseExpired[w] && firstStopped -> synced[w] = true }
-#endif
+	:: atomic { self == 2 && !synced[w] && leaseExpired[w] && (firstStopped || (fenced && !confirmed)) -> synced[w] = true }
 #endif
-	:: atomic { synced[0] && synced[1] && !placed[0] && !placed[1] && !endKnown && !recorded &&
+	:: atomic { ALL(synced) && NONE(placed) && !endKnown && !recorded && MAY_LET_RUN &&
 		pendingStart[w] == 0 && currentLeader == self ->
 		pendingStart[w] = self; placed[w] = true }
-	:: atomic { synced[0] && synced[1] && !placed[0] && !placed[1] && !endKnown &&
+	:: atomic { ALL(synced) && NONE(placed) && !endKnown && MAY_LET_RUN &&
 		pendingStart[w] == 0 && currentLeader != self && self == 1 ->
 		pendingStart[w] = self; placed[w] = true } /* it does not know yet that it has been replaced */
 #ifdef ACK_FIRST
@@ -92,5 +110,5 @@
 }
 
 init {
-	atomic { run Worker(0); run Worker(1); run Leader(1); run Leader(2) }
+	atomic { run Worker(0); run Worker(1); run Worker(2); run Leader(1); run Leader(2) }
 }
