Ask for permits before steps that are held back are released

Cause: all steps of stored jobs are released at once, and only then ask for permits; a call of a queue of low priority waits behind the others.

Change: in the last second of the wait the calls for these steps are planned, every 0.2 s, unless the tickets suffice.

Test: TestHeldStepGetsPermits fails without it (0 calls, want 1).

--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -106,3 +106,25 @@
 		}
 	}
 }
+
+// TestHeldStepGetsPermits guards against steps that wait for the permit service after they have waited for a silent worker: a
+// new leader released all of them at once, and the last ones got their permits seconds later.
+func TestHeldStepGetsPermits(t *testing.T) {
+	s, now := newSuccessor(t, "w1", "w2")
+	s.ports.PeerPermitClients = peers{names: []ident.ProcessID{"p1", "p2"}}
+	s.jobs["job"].queue.PermitPolicy = testPermitPolicy()
+	s.place(now)
+	lapsed := s.predecessorLapsedAt()
+	for _, c := range []struct {
+		at   time.Time
+		want int
+	}{{lapsed.Add(-2 * prefetchLead), 0}, {lapsed.Add(-prefetchLead / 2), 1}} {
+		for _, id := range []ident.WorkerID{"w1", "w2"} {
+			s.monitors[id].worker.ObserveClock(c.at.Sub(now)+time.Minute, c.at, c.at)
+		}
+		launches, calls := s.place(c.at)
+		if len(launches) != 0 || len(calls) != c.want {
+			t.Errorf("%v before the wait ends: %d starts and %d calls, want 0 and %d", lapsed.Sub(c.at), len(launches), len(calls), c.want)
+		}
+	}
+}
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -95,6 +95,37 @@
 	return calls
 }
 
+// Steps that are held back until the runs of an earlier leader have certainly ended get their permits shortly before, because all
+// of them are released at once.
+const (
+	prefetchLead     = time.Second
+	prefetchInterval = 200 * time.Millisecond
+)
+
+// prefetchDue reports whether to plan calls for steps that are held back. The lock is held.
+func (s *Scheduler) prefetchDue(now time.Time) bool {
+	if s.accounted || now.Before(s.predecessorLapsedAt().Add(-prefetchLead)) || now.Sub(s.prefetchedAt) < prefetchInterval {
+		return false
+	}
+	s.prefetchedAt = now
+	return true
+}
+
+// prefetchPermits returns the calls for a step that is held back, unless it has enough tickets. The lock is held.
+func (s *Scheduler) prefetchPermits(c candidate, now time.Time) []permitCall {
+	if c.permits == nil {
+		return nil
+	}
+	missing := len(c.entry.workflow.Waiting(c.ref))
+	for w := range c.allowed() {
+		missing -= w.FitCount(c.entry.workflow.Step(c.ref))
+	}
+	if missing <= 0 {
+		return nil
+	}
+	return s.planPermitCalls(c, missing, now)
+}
+
 // permitCandidate is a worker that a call could include.
 type permitCandidate struct {
 	worker   permit.Worker
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -72,6 +72,7 @@
 	permits *permit.Permits // nil if the queue needs none
 	workers []allowedWorker
 	waited  time.Duration // for how long tasks of the step could not be placed
+	held    bool          // tasks of the step may still run on a worker of an earlier leader
 	pass    *placementPass
 }
 
@@ -129,6 +130,9 @@
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
 	c.permits = s.permitsOf(c)
 	c.workers = s.allowedWorkers(c, now)
+	if c.held {
+		return nil, s.prefetchPermits(c, now)
+	}
 	waiting, releases := &c.entry.step(c.ref).waiting, c.releases()
 	if !waiting.Due(now, releases) {
 		return nil, nil
@@ -152,8 +156,10 @@
 // candidates returns the steps with tasks to start, by the priority of the queue and then by the age of the job.
 func (s *Scheduler) candidates(now time.Time) []candidate {
 	var list []candidate
+	prefetch := s.prefetchDue(now)
 	for _, e := range s.openJobs {
-		if s.mayRunOnUnsynced(e) {
+		held := s.mayRunOnUnsynced(e)
+		if held && !prefetch {
 			continue
 		}
 		refs := e.workflow.Ready(now)
@@ -162,7 +168,7 @@
 		}
 		queue := s.queueOf(e)
 		for _, ref := range refs {
-			list = append(list, candidate{entry: e, ref: ref, queue: queue})
+			list = append(list, candidate{entry: e, ref: ref, queue: queue, held: held})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -87,6 +87,7 @@
 	recorded        map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated  bool                                 // the record differs from the workers to record
 	permitBusyUntil map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
+	prefetchedAt    time.Time                            // when calls for steps that are held back were last planned
 	allowedShares   map[string]*permit.AllowedShare      // by queue
 }
 
