Store a tombstone before the cancelling of an unknown job is acknowledged

Cause: the store executes a write without an answer seconds later, if its condition still holds. The leader did not find the job and answered 410, but a read cannot show that a write is not on its way. Ruled out: the gateway writing on after its caller has left (it stops), and a lost memory of the leader alone (it would not outlive the leader).

Change: the leader stores a tombstone under the key of the job, on condition that the key does not exist, and answers 410 only then; the condition of the late write fails from then on. If the job was stored first, the same transaction returns it, and it is cancelled. Tombstones are deleted after the retention of finished jobs. CreateJob returns what the store holds, so the leader no longer takes in a job after any conflict. Ids of jobs have at most 128 bytes.

Open: one write to the store for each cancelling of an id without a job; `serve` was not examined.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -95,6 +95,10 @@
 		spec.Steps = append(spec.Steps, decodeStep(step))
 	}
 	job := port.AcceptedJob{Spec: spec, Queue: decodeQueue(m.GetQueue()), AcceptedAt: time.UnixMilli(m.GetAcceptedAtMs())}
+	if len(spec.Steps) == 0 {
+		job.Tombstone = true
+		return job, spec.ID.Validate()
+	}
 	return job, spec.Validate()
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -62,7 +62,8 @@
 func (g *Gateway) MaxBodyBytes() int64 { return g.table.Config().MaxBodyBytes }
 
 // Submit returns when the job is stored. Submitting the same id again is idempotent. StoreUnavailable means that the job
-// was not stored and never runs; Interrupted means that it is unknown whether it was stored.
+// was not stored and never runs, Canceled that it was cancelled and never runs, and Interrupted that it is unknown whether it was
+// stored.
 func (g *Gateway) Submit(ctx context.Context, queue route.Queue, spec workflow.Spec) error {
 	if err := spec.Validate(); err != nil {
 		return err
@@ -91,10 +92,13 @@
 			go g.notifyLeader(job)
 			return nil
 		}
+		if fault.Is(err, fault.Canceled) {
+			return err
+		}
 		maybeStored = maybeStored || fault.Is(err, fault.Interrupted)
 		err = g.storeThroughLeader(ctx, job)
-		if err == nil {
-			return nil
+		if err == nil || fault.Is(err, fault.Canceled) {
+			return err
 		}
 		maybeStored = maybeStored || fault.Is(err, fault.Interrupted)
 		if !maybeStored {
@@ -114,9 +118,9 @@
 func (g *Gateway) storeDirectly(ctx context.Context, job port.AcceptedJob) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := g.store.Commit(ctx, port.CreateJobTxn(g.codec, job))
-	if fault.Is(err, fault.Conflict) {
-		return nil // the job is already stored
+	stored, err := port.CreateJob(ctx, g.store, g.codec, job)
+	if err == nil && stored.Tombstone {
+		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
 	}
 	return err
 }
@@ -176,7 +180,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if job.Queue.Name != queue.Name {
+	if job.Tombstone || job.Queue.Name != queue.Name {
 		return 0, fault.New(fault.NotFound, "job %s not found in queue %s", id, queue.Name)
 	}
 	if fault.Is(cause, fault.NotFound) {
--- /dev/null
+++ b/internal/app/scheduler/cancel.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/port"
+)
+
+// Cancel implements port.Scheduler. A write that would store the job may still be on its way, so NotFound is returned only after a
+// tombstone has taken its place.
+func (s *Scheduler) Cancel(ctx context.Context, queue string, id workflow.ID) error {
+	defer s.guardCall()
+	e, err := s.lookUpJob(ctx, queue, id)
+	if fault.Is(err, fault.NotFound) && id.Validate() == nil {
+		e, err = s.preventJob(ctx, queue, id)
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if e.workflow.Cancel() {
+		s.log.Info("job cancelled", "job", id, "runs", len(e.workflow.Active()))
+		s.markDirty(e)
+		s.stopRuns(e.workflow.Active())
+	}
+	version := e.version
+	s.mu.Unlock()
+	return s.awaitStored(ctx, e, version)
+}
+
+// lookUpJob returns a job. It reads the store for a job that is not known yet.
+func (s *Scheduler) lookUpJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
+	s.mu.Lock()
+	ready, e := s.ready, s.findJob(queue, id)
+	s.mu.Unlock()
+	if !ready {
+		return nil, s.errNotReady()
+	}
+	if e != nil {
+		return e, nil
+	}
+	item, err := s.ports.Store.Get(ctx, port.JobPrefix+string(id))
+	if err != nil {
+		return nil, err
+	}
+	job, err := s.ports.RecordCodec.DecodeJob(item.Value)
+	if err != nil {
+		return nil, err
+	}
+	return s.acceptStored(queue, port.StoredJob{AcceptedJob: job, Revision: item.Revision})
+}
+
+// acceptStored takes in a job of the store and returns it. It fails with NotFound if it is a tombstone or belongs to another
+// queue.
+func (s *Scheduler) acceptStored(queue string, job port.StoredJob) (*jobEntry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acceptJob(job.AcceptedJob, job.Revision)
+	if e := s.findJob(queue, job.Spec.ID); e != nil {
+		return e, nil
+	}
+	return nil, fault.New(fault.NotFound, "job %s was cancelled or belongs to another queue", job.Spec.ID)
+}
+
+// preventJob stores a tombstone, so that the job is not stored later. It fails with NotFound once that is certain, and returns the job if
+// it was stored meanwhile.
+func (s *Scheduler) preventJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
+	if s.hasTombstone(id) {
+		return nil, fault.New(fault.NotFound, "job %s was cancelled before", id)
+	}
+	stored, err := port.CreateJob(ctx, s.ports.Store, s.ports.RecordCodec, port.NewTombstone(id, time.Now()))
+	if err != nil {
+		return nil, err
+	}
+	s.log.Info("unknown job cancelled", "job", id, "queue", queue, "stored_meanwhile", !stored.Tombstone)
+	return s.acceptStored(queue, stored)
+}
+
+func (s *Scheduler) hasTombstone(id workflow.ID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, found := s.tombstones[id]
+	return found
+}
+
+// awaitStored waits until the recorded progress of the job has reached the version.
+func (s *Scheduler) awaitStored(ctx context.Context, e *jobEntry, version uint64) error {
+	for {
+		changed := s.progressStored.Changed()
+		s.mu.Lock()
+		stored := e.storedVersion >= version
+		s.mu.Unlock()
+		if stored {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.WrapAs(fault.Interrupted, ctx.Err(), "wait for the job's progress to be recorded")
+		case <-s.ctx.Done():
+			return fault.New(fault.Interrupted, "the leader's term ended before the job's progress was recorded")
+		}
+	}
+}
--- a/internal/app/scheduler/commit.go
+++ b/internal/app/scheduler/commit.go
@@ -136,29 +136,41 @@
 // deleteInterval is the interval at which finished jobs are deleted.
 const deleteInterval = 5 * time.Second
 
-// deleteFinished deletes finished jobs from the store and from memory once the retention of their state has ended.
+// deleteFinished deletes finished jobs and tombstones once their retention has ended, until the term ends.
 func (s *Scheduler) deleteFinished(ctx context.Context) {
 	for pause.For(ctx, deleteInterval) {
-		b := s.expiredJobs()
-		if len(b.entries) == 0 {
-			continue
-		}
-		commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := s.ports.Store.Commit(commitCtx, b.txn)
-		cancel()
-		if err != nil {
-			s.log.Warn("finished jobs not deleted", "jobs", len(b.entries), "error", err)
-			continue
-		}
-		s.mu.Lock()
-		for _, e := range b.entries {
-			delete(s.jobs, e.workflow.Spec().ID)
-		}
-		s.mu.Unlock()
-		s.log.Info("finished jobs deleted", "jobs", len(b.entries))
+		s.deleteExpired(ctx)
 	}
 }
 
+// deleteExpired deletes, in one transaction, finished jobs and tombstones whose retention has ended from the store and from
+// memory.
+func (s *Scheduler) deleteExpired(ctx context.Context) {
+	b := s.expiredJobs()
+	tombstones := s.expiredTombstones(port.MaxTxnOps - len(b.txn.If) - len(b.txn.Deletes))
+	for _, id := range tombstones {
+		b.txn.Deletes = append(b.txn.Deletes, port.JobPrefix+string(id))
+	}
+	if len(b.txn.Deletes) == 0 {
+		return
+	}
+	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := s.ports.Store.Commit(commitCtx, b.txn); err != nil {
+		s.log.Warn("finished jobs not deleted", "jobs", len(b.entries), "tombstones", len(tombstones), "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range b.entries {
+		delete(s.jobs, e.workflow.Spec().ID)
+	}
+	for _, id := range tombstones {
+		delete(s.tombstones, id)
+	}
+	s.log.Info("finished jobs deleted", "jobs", len(b.entries), "tombstones", len(tombstones))
+}
+
 // expiredJobs returns the transaction that deletes finished jobs without active runs whose retention has ended.
 func (s *Scheduler) expiredJobs() batch {
 	s.mu.Lock()
@@ -175,3 +187,16 @@
 	}
 	return b
 }
+
+// expiredTombstones returns up to limit tombstones whose retention has ended.
+func (s *Scheduler) expiredTombstones(limit int) []workflow.ID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []workflow.ID
+	for id, since := range s.tombstones {
+		if len(ids) < limit && time.Since(since) > s.settings.StatusRetention {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -63,9 +63,7 @@
 			s.log.Error("record of a job left out", "key", item.Key, "error", err)
 			continue
 		}
-		if e := s.acceptJob(job); e.createdRevision == 0 {
-			e.createdRevision = item.Revision
-		}
+		s.acceptJob(job, item.Revision)
 	}
 }
 
@@ -75,18 +73,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ready {
-		s.acceptJob(job)
+		s.acceptJob(job, 0)
 	}
 	return nil
 }
 
 // StoreJob implements port.Scheduler.
 func (s *Scheduler) StoreJob(ctx context.Context, job port.AcceptedJob) error {
-	_, err := s.ports.Store.Commit(ctx, port.CreateJobTxn(s.ports.RecordCodec, job))
-	if err != nil && !fault.Is(err, fault.Conflict) {
+	stored, err := port.CreateJob(ctx, s.ports.Store, s.ports.RecordCodec, job)
+	if err != nil {
 		return err
 	}
-	return s.Notify(ctx, job)
+	if stored.Tombstone {
+		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
+	}
+	return s.Notify(ctx, stored.AcceptedJob)
 }
 
 // findJob returns a job of a queue, or nil if it is not known. The lock is held.
@@ -137,69 +138,3 @@
 	}
 	return n, nil
 }
-
-// Cancel implements port.Scheduler.
-func (s *Scheduler) Cancel(ctx context.Context, queue string, id workflow.ID) error {
-	defer s.guardCall()
-	e, err := s.lookUpJob(ctx, queue, id)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	if e.workflow.Cancel() {
-		s.log.Info("job cancelled", "job", id, "runs", len(e.workflow.Active()))
-		s.markDirty(e)
-		s.stopRuns(e.workflow.Active())
-	}
-	version := e.version
-	s.mu.Unlock()
-	return s.awaitStored(ctx, e, version)
-}
-
-// lookUpJob returns a job. It reads the store for a job that is not known yet.
-func (s *Scheduler) lookUpJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
-	s.mu.Lock()
-	ready, e := s.ready, s.findJob(queue, id)
-	s.mu.Unlock()
-	if !ready {
-		return nil, s.errNotReady()
-	}
-	if e != nil {
-		return e, nil
-	}
-	item, err := s.ports.Store.Get(ctx, port.JobPrefix+string(id))
-	if err != nil {
-		return nil, err
-	}
-	job, err := s.ports.RecordCodec.DecodeJob(item.Value)
-	if err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.acceptJob(job)
-	if e := s.findJob(queue, id); e != nil {
-		return e, nil
-	}
-	return nil, fault.New(fault.NotFound, "job %s belongs to another queue", id)
-}
-
-// awaitStored waits until the recorded progress of the job has reached the version.
-func (s *Scheduler) awaitStored(ctx context.Context, e *jobEntry, version uint64) error {
-	for {
-		changed := s.progressStored.Changed()
-		s.mu.Lock()
-		stored := e.storedVersion >= version
-		s.mu.Unlock()
-		if stored {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return fault.WrapAs(fault.Interrupted, ctx.Err(), "wait for the job's progress to be recorded")
-		case <-s.ctx.Done():
-			return fault.New(fault.Interrupted, "the leader's term ended before the job's progress was recorded")
-		}
-	}
-}
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -89,6 +89,10 @@
 	if s.jobs[job.Spec.ID] != nil {
 		return
 	}
+	if job.Tombstone {
+		s.tombstones[job.Spec.ID] = time.Now()
+		return
+	}
 	e := s.addJob(job)
 	e.createdRevision = item.Revision
 	if s.term.HasPredecessor {
@@ -159,13 +163,25 @@
 // has been replaced.
 const staleLeaderWindow = 1500 * time.Millisecond
 
-// acceptJob adds a job that was accepted during the term, unless it is already known, and returns its entry. The lock
-// is held.
-func (s *Scheduler) acceptJob(job port.AcceptedJob) *jobEntry {
-	if e := s.jobs[job.Spec.ID]; e != nil {
-		return e
+// acceptJob adds a job that was accepted during the term, unless it is already known or was cancelled before it was stored. The
+// revision is that of its record, or 0 if it is not known. The lock is held.
+func (s *Scheduler) acceptJob(job port.AcceptedJob, revision ident.Revision) {
+	id := job.Spec.ID
+	if e := s.jobs[id]; e != nil {
+		if e.createdRevision == 0 {
+			e.createdRevision = revision
+		}
+		return
+	}
+	if _, cancelled := s.tombstones[id]; cancelled {
+		return
+	}
+	if job.Tombstone {
+		s.tombstones[id] = time.Now()
+		return
 	}
 	e := s.addJob(job)
+	e.createdRevision = revision
 	s.adoptOrphans(e)
 	if len(s.unsynced) > 0 && time.Since(s.startedAt) < staleLeaderWindow {
 		e.workflow.MarkUnknownRuns()
@@ -173,5 +189,4 @@
 	s.log.Info("job taken in", "job", job.Spec.ID, "queue", job.Queue.Name, "priority", job.Queue.Priority,
 		"steps", len(job.Spec.Steps), "age_ms", time.Since(job.AcceptedAt).Milliseconds())
 	s.wakePlacement()
-	return e
 }
--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -107,7 +107,7 @@
 		job := port.AcceptedJob{Spec: workflow.Spec{ID: workflow.ID(fmt.Sprintf("j%d", i)), Steps: []workflow.Step{full}}, AcceptedAt: now}
 		job.Queue.Name, job.Queue.Service, job.Queue.MaxAttempts = "q", "desk", 3
 		s.mu.Lock()
-		s.acceptJob(job)
+		s.acceptJob(job, 0)
 		s.mu.Unlock()
 	}
 	for range 200 { // a pass does not try all steps
@@ -134,7 +134,7 @@
 		job.Queue.Name, job.Queue.Service, job.Queue.MaxAttempts, job.Queue.Priority = "q", "desk", 3, priority
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.acceptJob(job)
+		s.acceptJob(job, 0)
 	}
 	const urgentSteps = 400
 	for i := range urgentSteps {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -74,6 +74,7 @@
 	mu              sync.Mutex
 	ready           bool // the store has been read
 	jobs            map[workflow.ID]*jobEntry
+	tombstones      map[workflow.ID]time.Time // ids that were cancelled before a job was stored, and when the leader learned of it
 	openJobs        map[workflow.ID]*jobEntry // jobs whose state is not final
 	dirty           map[workflow.ID]*jobEntry // jobs with changed progress that is not being committed
 	monitors        map[ident.WorkerID]*workerMonitor
@@ -131,7 +132,7 @@
 	return &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
-		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, dirty: map[workflow.ID]*jobEntry{},
+		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{},
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -60,10 +60,11 @@
 	step.Size = resource.Vector{MilliCores: 3000, MemoryBytes: 1 << 30}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.acceptJob(port.AcceptedJob{
+	s.acceptJob(port.AcceptedJob{
 		Spec: workflow.Spec{ID: "job", Steps: []workflow.Step{step}}, AcceptedAt: time.Now(),
 		Queue: route.Queue{Name: "q", Service: "desk", MaxAttempts: 3},
-	})
+	}, 0)
+	return s.jobs["job"]
 }
 
 func firstRun(index int) workflow.RunRef {
--- a/internal/domain/workflow/spec.go
+++ b/internal/domain/workflow/spec.go
@@ -69,10 +69,21 @@
 	return s.FirstAt.Add(time.Duration(occurrence) * s.Period)
 }
 
+// MaxIDBytes is the maximum length of a job's id. Keys of the store, which contain it, have at most 200 bytes.
+const MaxIDBytes = 128
+
+// Validate fails with Invalid if no job can have the id.
+func (id ID) Validate() error {
+	if id == "" || len(id) > MaxIDBytes || !utf8.ValidString(string(id)) {
+		return fault.New(fault.Invalid, "the job's id %q is empty, longer than %d bytes or not valid UTF-8", string(id), MaxIDBytes)
+	}
+	return nil
+}
+
 // Validate validates a submission. It fails with Invalid; the error names the field.
 func (s *Spec) Validate() error {
-	if s.ID == "" || !utf8.ValidString(string(s.ID)) {
-		return fault.New(fault.Invalid, "the job's id %q is empty or not valid UTF-8", string(s.ID))
+	if err := s.ID.Validate(); err != nil {
+		return err
 	}
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		return fault.New(fault.Invalid, "steps has %d elements; want 1 to %d", len(s.Steps), MaxSteps)
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -9,6 +9,7 @@
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
 )
 
 // Condition is true if the key has the revision. Revision 0 means that the key does not exist.
@@ -133,6 +134,14 @@
 	Spec       workflow.Spec
 	Queue      route.Queue // the queue's policy when the job was accepted
 	AcceptedAt time.Time   // time of acceptance
+	// Tombstone marks an id that was cancelled before a job was stored under it. A write of the job that is still on its way
+	// must not take effect. A tombstone has no steps.
+	Tombstone bool
+}
+
+// NewTombstone returns the tombstone of an id.
+func NewTombstone(id workflow.ID, now time.Time) AcceptedJob {
+	return AcceptedJob{Spec: workflow.Spec{ID: id}, AcceptedAt: now, Tombstone: true}
 }
 
 // Leader identifies the leader of the cell and its term.
@@ -178,10 +187,28 @@
 	DecodeWorkers(raw []byte, revision ident.Revision) ([]WorkerRecord, error)
 }
 
-// CreateJobTxn returns a transaction that stores a job if its id is not stored yet.
-func CreateJobTxn(codec RecordCodec, job AcceptedJob) Txn {
+// CreateJob stores a job if its id is not stored yet. It returns the job that the store holds, which differs if the id was stored
+// before.
+func CreateJob(ctx context.Context, store TxnStore, codec RecordCodec, job AcceptedJob) (StoredJob, error) {
 	key := JobPrefix + string(job.Spec.ID)
-	return Txn{If: []Condition{{Key: key}}, Writes: []Write{{Key: key, Value: codec.EncodeJob(job)}}}
+	result, err := store.Commit(ctx, Txn{
+		If: []Condition{{Key: key}}, Writes: []Write{{Key: key, Value: codec.EncodeJob(job)}},
+	})
+	if err == nil {
+		return StoredJob{job, result.Revision}, nil
+	}
+	if !fault.Is(err, fault.Conflict) || len(result.Current) != 1 {
+		return StoredJob{}, err
+	}
+	entry := result.Current[0]
+	stored, err := codec.DecodeJob(entry.Value)
+	return StoredJob{stored, entry.Revision}, err
+}
+
+// StoredJob is the record of a job with its revision.
+type StoredJob struct {
+	AcceptedJob
+	Revision ident.Revision
 }
 
 // Keys and key prefixes of a cell's records in the store.
