Record workers only once they have answered

Callers would see the first starts of a new leader delayed by 3.9 s, in each change of leaders, by one entry of another writer in the worker list at whose address nothing answers (3.9 s beyond a leader that has stopped, and longer beyond one that was lost).

Cause: a leader recorded each entry of the list for its first 2 s, as the record has to name a worker before it gets runs. Its successor waited for the entry as for a worker that may run tasks.

Change: an entry is recorded after its first answer; until then it gets no runs anyway. The first answers of a moment are recorded together, 50 ms later, without waiting for the next reading of the list.

Conclusion: a silent entry holds nothing up. A worker that answered once and is lost is waited for as before. The record, and so the majority that confirms a leader, no longer contains entries that never were workers.

--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -25,6 +25,12 @@
 		s.log.Info("worker reached", "worker", m.worker.Info().ID, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
 	m.unreachable = false
+	if _, recorded := s.recorded[m.worker.Info().ID]; !recorded && !m.worker.Synced() {
+		select {
+		case s.firstAnswers <- struct{}{}:
+		default: // already signaled
+		}
+	}
 	m.worker.MarkSynced()
 	s.applyEnds(m, reply.Ended)
 	s.applyRunning(m, reply.Running, sentAt, now)
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -69,6 +69,7 @@
 	wg             sync.WaitGroup
 	wake           chan struct{} // signals that tasks may be placeable
 	commits        chan struct{} // signals that progress has to be recorded
+	firstAnswers   chan struct{} // signals that a worker that is not recorded has answered for the first time
 	progressStored notify.Broadcast
 
 	mu              sync.Mutex
@@ -132,7 +133,8 @@
 	return &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
-		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
+		firstAnswers: make(chan struct{}, 1),
+		jobs:         map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{},
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -18,9 +18,11 @@
 	// removeAfter is how long a worker without runs must be missing from the worker list before it is removed. Entries
 	// that expired while the store was unavailable reappear within two seconds.
 	removeAfter = 3 * time.Second
+	// recordDelay collects the first answers of several workers into one record.
+	recordDelay = 50 * time.Millisecond
 )
 
-// watchWorkers reads the worker list periodically until the term ends.
+// watchWorkers reads the worker list periodically, and records workers once they have answered, until the term ends.
 func (s *Scheduler) watchWorkers(ctx context.Context) {
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -31,17 +33,38 @@
 		} else if ctx.Err() == nil {
 			s.log.Warn("list of workers not read", "error", err)
 		}
-		pause.For(ctx, listInterval)
+		s.recordAnswers(ctx, time.After(listInterval))
 	}
 }
 
-// applyWorkerList applies the worker list and updates the record of workers. A worker is recorded before it gets
-// requests, so that the next leader checks it for runs. A worker that does not respond and has no runs is left out of
-// the record.
+// recordAnswers updates the record of workers after each first answer of a worker, until the given time.
+func (s *Scheduler) recordAnswers(ctx context.Context, until <-chan time.Time) {
+	for {
+		select {
+		case <-s.firstAnswers:
+			pause.For(ctx, recordDelay)
+			s.recordWorkers(ctx)
+		case <-until:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// applyWorkerList applies the worker list and updates the record of workers.
 func (s *Scheduler) applyWorkerList(ctx context.Context, workers []pool.WorkerInfo) {
 	s.mu.Lock()
 	s.updateWorkers(workers, time.Now())
 	s.removeMissing(time.Now())
+	s.mu.Unlock()
+	s.recordWorkers(ctx)
+}
+
+// recordWorkers updates the record of workers. A worker is recorded before it gets requests to start runs, so that the next leader
+// checks it for runs.
+func (s *Scheduler) recordWorkers(ctx context.Context) {
+	s.mu.Lock()
 	record, changed := s.workersRecord()
 	revision := s.workersRevision
 	s.mu.Unlock()
@@ -136,7 +159,8 @@
 
 // workersRecord returns the new content of the record of workers, and whether it differs from the stored one. A worker
 // that does not respond or is draining is cordoned: it gets no further runs. Once a cordoned worker has no runs, it is
-// left out. The lock is held.
+// left out. So is an entry of the worker list that has not answered yet, because it gets no runs and may be no worker at all.
+// The lock is held.
 func (s *Scheduler) workersRecord() ([]port.WorkerRecord, bool) {
 	var record []port.WorkerRecord
 	changed := s.recordOutdated
@@ -145,7 +169,7 @@
 		unresponsive := m.unreachable && (m.worker.Synced() || time.Since(m.addedAt) > firstResponseTimeout)
 		cordoned := unresponsive || m.worker.Info().Draining
 		schedulable, known := s.recorded[id]
-		if cordoned && !unsynced && len(m.worker.Runs()) == 0 {
+		if (cordoned || !m.worker.Synced()) && !unsynced && len(m.worker.Runs()) == 0 {
 			changed = changed || known
 			delete(s.recorded, id)
 			continue
