Take no answer at another address for the end of a worker's runs

Cause: a worker that is called under another one's id answers 421, and the leader took that for the end of all runs of the worker, at whichever address the call went. Evidence: TestEntryWithAnotherAddress before: all tasks of w0 started on w1 while they ran on w0.

Change: a worker that answers is called where it answers, whatever its entry says; after a failure both addresses are tried by turns. An answer of another worker ends the runs only at the known address, which is the one in the record of workers, too.

Conclusion: such an entry moves no work. One that changes the capacity of a worker cannot be told from the worker's own.

--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -60,6 +60,7 @@
 		s.predecessor.workers = append(s.predecessor.workers, w.ID)
 		s.authority.workers = append(s.authority.workers, w.ID)
 		s.addWorker(w.WorkerInfo)
+		s.monitors[w.ID].knownAddress = w.Address
 		s.recorded[w.ID] = !w.Cordoned
 	}
 	s.ready = true
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -36,6 +36,8 @@
 	pendingEnds      []*pendingEnd  // reported and not acknowledged, by ascending number
 	lastSyncSent     time.Time      // when the request of the last reply that was applied was sent
 	unreachable      bool           // the last sync failed: the worker may have restarted
+	failedSyncs      int            // since the last answer
+	knownAddress     string         // at which the worker answered last, or that the record names; empty if neither
 	replaced         bool           // another worker responds at its address
 	lapsed           []*pool.Run    // runs that were given up when the lease expired, and the worker has not responded since
 	addedAt          time.Time      // when the worker was added
@@ -55,8 +57,14 @@
 	return !p.jobUnknown && (p.job == nil || p.job.storedVersion >= p.version)
 }
 
+// target returns where to call the worker. While it answers, that is not changed by its entry in the worker list, which another
+// writer may have replaced. After a failure both addresses are tried by turns.
 func (m *workerMonitor) target() port.Target {
-	return port.Target{Worker: m.worker.Info().ID, Address: m.worker.Info().Address}
+	address := m.worker.Info().Address
+	if m.knownAddress != "" && (!m.unreachable || m.failedSyncs%2 == 1) {
+		address = m.knownAddress
+	}
+	return port.Target{Worker: m.worker.Info().ID, Address: address}
 }
 
 // maxRequests bounds the start and stop requests in progress to one worker. Each request in progress needs a connection,
@@ -123,9 +131,13 @@
 		return ctx.Err()
 	}
 	if err != nil {
-		s.syncFailed(m, err)
+		s.syncFailed(m, target.Address, err)
 		return err
 	}
+	s.mu.Lock()
+	s.recordOutdated = s.recordOutdated || m.knownAddress != target.Address
+	m.knownAddress, m.failedSyncs = target.Address, 0
+	s.mu.Unlock()
 	s.applyReply(m, reply, sentAt, time.Now())
 	return nil
 }
@@ -173,7 +185,9 @@
 	}
 }
 
-func (s *Scheduler) syncFailed(m *workerMonitor, err error) {
+// syncFailed handles a failed sync at an address. That another worker answers shows that the runs have ended only at the address
+// where the worker was.
+func (s *Scheduler) syncFailed(m *workerMonitor, address string, err error) {
 	if fault.Is(err, fault.StaleEpoch) {
 		s.endTerm("another process may lead", err)
 		return
@@ -184,9 +198,10 @@
 		s.log.Warn("worker not reached", "worker", m.worker.Info().ID, "runs", len(m.worker.Runs()), "error", err)
 	}
 	m.unreachable = true
+	m.failedSyncs++
 	m.worker.MarkUnreached()
 	switch {
-	case fault.Is(err, fault.NotFound):
+	case fault.Is(err, fault.NotFound) && (m.knownAddress == "" || address == m.knownAddress):
 		m.replaced = true
 		s.dropRuns(m, workflow.Lost)
 	case m.worker.LeaseExpired(time.Now()):
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -180,7 +180,9 @@
 		} else {
 			m.cordonedRevision = 0
 		}
-		record = append(record, port.WorkerRecord{WorkerInfo: m.worker.Info(), Cordoned: cordoned, CordonedAt: m.cordonedRevision})
+		info := m.worker.Info()
+		info.Address = m.target().Address
+		record = append(record, port.WorkerRecord{WorkerInfo: info, Cordoned: cordoned, CordonedAt: m.cordonedRevision})
 	}
 	s.recordOutdated = changed
 	return record, changed
