Call an entry that has never answered less and less often

Cause: a leader called an entry of the worker list at which nothing answers every 50 ms without end; each call is a new connection. Evidence: TestCallsToOddEntry before: 79 connections in 4 s to one address.

Change: the delay doubles up to 3 s until the entry has answered for the first time. Workers that have answered, or that the predecessor recorded, are called as soon as before.

Test: TestCallsToOddEntry, at most 12 connections in 4 s.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -19,6 +19,8 @@
 	// Syncs with a worker that did not respond are retried soon, because an unresponsive worker delays other work.
 	retrySyncTimeout = 250 * time.Millisecond
 	retrySyncDelay   = 50 * time.Millisecond
+	// maxFirstSyncDelay is the longest delay between calls to an entry that has never answered. It may be no worker.
+	maxFirstSyncDelay = 3 * time.Second
 	// speculateAfter is how long a reply is overdue before copies of the worker's runs may start elsewhere, if their
 	// steps allow it.
 	speculateAfter = 300 * time.Millisecond
@@ -101,7 +103,7 @@
 func (s *Scheduler) monitor(ctx context.Context, m *workerMonitor) {
 	for ctx.Err() == nil {
 		if err := s.sync(ctx, m, s.syncWait(time.Now())); err != nil {
-			pause.For(ctx, retrySyncDelay)
+			pause.For(ctx, s.syncRetryDelay(m))
 			continue
 		}
 		if !s.renewalOverdue(time.Now()) {
@@ -110,6 +112,22 @@
 	}
 }
 
+// syncRetryDelay returns the delay after a failed sync. It grows while the worker has never answered.
+func (s *Scheduler) syncRetryDelay(m *workerMonitor) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay := retrySyncDelay
+	if m.knownAddress != "" {
+		return delay
+	}
+	for range m.failedSyncs - 1 {
+		if delay = 2 * delay; delay >= maxFirstSyncDelay {
+			return maxFirstSyncDelay
+		}
+	}
+	return delay
+}
+
 // sync sends one sync request to a worker and applies the reply.
 func (s *Scheduler) sync(ctx context.Context, m *workerMonitor, wait time.Duration) error {
 	s.mu.Lock()
