Record the known address of a worker that does not answer

Cause: the record of workers took the address that the next call goes to. For a worker that does not answer, that is by turns the known address and the one in the worker list, which another writer may have replaced; the next leader takes an answer of another worker at the recorded address for the end of its runs. Found by reading.

Change: the record has the address at which the worker last answered, if there is one.

Result: TestOddEntryAtTakeover, TestEntryWithAnotherAddress and TestCallsToOddEntry pass (one run each).

Conclusion: no test meets the case by itself, as it needs the record to be written between two failed calls.

--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -181,7 +182,7 @@
 			m.cordonedRevision = 0
 		}
 		info := m.worker.Info()
-		info.Address = m.target().Address
+		info.Address = cmp.Or(m.knownAddress, info.Address)
 		record = append(record, port.WorkerRecord{WorkerInfo: info, Cordoned: cordoned, CordonedAt: m.cordonedRevision})
 	}
 	s.recordOutdated = changed
