Take no run for vanished while a worker may have more ends than it lists

Cause: a worker lists 500 ends at a time. While the store is away none is acknowledged, so the ends behind the first 500 stay hidden, and the leader took their runs, listed neither as running nor as ended, for vanished. A new leader took such a worker for one whose runs it knows.

Change: a reply with 500 ends is marked as one that may have more. No run is released for being absent from it, and it does not make the worker's runs known to a new leader.

--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -31,9 +31,14 @@
 		default: // already signaled
 		}
 	}
-	m.worker.MarkSynced()
+	if !reply.MoreEnds {
+		m.worker.MarkSynced()
+	}
 	s.applyEnds(m, reply.Ended)
-	s.applyRunning(m, reply.Running, sentAt, now)
+	s.applyRunning(m, reply.Running, now)
+	if !reply.MoreEnds {
+		s.releaseVanished(m, reply.Running, sentAt)
+	}
 	for _, throttle := range m.worker.Throttles(now) {
 		s.goTask(func() { s.throttleRun(m, throttle) })
 	}
@@ -133,13 +138,9 @@
 	return e, e.version
 }
 
-// applyRunning applies the list of running runs from a reply to a sync that was sent at sentAt. Runs that are missing
-// from it although the worker acknowledged their start or stop before sentAt are released and end as stopped, or as lost if
-// the worker has restarted meanwhile. The lock is held.
-func (s *Scheduler) applyRunning(m *workerMonitor, running []port.RunningRun, sentAt, now time.Time) {
-	reported := map[workflow.RunRef]bool{}
+// applyRunning applies the list of running runs from a reply. The lock is held.
+func (s *Scheduler) applyRunning(m *workerMonitor, running []port.RunningRun, now time.Time) {
 	for _, r := range running {
-		reported[r.RunRef] = true
 		e := s.jobs[r.Task.Job]
 		if e != nil {
 			e.workflow.MarkStarted()
@@ -156,6 +157,16 @@
 	}
 	s.acquitRuns(m)
 	s.stopStalled(m, now)
+}
+
+// releaseVanished releases the runs that are missing from a reply to a sync that was sent at sentAt, although the worker had
+// acknowledged their start or stop by then. They end as stopped, or as lost if the worker has restarted meanwhile. It must not be
+// called for a reply that does not list all ends: a run that is missing there may have ended as done. The lock is held.
+func (s *Scheduler) releaseVanished(m *workerMonitor, running []port.RunningRun, sentAt time.Time) {
+	reported := map[workflow.RunRef]bool{}
+	for _, r := range running {
+		reported[r.RunRef] = true
+	}
 	var lost []*pool.Run
 	for _, run := range m.worker.Runs() {
 		acked := !run.StopAcked.IsZero() && run.StopAcked.Before(sentAt) || !run.Started.IsZero() && run.Started.Before(sentAt)
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -78,7 +78,7 @@
 	s, now, run := newLeader(t), time.Now(), firstRun(0)
 	monitor := s.monitors["w1"]
 	s.mu.Lock()
-	s.applyRunning(monitor, []port.RunningRun{{RunRef: run}}, now, now)
+	s.applyRunning(monitor, []port.RunningRun{{RunRef: run}}, now)
 	s.mu.Unlock()
 	acceptTestJob(s, workflow.Step{Count: 1})
 	if launches, _ := s.place(time.Now()); len(launches) > 0 {
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -104,6 +104,7 @@
 	Incarnation int64         // start time of the worker in Unix milliseconds; changes when it restarts
 	Running     []RunningRun
 	Ended       []EndedRun
+	MoreEnds    bool // further runs may have ended; they are listed once the first ones are acknowledged
 }
 
 // RunClient sends requests to workers. The following errors mean that the request had no effect: StaleEpoch (the worker has
