Decode a tombstone to its id only, and accept none from a peer

Cause: a record of a job without steps is a tombstone, but its other fields, e.g. the number of occurrences, were kept without a check, and a call of a peer with such a job was passed on, where it was refused before tombstones existed. Found by reading.

Change: the decoder keeps the id; calls with a job without steps are refused as invalid again.

Conclusion: only the leader makes tombstones.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if job.Tombstone {
+		return nil, fault.New(fault.Invalid, "job %q has no steps", job.Spec.ID)
+	}
 	return &cellpb.Reply{}, do(job)
 }
 
--- a/internal/adapter/cellwire/fuzz_test.go
+++ b/internal/adapter/cellwire/fuzz_test.go
@@ -1,6 +1,7 @@
 package cellwire_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 func FuzzJobRecord(f *testing.F) {
 	codec := cellwire.RecordCodec{}
 	f.Add(codec.EncodeJob(port.AcceptedJob{Spec: fuzzSpec(), AcceptedAt: time.UnixMilli(1)}))
+	f.Add(codec.EncodeJob(port.AcceptedJob{Spec: workflow.Spec{ID: "j", Occurrences: math.MaxInt32}}))
 	f.Add([]byte{})
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		job, err := codec.DecodeJob(raw)
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -84,6 +84,11 @@
 }
 
 func decodeJob(m *cellpb.Job) (port.AcceptedJob, error) {
+	acceptedAt := time.UnixMilli(m.GetAcceptedAtMs())
+	if len(m.GetSteps()) == 0 {
+		tombstone := port.NewTombstone(workflow.ID(m.GetId()), acceptedAt)
+		return tombstone, tombstone.Spec.ID.Validate()
+	}
 	spec := workflow.Spec{
 		ID: workflow.ID(m.GetId()), Queue: m.GetQueue().GetName(), Payload: m.GetPayload(),
 		Occurrences: int(m.GetOccurrences()), Period: millis(m.GetPeriodMs()),
@@ -94,11 +99,7 @@
 	for _, step := range m.GetSteps() {
 		spec.Steps = append(spec.Steps, decodeStep(step))
 	}
-	job := port.AcceptedJob{Spec: spec, Queue: decodeQueue(m.GetQueue()), AcceptedAt: time.UnixMilli(m.GetAcceptedAtMs())}
-	if len(spec.Steps) == 0 {
-		job.Tombstone = true
-		return job, spec.ID.Validate()
-	}
+	job := port.AcceptedJob{Spec: spec, Queue: decodeQueue(m.GetQueue()), AcceptedAt: acceptedAt}
 	return job, spec.Validate()
 }
 
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -16,6 +16,7 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
@@ -108,3 +109,14 @@
 	cancel()
 	<-followed
 }
+
+// TestNoTombstoneInCall guards against a malformed call of a peer that cancels a job: only the leader makes tombstones.
+func TestNoTombstoneInCall(t *testing.T) {
+	_, err := withJob(&cellpb.Job{Id: "j"}, func(port.AcceptedJob) error {
+		t.Error("a job without steps is passed on")
+		return nil
+	})
+	if !fault.Is(err, fault.Invalid) {
+		t.Errorf("error %v, want Invalid", err)
+	}
+}
