Archive finished jobs, and keep each page that a new leader reads

A new leader read all jobs and all progress, also of jobs that had finished within 120 s, within one limit of 3 s, and each try began again from the first page. On a link of 10 Mbit/s it never ended with some 2,000 jobs, and the leader kept the lead. Ruled out: a slow store, late renewals.

Change: pages are read one by one and kept (ListPage, reading.go). 10 s after a job has finished, done/ID replaces its two records (archive.go); a new leader reads done/ beside its work, and until then takes jobs only from the store. Creation is conditional on both keys. A leader that gets no page for 4.5 s while its lease is renewed gives way, does not take the key for 1.5 s and offers no succession for 30 s. Reading after a compaction keeps its pages too. Expired jobs are deleted until none is left: one transaction of 15 jobs in 5 s let the store grow for good.

Conclusion: the start of a leader no longer grows with what is kept for queries of states.

--- a/internal/adapter/cellwire/fuzz_test.go
+++ b/internal/adapter/cellwire/fuzz_test.go
@@ -59,7 +59,9 @@
 	codec := cellwire.RecordCodec{}
 	f.Add(codec.EncodeLeader(port.Leader{Process: "a", Term: 3}))
 	f.Add(codec.EncodeWorkers([]port.WorkerRecord{{Cordoned: true, CordonedAt: ident.Revision(4)}}))
+	f.Add(codec.EncodeFinished(port.FinishedJob{Queue: "q", State: workflow.FailedState}))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = codec.DecodeFinished(raw)
 		_, _ = codec.DecodeLeader(raw)
 		_, _ = codec.DecodeWorkers(raw, 7)
 	})
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -196,6 +196,23 @@
 	return runs
 }
 
+// EncodeFinished returns the record of a finished job.
+func (RecordCodec) EncodeFinished(job port.FinishedJob) []byte {
+	return marshal(&cellpb.FinishedJob{Queue: job.Queue, State: uint32(job.State)})
+}
+
+// DecodeFinished is the inverse of EncodeFinished. It fails with Invalid, also if the state is not final.
+func (RecordCodec) DecodeFinished(raw []byte) (port.FinishedJob, error) {
+	m := &cellpb.FinishedJob{}
+	if err := unmarshal(raw, m, "a finished job"); err != nil {
+		return port.FinishedJob{}, err
+	}
+	if m.GetState() > uint32(workflow.Cancelled) || !workflow.State(m.GetState()).Final() {
+		return port.FinishedJob{}, fault.New(fault.Invalid, "record of a finished job: state %d", m.GetState())
+	}
+	return port.FinishedJob{Queue: m.GetQueue(), State: workflow.State(m.GetState())}, nil
+}
+
 // EncodeLeader returns the record of the leader.
 func (RecordCodec) EncodeLeader(l port.Leader) []byte {
 	return marshal(encodeLeader(l))
--- a/internal/adapter/cellwire/records_test.go
+++ b/internal/adapter/cellwire/records_test.go
@@ -90,3 +90,15 @@
 		t.Error("a malformed leader record is decoded without an error")
 	}
 }
+
+// TestFinishedRecord guards against the result of a job that is lost once the job is archived.
+func TestFinishedRecord(t *testing.T) {
+	codec := cellwire.RecordCodec{}
+	want := port.FinishedJob{Queue: "q", State: workflow.FailedState}
+	if got, err := codec.DecodeFinished(codec.EncodeFinished(want)); err != nil || got != want {
+		t.Errorf("decoded %v, error %v; want %v", got, err, want)
+	}
+	if _, err := codec.DecodeFinished(codec.EncodeFinished(port.FinishedJob{Queue: "q", State: workflow.Running})); err == nil {
+		t.Error("the state running is accepted as final")
+	}
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	stored, err := port.CreateJob(ctx, g.store, g.codec, job)
-	if err == nil && stored.Tombstone {
+	if err == nil && stored.Finished == nil && stored.Tombstone {
 		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
 	}
 	return err
@@ -173,6 +173,9 @@
 	storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entry, err := g.store.Get(storeCtx, port.JobPrefix+string(id))
+	if fault.Is(err, fault.NotFound) {
+		return g.finishedState(storeCtx, queue, id)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -188,7 +191,11 @@
 	}
 	entry, err = g.store.Get(storeCtx, port.ProgressPrefix+string(id))
 	if fault.Is(err, fault.NotFound) {
-		return workflow.Pending, nil
+		state, err := g.finishedState(storeCtx, queue, id) // the job may have been archived since its record was read
+		if fault.Is(err, fault.NotFound) {
+			return workflow.Pending, nil
+		}
+		return state, err
 	}
 	if err != nil {
 		return 0, err
@@ -197,6 +204,19 @@
 	return progress.State, err
 }
 
+// finishedState reads the state of an archived job from the store. It fails with NotFound if the queue has no such job.
+func (g *Gateway) finishedState(ctx context.Context, queue route.Queue, id workflow.ID) (workflow.State, error) {
+	entry, err := g.store.Get(ctx, port.FinishedPrefix+string(id))
+	if err != nil {
+		return 0, err
+	}
+	job, err := g.codec.DecodeFinished(entry.Value)
+	if err == nil && job.Queue != queue.Name {
+		err = fault.New(fault.NotFound, "job %s not found in queue %s", id, queue.Name)
+	}
+	return job.State, err
+}
+
 // Cancel returns when the cancellation is stored. It retries while there is no leader.
 func (g *Gateway) Cancel(ctx context.Context, queue route.Queue, id workflow.ID) error {
 	for {
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -27,6 +27,8 @@
 	// watchWait is how long one watch call waits for a change of the leader key.
 	watchWait     = 3 * time.Second
 	retryInterval = 150 * time.Millisecond
+	// giveWayDelay is how long a leader that gave way leaves the key to others. It exceeds their election delays.
+	giveWayDelay = 1500 * time.Millisecond
 )
 
 // MaxRenewalGap is how long a leader continues to send requests to workers without a confirmed lease renewal. Store
@@ -62,9 +64,9 @@
 // sent, because the process may have been paused since the last decision.
 func (r *Renewal) InForce(now time.Time) bool { return r.Within(MaxRenewalGap, now) }
 
-// LeadFunc runs the leader's work. It returns when the context ends, or when it finds that the process is no longer the
-// leader.
-type LeadFunc func(ctx context.Context, term Term)
+// LeadFunc runs the leader's work. It returns when the context ends, when it finds that the process is no longer the
+// leader, or to give way to a process that may be able to do the work when this one is not.
+type LeadFunc func(ctx context.Context, term Term) (giveWay bool)
 
 // Election takes part in the election on behalf of one process.
 type Election struct {
@@ -76,6 +78,7 @@
 	log        *slog.Logger
 	resigned   chan struct{}
 	resignOnce sync.Once
+	gaveWayAt  time.Time // when this process last gave way; zero if it never did
 }
 
 // New returns an Election that starts with Run. Before it takes a vacant leader key it waits for the election delay of
@@ -133,12 +136,13 @@
 	}
 }
 
-// isStillVacant waits for the election delay and reports whether no other process took the key in that time.
+// isStillVacant waits for the election delay, or longer if this process gave way, and reports whether no other process took the key in that time.
 func (e *Election) isStillVacant(ctx context.Context, s leaderState) bool {
-	if e.self.ElectionDelay <= 0 {
+	delay := max(e.self.ElectionDelay, giveWayDelay-time.Since(e.gaveWayAt))
+	if delay <= 0 {
 		return ctx.Err() == nil
 	}
-	if !pause.For(ctx, e.self.ElectionDelay) {
+	if !pause.For(ctx, delay) {
 		return false
 	}
 	current, err := e.readLeader(ctx)
@@ -276,7 +280,10 @@
 	go func() {
 		defer close(leadEnded)
 		defer cancel()
-		e.lead(leadCtx, term)
+		if e.lead(leadCtx, term) {
+			e.gaveWayAt = time.Now()
+			e.log.Warn("gives way to other processes", "term", term.Number)
+		}
 	}()
 	if e.self.ElectionDelay > 0 {
 		go func() {
--- a/internal/app/leadership/succession.go
+++ b/internal/app/leadership/succession.go
@@ -18,6 +18,8 @@
 	offerTTL = 2 * time.Second
 	// offerInterval is the interval at which an offer is repeated while the leader stays.
 	offerInterval = 5 * time.Second
+	// unableTime is how long a process that gave way does not offer to lead.
+	unableTime = 30 * time.Second
 )
 
 // offerToSucceed offers to lead in place of a process with a longer election delay, until the context ends. The offer of
@@ -27,6 +29,9 @@
 		return
 	}
 	for wait := offerDelay; pause.For(ctx, wait); wait = offerInterval {
+		if time.Since(e.gaveWayAt) < unableTime {
+			continue
+		}
 		if err := e.offerOnce(ctx); err != nil && !fault.Is(err, fault.Conflict) {
 			e.log.Info("succession not offered", "leader", leader.Process, "error", err)
 		}
--- a/internal/app/leadership/succession_test.go
+++ b/internal/app/leadership/succession_test.go
@@ -88,7 +88,7 @@
 		var wg sync.WaitGroup
 		start := func(id ident.ProcessID, incarnation uint64, delay time.Duration) {
 			self := port.Leader{Process: id, Incarnation: incarnation, ElectionDelay: delay}
-			lead := func(ctx context.Context, _ leadership.Term) {
+			lead := func(ctx context.Context, _ leadership.Term) bool {
 				mu.Lock()
 				leading, terms = append(leading, id), append(terms, id)
 				if len(leading) > 1 {
@@ -99,6 +99,7 @@
 				mu.Lock()
 				leading = nil
 				mu.Unlock()
+				return false
 			}
 			e := leadership.New(self, store, cellwire.RecordCodec{}, &fakeFollower{}, lead, slog.New(slog.DiscardHandler))
 			wg.Go(func() { e.Run(ctx) })
@@ -123,3 +124,40 @@
 		wg.Wait()
 	})
 }
+
+// TestLeaderGivesWay guards against a leader that cannot do its work and takes the key again at once, before a process with a
+// longer election delay can.
+func TestLeaderGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &keyStore{entries: map[string]port.Entry{}}
+		var mu sync.Mutex
+		var terms []ident.ProcessID
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		start := func(id ident.ProcessID, incarnation uint64, delay time.Duration, able bool) {
+			self := port.Leader{Process: id, Incarnation: incarnation, ElectionDelay: delay}
+			lead := func(ctx context.Context, _ leadership.Term) bool {
+				mu.Lock()
+				terms = append(terms, id)
+				mu.Unlock()
+				if able {
+					<-ctx.Done()
+				}
+				return !able
+			}
+			e := leadership.New(self, store, cellwire.RecordCodec{}, &fakeFollower{}, lead, slog.New(slog.DiscardHandler))
+			wg.Go(func() { e.Run(ctx) })
+		}
+		start("unable", 1, 0, false)
+		time.Sleep(time.Second)
+		start("able", 2, 400*time.Millisecond, true)
+		time.Sleep(5 * time.Second)
+		mu.Lock()
+		if n := len(terms); n == 0 || n > 3 || terms[n-1] != "able" {
+			t.Errorf("terms of %v; want able to lead once unable has given way", terms)
+		}
+		mu.Unlock()
+		cancel()
+		wg.Wait()
+	})
+}
--- /dev/null
+++ b/internal/app/scheduler/archive_test.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
+)
+
+// finishedEntry adds a job whose final state was recorded at the given time. Of the job "running", a task still runs.
+func finishedEntry(s *Scheduler, id workflow.ID, at time.Time) *jobEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.addJob(port.AcceptedJob{Spec: workflow.Spec{ID: id, Steps: []workflow.Step{{Count: 1}}}})
+	if id == "running" {
+		run := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: id}}, Run: 1}
+		e.workflow.Start(workflow.Placement{RunRef: run, Worker: "w1"})
+	}
+	e.workflow.Cancel()
+	e.revision, e.storedState, e.finished, e.queue.Name = 7, workflow.Cancelled, at, "q"
+	delete(s.openJobs, id)
+	return e
+}
+
+type finishedCodec struct{ port.RecordCodec }
+
+func (finishedCodec) EncodeFinished(job port.FinishedJob) []byte { return []byte(job.Queue) }
+
+func (finishedCodec) DecodeFinished(raw []byte) (port.FinishedJob, error) {
+	return port.FinishedJob{Queue: string(raw), State: workflow.Completed}, nil
+}
+
+// TestOnlySettledJobsAreArchived guards against a job whose record is deleted although writes of its progress are on their way
+// or something of it runs, and against transactions that the store refuses for their size.
+func TestOnlySettledJobsAreArchived(t *testing.T) {
+	s := newLeader(t)
+	s.ports.RecordCodec = finishedCodec{}
+	now := time.Now()
+	old := now.Add(-archiveDelay)
+	finishedEntry(s, "early", now.Add(-archiveDelay/2))
+	finishedEntry(s, "committing", old).committing = true
+	finishedEntry(s, "changed", old).version = 1
+	finishedEntry(s, "running", old)
+	if entries, _ := s.nextArchive(now); len(entries) > 0 {
+		t.Errorf("job %s is archived", entries[0].workflow.Spec().ID)
+	}
+	for i := range 3 * jobsPerArchive {
+		finishedEntry(s, workflow.ID(rune('A'+i)), old)
+	}
+	entries, txn := s.nextArchive(now)
+	if ops := len(txn.If) + len(txn.Writes) + len(txn.Deletes); len(entries) != jobsPerArchive || ops > port.MaxTxnOps {
+		t.Errorf("%d jobs are archived by %d operations, want %d by at most %d", len(entries), ops, jobsPerArchive, port.MaxTxnOps)
+	}
+}
+
+// TestArchiveWithoutResponse guards against a job that is never archived, or is forgotten, because the response to an earlier
+// attempt was lost.
+func TestArchiveWithoutResponse(t *testing.T) {
+	s := newLeader(t)
+	s.ports.RecordCodec, s.term.Revision = finishedCodec{}, 3
+	gone, changed := finishedEntry(s, "gone", time.Time{}), finishedEntry(s, "changed", time.Time{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resolveArchive([]*jobEntry{gone, changed}, []port.Entry{
+		{Key: port.LeaderKey, Revision: s.term.Revision}, {Key: port.ProgressPrefix + "changed", Revision: 9},
+	})
+	if job, ok := s.finished["gone"]; !ok || job.State != workflow.Cancelled || s.jobs["gone"] != nil {
+		t.Error("the job of which the earlier attempt took effect is not archived")
+	}
+	if s.jobs["changed"] == nil || changed.revision != 9 || s.ctx.Err() != nil {
+		t.Error("the job with another revision is not tried again with it")
+	}
+	s.resolveArchive([]*jobEntry{changed}, nil)
+	if s.ctx.Err() == nil {
+		t.Error("the term goes on although another process leads")
+	}
+}
+
+// pagedStore lists keys one a page. The first calls for the second page fail, each after a while.
+type pagedStore struct {
+	port.TxnStore
+	failures int
+	calls    int
+}
+
+func (p *pagedStore) ListPage(ctx context.Context, prefix, after string) (port.Page, error) {
+	p.calls++
+	if after == "" {
+		return port.Page{Entries: []port.Entry{{Key: prefix + "a", Value: []byte("q")}}, AsOf: 5, More: true}, nil
+	}
+	if p.failures > 0 {
+		p.failures--
+		<-ctx.Done()
+		return port.Page{}, fault.WrapAs(fault.Interrupted, ctx.Err(), "page not read")
+	}
+	return port.Page{Entries: []port.Entry{{Key: prefix + "b", Value: []byte("q")}}, AsOf: 8}, nil
+}
+
+// TestPagesAreKept guards against a reading of the store that begins again from the first page after each failure, which a slow
+// link never completes.
+func TestPagesAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLeader(t)
+		store := &pagedStore{failures: 3}
+		s.ports.Store, s.ports.RecordCodec = store, finishedCodec{}
+		s.readHistory(s.ctx)
+		if store.calls != 5 || len(s.finished) != 2 || !s.historyRead {
+			t.Errorf("%d pages asked for, %d jobs, complete: %v; want 5 and 2, complete", store.calls, len(s.finished), s.historyRead)
+		}
+		var keys []string
+		asOf, err := pageReader{s: s, prefix: "x/"}.readAll(s.ctx, func(page []port.Entry) { keys = append(keys, page[0].Key) })
+		if err != nil || asOf != 5 || strings.Join(keys, " ") != "x/a x/b" {
+			t.Errorf("read %v as of %d, error %v; want both keys as of the first page", keys, asOf, err)
+		}
+	})
+}
+
+// TestStalledLeaderGivesWay guards against a leader that keeps the lead although the store serves it no page, and against one that
+// gives way while the store serves nobody.
+func TestStalledLeaderGivesWay(t *testing.T) {
+	for _, renewed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newLeader(t)
+			s.ports.Store = &pagedStore{failures: 1000}
+			s.term.Renewal = &leadership.Renewal{}
+			ctx, cancel := context.WithTimeout(s.ctx, time.Minute)
+			defer cancel()
+			go func() {
+				for renewed && pause.For(ctx, 400*time.Millisecond) {
+					s.term.Renewal.Mark(time.Now())
+				}
+			}()
+			began := time.Now()
+			_, err := pageReader{s: s, prefix: port.JobPrefix, givesWay: true}.readAll(ctx, func([]port.Entry) {})
+			took := time.Since(began)
+			if renewed && (took > 10*time.Second || err == nil) || !renewed && took < time.Minute {
+				t.Errorf("lease renewed: %v; reading ended after %v, error %v", renewed, took, err)
+			}
+			cancel()
+		})
+	}
+}
+
+// TestLateAnnouncement guards against a job that runs again because its announcement arrives after another leader has finished
+// it, and before this leader has read the archive.
+func TestLateAnnouncement(t *testing.T) {
+	s := newLeader(t)
+	job := port.AcceptedJob{Spec: workflow.Spec{ID: "j", Steps: []workflow.Step{{Count: 1}}}}
+	_ = s.Notify(t.Context(), job) // never fails
+	if s.jobs["j"] != nil {
+		t.Error("a job is taken in before the archive has been read")
+	}
+	s.mu.Lock()
+	s.finished["j"], s.historyRead = finishedJob{}, true
+	s.mu.Unlock()
+	_ = s.Notify(t.Context(), job)
+	if s.jobs["j"] != nil {
+		t.Error("an archived job is taken in")
+	}
+	job.Spec.ID = "new"
+	_ = s.Notify(t.Context(), job)
+	if s.jobs["new"] == nil {
+		t.Error("a new job is not taken in")
+	}
+}
--- a/internal/app/scheduler/cancel.go
+++ b/internal/app/scheduler/cancel.go
@@ -10,14 +10,14 @@
 )
 
 // Cancel implements port.Scheduler. A write that would store the job may still be on its way, so NotFound is returned only after a
-// tombstone has taken its place.
+// tombstone has taken its place. A job that has finished remains as it is.
 func (s *Scheduler) Cancel(ctx context.Context, queue string, id workflow.ID) error {
 	defer s.guardCall()
 	e, err := s.lookUpJob(ctx, queue, id)
 	if fault.Is(err, fault.NotFound) && id.Validate() == nil {
 		e, err = s.preventJob(ctx, queue, id)
 	}
-	if err != nil {
+	if e == nil || err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -31,10 +31,11 @@
 	return s.awaitStored(ctx, e, version)
 }
 
-// lookUpJob returns a job. It reads the store for a job that is not known yet.
+// lookUpJob returns a job, or nil if the job is archived. It reads the store for a job that is not known yet.
 func (s *Scheduler) lookUpJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
 	s.mu.Lock()
 	ready, e := s.ready, s.findJob(queue, id)
+	finished, isFinished := s.finished[id]
 	s.mu.Unlock()
 	if !ready {
 		return nil, s.errNotReady()
@@ -42,6 +43,9 @@
 	if e != nil {
 		return e, nil
 	}
+	if isFinished {
+		return nil, checkQueue(queue, id, finished.FinishedJob)
+	}
 	item, err := s.ports.Store.Get(ctx, port.JobPrefix+string(id))
 	if err != nil {
 		return nil, err
@@ -53,6 +57,14 @@
 	return s.acceptStored(queue, port.StoredJob{AcceptedJob: job, Revision: item.Revision})
 }
 
+// checkQueue fails with NotFound if a finished job belongs to another queue.
+func checkQueue(queue string, id workflow.ID, job port.FinishedJob) error {
+	if job.Queue != queue {
+		return fault.New(fault.NotFound, "job %s belongs to another queue", id)
+	}
+	return nil
+}
+
 // acceptStored takes in a job of the store and returns it. It fails with NotFound if it is a tombstone or belongs to another
 // queue.
 func (s *Scheduler) acceptStored(queue string, job port.StoredJob) (*jobEntry, error) {
@@ -66,7 +78,7 @@
 }
 
 // preventJob stores a tombstone, so that the job is not stored later. It fails with NotFound once that is certain, and returns the job if
-// it was stored meanwhile.
+// it was stored meanwhile, or nil if it is archived.
 func (s *Scheduler) preventJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
 	if s.hasTombstone(id) {
 		return nil, fault.New(fault.NotFound, "job %s was cancelled before", id)
@@ -75,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if stored.Finished != nil {
+		return nil, checkQueue(queue, id, *stored.Finished)
+	}
 	s.log.Info("unknown job cancelled", "job", id, "queue", queue, "stored_meanwhile", !stored.Tombstone)
 	return s.acceptStored(queue, stored)
 }
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -38,16 +38,13 @@
 	}
 }
 
-// readJobs reads all jobs after the store has compacted its history, and returns the revision to watch from.
+// readJobs reads the jobs that are not archived after the store has compacted its history, and returns the revision to watch
+// from.
 func (s *Scheduler) readJobs(ctx context.Context, after ident.Revision) ident.Revision {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	items, asOf, err := s.ports.Store.List(ctx, port.JobPrefix)
+	asOf, err := pageReader{s: s, prefix: port.JobPrefix}.readAll(ctx, s.acceptJobs)
 	if err != nil {
-		s.log.Warn("jobs not read", "error", err)
-		return after
+		return after // the term has ended
 	}
-	s.acceptJobs(items)
 	return asOf
 }
 
@@ -67,12 +64,13 @@
 	}
 }
 
-// Notify implements port.Scheduler.
+// Notify implements port.Scheduler. Until the archive has been read, the job may be one that finished long ago and is announced
+// late. The leader then waits until it reads the job from the store.
 func (s *Scheduler) Notify(_ context.Context, job port.AcceptedJob) error {
 	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ready {
+	if s.ready && s.historyRead {
 		s.acceptJob(job, 0)
 	}
 	return nil
@@ -80,14 +78,23 @@
 
 // StoreJob implements port.Scheduler.
 func (s *Scheduler) StoreJob(ctx context.Context, job port.AcceptedJob) error {
+	defer s.guardCall()
 	stored, err := port.CreateJob(ctx, s.ports.Store, s.ports.RecordCodec, job)
 	if err != nil {
 		return err
 	}
+	if stored.Finished != nil {
+		return nil
+	}
 	if stored.Tombstone {
 		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
 	}
-	return s.Notify(ctx, stored.AcceptedJob)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ready {
+		s.acceptJob(stored.AcceptedJob, stored.Revision)
+	}
+	return nil
 }
 
 // findJob returns a job of a queue, or nil if it is not known. The lock is held.
@@ -114,6 +121,9 @@
 	}
 	e := s.findJob(queue, id)
 	if e == nil {
+		if job, ok := s.finished[id]; ok && job.Queue == queue {
+			return job.State, nil
+		}
 		return 0, fault.New(fault.NotFound, "job %s is not known", id)
 	}
 	if state := e.workflow.State(); !state.Final() || e.storedState.Final() {
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -12,49 +12,20 @@
 	"skylarkstall/internal/port"
 )
 
-// Parameters of reading the store.
-const (
-	readTimeout = 1500 * time.Millisecond
-	retryDelay  = 100 * time.Millisecond
-)
-
 // load reads the state that earlier terms recorded, and returns the revision to watch from. It returns false when the
-// term ends first.
+// term ends first, or when this process should give way to others.
 func (s *Scheduler) load(ctx context.Context) (ident.Revision, bool) {
-	for ctx.Err() == nil {
-		asOf, err := s.loadOnce(ctx)
-		if err == nil {
-			return asOf, true
-		}
-		s.log.Warn("store not read at the start of the term", "error", err)
-		pause.For(ctx, retryDelay)
-	}
-	return 0, false
-}
-
-func (s *Scheduler) loadOnce(ctx context.Context) (ident.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
-	defer cancel()
 	workers, err := s.readWorkersRecord(ctx)
 	if err != nil {
-		return 0, err
-	}
-	jobs, asOf, err := s.ports.Store.List(ctx, port.JobPrefix)
-	if err != nil {
-		return 0, err
+		return 0, false
 	}
-	progress, _, err := s.ports.Store.List(ctx, port.ProgressPrefix)
+	asOf, err := s.readOpenJobs(ctx)
 	if err != nil {
-		return 0, err
+		s.log.Warn("store not read at the start of the term", "error", err)
+		return 0, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, item := range jobs {
-		s.restoreJob(item)
-	}
-	for _, item := range progress {
-		s.restoreProgress(item)
-	}
 	for _, w := range workers {
 		s.unsynced[w.ID] = w
 		s.predecessor.workers = append(s.predecessor.workers, w.ID)
@@ -64,21 +35,49 @@
 		s.recorded[w.ID] = !w.Cordoned
 	}
 	s.ready = true
-	s.log.Info("store read", "jobs", len(s.jobs), "open", len(s.openJobs), "workers", len(workers), "as_of", asOf)
-	return asOf, nil
+	s.log.Info("store read", "jobs", len(s.jobs), "open", len(s.openJobs), "workers", len(workers), "as_of", asOf,
+		"took_ms", time.Since(s.startedAt).Milliseconds())
+	return asOf, true
 }
 
-// readWorkersRecord returns the workers to which the previous leader may have sent requests.
-func (s *Scheduler) readWorkersRecord(ctx context.Context) ([]port.WorkerRecord, error) {
-	record, err := s.ports.Store.Get(ctx, port.WorkersKey)
-	if fault.Is(err, fault.NotFound) {
-		return nil, nil
+// readOpenJobs reads the jobs that are not archived, and their progress.
+func (s *Scheduler) readOpenJobs(ctx context.Context) (ident.Revision, error) {
+	restore := func(restoreItem func(port.Entry)) func([]port.Entry) {
+		return func(page []port.Entry) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, item := range page {
+				restoreItem(item)
+			}
+		}
 	}
+	asOf, err := pageReader{s: s, prefix: port.JobPrefix, givesWay: true}.readAll(ctx, restore(s.restoreJob))
 	if err != nil {
-		return nil, err
+		return 0, err
+	}
+	_, err = pageReader{s: s, prefix: port.ProgressPrefix, givesWay: true}.readAll(ctx, restore(s.restoreProgress))
+	return asOf, err
+}
+
+// readWorkersRecord returns the workers to which the previous leader may have sent requests. It fails when the term ends.
+func (s *Scheduler) readWorkersRecord(ctx context.Context) ([]port.WorkerRecord, error) {
+	for {
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		record, err := s.ports.Store.Get(readCtx, port.WorkersKey)
+		cancel()
+		if fault.Is(err, fault.NotFound) {
+			return nil, nil
+		}
+		if err == nil {
+			s.workersRevision = record.Revision
+			return s.ports.RecordCodec.DecodeWorkers(record.Value, record.Revision)
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		s.log.Warn("record of workers not read", "error", err)
+		pause.For(ctx, retryDelay)
 	}
-	s.workersRevision = record.Revision
-	return s.ports.RecordCodec.DecodeWorkers(record.Value, record.Revision)
 }
 
 func (s *Scheduler) restoreJob(item port.Entry) {
@@ -164,7 +163,7 @@
 // has been replaced.
 const staleLeaderWindow = 1500 * time.Millisecond
 
-// acceptJob adds a job that was accepted during the term, unless it is already known or was cancelled before it was stored. The
+// acceptJob adds a job that was accepted during the term, unless it is already known, has finished, or was cancelled before it was stored. The
 // revision is that of its record, or 0 if it is not known. The lock is held.
 func (s *Scheduler) acceptJob(job port.AcceptedJob, revision ident.Revision) {
 	id := job.Spec.ID
@@ -177,6 +176,9 @@
 	if _, cancelled := s.tombstones[id]; cancelled {
 		return
 	}
+	if _, finished := s.finished[id]; finished {
+		return
+	}
 	if job.Tombstone {
 		s.tombstones[id] = time.Now()
 		return
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -91,6 +91,9 @@
 		m.worker.Release(end.Run)
 		pending := &pendingEnd{number: end.Number}
 		m.pendingEnds = append(m.pendingEnds, pending)
+		if _, finished := s.finished[end.Run.Task.Job]; finished {
+			continue // no end changes the job any more
+		}
 		if s.jobs[end.Run.Task.Job] == nil {
 			s.holdEnd(m, pending, end.End)
 			continue
@@ -215,7 +218,9 @@
 	worker := m.worker.Info().ID
 	placement := workflow.Placement{RunRef: r.RunRef, Worker: worker}
 	kept := false
+	_, finished := s.finished[r.Task.Job]
 	switch {
+	case e == nil && finished:
 	case e == nil:
 		s.orphans[r.Task.Job] = append(s.orphans[r.Task.Job], orphanRun{m, r.RunRef})
 	case r.Task.Step < len(e.workflow.Spec().Steps):
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -75,9 +75,11 @@
 	mu              sync.Mutex
 	ready           bool // the store has been read
 	jobs            map[workflow.ID]*jobEntry
-	tombstones      map[workflow.ID]time.Time // ids that were cancelled before a job was stored, and when the leader learned of it
-	openJobs        map[workflow.ID]*jobEntry // jobs whose state is not final
-	dirty           map[workflow.ID]*jobEntry // jobs with changed progress that is not being committed
+	tombstones      map[workflow.ID]time.Time   // ids that were cancelled before a job was stored, and when the leader learned of it
+	finished        map[workflow.ID]finishedJob // jobs that are archived
+	historyRead     bool                        // finished holds what earlier terms archived
+	openJobs        map[workflow.ID]*jobEntry   // jobs whose state is not final
+	dirty           map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
 	monitors        map[ident.WorkerID]*workerMonitor
 	authority       authority
 	predecessor     predecessor
@@ -134,7 +136,8 @@
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1),
-		jobs:         map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
+		jobs:         map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
+		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{},
@@ -142,24 +145,28 @@
 	}
 }
 
-// Run runs the scheduler until the context ends or the process finds that it is no longer the leader.
-func (s *Scheduler) Run(ctx context.Context) {
+// Run runs the scheduler until the context ends or the process finds that it is no longer the leader. It reports whether the
+// process should let others lead, because it cannot read the store.
+func (s *Scheduler) Run(ctx context.Context) (giveWay bool) {
 	s.startedAt = time.Now()
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	defer s.cancel()
 	asOf, ok := s.load(s.ctx)
 	if !ok {
-		return
+		return s.ctx.Err() == nil
 	}
 	s.goTask(func() { s.watchJobs(s.ctx, asOf) })
 	s.goTask(func() { s.watchWorkers(s.ctx) })
 	s.goTask(func() { s.runPlacement(s.ctx) })
+	s.goTask(func() { s.readHistory(s.ctx) })
+	s.goTask(func() { s.archiveFinished(s.ctx) })
 	s.goTask(func() { s.deleteFinished(s.ctx) })
 	for range committers {
 		s.goTask(func() { s.commitProgress(s.ctx) })
 	}
 	<-s.ctx.Done()
 	s.wg.Wait()
+	return false
 }
 
 // endTerm ends the term after evidence that another process leads.
--- a/internal/app/storeguard/storeguard.go
+++ b/internal/app/storeguard/storeguard.go
@@ -95,6 +95,13 @@
 	return entries, asOf, err
 }
 
+// ListPage implements port.TxnStore.
+func (b *Breaker) ListPage(ctx context.Context, prefix, after string) (port.Page, error) {
+	page, err := b.store.ListPage(ctx, prefix, after)
+	b.observe(ctx, err)
+	return page, err
+}
+
 // Watch implements port.TxnStore. Its result is not observed: an interrupted watch does not show that the store is
 // unreachable.
 func (b *Breaker) Watch(
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -112,7 +112,7 @@
 
 // leadFunc returns the function that runs the scheduler while this process leads.
 func (n *Node) leadFunc(handler *peerHandler) leadership.LeadFunc {
-	return func(ctx context.Context, term leadership.Term) {
+	return func(ctx context.Context, term leadership.Term) (giveWay bool) {
 		ports := scheduler.Ports{
 			Store: n.store, RecordCodec: cellwire.RecordCodec{}, RunClient: n.platform.RunClient,
 			Workers: n.platform.Workers, PermitClient: n.platform.PermitClient, PeerPermitClients: n.transport,
@@ -121,9 +121,10 @@
 		handler.term.Store(term.Number)
 		n.leader.local.Store(s)
 		handler.local.Store(s)
-		s.Run(ctx)
+		giveWay = s.Run(ctx)
 		handler.local.Store(nil)
 		n.leader.local.Store(nil)
+		return giveWay
 	}
 }
 
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -41,6 +41,13 @@
 	Current  []Entry // with Conflict: the current entries of the keys in the conditions, without absent keys
 }
 
+// Page is a part of the entries below a prefix, in the order of their keys.
+type Page struct {
+	Entries []Entry
+	AsOf    ident.Revision // revision of the store when the page was read
+	More    bool           // further entries follow the last one
+}
+
 // TxnStore is a key-value store with transactions. Calls that fail with Unavailable or Overloaded have no effect. Calls that
 // fail with Interrupted may have taken effect, or may take effect seconds later if their conditions are true then.
 type TxnStore interface {
@@ -48,6 +55,8 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// List returns the entries below prefix, and a revision from which a watch delivers every later change.
 	List(ctx context.Context, prefix string) ([]Entry, ident.Revision, error)
+	// ListPage returns the entries below prefix that follow the key after, as many as the store sends at once.
+	ListPage(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits up to the given time for changes below prefix after the revision. It returns the revision from which to
 	// continue, and fails with Compacted if the history after the given revision has been compacted.
 	Watch(
@@ -175,12 +184,20 @@
 	DiscoverLeader(ctx context.Context) (Leader, bool)
 }
 
+// FinishedJob is what remains of a job some time after it has finished.
+type FinishedJob struct {
+	Queue string // name
+	State workflow.State
+}
+
 // RecordCodec encodes and decodes the records of a cell in the store. Decoding fails with Invalid.
 type RecordCodec interface {
 	EncodeJob(job AcceptedJob) []byte
 	DecodeJob(raw []byte) (AcceptedJob, error)
 	EncodeProgress(p workflow.Progress) []byte
 	DecodeProgress(raw []byte) (workflow.Progress, error)
+	EncodeFinished(job FinishedJob) []byte
+	DecodeFinished(raw []byte) (FinishedJob, error)
 	EncodeLeader(l Leader) []byte
 	DecodeLeader(raw []byte) (Leader, error)
 	EncodeWorkers(workers []WorkerRecord) []byte
@@ -188,34 +205,42 @@
 	DecodeWorkers(raw []byte, revision ident.Revision) ([]WorkerRecord, error)
 }
 
-// CreateJob stores a job if its id is not stored yet. It returns the job that the store holds, which differs if the id was stored
-// before.
+// CreateJob stores a job if its id is not stored yet. It returns what the store holds, which differs from the job if the id was
+// stored before.
 func CreateJob(ctx context.Context, store TxnStore, codec RecordCodec, job AcceptedJob) (StoredJob, error) {
-	key := JobPrefix + string(job.Spec.ID)
+	key, finishedKey := JobPrefix+string(job.Spec.ID), FinishedPrefix+string(job.Spec.ID)
 	result, err := store.Commit(ctx, Txn{
-		If: []Condition{{Key: key}}, Writes: []Write{{Key: key, Value: codec.EncodeJob(job)}},
+		If: []Condition{{Key: key}, {Key: finishedKey}}, Writes: []Write{{Key: key, Value: codec.EncodeJob(job)}},
 	})
 	if err == nil {
-		return StoredJob{job, result.Revision}, nil
+		return StoredJob{AcceptedJob: job, Revision: result.Revision}, nil
 	}
-	if !fault.Is(err, fault.Conflict) || len(result.Current) != 1 {
+	if !fault.Is(err, fault.Conflict) || len(result.Current) == 0 {
 		return StoredJob{}, err
 	}
+	for _, entry := range result.Current {
+		if entry.Key == finishedKey {
+			finished, err := codec.DecodeFinished(entry.Value)
+			return StoredJob{Finished: &finished}, err
+		}
+	}
 	entry := result.Current[0]
 	stored, err := codec.DecodeJob(entry.Value)
-	return StoredJob{stored, entry.Revision}, err
+	return StoredJob{AcceptedJob: stored, Revision: entry.Revision}, err
 }
 
-// StoredJob is the record of a job with its revision.
+// StoredJob is what the store holds of a job.
 type StoredJob struct {
 	AcceptedJob
 	Revision ident.Revision
+	Finished *FinishedJob // set if only this remains of the job; the other fields are not set then
 }
 
 // Keys and key prefixes of a cell's records in the store.
 const (
 	JobPrefix      = "job/"           // followed by the job's id: the accepted job
 	ProgressPrefix = "run/"           // followed by the job's id: the progress of the job
+	FinishedPrefix = "done/"          // followed by the job's id: what remains of a finished job, in place of both
 	LeaderKey      = "cell/leader"    // the leader, bound to a lease
 	SuccessorKey   = "cell/successor" // a process that is better suited to lead, bound to a lease
 	TermKey        = "cell/term"      // number of the latest term
