Let no sync acknowledge ends to a worker that may have restarted

Cause: ends are numbered from 1 in each life of a worker, and the leader went on with the number of the former life until a sync told it of the restart. A run that was started and had ended on the new life before that was acknowledged unseen and ran again (docs/incidents/restart-unnoticed.md). Ruled out: the archive, whose job was open at that time.

Change: a start whose response has a clock that went back, or that gets no response, lets the syncs acknowledge nothing until one is answered.

Conclusion: a fault of the project's own stand-ins; on the users' platform a new life has another id.

--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -91,6 +91,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if l.monitor.worker.ClockWentBack(clock, sent) {
+		l.monitor.unreachable = true // the next sync must not acknowledge ends of its former life
+	}
 	l.monitor.worker.ObserveClock(clock, sent, now)
 	l.entry.workflow.MarkStarted()
 	if run := l.monitor.worker.Run(l.request.RunRef); run != nil && run.Started.IsZero() {
@@ -129,6 +132,9 @@
 // stopped, after which it can no longer start. Until then it keeps its capacity.
 func (s *Scheduler) resolveStart(ctx context.Context, l launch) {
 	s.log.Warn("start without an answer", "task", l.request.Task.String(), "run", l.request.Run, "worker", l.target.Worker)
+	s.mu.Lock()
+	l.monitor.unreachable = true // it may have restarted: the sync must not acknowledge ends of its former life
+	s.mu.Unlock()
 	if err := s.sync(ctx, l.monitor, 0); err == nil {
 		s.mu.Lock()
 		run := l.monitor.worker.Run(l.request.RunRef)
--- a/internal/domain/pool/clock.go
+++ b/internal/domain/pool/clock.go
@@ -31,6 +31,11 @@
 	*c = clock{reading, sent, received, true}
 }
 
+// wentBack reports whether a reading, of a call sent at the given time, shows that the clock began again: the worker restarted.
+func (c *clock) wentBack(reading time.Duration, sent time.Time) bool {
+	return c.known && sent.After(c.received) && reading < c.reading
+}
+
 // estimate returns the approximate present reading of the clock.
 func (c *clock) estimate(now time.Time) time.Duration { return c.reading + now.Sub(c.received) }
 
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -107,6 +107,12 @@
 	}
 }
 
+// ClockWentBack reports whether a reading of its clock, in the response to a call sent at the given time, shows that the worker
+// has restarted.
+func (w *Worker) ClockWentBack(reading time.Duration, sent time.Time) bool {
+	return w.clock.wentBack(reading, sent)
+}
+
 // LastAnswered returns when the latest request that the worker has answered was sent. Unlike the arrival of the answer, it is
 // never later than the answer itself.
 func (w *Worker) LastAnswered() time.Time { return w.lastAnswered }
