Tell a worker that crashes whatever it runs from a task that crashes its workers

Cause: a crash counted against the tasks that had just started on the worker, whatever the worker had done before.

A crash that no task can have caused speaks against the worker: the next ones are put down to it, twice for a task at most, so that BUDGET's five starts hold in any case. A suspected task prefers another worker; a run that ends as done clears its task.

Conclusion: a worker has to be at fault in its own right before a crash is put down to it. What remains ambiguous counts against the task, as before.

--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -79,3 +80,60 @@
 		t.Errorf("%d starts and %d tasks without a worker; a task that must not start needs none", len(launches), unplaced)
 	}
 }
+
+// restartWorker applies the first reply of the next life of a worker.
+func restartWorker(s *Scheduler, m *workerMonitor) {
+	now := time.Now()
+	s.applyReply(m, port.SyncReply{Incarnation: m.worker.Info().Incarnation + 1, WorkerClock: time.Second}, now, now)
+}
+
+// TestFlappingWorker guards against a job that fails because a worker crashes again and again under whatever runs there: the
+// worker had crashed before under tasks that it had run for long.
+func TestFlappingWorker(t *testing.T) {
+	s := newLeaderFor(t)
+	addTestWorker(s, "w1", 4000, time.Now())
+	e := acceptTestJob(s, workflow.Step{Count: 1})
+	m := s.monitors["w1"]
+	restartWorker(s, m) // nothing ran there
+	for range workflow.MaxCrashes {
+		if launches, _ := s.place(time.Now()); len(launches) == 1 {
+			m.worker.Run(launches[0].request.RunRef).Started = time.Now()
+			time.Sleep(time.Millisecond)
+		}
+		restartWorker(s, m)
+	}
+	if state, n := e.workflow.State(), e.workflow.Crashes(firstRun(0).Task); state.Final() || n > 0 {
+		t.Errorf("job is %s after %d crashes that count against its task; want none, as the worker crashed without it before", state, n)
+	}
+}
+
+// TestExcusesAreBounded guards against a task that crashes worker after worker, each of which had crashed before without a cause:
+// it may start twice more after three workers have crashed under it.
+func TestExcusesAreBounded(t *testing.T) {
+	s := newLeaderFor(t)
+	e := acceptTestJob(s, workflow.Step{Count: 1})
+	crashes := 0
+	for i := range 10 {
+		id := ident.WorkerID(rune('a' + i))
+		addTestWorker(s, id, 4000, time.Now())
+		m := s.monitors[id]
+		m.knownAddress = string(id)
+		restartWorker(s, m)
+		s.mu.Lock()
+		e.storedVersion = e.version
+		e.step(workflow.StepRef{Job: e.workflow.Spec().ID}).waiting.Retry()
+		s.mu.Unlock()
+		launches, _ := s.place(time.Now())
+		if len(launches) == 0 {
+			break
+		}
+		crashes++
+		run := launches[0]
+		run.monitor.worker.Run(run.request.RunRef).Started = time.Now()
+		time.Sleep(time.Millisecond)
+		restartWorker(s, run.monitor)
+	}
+	if crashes != maxExcuses+workflow.MaxCrashes || e.workflow.State() != workflow.FailedState {
+		t.Errorf("%d workers crashed under the task and its job is %s; want %d, failed", crashes, e.workflow.State(), maxExcuses+workflow.MaxCrashes)
+	}
+}
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -43,6 +43,7 @@
 	replaced         bool           // another worker responds at its address
 	lapsed           []*pool.Run    // runs that were given up when the lease expired, and the worker has not responded since
 	addedAt          time.Time      // when the worker was added
+	answeredAt       time.Time      // when it answered for the first time
 	cordonedRevision ident.Revision // of the record that cordoned the worker; 0 while there is none
 }
 
@@ -217,8 +218,8 @@
 	m.worker.MarkUnreached()
 	switch {
 	case fault.Is(err, fault.NotFound) && (m.knownAddress == "" || address == m.knownAddress):
-		m.replaced = true
 		s.dropRuns(m, workflow.Lost)
+		m.replaced = true
 	case m.worker.LeaseExpired(time.Now()):
 		s.dropRuns(m, workflow.LeaseExpired)
 	case m.worker.SilentFor(time.Now()) > syncWait+speculateAfter:
@@ -248,7 +249,11 @@
 		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: outcome})
 	}
 	if outcome == workflow.Lost {
-		s.blameCrash(m, runs)
+		if m.replaced {
+			s.blameCrash(m, runs) // the crash itself is noted
+		} else {
+			s.noteCrash(m, runs, nil)
+		}
 	} else {
 		m.lapsed = append(m.lapsed, runs...)
 		s.doubtRuns(runs)
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -25,6 +25,10 @@
 		s.log.Info("worker reached", "worker", m.worker.Info().ID, "running", len(reply.Running), "ended", len(reply.Ended))
 	}
 	m.unreachable = false
+	if m.answeredAt.IsZero() {
+		m.answeredAt = now
+		m.worker.Return(now, s.crashHistory(m))
+	}
 	if _, recorded := s.recorded[m.worker.Info().ID]; !recorded && !m.worker.Synced() {
 		select {
 		case s.firstAnswers <- struct{}{}:
@@ -62,20 +66,22 @@
 	s.log.Warn("worker restarted", "worker", m.worker.Info().ID, "runs", len(m.worker.Runs()), "listed", len(reported))
 	m.worker.ResetAfterRestart(reply.Incarnation, reply.WorkerClock+s.settings.MaxLease)
 	m.appliedEnd, m.ackedEnd, m.pendingEnds, m.lastSyncSent = 0, 0, nil, time.Time{}
-	var lost []*pool.Run
+	var lost, doubtful []*pool.Run
 	for _, run := range m.worker.Runs() {
 		if reported[run.RunRef] {
 			continue
 		}
 		if run.Started.IsZero() || !run.Started.Before(sentAt) {
 			run.Doubtful = true
+			doubtful = append(doubtful, run)
 			continue
 		}
 		m.worker.Release(run.RunRef)
 		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: workflow.Lost})
 		lost = append(lost, run)
 	}
-	s.blameCrash(m, lost)
+	s.noteCrash(m, lost, doubtful)
+	m.worker.Return(time.Now(), s.crashHistory(m))
 }
 
 // applyEnds applies the ends that a worker reports, except those that have been applied before. The lock is held.
@@ -126,6 +132,7 @@
 	switch end.Outcome {
 	case workflow.Done:
 		m.worker.RecordSuccess()
+		e.acquit(end.Run.Task)
 	case workflow.Failed:
 		m.worker.RecordFailure(end.Run.Task.Job, now)
 		e.avoidWorker(end.Run.Task, worker)
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -81,6 +81,7 @@
 	openJobs        map[workflow.ID]*jobEntry   // jobs whose state is not final
 	dirty           map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
 	monitors        map[ident.WorkerID]*workerMonitor
+	crashes         map[string]*pool.CrashHistory // by address of the workers
 	authority       authority
 	predecessor     predecessor
 	accounted       bool                                 // every run of earlier terms is known or has ended
@@ -110,6 +111,8 @@
 	storedState     workflow.State                               // state in the progress record
 	finished        time.Time                                    // when storedState became final
 	crashVersion    uint64                                       // version that counts the last crash of a worker under a task
+	excuses         map[workflow.TaskRef]int                     // crashes that were put down to the workers
+	suspectedIn     map[workflow.TaskRef][]*pool.CrashHistory    // histories in which a task may have caused a crash
 }
 
 // stepEntry is a step of a job with the scheduler's own data on it.
@@ -140,6 +143,7 @@
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
+		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{},
 		allowedShares: map[string]*permit.AllowedShare{},
 	}
@@ -199,6 +203,7 @@
 	e := &jobEntry{
 		workflow: workflow.New(job.Spec), queue: job.Queue, accepted: job.AcceptedAt,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
+		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 	}
 	s.jobs[job.Spec.ID] = e
 	s.openJobs[job.Spec.ID] = e
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -31,7 +31,7 @@
 // filter reports whether a worker may run the task.
 type filter func(*Worker, *Request) bool
 
-var filters = []filter{sameService, responsive, notDraining, hasRequiredLabel, withinMaxPerWorker, preferred}
+var filters = []filter{sameService, responsive, steady, notDraining, hasRequiredLabel, withinMaxPerWorker, preferred}
 
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -66,7 +66,9 @@
 	consecutiveFailures  int           // of distinct jobs
 	lastFailedJob        workflow.ID
 	backoffUntil         time.Time // no starts before this time
-	speed                float64   // relative to other workers; 1 is ordinary
+	upSince              time.Time // when it first answered in its present life
+	crashHistory         *CrashHistory
+	speed                float64 // relative to other workers; 1 is ordinary
 }
 
 // NewWorker returns a worker that has not responded yet.
