Let a leader give way that cannot read the record of workers, and give a long worker list more time

A leader whose reads of the record of workers fail keeps the lead while its lease is renewed, as with the jobs before; and the worker list had 1.5 s as a whole on any link.

Change: the record has the stall limit of the pages; the time for the list doubles with each failure, to 12 s at most.

Conclusion: both are limits on a whole that nothing left again.

--- a/internal/app/scheduler/archive_test.go
+++ b/internal/app/scheduler/archive_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
@@ -103,6 +104,36 @@
 	return port.Page{Entries: []port.Entry{{Key: prefix + "b", Value: []byte("q")}}, AsOf: 8}, nil
 }
 
+func (p *pagedStore) Get(ctx context.Context, _ string) (port.Entry, error) {
+	<-ctx.Done()
+	return port.Entry{}, fault.WrapAs(fault.Interrupted, ctx.Err(), "key not read")
+}
+
+// slowList is a worker list that takes a while to read.
+type slowList struct{ reads int }
+
+func (l *slowList) Workers(ctx context.Context) ([]pool.WorkerInfo, error) {
+	if !pause.For(ctx, 4*time.Second) {
+		return nil, fault.WrapAs(fault.Interrupted, ctx.Err(), "list not read")
+	}
+	l.reads++
+	return nil, nil
+}
+
+// TestSlowWorkerList guards against a leader that never reads a list of workers for which its link takes longer than the time limit.
+func TestSlowWorkerList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, list := newLeaderFor(t), &slowList{}
+		s.ports.Workers = list
+		ctx, cancel := context.WithTimeout(s.ctx, 20*time.Second)
+		defer cancel()
+		s.watchWorkers(ctx)
+		if list.reads == 0 {
+			t.Error("the list was not read within 20 s, although it takes 4 s")
+		}
+	})
+}
+
 // TestPagesAreKept guards against a reading of the store that begins again from the first page after each failure, which a slow
 // link never completes.
 func TestPagesAreKept(t *testing.T) {
@@ -139,9 +170,12 @@
 			}()
 			began := time.Now()
 			_, err := pageReader{s: s, prefix: port.JobPrefix, givesWay: true}.readAll(ctx, func([]port.Entry) {})
-			took := time.Since(began)
-			if renewed && (took > 10*time.Second || err == nil) || !renewed && took < time.Minute {
-				t.Errorf("lease renewed: %v; reading ended after %v, error %v", renewed, took, err)
+			tookPages := time.Since(began)
+			_, recordErr := s.readWorkersRecord(ctx)
+			tookRecord := time.Since(began) - tookPages
+			gaveWay := fault.Is(err, fault.Unavailable) && fault.Is(recordErr, fault.Unavailable)
+			if renewed && (!gaveWay || max(tookPages, tookRecord) > 10*time.Second) || !renewed && (gaveWay || tookPages < time.Minute) {
+				t.Errorf("lease renewed: %v; pages read for %v, error %v; record for %v, error %v", renewed, tookPages, err, tookRecord, recordErr)
 			}
 			cancel()
 		})
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -16,10 +16,10 @@
 // term ends first, or when this process should give way to others.
 func (s *Scheduler) load(ctx context.Context) (ident.Revision, bool) {
 	workers, err := s.readWorkersRecord(ctx)
-	if err != nil {
-		return 0, false
+	var asOf ident.Revision
+	if err == nil {
+		asOf, err = s.readOpenJobs(ctx)
 	}
-	asOf, err := s.readOpenJobs(ctx)
 	if err != nil {
 		s.log.Warn("store not read at the start of the term", "error", err)
 		return 0, false
@@ -59,9 +59,10 @@
 	return asOf, err
 }
 
-// readWorkersRecord returns the workers to which the previous leader may have sent requests. It fails when the term ends.
+// readWorkersRecord returns the workers to which the previous leader may have sent requests. It fails when the term ends, or with
+// errStalled.
 func (s *Scheduler) readWorkersRecord(ctx context.Context) ([]port.WorkerRecord, error) {
-	for {
+	for began := time.Now(); ; {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		record, err := s.ports.Store.Get(readCtx, port.WorkersKey)
 		cancel()
@@ -76,6 +77,9 @@
 			return nil, ctx.Err()
 		}
 		s.log.Warn("record of workers not read", "error", err)
+		if s.hasStalled(began) {
+			return nil, errStalled
+		}
 		pause.For(ctx, retryDelay)
 	}
 }
--- a/internal/app/scheduler/reading.go
+++ b/internal/app/scheduler/reading.go
@@ -70,10 +70,16 @@
 			return port.Page{}, ctx.Err()
 		}
 		r.s.log.Warn("page of the store not read", "prefix", r.prefix, "after", after, "error", err)
-		now := time.Now()
-		if r.givesWay && now.Sub(began) >= readStallLimit && r.s.term.Renewal.Within(renewedLately, now) {
+		if r.givesWay && r.s.hasStalled(began) {
 			return port.Page{}, errStalled
 		}
 		pause.For(ctx, retryDelay)
 	}
 }
+
+// hasStalled reports whether other processes may be better placed to read what has failed since the given time: the store does not
+// serve this process, and renews its lease.
+func (s *Scheduler) hasStalled(began time.Time) bool {
+	now := time.Now()
+	return now.Sub(began) >= readStallLimit && s.term.Renewal.Within(renewedLately, now)
+}
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -21,15 +21,19 @@
 	removeAfter = 3 * time.Second
 	// recordDelay collects the first answers of several workers into one record.
 	recordDelay = 50 * time.Millisecond
+	// maxListTimeout bounds the time for the list, which doubles with each failure: a long list may need it on a slow link.
+	maxListTimeout = 12 * time.Second
 )
 
 // watchWorkers reads the worker list periodically, and records workers once they have answered, until the term ends.
 func (s *Scheduler) watchWorkers(ctx context.Context) {
-	for ctx.Err() == nil {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	for timeout := readTimeout; ctx.Err() == nil; {
+		readCtx, cancel := context.WithTimeout(ctx, timeout)
 		workers, err := s.ports.Workers.Workers(readCtx)
 		cancel()
+		timeout = min(2*timeout, maxListTimeout)
 		if err == nil {
+			timeout = readTimeout
 			s.applyWorkerList(ctx, workers)
 		} else if ctx.Err() == nil {
 			s.log.Warn("list of workers not read", "error", err)
