Take no restart of a worker that a new leader has not met for a crash without a cause

A new leader noticed the restart of two workers whose runs it did not know, took these for crashes without a cause, and put the next two crashes down to the workers.

Change: a restart tells something of a worker only if it has answered this leader before.

Conclusion: evidence against a worker needs to be seen from the start.

--- a/internal/app/scheduler/crash.go
+++ b/internal/app/scheduler/crash.go
@@ -9,11 +9,12 @@
 )
 
 // noteCrash records that a worker crashed, and under which runs. Runs of which it is not known whether they had started count
-// as possible causes until the worker has listed its runs. The lock is held.
+// as possible causes. If the worker has not answered this leader before, its runs are not known, and the crash tells nothing of
+// the worker. The lock is held.
 func (s *Scheduler) noteCrash(m *workerMonitor, runs, doubtful []*pool.Run) {
 	suspects := s.blameCrash(m, runs)
-	if m.worker.Info().Draining {
-		return // it was shut down
+	if m.answeredAt.IsZero() || m.worker.Info().Draining { // a worker that drains was shut down
+		return
 	}
 	history := s.crashHistory(m)
 	var tasks []workflow.TaskRef
@@ -67,7 +68,7 @@
 }
 
 // maxExcuses is how many crashes of unsound workers under a task do not count against it. Together with workflow.MaxCrashes that
-// count, the task starts at most five times, also if the workers were sound after all.
+// count, the task starts at most five times under one leader, also if the workers were sound after all.
 const maxExcuses = 2
 
 // excuse reports whether a crash of an unsound worker does not count against the task of a run. The lock is held.
--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -94,6 +94,7 @@
 	addTestWorker(s, "w1", 4000, time.Now())
 	e := acceptTestJob(s, workflow.Step{Count: 1})
 	m := s.monitors["w1"]
+	m.answeredAt = time.Now()
 	restartWorker(s, m) // nothing ran there
 	for range workflow.MaxCrashes {
 		if launches, _ := s.place(time.Now()); len(launches) == 1 {
@@ -117,7 +118,7 @@
 		id := ident.WorkerID(rune('a' + i))
 		addTestWorker(s, id, 4000, time.Now())
 		m := s.monitors[id]
-		m.knownAddress = string(id)
+		m.knownAddress, m.answeredAt = string(id), time.Now()
 		restartWorker(s, m)
 		s.mu.Lock()
 		e.storedVersion = e.version
@@ -137,3 +138,19 @@
 		t.Errorf("%d workers crashed under the task and its job is %s; want %d, failed", crashes, e.workflow.State(), maxExcuses+workflow.MaxCrashes)
 	}
 }
+
+// TestCrashBeforeFirstAnswer guards against a task that crashes its workers and starts more often after a change of the leader: the
+// new one did not know what had run on a worker that had crashed, and took that for a crash without a cause.
+func TestCrashBeforeFirstAnswer(t *testing.T) {
+	s := newLeaderFor(t)
+	addTestWorker(s, "w1", 4000, time.Now())
+	e := acceptTestJob(s, workflow.Step{Count: 1})
+	m := s.monitors["w1"]
+	restartWorker(s, m) // under a run of the former leader
+	startOnly(t, s)
+	time.Sleep(time.Millisecond)
+	restartWorker(s, m)
+	if n := e.workflow.Crashes(firstRun(0).Task); n != 1 {
+		t.Errorf("%d crashes count against the task, want 1", n)
+	}
+}
