--- a/internal/app/scheduler/archive_test.go
+++ b/internal/app/scheduler/archive_test.go
@@ -153,7 +153,7 @@
 	})
 }
 
-// TestStalledLeaderGivesWay guards against a leader that keeps the lead although the store serves it no page, and against one that
+// TestStalledLeaderGivesWay guards against a leader that stays although the store serves it no page, and against one that
 // gives way while the store serves nobody.
 func TestStalledLeaderGivesWay(t *testing.T) {
 	for _, renewed := range []bool{true, false} {
