Keep a worker recorded until the ends that it reported are recorded

Cause: a cordoned worker (draining, or not answering) left the record of workers as soon as nothing ran on it. A run that ended is released when its end is applied, which is before the progress of its job is stored. If the store took the record without the worker but not the progress, and the leader was lost, the next one neither knew of the end nor waited for the worker that lists it. It started the task elsewhere, and acknowledged the first end later.

Change: the condition is one method, workerMonitor.isSettled: nothing runs there, and every end that it has reported is recorded.

Conclusion: the record now covers what only a worker knows. A worker stays recorded for longer only while progress cannot be stored.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -60,6 +61,17 @@
 	return !p.jobUnknown && (p.job == nil || p.job.storedVersion >= p.version)
 }
 
+// hasUnrecordedEnds reports whether the worker has reported ends that are not recorded yet. The scheduler's lock is held.
+func (m *workerMonitor) hasUnrecordedEnds() bool {
+	return slices.ContainsFunc(m.pendingEnds, func(p *pendingEnd) bool { return !p.acknowledgeable() })
+}
+
+// isSettled reports whether the next leader need not ask the worker: nothing runs there, and every end that it has reported is
+// recorded. The scheduler's lock is held.
+func (m *workerMonitor) isSettled() bool {
+	return len(m.worker.Runs()) == 0 && !m.hasUnrecordedEnds()
+}
+
 // target returns where to call the worker. While it answers, that is not changed by its entry in the worker list, which another
 // writer may have replaced. After a failure both addresses are tried by turns.
 func (m *workerMonitor) target() port.Target {
@@ -183,10 +195,7 @@
 	for {
 		changed := s.progressStored.Changed()
 		s.mu.Lock()
-		unrecorded := false
-		for _, p := range m.pendingEnds {
-			unrecorded = unrecorded || !p.acknowledgeable()
-		}
+		unrecorded := m.hasUnrecordedEnds()
 		s.mu.Unlock()
 		if !unrecorded {
 			return
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -163,7 +163,7 @@
 const firstResponseTimeout = 2 * time.Second
 
 // workersRecord returns the new content of the record of workers, and whether it differs from the stored one. A worker
-// that does not respond or is draining is cordoned: it gets no further runs. Once a cordoned worker has no runs, it is
+// that does not respond or is draining is cordoned: it gets no further runs. Once a cordoned worker is settled, it is
 // left out. So is an entry of the worker list that has not answered yet, because it gets no runs and may be no worker at all.
 // The lock is held.
 func (s *Scheduler) workersRecord() ([]port.WorkerRecord, bool) {
@@ -174,7 +174,7 @@
 		unresponsive := m.unreachable && (m.worker.Synced() || time.Since(m.addedAt) > firstResponseTimeout)
 		cordoned := unresponsive || m.worker.Info().Draining
 		schedulable, known := s.recorded[id]
-		if (cordoned || !m.worker.Synced()) && !unsynced && len(m.worker.Runs()) == 0 {
+		if (cordoned || !m.worker.Synced()) && !unsynced && m.isSettled() {
 			changed = changed || known
 			delete(s.recorded, id)
 			continue
