Keep a missing worker until the ends that it reported are recorded

Cause: a worker that was missing from the worker list for 3 s was removed, and left the record of workers, as soon as nothing ran on it, also while ends that it had reported were not recorded.

Change: removeMissing uses isSettled too.

Measured: TestMissingWorkerWithUnrecordedEnd fails without the change ("a missing worker is removed before the end that it has reported is recorded") and passes with it, 5 of 5 runs with -race. The second start itself was not reproduced for this path.

Conclusion: both ways out of the record now have the same condition.

--- a/internal/app/scheduler/record_test.go
+++ b/internal/app/scheduler/record_test.go
@@ -67,3 +67,26 @@
 		})
 	}
 }
+
+// TestMissingWorkerWithUnrecordedEnd guards against a task that runs again after it has ended as done: its worker was removed while
+// the end was not recorded, the next leader did not wait for it, and the worker was listed again.
+func TestMissingWorkerWithUnrecordedEnd(t *testing.T) {
+	s := newLeader(t)
+	e, m := endUnrecorded(t, s)
+	m.cancel = func() {}
+	id, now := m.worker.Info().ID, time.Now()
+	m.worker.MarkMissing(now)
+	removed := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.removeMissing(now.Add(removeAfter + time.Second))
+		return s.monitors[id] == nil
+	}
+	if removed() {
+		t.Error("a missing worker is removed before the end that it has reported is recorded")
+	}
+	markRecorded(s, e)
+	if !removed() {
+		t.Error("a missing worker without runs stays after its end was recorded")
+	}
+}
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -16,7 +16,7 @@
 // Parameters of polling the worker list.
 const (
 	listInterval = 500 * time.Millisecond
-	// removeAfter is how long a worker without runs must be missing from the worker list before it is removed. Entries
+	// removeAfter is how long a settled worker must be missing from the worker list before it is removed. Entries
 	// that expired while the store was unavailable reappear within two seconds.
 	removeAfter = 3 * time.Second
 	// recordDelay collects the first answers of several workers into one record.
@@ -143,11 +143,11 @@
 	s.stopRuns(runs)
 }
 
-// removeMissing removes workers without runs that have been missing from the worker list for long. The lock is held.
+// removeMissing removes settled workers that have been missing from the worker list for long. The lock is held.
 func (s *Scheduler) removeMissing(now time.Time) {
 	for id, m := range s.monitors {
 		_, unsynced := s.unsynced[id]
-		if !unsynced && m.worker.MissingFor(now) > removeAfter && len(m.worker.Runs()) == 0 {
+		if !unsynced && m.worker.MissingFor(now) > removeAfter && m.isSettled() {
 			m.cancel()
 			s.resolveLapsed(m)
 			_, known := s.recorded[id]
