Keep the doubt of a restart when an earlier sync is answered late

Cause: a start that showed a restart, or got no response, let syncs acknowledge nothing until one was answered, no matter when that one had been sent. A reply of the worker's former life that arrived after the start ended the doubt, and the next sync acknowledged ends of the new life unseen.

Change: workerMonitor.suspectRestart also notes the time. A reply to an earlier request is applied like any other that is out of order: only its clock and incarnation count.

The test calls the scheduler itself; a worker that behaves so was not seen.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -37,8 +37,8 @@
 	appliedEnd       uint64         // highest number of an end that was applied
 	ackedEnd         uint64         // highest number of an end that the worker need not report again
 	pendingEnds      []*pendingEnd  // reported and not acknowledged, by ascending number
-	lastSyncSent     time.Time      // when the request of the last reply that was applied was sent
-	unreachable      bool           // the last sync failed: the worker may have restarted
+	lastSyncSent     time.Time      // when the request of the last reply that was applied was sent, or a restart was suspected
+	unreachable      bool           // the worker may have restarted since its last reply: a sync failed, or a start showed it
 	failedSyncs      int            // since the last answer
 	knownAddress     string         // at which the worker answered last, or that the record names; empty if neither
 	replaced         bool           // another worker responds at its address
@@ -72,6 +72,12 @@
 	return len(m.worker.Runs()) == 0 && !m.hasUnrecordedEnds()
 }
 
+// suspectRestart lets syncs acknowledge nothing until the worker replies to one that is sent from now on: the ends that it has now
+// may have the numbers of those of its former life. The scheduler's lock is held.
+func (m *workerMonitor) suspectRestart(now time.Time) {
+	m.unreachable, m.lastSyncSent = true, now
+}
+
 // target returns where to call the worker. While it answers, that is not changed by its entry in the worker list, which another
 // writer may have replaced. After a failure both addresses are tried by turns.
 func (m *workerMonitor) target() port.Target {
--- /dev/null
+++ b/internal/app/scheduler/restart_test.go
@@ -0,0 +1,60 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// startAfterRestart starts the only task of a new job on a worker that has restarted since its last reply, which only the response to
+// the start shows.
+func startAfterRestart(t *testing.T, s *Scheduler) (*jobEntry, launch) {
+	t.Helper()
+	e := acceptTestJob(s, workflow.Step{Count: 1})
+	launches, _ := s.place(time.Now())
+	if len(launches) != 1 {
+		t.Fatalf("%d tasks start, want 1", len(launches))
+	}
+	l := launches[0]
+	l.monitor.ackedEnd = 7
+	s.startAcked(l, time.Millisecond, time.Now()) // the worker's clock was at 1 s before
+	return e, l
+}
+
+// TestRestartNoticedByStart guards against a run that ends on a worker that has restarted, and runs again: the leader had not
+// noticed the restart, and acknowledged the end under a number of the worker's former life.
+func TestRestartNoticedByStart(t *testing.T) {
+	s := newLeader(t)
+	e, l := startAfterRestart(t, s)
+	m := l.monitor
+	s.mu.Lock()
+	request := s.syncRequest(m, 0)
+	s.mu.Unlock()
+	if request.AckThrough != 0 {
+		t.Errorf("ends up to %d are acknowledged to a worker that has restarted, want none", request.AckThrough)
+	}
+	now := time.Now()
+	s.applyReply(m, port.SyncReply{Incarnation: 2, WorkerClock: 2 * time.Millisecond, Ended: []port.EndedRun{
+		{Number: 1, End: workflow.End{Run: l.request.RunRef, Outcome: workflow.Done}},
+	}}, now, now)
+	if e.workflow.State() != workflow.Completed {
+		t.Errorf("job is %s, want completed, as its run has ended", e.workflow.State())
+	}
+}
+
+// TestLateReplyAfterRestart guards against a run that ends on a worker that has restarted, and runs again: a reply of the worker's
+// former life that arrived late ended the doubt, and its end was acknowledged unseen.
+func TestLateReplyAfterRestart(t *testing.T) {
+	s := newLeader(t)
+	sentAt := time.Now()
+	_, l := startAfterRestart(t, s)
+	m := l.monitor
+	s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: 2 * time.Second}, sentAt, time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.syncRequest(m, 0).AckThrough; n != 0 {
+		t.Errorf("ends up to %d are acknowledged to a worker that has restarted, want none", n)
+	}
+}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -92,7 +92,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if l.monitor.worker.ClockWentBack(clock, sent) {
-		l.monitor.unreachable = true // the next sync must not acknowledge ends of its former life
+		l.monitor.suspectRestart(now)
 	}
 	l.monitor.worker.ObserveClock(clock, sent, now)
 	l.entry.workflow.MarkStarted()
@@ -133,7 +133,7 @@
 func (s *Scheduler) resolveStart(ctx context.Context, l launch) {
 	s.log.Warn("start without an answer", "task", l.request.Task.String(), "run", l.request.Run, "worker", l.target.Worker)
 	s.mu.Lock()
-	l.monitor.unreachable = true // it may have restarted: the sync must not acknowledge ends of its former life
+	l.monitor.suspectRestart(time.Now())
 	s.mu.Unlock()
 	if err := s.sync(ctx, l.monitor, 0); err == nil {
 		s.mu.Lock()
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -246,31 +246,3 @@
 	s.mu.Lock() // the lock is not held for good
 	defer s.mu.Unlock()
 }
-
-// TestRestartNoticedByStart guards against a run that ends on a worker that has restarted, and runs again: the leader had not
-// noticed the restart, and acknowledged the end under a number of the worker's former life.
-func TestRestartNoticedByStart(t *testing.T) {
-	s := newLeader(t)
-	e := acceptTestJob(s, workflow.Step{Count: 1})
-	launches, _ := s.place(time.Now())
-	if len(launches) != 1 {
-		t.Fatalf("%d tasks start, want 1", len(launches))
-	}
-	l := launches[0]
-	m := l.monitor
-	m.ackedEnd = 7
-	s.startAcked(l, time.Millisecond, time.Now()) // the worker's clock was at 1 s before
-	s.mu.Lock()
-	request := s.syncRequest(m, 0)
-	s.mu.Unlock()
-	if request.AckThrough != 0 {
-		t.Errorf("ends up to %d are acknowledged to a worker that has restarted, want none", request.AckThrough)
-	}
-	now := time.Now()
-	s.applyReply(m, port.SyncReply{Incarnation: 2, WorkerClock: 2 * time.Millisecond, Ended: []port.EndedRun{
-		{Number: 1, End: workflow.End{Run: l.request.RunRef, Outcome: workflow.Done}},
-	}}, now, now)
-	if e.workflow.State() != workflow.Completed {
-		t.Errorf("job is %s, want completed, as its run has ended", e.workflow.State())
-	}
-}
