Acknowledge ends only on a connection older than the last reply

Cause: a worker that restarts under its id numbers its ends from 1 again. Between two syncs, in particular while the leader waits up to 250 ms for the store before it acknowledges, the leader cannot know of a restart unless a start tells it. If the response to a start on the new life comes after the next sync was built, that sync carries a number of the former life. The worker forgets the end of the run unseen, and the leader takes the run for lost.

Leases are extended as before.

Conclusion: it no longer matters whether a clock or a lost response shows the restart in time. A sync that gets no response and is executed seconds later by the next life would still acknowledge unseen; nothing in the request can prevent that.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -191,7 +191,7 @@
 		m.ackedEnd = m.pendingEnds[0].number
 		m.pendingEnds = m.pendingEnds[1:]
 	}
-	request.AckThrough, request.Wait = m.ackedEnd, wait
+	request.AckThrough, request.ListedAt, request.Wait = m.ackedEnd, m.lastSyncSent, wait
 	return request
 }
 
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -90,6 +90,7 @@
 	Token       ident.Epoch
 	LeaseExpiry time.Duration // end of the lease on the worker's clock; 0 does not renew it
 	AckThrough  uint64        // acknowledges ended runs up to this number, so that the worker drops them
+	ListedAt    time.Time     // when the latest answered sync was sent; nothing is acknowledged on a connection opened since
 	Wait        time.Duration // maximum time to wait for a run to end
 }
 
