Count the lease of a restarted worker by its new clock

Cause: a start asks for a lease by the clock of the life that the leader knows. A worker that has restarted since grants it by its new clock, which is far behind, up to the longest lease (6 s in the tests, against 3.5 s that the leader asks for). The response to the start shows the restart, but the leader went on to count the lease by the former clock. If the worker then is out of reach before it has answered a sync, the leader gives its runs up while they still have a lease, and starts their tasks elsewhere.

Change: a start whose response shows a restart also resets the clock and the lease, like a sync that shows one.

The second start was not reproduced with real processes.

Conclusion: holds for starts that are answered. After a start without a response the leader still counts by the clock it knows.

--- a/internal/app/scheduler/restart_test.go
+++ b/internal/app/scheduler/restart_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -58,3 +59,18 @@
 		t.Errorf("ends up to %d are acknowledged to a worker that has restarted, want none", n)
 	}
 }
+
+// TestLeaseAfterRestart guards against two runs of a task at once: the lease that a start asked for by the clock of the worker's former
+// life lasted longer on the next one, and the worker was out of reach before it had answered a sync.
+func TestLeaseAfterRestart(t *testing.T) {
+	s := newLeader(t)
+	_, l := startAfterRestart(t, s)
+	now, worker := time.Now(), l.monitor.worker
+	lasts := s.settings.MaxLease - 100*time.Millisecond
+	if worker.LeaseExpired(now.Add(lasts)) {
+		t.Errorf("the lease counts as expired %v after the start; the worker grants up to %v", lasts, s.settings.MaxLease)
+	}
+	if lapsed := pool.LapseTime(s.settings.MaxLease) + 100*time.Millisecond; !worker.LeaseExpired(now.Add(lapsed)) {
+		t.Errorf("the lease does not count as expired %v after the start", lapsed)
+	}
+}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -93,6 +93,7 @@
 	now := time.Now()
 	if l.monitor.worker.ClockWentBack(clock, sent) {
 		l.monitor.suspectRestart(now)
+		l.monitor.worker.RestartClock(clock + s.settings.MaxLease)
 	}
 	l.monitor.worker.ObserveClock(clock, sent, now)
 	l.entry.workflow.MarkStarted()
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -147,7 +147,14 @@
 // ResetAfterRestart resets the worker to a new incarnation. Requests that were in flight may extend the lease up to
 // leaseExpiry on the new clock. The caller releases the runs that ended with the previous incarnation.
 func (w *Worker) ResetAfterRestart(incarnation int64, leaseExpiry time.Duration) {
-	w.info.Incarnation, w.clock, w.leaseExpiry, w.speed = incarnation, clock{}, leaseExpiry, 1
+	w.info.Incarnation, w.speed = incarnation, 1
+	w.RestartClock(leaseExpiry)
+}
+
+// RestartClock forgets the clock of the worker's former incarnation. What runs on the next one may have a lease up to leaseExpiry on
+// its own clock.
+func (w *Worker) RestartClock(leaseExpiry time.Duration) {
+	w.clock, w.leaseExpiry = clock{}, leaseExpiry
 }
 
 // Runs returns the runs that occupy capacity of the worker.
