Copy no single member of a gang whose worker is silent

Cause: when a worker is silent, speculate takes the runs of speculative steps out of their jobs, so that copies may start. A copy of one member of a gang never starts, because a gang is placed only as a whole. By the code the member also stays out of its job when the worker answers again, although it runs, so that cancelling the job does not stop it.

Change: Step.AllowsCopies, which excludes gangs, decides in speculate and in Workflow.Adopt.

Measured: TestNoCopyOfGangMember failed before: "1 runs count after the worker of one was silent (gang: true), want 2".

Conclusion: shown is that the member leaves its job; that cancelling then misses it was not run. No run of a cell has shown the fault, and no client of ours submits gangs that are speculative.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -247,7 +247,7 @@
 func (s *Scheduler) speculate(m *workerMonitor) {
 	for _, run := range m.worker.Runs() {
 		e := s.jobs[run.Task.Job]
-		if e != nil && run.Step.Speculative && e.workflow.DropRun(run.RunRef, m.worker.Info().ID) {
+		if e != nil && run.Step.AllowsCopies() && e.workflow.DropRun(run.RunRef, m.worker.Info().ID) {
 			s.log.Info("run copied", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
 				"silent_ms", m.worker.SilentFor(time.Now()).Milliseconds())
 			s.doubtRuns([]*pool.Run{run})
--- a/internal/domain/workflow/spec.go
+++ b/internal/domain/workflow/spec.go
@@ -47,6 +47,10 @@
 	MaxUnavailable int           // maximum number of tasks of a long-running step that the system may make unavailable at once
 }
 
+// AllowsCopies reports whether copies of a task may run in parallel. A single member of a gang has no use for one, because members
+// work only with those of the same run.
+func (s *Step) AllowsCopies() bool { return s.Speculative && !s.Gang }
+
 // Spec is a job as the caller submitted it. It never changes.
 type Spec struct {
 	ID          ID
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -174,7 +174,7 @@
 			return true
 		}
 	}
-	if len(t.active) > 0 && !w.Step(p.Task.StepRef).Speculative {
+	if len(t.active) > 0 && !w.Step(p.Task.StepRef).AllowsCopies() {
 		return false
 	}
 	w.activate(p, t)
