Stop the members of a gang that lacks one

Callers saw: a job with a gang that never goes on.

Cause: a gang is placed only once none of its members is active, and the leader stopped the others only when a start was refused or had no answer. Otherwise it relied on the workers, which are to end the members of a broken gang. A worker that is cut off, or that is told late, ends them late or never. So the class is: the leader waits for an event that only others can cause.

Change: Workflow.BreakUp returns the active runs of incomplete gangs, each once, and each pass of placement stops these, except for jobs of which a worker may not have reported its runs yet. It replaces stopGang, which did the same for two of the causes.

Measured: without the change TestMemberLostWithWorker fails ("job.0.0.1 run 1001 goes on waiting for a member that has no run", "0 members start, want 3"), and so does TestNextLeaderFindsPartOfGang, where the member is gone and where its worker is silent; the cases in which nothing may be stopped passed.

--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -109,6 +109,7 @@
 	if !s.mayLetRun(now) {
 		return nil, nil
 	}
+	s.breakUpGangs()
 	var launches []launch
 	var calls []permitCall
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -125,7 +125,6 @@
 	case fault.Overloaded:
 		l.monitor.worker.RecordFailure(l.request.Task.Job, time.Now())
 	}
-	s.stopGang(l.entry, l.request.Task.StepRef, l.request.Run)
 	s.wakePlacement()
 }
 
@@ -146,9 +145,6 @@
 		}
 	}
 	s.stopRun(ctx, l.monitor, l.request.RunRef)
-	s.mu.Lock()
-	s.stopGang(l.entry, l.request.Task.StepRef, l.request.Run)
-	s.mu.Unlock()
 }
 
 // stopRuns stops runs in the background. The lock is held.
@@ -213,19 +209,19 @@
 	return run.Reported
 }
 
-// stopGang stops the other members of a gang of which one did not start, so that they do not wait for it. The lock is
-// held.
-func (s *Scheduler) stopGang(e *jobEntry, ref workflow.StepRef, run workflow.RunNumber) {
-	if !e.workflow.Step(ref).Gang {
-		return
-	}
-	var members []workflow.Placement
-	for _, p := range e.workflow.ActiveInStep(ref) {
-		if p.Run == run {
-			members = append(members, p)
+// breakUpGangs stops the remaining members of incomplete gangs. A member that seems to be missing may be on a worker that has not
+// reported its runs yet. The lock is held.
+func (s *Scheduler) breakUpGangs() {
+	for _, e := range s.openJobs {
+		if s.mayRunOnUnsynced(e) {
+			continue
+		}
+		runs := e.workflow.BreakUp()
+		for _, p := range runs {
+			s.log.Info("member of an incomplete gang stopped", "task", p.Task.String(), "run", p.Run, "worker", p.Worker)
 		}
+		s.stopRuns(runs)
 	}
-	s.stopRuns(members)
 }
 
 // throttleRun sends the speed limit of a run to its worker. A failed request is repeated after a later sync.
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -38,8 +38,9 @@
 }
 
 type activeRun struct {
-	run    RunNumber
-	worker ident.WorkerID
+	run      RunNumber
+	worker   ident.WorkerID
+	stopping bool // BreakUp has returned it
 }
 
 // New returns the state of a job of which nothing has run.
@@ -186,7 +187,7 @@
 	if len(t.active) == 0 {
 		w.step(p.Task.StepRef).waiting--
 	}
-	t.active = append(t.active, activeRun{p.Run, p.Worker})
+	t.active = append(t.active, activeRun{run: p.Run, worker: p.Worker})
 	t.lastRun = max(t.lastRun, p.Run)
 }
 
