Take no reply of a worker's former life for a restart

Callers would see a task run again after its end was acknowledged (TWICE).

Cause: several syncs with one worker may be in progress, and their replies may overtake each other. If the worker restarted under its id in between, a reply of its former life that arrived last was taken for another restart. The ends in it were applied, and the next sync acknowledged them by number to the new life, whose own ends up to that number were forgotten unseen. The clock of the former life was taken over as well, and with it the lease was computed.

Change: a reply of another incarnation to a sync that was sent before the last applied one is left out, and the next sync acknowledges nothing, as after a start that shows a restart. It may also be of a later life, if that sync was executed late; the next sync tells.

Test: TestReplyOfFormerLife failed before ("ends up to 7 are acknowledged, want none", "the worker counts as incarnation 1, want 2 with its run") and passes.

Conclusion: the same class as the restart that a start shows.

--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -10,14 +10,19 @@
 )
 
 // applyReply applies a sync reply. A reply to a request that was sent before that of the last applied reply only
-// updates the clock and the incarnation: the worker reports the rest again.
+// updates the clock: the worker reports the rest again. If it is of another incarnation, it may be of a former one.
 func (s *Scheduler) applyReply(m *workerMonitor, reply port.SyncReply, sentAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	overtaken := sentAt.Before(m.lastSyncSent)
+	if overtaken && isRestarted(m, reply) {
+		m.unreachable = true // the next sync must not acknowledge ends of another incarnation
+		return
+	}
 	s.detectRestart(m, reply, sentAt)
 	s.resolveLapsed(m)
 	m.worker.ObserveClock(reply.WorkerClock, sentAt, now)
-	if sentAt.Before(m.lastSyncSent) {
+	if overtaken {
 		return
 	}
 	m.lastSyncSent = sentAt
@@ -49,11 +54,16 @@
 	s.wakePlacement()
 }
 
+// isRestarted reports whether a reply is of another incarnation than the known one.
+func isRestarted(m *workerMonitor, reply port.SyncReply) bool {
+	return reply.Incarnation != 0 && reply.Incarnation != m.worker.Info().Incarnation
+}
+
 // detectRestart ends the runs of the previous incarnation when the worker has restarted. A start that was in flight may
 // have reached the new incarnation: a run that the new incarnation reports, or whose start was not acknowledged before
 // the sync was sent, is kept. The lock is held.
 func (s *Scheduler) detectRestart(m *workerMonitor, reply port.SyncReply, sentAt time.Time) {
-	if incarnation := m.worker.Info().Incarnation; reply.Incarnation == 0 || reply.Incarnation == incarnation {
+	if !isRestarted(m, reply) {
 		return
 	}
 	reported := map[workflow.RunRef]bool{}
--- /dev/null
+++ b/internal/app/scheduler/reply_test.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+// TestReplyOfFormerLife guards against a restarted worker to which ends are acknowledged that it has not reported: a reply that it
+// sent before its restart arrived after one that it sent later.
+func TestReplyOfFormerLife(t *testing.T) {
+	s := newLeader(t)
+	e := acceptTestJob(s, workflow.Step{Count: 1})
+	launches, _ := s.place(time.Now())
+	l := launches[0]
+	m, sentAt := l.monitor, time.Now()
+	s.finished["over"] = finishedJob{}
+	s.applyReply(m, port.SyncReply{Incarnation: 2, WorkerClock: time.Millisecond}, sentAt, time.Now())
+	s.startAcked(l, 2*time.Millisecond, time.Now())
+
+	former := firstRun(0)
+	former.Task.Job = "over"
+	s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: time.Hour, Ended: []port.EndedRun{
+		{Number: 7, End: workflow.End{Run: former, Outcome: workflow.Done}},
+	}}, sentAt.Add(-time.Second), time.Now())
+	if acked := ackedEnd(s, m); acked != 0 {
+		t.Errorf("ends up to %d are acknowledged, want none", acked)
+	}
+	if m.worker.Info().Incarnation != 2 || m.worker.Run(l.request.RunRef) == nil {
+		t.Errorf("the worker counts as incarnation %d, want 2 with its run", m.worker.Info().Incarnation)
+	}
+	if len(e.workflow.Active()) != 1 {
+		t.Errorf("%d runs of the job are active, want 1", len(e.workflow.Active()))
+	}
+}
