Wait for silent workers with every job that a replaced leader may have started

Cause: a job that was accepted during the term counted as possibly started by the previous leader only within 1.5 s of the start of the term. The previous leader is stopped by the answers that the workers give to the new one, and the new one calls them only after it has read the store. Where that read was slow, or where fewer than two thirds of the workers answered, a previous leader that was cut off from the store accepted and started jobs later than that. The new leader read such a job, did not wait for a worker that had not answered it yet, and started the job again.

Change: the fixed window is gone. While a recorded worker has not answered, a job that was accepted during the term waits for it, unless the job was stored after the previous leader had certainly fallen silent. The new leader reads the revision of the store once that is so, and compares it with the revision of the job. A job that is only announced waits until the watch delivers its revision. After a predecessor that has stopped for certain, no job of the term waits; until now those of the first 1.5 s did.

Measured: TestPredecessorAcceptsLate fails on in the four cases in which the job has to wait ("1 starts while a worker of the predecessor is silent, held: true"), and in the one in which it need not wait ("0 starts").

Conclusion: the time for which new jobs wait follows from what is known of the previous leader. It is longer than 1.5 s only while the workers have not fenced that leader.

--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -8,6 +9,8 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/fault"
+	"skylarkstall/internal/pause"
+	"skylarkstall/internal/port"
 )
 
 // A leader that cannot renew its lease may have been replaced, or the store may be away for every process. The workers tell
@@ -103,8 +106,9 @@
 
 // predecessor is what a leader knows of the one before it.
 type predecessor struct {
-	workers  []ident.WorkerID // in its record
-	fencedAt time.Time        // when enough of them had answered this leader that they stop it; zero before
+	workers        []ident.WorkerID // in its record
+	fencedAt       time.Time        // when enough of them had answered this leader that they stop it; zero before
+	silentRevision ident.Revision   // of the store when the predecessor started nothing any more; 0 before
 }
 
 // observeFencing notes when two thirds of the predecessor's workers have answered this leader. The lock is held.
@@ -144,6 +148,51 @@
 	return latest
 }
 
+// silenceCheckInterval is the interval at which a new leader checks whether its predecessor starts nothing any more.
+const silenceCheckInterval = 100 * time.Millisecond
+
+// awaitPredecessorSilence waits until the predecessor starts nothing any more, and then notes the revision of the store: the
+// predecessor has started no job that was stored after it.
+func (s *Scheduler) awaitPredecessorSilence(ctx context.Context) {
+	for s.awaitsSilence() && pause.For(ctx, silenceCheckInterval) {
+		if !s.isPredecessorSilent(time.Now()) {
+			continue
+		}
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		_, revision, err := s.ports.Store.List(readCtx, port.LeaderKey)
+		cancel()
+		if err != nil {
+			s.log.Warn("revision of the store not read", "error", err)
+			continue
+		}
+		s.mu.Lock()
+		s.predecessor.silentRevision = revision
+		s.mu.Unlock()
+		s.wakePlacement()
+		return
+	}
+}
+
+// awaitsSilence reports whether runs of the predecessor may still be unknown, and the predecessor has not stopped for certain.
+func (s *Scheduler) awaitsSilence() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.accounted && !s.term.PredecessorStopped
+}
+
+func (s *Scheduler) isPredecessorSilent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.After(s.predecessorSilentAt())
+}
+
+// mayBeStartedByPredecessor reports whether a job that was accepted during the term may have been started by the predecessor. A
+// job of unknown revision may have been stored before the predecessor fell silent. The lock is held.
+func (s *Scheduler) mayBeStartedByPredecessor(e *jobEntry) bool {
+	silentRevision := s.predecessor.silentRevision
+	return !s.term.PredecessorStopped && (silentRevision == 0 || e.createdRevision <= silentRevision)
+}
+
 // predecessorLapsedAt returns the time from which nothing that an earlier leader started runs on a worker that does not answer.
 // The lock is held.
 func (s *Scheduler) predecessorLapsedAt() time.Time {
--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"skylarkstall/internal/app/leadership"
@@ -63,6 +65,61 @@
 	}
 }
 
+// revisionStore is a store that is at a revision.
+type revisionStore struct {
+	port.TxnStore
+	revision ident.Revision
+}
+
+func (r revisionStore) List(context.Context, string) ([]port.Entry, ident.Revision, error) {
+	return nil, r.revision, nil
+}
+
+// TestPredecessorAcceptsLate guards against a task that runs twice: a replaced leader that is cut off from the store accepts and
+// starts jobs until the workers refuse it, which takes long if its successor reads the store slowly.
+func TestPredecessorAcceptsLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		age      time.Duration // of the term
+		fenced   time.Duration // after the start of the term; 0 if the predecessor's workers have not answered
+		stopped  bool
+		revision ident.Revision // of the job; the store is at 20 when the predecessor is silent
+		held     bool
+	}{
+		"not fenced after a slow read":        {age: 3 * time.Second, revision: 15, held: true},
+		"fenced a moment ago":                 {age: 3 * time.Second, fenced: 2500 * time.Millisecond, revision: 15, held: true},
+		"stored before the silence":           {age: 4 * time.Second, fenced: 2500 * time.Millisecond, revision: 15, held: true},
+		"announced, with an unknown revision": {age: 4 * time.Second, fenced: 2500 * time.Millisecond, held: true},
+		"stored after the silence":            {age: 4 * time.Second, fenced: 2500 * time.Millisecond, revision: 21},
+		"predecessor stopped":                 {age: time.Second, stopped: true, revision: 15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLeaderFor(t)
+				for _, id := range []ident.WorkerID{"w1", "w2", "w3"} {
+					addTestWorker(s, id, 4000, time.Now())
+					s.predecessor.workers = append(s.predecessor.workers, id)
+				}
+				s.unsynced["w3"] = port.WorkerRecord{WorkerInfo: s.monitors["w3"].worker.Info()}
+				s.monitors["w3"] = newMonitor(s.monitors["w3"].worker.Info())
+				s.ports.Store, s.term.PredecessorStopped = revisionStore{revision: 20}, c.stopped
+				if c.fenced > 0 {
+					s.predecessor.fencedAt = s.startedAt.Add(c.fenced)
+				} else {
+					s.monitors["w2"] = newMonitor(s.monitors["w2"].worker.Info())
+				}
+				go s.awaitPredecessorSilence(s.ctx)
+				time.Sleep(c.age)
+				s.monitors["w1"].worker.ObserveClock(c.age+time.Second, time.Now(), time.Now())
+				acceptTestJob(s, workflow.Step{Count: 1}).createdRevision = c.revision
+				if launches, _ := s.place(time.Now()); len(launches) > 0 == c.held {
+					t.Errorf("%d starts while a worker of the predecessor is silent, held: %v", len(launches), c.held)
+				}
+				s.cancel()
+			})
+		})
+	}
+}
+
 // TestLeaderWithoutConfirmation guards against a replaced leader that keeps tasks running on workers that its successor cannot
 // reach. Without renewals of its lease it may let tasks run only while more than half of the recorded workers answer it: the
 // successor has called two thirds of them, and these refuse it.
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -152,7 +152,7 @@
 // mayRunOnUnsynced reports whether tasks of a job may be running on a worker that has not reported its runs yet. A
 // worker that was cordoned before the job was stored has none of them. The lock is held.
 func (s *Scheduler) mayRunOnUnsynced(e *jobEntry) bool {
-	if !e.workflow.MayHaveUnknownRuns() {
+	if !e.workflow.MayHaveUnknownRuns() && !s.mayBeStartedByPredecessor(e) {
 		return false
 	}
 	for _, w := range s.unsynced {
@@ -163,10 +163,6 @@
 	return false
 }
 
-// staleLeaderWindow is how long a replaced leader may still accept jobs and start their tasks before it learns that it
-// has been replaced.
-const staleLeaderWindow = 1500 * time.Millisecond
-
 // acceptJob adds a job that was accepted during the term, unless it is already known, has finished, or was cancelled before it was stored. The
 // revision is that of its record, or 0 if it is not known. The lock is held.
 func (s *Scheduler) acceptJob(job port.AcceptedJob, revision ident.Revision) {
@@ -190,9 +186,6 @@
 	e := s.addJob(job)
 	e.createdRevision = revision
 	s.adoptOrphans(e)
-	if len(s.unsynced) > 0 && time.Since(s.startedAt) < staleLeaderWindow {
-		e.workflow.MarkUnknownRuns()
-	}
 	s.log.Info("job taken in", "job", job.Spec.ID, "queue", job.Queue.Name, "priority", job.Queue.Priority,
 		"steps", len(job.Spec.Steps), "age_ms", time.Since(job.AcceptedAt).Milliseconds())
 	s.wakePlacement()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -161,6 +161,7 @@
 	}
 	s.goTask(func() { s.watchJobs(s.ctx, asOf) })
 	s.goTask(func() { s.watchWorkers(s.ctx) })
+	s.goTask(func() { s.awaitPredecessorSilence(s.ctx) })
 	s.goTask(func() { s.runPlacement(s.ctx) })
 	s.goTask(func() { s.readHistory(s.ctx) })
 	s.goTask(func() { s.archiveFinished(s.ctx) })
