End the lease of a leader that refuses connections before taking its key

Cause: a process took a leader for dead when its address refused connections, overwrote its key, and noted that the leader had stopped. Connections can also be refused on the way to a leader that runs. The lease of that leader still renewed, because a lease lasts when the key that is bound to it is overwritten, and nothing else tells a leader that its key is gone: only a worker that the new leader has called, or a conflict when it recorded progress, ended its term. Until the new leader had read the store, the old one started runs and extended leases, while the new one counted the leases of silent workers from the start of its own term.

The order of shutdown is not a cause: Node.drain resigns at its start, and the listener for other processes is closed after the callers have been drained.

Change: the process ends the lease of the leader that refuses, and then takes the vacant key. A leader that runs gets 404 at its next renewal, within 0.4 s, and stops; before, it may let tasks run for at most 1 s after its last renewal unless workers confirm it. The new leader takes its predecessor for one that has stopped only if the record of the term says so. So after a crash with a refused connection a new leader that cannot reach a worker waits about 1 s longer: until the other workers have answered it, and one authority window more.

The wait of about 1 s is by the code, not measured.

Conclusion: a refused connection speeds a takeover up and proves nothing.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -41,7 +41,7 @@
 	Token              ident.Epoch    // fencing token of its requests to workers
 	Revision           ident.Revision // revision of the leader key, a condition of the leader's writes
 	HasPredecessor     bool           // an earlier term exists
-	PredecessorStopped bool           // the previous leader is certainly dead, or recorded the end of its term
+	PredecessorStopped bool           // the previous leader recorded the end of its term
 	Renewal            *Renewal       // when the lease was last renewed; nil in tests that need none
 }
 
@@ -109,8 +109,9 @@
 type leaderState struct {
 	leader   port.Leader
 	revision ident.Revision // revision of the key; 0 if there is no leader
+	lease    port.LeaseID   // to which the key is bound
 	asOf     ident.Revision // revision of the store at the read
-	dead     bool           // the process that holds the key is certainly not running
+	dead     bool           // the process that holds the key is most likely not running
 }
 
 // Run follows the leader, or leads, until the context ends. A leader then releases its key.
@@ -160,10 +161,10 @@
 	if err != nil {
 		return leaderState{}, err
 	}
-	return leaderState{leader: leader, revision: entries[0].Revision, asOf: asOf}, nil
+	return leaderState{leader: leader, revision: entries[0].Revision, lease: entries[0].Lease, asOf: asOf}, nil
 }
 
-// followLeader keeps a session to the leader. It returns true when the leader is certainly dead, and false when the leader
+// followLeader keeps a session to the leader. It returns true when the leader seems to be dead, and false when the leader
 // key changes, another process leads or the context ends.
 func (e *Election) followLeader(ctx context.Context, s leaderState) bool {
 	e.log.Info("following", "leader", s.leader.Process, "term", s.leader.Term)
@@ -310,6 +311,11 @@
 	if err != nil {
 		return Term{}, 0, err
 	}
+	if s.dead {
+		if s, err = e.endTermOf(ctx, s); err != nil {
+			return Term{}, 0, err
+		}
+	}
 	self := e.self
 	self.Term = last.number + 1
 	sentAt := time.Now()
@@ -327,10 +333,23 @@
 	renewal.Mark(sentAt)
 	return Term{
 		Renewal: renewal, Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, HasPredecessor: last.number > 0,
-		PredecessorStopped: s.dead || last.ended,
+		PredecessorStopped: last.ended,
 	}, lease, nil
 }
 
+// endTermOf ends the lease of a leader that seems to be dead, and returns the state in which it has no key. If the process is
+// running nevertheless, its next renewal fails. It would go on if its key were only overwritten: the lease would last.
+func (e *Election) endTermOf(ctx context.Context, s leaderState) (leaderState, error) {
+	if s.lease == 0 {
+		return s, nil
+	}
+	if err := e.store.EndLease(ctx, s.lease); err != nil && !fault.Is(err, fault.NotFound) {
+		return s, err
+	}
+	s.revision = 0
+	return s, nil
+}
+
 // termRecord is the stored record of the latest term.
 type termRecord struct {
 	number   uint64 // 0 if there has been no term
--- a/internal/app/leadership/succession_test.go
+++ b/internal/app/leadership/succession_test.go
@@ -15,12 +15,18 @@
 	"skylarkstall/internal/port"
 )
 
-// keyStore is a store in memory. Its leases do not expire.
+// keyStore is a store in memory. Its leases do not expire, but can be ended.
 type keyStore struct {
 	port.TxnStore
 	mu       sync.Mutex
 	revision ident.Revision
 	entries  map[string]port.Entry
+	leases   port.LeaseID // granted so far
+	ended    map[port.LeaseID]bool
+}
+
+func newKeyStore() *keyStore {
+	return &keyStore{entries: map[string]port.Entry{}, ended: map[port.LeaseID]bool{}}
 }
 
 func (s *keyStore) Get(_ context.Context, key string) (port.Entry, error) {
@@ -64,7 +70,7 @@
 	}
 	s.revision++
 	for _, w := range txn.Writes {
-		s.entries[w.Key] = port.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+		s.entries[w.Key] = port.Entry{Key: w.Key, Value: w.Value, Revision: s.revision, Lease: w.Lease}
 	}
 	for _, key := range txn.Deletes {
 		delete(s.entries, key)
@@ -72,15 +78,40 @@
 	return port.CommitResult{Revision: s.revision}, nil
 }
 
-func (s *keyStore) Grant(context.Context, time.Duration) (port.LeaseID, error) { return 1, nil }
+func (s *keyStore) Grant(context.Context, time.Duration) (port.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	return s.leases, nil
+}
+
+func (s *keyStore) KeepAlive(_ context.Context, lease port.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended[lease] {
+		return fault.New(fault.NotFound, "lease %d has ended", lease)
+	}
+	return nil
+}
 
-func (s *keyStore) KeepAlive(context.Context, port.LeaseID) error { return nil }
+func (s *keyStore) EndLease(_ context.Context, lease port.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.ended[lease] = true
+	for key, e := range s.entries {
+		if e.Lease == lease {
+			delete(s.entries, key)
+		}
+	}
+	return nil
+}
 
 // TestWeakLeaderHandsOver guards against a cell that is led for good by a process with a small share of a processor, which
 // took the key first when all processes had lost power, and against two leaders at a time during the handover.
 func TestWeakLeaderHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &keyStore{entries: map[string]port.Entry{}}
+		store := newKeyStore()
 		var mu sync.Mutex
 		var leading []ident.ProcessID
 		var terms []ident.ProcessID
@@ -129,7 +160,7 @@
 // longer election delay can.
 func TestLeaderGivesWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &keyStore{entries: map[string]port.Entry{}}
+		store := newKeyStore()
 		var mu sync.Mutex
 		var terms []ident.ProcessID
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/app/storeguard/storeguard.go
+++ b/internal/app/storeguard/storeguard.go
@@ -133,3 +133,10 @@
 	b.observe(ctx, err)
 	return err
 }
+
+// EndLease implements port.TxnStore.
+func (b *Breaker) EndLease(ctx context.Context, lease port.LeaseID) error {
+	err := b.store.EndLease(ctx, lease)
+	b.observe(ctx, err)
+	return err
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -67,6 +67,8 @@
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive fails with NotFound if the lease has expired.
 	KeepAlive(ctx context.Context, lease LeaseID) error
+	// EndLease deletes the keys that are bound to the lease. It fails with NotFound if the lease has ended before.
+	EndLease(ctx context.Context, lease LeaseID) error
 }
 
 // Target identifies a worker and its address.
@@ -172,7 +174,7 @@
 // Reasons why Follow returned.
 const (
 	LeaderUnreachable FollowResult = iota // no response; the leader may be running
-	LeaderDead                            // connections to its address are refused, or another process responds there
+	LeaderDead                            // most likely: its address refuses connections, or another process responds there
 	LeaderSessionLost                     // an open session broke
 	LeaderReplaced                        // it responds, but does not lead any more
 )
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -16,6 +16,7 @@
 	Key      string
 	Value    []byte // nil when the key was deleted
 	Revision ident.Revision
+	Lease    LeaseID // 0 if the key is bound to none, or if the store does not tell
 }
 
 // LeaseID identifies a lease of the store; 0 means no lease.
