Log why tasks of a step do not start

The log of the leader tells each order and each end, but nothing of a task that waits, so that the hypotheses cannot be told apart. Change: "tasks wait" is written for a step of which tasks have not started for 1 s, and again after twice the time. Its outcome is one of eleven reasons, also for steps that are held back and for those that no pass of placement reaches. pool.Worker.Rejection names the filter that keeps a task from a worker. The reasons are computed twice a second, for 20 steps and for 2 ms at most, long-running steps first. explain names the reasons beside the longest wait. Conclusion: from a task id, the log leads to the reason for which it waits.

--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -156,13 +156,18 @@
 		return false
 	}
 	for _, w := range s.unsynced {
-		if !w.Cordoned || e.createdRevision < w.CordonedAt {
+		if mayRunOn(e, w) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayRunOn reports whether tasks of a job may be running on a worker that has not reported its runs yet.
+func mayRunOn(e *jobEntry, w port.WorkerRecord) bool {
+	return !w.Cordoned || e.createdRevision < w.CordonedAt
+}
+
 // acceptJob adds a job that was accepted during the term, unless it is already known, has finished, or was cancelled before it was stored. The
 // revision is that of its record, or 0 if it is not known. The lock is held.
 func (s *Scheduler) acceptJob(job port.AcceptedJob, revision ident.Revision) {
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -48,6 +48,12 @@
 	timeout time.Duration
 }
 
+// permitWorker identifies a worker and its incarnation to the permit service.
+func permitWorker(m *workerMonitor) permit.Worker {
+	info := m.worker.Info()
+	return permit.Worker{ID: info.ID, Incarnation: info.Incarnation}
+}
+
 // permitsOf returns the permits of a step, or nil if its queue needs none. The lock is held.
 func (s *Scheduler) permitsOf(c candidate) *permit.Permits {
 	if c.queue.PermitPolicy == nil {
@@ -165,7 +171,7 @@
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	var options []permitCandidate
 	for id, m := range s.monitors {
-		w := permit.Worker{ID: id, Incarnation: m.worker.Info().Incarnation}
+		w := permitWorker(m)
 		if !s.recorded[id] || c.permits.Refused(w) || c.permits.Asked(w) || c.permits.Valid(w, now) {
 			continue
 		}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -131,16 +131,21 @@
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
 	c.permits = s.permitsOf(c)
 	c.workers = s.allowedWorkers(c, now)
+	step := c.entry.step(c.ref)
+	step.wait.triedAt = now
 	if c.held {
 		return nil, s.prefetchPermits(c, now)
 	}
-	waiting, releases := &c.entry.step(c.ref).waiting, c.releases()
+	waiting, releases := &step.waiting, c.releases()
 	if !waiting.Due(now, releases) {
 		return nil, nil
 	}
 	c.waited = waiting.For(now)
 	launches, unplaced := s.placeStep(c, now)
 	waiting.Tried(now, releases, unplaced)
+	if c.entry.workflow.WaitingCount(c.ref) == 0 {
+		step.wait = stepWait{}
+	}
 	if unplaced == 0 {
 		if c.waited > 0 {
 			s.dropHolds(c.ref)
@@ -169,18 +174,22 @@
 		}
 		queue := s.queueOf(e)
 		for _, ref := range refs {
+			e.step(ref).wait.observe(now)
 			list = append(list, candidate{entry: e, ref: ref, queue: queue, held: held})
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.queue.Priority, b.queue.Priority), a.entry.accepted.Compare(b.entry.accepted),
-			cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
-			cmp.Compare(a.ref.Step, b.ref.Step))
-	})
+	slices.SortFunc(list, candidate.compare)
 	return list
 }
 
+// compare orders steps by the priority of the queue and then by the age of the job.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.queue.Priority, other.queue.Priority), c.entry.accepted.Compare(other.entry.accepted),
+		cmp.Compare(c.ref.Job, other.ref.Job), cmp.Compare(c.ref.Occurrence, other.ref.Occurrence),
+		cmp.Compare(c.ref.Step, other.ref.Step))
+}
+
 // allowedWorkers returns the workers on which the queue's policy allows the step, and which are recorded and not
 // cordoned. The lock is held.
 func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
@@ -351,11 +360,17 @@
 	}
 }
 
+// taskRequest describes a task of the step.
+func (c *candidate) taskRequest(task workflow.TaskRef, now time.Time) pool.Request {
+	request := c.request(now)
+	request.Avoid, request.Crashes = c.entry.avoidWorkers[task], c.entry.workflow.Crashes(task)
+	return request
+}
+
 // chooseWorker returns the best worker for a task. Workers on which runs have failed are the last choice. The monitor of
 // the result is nil when no worker is eligible.
 func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
-	request := c.request(now)
-	request.Avoid, request.Crashes = c.entry.avoidWorkers[task], c.entry.workflow.Crashes(task)
+	request := c.taskRequest(task, now)
 	best := c.bestWorker(&request, rack)
 	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
 		request.LastChoice = true
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -119,6 +119,7 @@
 type stepEntry struct {
 	permits  *permit.Permits       // nil if none were needed yet
 	waiting  pool.Waiting          // tasks that could not be placed
+	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
 }
 
@@ -163,6 +164,7 @@
 	s.goTask(func() { s.watchWorkers(s.ctx) })
 	s.goTask(func() { s.awaitPredecessorSilence(s.ctx) })
 	s.goTask(func() { s.runPlacement(s.ctx) })
+	s.goTask(func() { s.reportWaits(s.ctx) })
 	s.goTask(func() { s.readHistory(s.ctx) })
 	s.goTask(func() { s.archiveFinished(s.ctx) })
 	s.goTask(func() { s.deleteFinished(s.ctx) })
--- a/internal/domain/permit/permit.go
+++ b/internal/domain/permit/permit.go
@@ -51,6 +51,23 @@
 	return ok && now.Before(t.Expires)
 }
 
+// Status names what is known of the permit for a worker: "valid", "asked" while a call is in progress, "refused", "expired" if
+// it was allowed, or "unknown".
+func (p *Permits) Status(worker Worker, now time.Time) string {
+	switch {
+	case p.Valid(worker, now):
+		return "valid"
+	case p.Asked(worker):
+		return "asked"
+	case p.Refused(worker):
+		return "refused"
+	case p.Allowed(worker):
+		return "expired"
+	default:
+		return "unknown"
+	}
+}
+
 // Refused reports whether the worker is known not to be allowed.
 func (p *Permits) Refused(worker Worker) bool {
 	allowed, known := p.allowed[worker]
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -28,10 +28,39 @@
 	Now        time.Time
 }
 
+// Rejection is the reason for which a worker may not run a task.
+type Rejection string
+
+// The reasons for which a worker may not run a task. The empty string means that it may.
+const (
+	NotRejected   Rejection = ""
+	OtherService  Rejection = "service"
+	Unresponsive  Rejection = "unresponsive"
+	Unsteady      Rejection = "unsteady" // it crashed before, and has not been up for long enough since
+	Draining      Rejection = "draining"
+	NoLabel       Rejection = "label"
+	AtMaxOfStep   Rejection = "max_per_worker"
+	NotPreferred  Rejection = "failures" // runs have failed on it
+	TooSmall      Rejection = "size"     // the task does not fit on the worker without its runs
+	NoCapacity    Rejection = "capacity"
+	HeldForOthers Rejection = "held" // free capacity is kept for other steps
+)
+
 // filter reports whether a worker may run the task.
-type filter func(*Worker, *Request) bool
+type filter struct {
+	passes    func(*Worker, *Request) bool
+	rejection Rejection
+}
 
-var filters = []filter{sameService, responsive, steady, notDraining, hasRequiredLabel, withinMaxPerWorker, preferred}
+var filters = []filter{
+	{sameService, OtherService},
+	{responsive, Unresponsive},
+	{steady, Unsteady},
+	{notDraining, Draining},
+	{hasRequiredLabel, NoLabel},
+	{withinMaxPerWorker, AtMaxOfStep},
+	{preferred, NotPreferred},
+}
 
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
@@ -57,12 +86,36 @@
 func (w *Worker) Eligible(r *Request) bool { return fits(w, r) && w.passesExceptFits(r) }
 
 func (w *Worker) passesExceptFits(r *Request) bool {
-	for _, passes := range filters {
-		if !passes(w, r) {
-			return false
+	return w.filteredBy(r) == NotRejected
+}
+
+// filteredBy returns the reason of the first filter that the worker does not pass.
+func (w *Worker) filteredBy(r *Request) Rejection {
+	for i := range filters {
+		if !filters[i].passes(w, r) {
+			return filters[i].rejection
 		}
 	}
-	return true
+	return NotRejected
+}
+
+// Rejection returns the reason for which a task may not start on the worker now, or NotRejected if Eligible. Reasons that
+// last longer take precedence over a lack of capacity.
+func (w *Worker) Rejection(r *Request) Rejection {
+	size := reservedSize(r.Step)
+	reason := w.filteredBy(r)
+	switch {
+	case reason != NotRejected && reason != NotPreferred:
+		return reason
+	case !size.Fits(w.info.Capacity):
+		return TooSmall
+	case !size.Fits(w.Free()):
+		return NoCapacity
+	case !fits(w, r):
+		return HeldForOthers
+	default:
+		return reason
+	}
 }
 
 // Weights of the components of a score; the lowest sum wins.
--- a/internal/domain/pool/pool_test.go
+++ b/internal/domain/pool/pool_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
@@ -102,6 +103,52 @@
 	}
 }
 
+// TestRejection guards against a reason that differs from what kept a task from a worker.
+func TestRejection(t *testing.T) {
+	info := func(change func(*pool.WorkerInfo)) func(*pool.Worker, *pool.Request) {
+		return func(w *pool.Worker, _ *pool.Request) {
+			changed := w.Info()
+			change(&changed)
+			w.UpdateInfo(changed)
+		}
+	}
+	for want, change := range map[pool.Rejection]func(*pool.Worker, *pool.Request){
+		pool.NotRejected:  func(*pool.Worker, *pool.Request) {},
+		pool.OtherService: func(_ *pool.Worker, r *pool.Request) { r.Service = "other" },
+		pool.Unresponsive: func(_ *pool.Worker, r *pool.Request) { r.Now = now.Add(3 * time.Second) },
+		pool.Unsteady: func(w *pool.Worker, _ *pool.Request) {
+			history := &pool.CrashHistory{}
+			history.Record(now, nil)
+			history.Record(now, nil)
+			w.Return(now, history)
+		},
+		pool.Draining:    info(func(i *pool.WorkerInfo) { i.Draining = true }),
+		pool.NoLabel:     func(_ *pool.Worker, r *pool.Request) { r.Step.RequiredLabel = "b" },
+		pool.AtMaxOfStep: func(w *pool.Worker, r *pool.Request) { r.Step.MaxPerWorker = 1; _ = w.Reserve(ref(0), r.Step) },
+		pool.NotPreferred: func(_ *pool.Worker, r *pool.Request) {
+			r.Avoid = map[ident.WorkerID]bool{"w": true}
+		},
+		pool.TooSmall:   func(_ *pool.Worker, r *pool.Request) { r.Step.Size.MilliCores = 5000 },
+		pool.NoCapacity: func(w *pool.Worker, r *pool.Request) { s := step(3500); _ = w.Reserve(ref(0), &s) },
+		pool.HeldForOthers: func(w *pool.Worker, r *pool.Request) {
+			s := step(3500)
+			urgent := pool.Request{Ref: workflow.StepRef{Job: "urgent"}, Step: &s, Service: "desk", Now: now}
+			plan, _ := w.PlanPreemption(&urgent)
+			w.Preempt(&urgent, plan, now.Add(time.Second))
+		},
+	} {
+		w, own := worker(), step(1000)
+		request := pool.Request{Ref: ref(0).Task.StepRef, Step: &own, Service: "desk", Now: now}
+		change(w, &request)
+		if got := w.Rejection(&request); got != want {
+			t.Errorf("rejected because of %q, want %q", got, want)
+		}
+		if w.Eligible(&request) != (want == pool.NotRejected) {
+			t.Errorf("%q: eligible %v", want, w.Eligible(&request))
+		}
+	}
+}
+
 // TestFailuresOfOneJob guards against a backoff of a worker because of a job that fails on every worker.
 func TestFailuresOfOneJob(t *testing.T) {
 	w := worker()
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -122,6 +122,9 @@
 	return indexes
 }
 
+// WaitingCount returns the number of tasks of a step that are neither active nor done.
+func (w *Workflow) WaitingCount(ref StepRef) int { return w.step(ref).waiting }
+
 func (w *Workflow) step(ref StepRef) *stepState {
 	return &w.occurrences[ref.Occurrence].steps[ref.Step]
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -189,17 +189,25 @@
 			unsuccessful++
 		}
 	}
+	isWait := func(l line) bool { return l.get("msg") == "tasks wait" }
+	lines := slices.DeleteFunc(slices.Clone(h.jobLines), isWait)
+	if len(lines) == 0 {
+		lines = h.jobLines
+	}
 	from, to := 0, 0
-	for i := 1; i < len(h.jobLines); i++ {
-		if h.jobLines[i].at.Sub(h.jobLines[i-1].at) > h.jobLines[to].at.Sub(h.jobLines[from].at) {
+	for i := 1; i < len(lines); i++ {
+		if lines[i].at.Sub(lines[i-1].at) > lines[to].at.Sub(lines[from].at) {
 			from, to = i-1, i
 		}
 	}
-	a, b := h.jobLines[from], h.jobLines[to]
+	a, b := lines[from], lines[to]
 	sentence := fmt.Sprintf("the longest gap was %.3f s between %q and %q", b.at.Sub(a.at).Seconds(), a.get("msg"), b.get("msg"))
 	if events := h.processEventsBetween(a.at, b.at); len(events) > 0 {
 		sentence += "; process events in that time: " + strings.Join(events, ", ")
 	}
+	if reasons := h.waitReasonsBetween(a.at, b.at); len(reasons) > 0 {
+		sentence += "; tasks waited because of: " + strings.Join(reasons, ", ")
+	}
 	if unsuccessful > 0 {
 		sentence += fmt.Sprintf("; %d runs ended without success", unsuccessful)
 	}
@@ -217,3 +225,15 @@
 	}
 	return names
 }
+
+// waitReasonsBetween returns the reasons for which tasks of the job waited in the interval, without duplicates.
+func (h *History) waitReasonsBetween(from, to time.Time) []string {
+	var reasons []string
+	for _, l := range h.jobLines {
+		reason := l.get("kind") + " (" + l.get("step") + ")"
+		if l.get("msg") == "tasks wait" && !l.at.Before(from) && !l.at.After(to) && !slices.Contains(reasons, reason) {
+			reasons = append(reasons, reason)
+		}
+	}
+	return reasons
+}
