Log by what evidence a run is given up, and a run that is done beside another one

Cause: only the number of runs that were given up on a worker was logged. Change: "run given up" is one line for each run, with the silence of its worker, what may be left of its lease, and the incarnation before and after. "run done beside another run" is written when an end as done arrives for a run that had been given up, or whose task has another run that is active or done. Copies of speculative steps are left out of the latter. Conclusion: the two runs of a task that ran twice are named in one line, if one leader sees both ends or gave one run up.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -250,6 +250,7 @@
 		if e != nil && run.Step.AllowsCopies() && e.workflow.DropRun(run.RunRef, m.worker.Info().ID) {
 			s.log.Info("run copied", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
 				"silent_ms", m.worker.SilentFor(time.Now()).Milliseconds())
+			s.logGivenUp(m, run, "copied", evidenceOf(m.worker, evidenceSilent))
 			s.doubtRuns([]*pool.Run{run})
 			s.wakePlacement()
 		}
@@ -259,8 +260,13 @@
 // dropRuns ends every run of a worker on which certainly nothing runs any more. The lock is held.
 func (s *Scheduler) dropRuns(m *workerMonitor, outcome workflow.Outcome) {
 	runs := m.worker.Runs()
+	evidence := evidenceOf(m.worker, evidenceLapsed)
+	if outcome == workflow.Lost {
+		evidence.kind = evidenceReplaced
+	}
 	for _, run := range runs {
 		m.worker.Release(run.RunRef)
+		s.logGivenUp(m, run, outcome.String(), evidence)
 		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: outcome})
 	}
 	if outcome == workflow.Lost {
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -74,6 +74,7 @@
 		reported[end.Run] = true
 	}
 	s.log.Warn("worker restarted", "worker", m.worker.Info().ID, "runs", len(m.worker.Runs()), "listed", len(reported))
+	evidence := evidenceOf(m.worker, evidenceRestart)
 	m.worker.ResetAfterRestart(reply.Incarnation, reply.WorkerClock+s.settings.MaxLease)
 	m.appliedEnd, m.ackedEnd, m.pendingEnds, m.lastSyncSent = 0, 0, nil, time.Time{}
 	var lost, doubtful []*pool.Run
@@ -87,6 +88,7 @@
 			continue
 		}
 		m.worker.Release(run.RunRef)
+		s.logGivenUp(m, run, workflow.Lost.String(), evidence)
 		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: workflow.Lost})
 		lost = append(lost, run)
 	}
@@ -141,6 +143,7 @@
 	worker := m.worker.Info().ID
 	switch end.Outcome {
 	case workflow.Done:
+		s.noteDone(e, workflow.Placement{RunRef: end.Run, Worker: worker})
 		m.worker.RecordSuccess()
 		e.acquit(end.Run.Task)
 	case workflow.Failed:
@@ -199,6 +202,7 @@
 			outcome = workflow.Lost
 			lost = append(lost, run)
 		}
+		s.logGivenUp(m, run, outcome.String(), evidenceOf(m.worker, evidenceUnlisted))
 		s.applyEnd(m, workflow.End{Run: run.RunRef, Outcome: outcome})
 		s.log.Info("run is not there", "task", run.Task.String(), "run", run.Run, "worker", m.worker.Info().ID,
 			"stopped", !run.StopAcked.IsZero())
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -113,6 +113,7 @@
 	crashVersion    uint64                                       // version that counts the last crash of a worker under a task
 	excuses         map[workflow.TaskRef]int                     // crashes that were put down to the workers
 	suspectedIn     map[workflow.TaskRef][]*pool.CrashHistory    // histories in which a task may have caused a crash
+	history         map[workflow.TaskRef]*runHistory             // of tasks with a run that was given up or is done
 }
 
 // stepEntry is a step of a job with the scheduler's own data on it.
@@ -207,6 +208,7 @@
 		workflow: workflow.New(job.Spec), queue: job.Queue, accepted: job.AcceptedAt,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
+		history: map[workflow.TaskRef]*runHistory{},
 	}
 	s.jobs[job.Spec.ID] = e
 	s.openJobs[job.Spec.ID] = e
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -144,6 +144,12 @@
 	return w.clock.known && w.clock.lowerBound(now) > w.leaseExpiry+leaseMargin
 }
 
+// LeaseLeft returns for how long a lease that may have reached the worker can still be valid, on a clock that is as slow as
+// allowed. It is negative once all of them have expired.
+func (w *Worker) LeaseLeft(now time.Time) time.Duration {
+	return w.leaseExpiry - w.clock.lowerBound(now)
+}
+
 // ResetAfterRestart resets the worker to a new incarnation. Requests that were in flight may extend the lease up to
 // leaseExpiry on the new clock. The caller releases the runs that ended with the previous incarnation.
 func (w *Worker) ResetAfterRestart(incarnation int64, leaseExpiry time.Duration) {
--- a/internal/domain/workflow/end.go
+++ b/internal/domain/workflow/end.go
@@ -63,17 +63,21 @@
 			w.markDone(TaskRef{ref, i})
 		}
 	} else {
-		effect.Stop = w.activeRuns(run.Task)
+		effect.Stop = w.ActiveRuns(run.Task)
 		w.markDone(run.Task)
 	}
 	w.completeIfDone()
 	return effect
 }
 
-// activeRuns returns the active runs of one task.
-func (w *Workflow) activeRuns(ref TaskRef) []Placement {
+// ActiveRuns returns the active runs of one task.
+func (w *Workflow) ActiveRuns(ref TaskRef) []Placement {
+	t := w.task(ref)
+	if t == nil {
+		return nil
+	}
 	var runs []Placement
-	for _, a := range w.task(ref).active {
+	for _, a := range t.active {
 		runs = append(runs, Placement{RunRef{ref, a.run}, a.worker})
 	}
 	return runs
