Leave time for trying steps in each pass of placement, however long the queue is

Callers see: while the queue is long, no task starts, although workers are idle. Cause: the 5 ms of a pass included the collection of the waiting steps. With 1,000 steps that takes 2 ms on two processors of the machine at hand; a queue that takes longer than 5 ms left no time to try any step, and no pass differed from the one before. Change: 2 ms are left for trying steps after the collection. Result: TestLongQueueIsTried (20,000 waiting steps, two idle workers) fails without the change, 6 of 6 (0 starts within 5 passes), and passes, 5 of 5 with the race detector and 5 of 5 without. Conclusion: the lock is held for 2 ms longer than before in such passes; their rate falls with their duration as before.

--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -62,6 +62,8 @@
 	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
+	// minTryTime is left for trying steps, however long it took to collect them.
+	minTryTime = 2 * time.Millisecond
 )
 
 // candidate is a step with tasks to start.
@@ -114,8 +116,10 @@
 	var calls []permitCall
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
 	started := time.Now()
-	for _, c := range s.candidates(now) {
-		if time.Since(started) > maxPlaceTime {
+	list := s.candidates(now)
+	limit := max(maxPlaceTime, time.Since(started)+minTryTime)
+	for _, c := range list {
+		if time.Since(started) > limit {
 			s.wakePlacement()
 			break
 		}
