Start a failed long-running task on a failing worker rather than keep it away

Callers see: a task of a long-running step that has failed stays away for many seconds although a worker has free capacity. Cause: while other workers could take the task once they have less to do, and at least half of the processors are in use, a worker on which runs have failed is not used before 8 s have passed. If other jobs fail there too, its backoff begins again with each failure, and the wait has no bound. The reason is to save the attempts of the task; a long-running task has no bound of attempts. Change: a long-running step that has waited 1.5 s uses workers with failures, as the last choice.

--- a/internal/app/scheduler/last_choice_test.go
+++ b/internal/app/scheduler/last_choice_test.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// TestFailedLongRunningTask guards against a long-running task that stays away for more than 9 s although a worker has free
+// capacity: the task failed there, others fail there too, and no other worker has free capacity.
+func TestFailedLongRunningTask(t *testing.T) {
+	s, now := newLeader(t), time.Now()
+	acceptTestJob(s, workflow.Step{Count: 1, LongRunning: true})
+	launches := placeAt(s, now)
+	if len(launches) != 1 {
+		t.Fatalf("%d starts, want 1", len(launches))
+	}
+	failing := launches[0].monitor.worker
+	for id := range s.monitors {
+		if id != failing.Info().ID {
+			reserveAll(t, s, id)
+		}
+	}
+	fail(s, launches[0])
+	for waited := time.Duration(0); waited < 9*time.Second; waited += placeInterval {
+		if waited%time.Second == 0 {
+			failing.RecordFailure(workflow.ID(waited.String()), now.Add(waited))
+		}
+		if len(placeAt(s, now.Add(waited))) > 0 {
+			return
+		}
+	}
+	t.Error("the task is not started within 9 s on the only worker with free capacity")
+}
+
 // TestEveryTaskIsPlaced guards against any history of failures, backoffs and permits after which a task with attempts
 // left and an allowed worker with free capacity is never started.
 func TestEveryTaskIsPlaced(t *testing.T) {
--- a/internal/domain/pool/last_choice.go
+++ b/internal/domain/pool/last_choice.go
@@ -39,10 +39,10 @@
 
 // NeedsLastChoice reports whether a task that no worker can take should use workers on which runs have failed: after
 // lastChoiceDelay, unless it waits for one of the given workers that could take it once it has less to do. A pool with
-// idle capacity is not worth waiting for.
+// idle capacity is not worth waiting for. A long-running task does not wait at all, as its attempts are not bounded.
 func (r *Request) NeedsLastChoice(workers iter.Seq[*Worker], idle func() bool) bool {
-	if !r.WaitedLong() {
-		return false
+	if !r.WaitedLong() || r.Step.LongRunning {
+		return r.WaitedLong()
 	}
 	for w := range workers {
 		if w.couldRun(r) {
