Move the collection of waiting steps to a file of its own

Change: candidate.go holds the steps that are tried and the workers on which they may run. Nothing else differs.

--- /dev/null
+++ b/internal/app/scheduler/candidate.go
@@ -0,0 +1,171 @@
+package scheduler
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+	"time"
+
+	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/domain/workflow"
+)
+
+// candidate is a step with tasks to start.
+type candidate struct {
+	entry   *jobEntry
+	ref     workflow.StepRef
+	queue   route.Queue
+	permits *permit.Permits // nil if the queue needs none
+	workers []allowedWorker
+	waited  time.Duration // for how long tasks of the step could not be placed
+	held    bool          // tasks of the step may still run on a worker of an earlier leader
+	pass    *placementPass
+}
+
+// placementPass caches what all steps that are tried in one pass have in common.
+type placementPass struct {
+	scheduler *Scheduler
+	now       time.Time
+	idle      map[string]bool // by service: whether much capacity is unused
+	recorded  []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
+	releases  uint64          // releases on the recorded workers
+}
+
+// isIdle reports whether the workers of the service have much unused capacity.
+func (p *placementPass) isIdle(service string) bool {
+	idle, known := p.idle[service]
+	if !known {
+		idle = pool.Idle(service, p.scheduler.workers(), p.now)
+		p.idle[service] = idle
+	}
+	return idle
+}
+
+// allowedWorker is a worker on which the policy of the queue allows a step to run.
+type allowedWorker struct {
+	monitor *workerMonitor
+	ticket  string // empty if the queue needs no permits
+}
+
+// candidates returns the steps with tasks to start, by the priority of the queue and then by the age of the job.
+func (s *Scheduler) candidates(now time.Time) []candidate {
+	var list []candidate
+	prefetch := s.prefetchDue(now)
+	for _, e := range s.openJobs {
+		held := s.mayRunOnUnsynced(e)
+		if held && !prefetch {
+			continue
+		}
+		refs := e.workflow.Ready(now)
+		if len(refs) == 0 {
+			continue
+		}
+		queue := s.queueOf(e)
+		for _, ref := range refs {
+			e.step(ref).wait.observe(now)
+			list = append(list, candidate{entry: e, ref: ref, queue: queue, held: held})
+		}
+	}
+	slices.SortFunc(list, candidate.compare)
+	return list
+}
+
+// compare orders steps by the priority of the queue and then by the age of the job.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.queue.Priority, other.queue.Priority), c.entry.accepted.Compare(other.entry.accepted),
+		cmp.Compare(c.ref.Job, other.ref.Job), cmp.Compare(c.ref.Occurrence, other.ref.Occurrence),
+		cmp.Compare(c.ref.Step, other.ref.Step))
+}
+
+// allowedWorkers returns the workers on which the queue's policy allows the step, and which are recorded and not
+// cordoned. The lock is held.
+func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
+	var workers []allowedWorker
+	if c.permits == nil {
+		return s.recordedWorkers(c.pass)
+	}
+	for worker, ticket := range c.permits.Tickets(now) {
+		m := s.monitors[worker.ID]
+		if m != nil && s.recorded[worker.ID] && m.worker.Info().Incarnation == worker.Incarnation {
+			workers = append(workers, allowedWorker{m, ticket})
+		}
+	}
+	return workers
+}
+
+// recordedWorkers returns the workers that may get runs. The lock is held.
+func (s *Scheduler) recordedWorkers(pass *placementPass) []allowedWorker {
+	if pass.recorded == nil {
+		for id, m := range s.monitors {
+			if s.recorded[id] {
+				pass.recorded = append(pass.recorded, allowedWorker{monitor: m})
+				pass.releases += m.worker.Releases()
+			}
+		}
+	}
+	return pass.recorded
+}
+
+// releases returns how many times capacity was released on the workers on which the step may run.
+func (c *candidate) releases() uint64 {
+	if c.permits == nil {
+		return c.pass.releases
+	}
+	var n uint64
+	for w := range c.allowed() {
+		n += w.Releases()
+	}
+	return n
+}
+
+// workers returns the workers that the leader knows. The lock is held.
+func (s *Scheduler) workers() iter.Seq[*pool.Worker] {
+	return func(yield func(*pool.Worker) bool) {
+		for _, m := range s.monitors {
+			if !yield(m.worker) {
+				return
+			}
+		}
+	}
+}
+
+// request describes the tasks of the step to the filters and scores of workers.
+func (c *candidate) request(now time.Time) pool.Request {
+	return pool.Request{
+		Ref: c.ref, Step: c.entry.workflow.Step(c.ref), Service: c.queue.Service, Waited: c.waited, Now: now,
+		Priority: c.queue.Priority,
+	}
+}
+
+// taskRequest describes a task of the step.
+func (c *candidate) taskRequest(task workflow.TaskRef, now time.Time) pool.Request {
+	request := c.request(now)
+	request.Avoid, request.Crashes = c.entry.avoidWorkers[task], c.entry.workflow.Crashes(task)
+	return request
+}
+
+// chooseWorker returns the best worker for a task. Workers on which runs have failed are the last choice. The monitor of
+// the result is nil when no worker is eligible.
+func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
+	request := c.taskRequest(task, now)
+	best := c.bestWorker(&request, rack)
+	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
+		request.LastChoice = true
+		best = c.bestWorker(&request, rack)
+	}
+	return best
+}
+
+// allowed returns the workers on which the step may run.
+func (c *candidate) allowed() iter.Seq[*pool.Worker] {
+	return func(yield func(*pool.Worker) bool) {
+		for _, allowed := range c.workers {
+			if !yield(allowed.monitor.worker) {
+				return
+			}
+		}
+	}
+}
