Record the end of a term only when no earlier leader is left

Cause: a leader recorded the end of its term whenever it gave up its key, and the next leader took that for the time from which no earlier leader starts runs or extends leases. It spoke only of the immediate predecessor. If that one had led for a moment, the leader before it, cut off from the store and confirmed by its workers, or paused, could still do both. The same holds for the fence: the third leader counts the answers of the workers that the second one recorded, while the first one relies on its own record.

Change: a leader records the end of its term only if no earlier one is left: it had no predecessor, it took over from a term that is recorded so, or it has led for MaxRenewalGap, since a lease that was renewed before its term is too old by then. A leader that takes over also gets the time from which the leaders before its predecessor are silent: at once if the predecessor had begun as the sole leader (new key cell/term/sole), else MaxRenewalGap after its process first saw that term.

Conclusion: what a leader knows of the one before it is passed on only with what that one knew. A takeover costs one more write in its transaction, and no more calls.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,7 +39,8 @@
 	Token              ident.Epoch    // fencing token of its requests to workers
 	Revision           ident.Revision // revision of the leader key, a condition of the leader's writes
 	HasPredecessor     bool           // an earlier term exists
-	PredecessorStopped bool           // the previous leader recorded the end of its term
+	PredecessorStopped bool           // the previous leader recorded the end of its term, and that no earlier one was left
+	EarlierSilentAt    time.Time      // from when no leader before the previous one sends requests; zero if that has been so
 	Renewal            *Renewal       // when the lease was last renewed; nil in tests that need none
 }
 
@@ -79,6 +78,7 @@
 	resigned   chan struct{}
 	resignOnce sync.Once
 	gaveWayAt  time.Time // when this process last gave way; zero if it never did
+	latestTerm seenTerm  // as read from the store, or led
 }
 
 // New returns an Election that starts with Run. Before it takes a vacant leader key it waits for the election delay of
@@ -124,6 +124,9 @@
 			pause.For(ctx, retryInterval)
 			continue
 		}
+		if s.revision != 0 {
+			e.latestTerm.observe(s.leader.Term, time.Now())
+		}
 		if s.revision != 0 && s.leader.Incarnation != e.self.Incarnation {
 			if s.dead = e.followLeader(ctx, s); !s.dead {
 				continue
@@ -267,6 +270,8 @@
 		pause.For(ctx, retryInterval/3)
 		return
 	}
+	takenAt := time.Now()
+	e.latestTerm.observe(term.Number, takenAt)
 	e.log.Info("leadership taken", "term", term.Number, "token", term.Token, "before", s.leader.Process)
 	leadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -297,7 +302,7 @@
 	cancel()
 	<-leadEnded
 	e.log.Info("leadership ended", "term", term.Number, "reason", reason)
-	e.release(term)
+	e.release(term, term.isLastLeft(takenAt))
 }
 
 func (e *Election) acquire(ctx context.Context, s leaderState) (Term, port.LeaseID, error) {
@@ -321,20 +326,23 @@
 	sentAt := time.Now()
 	committed, err := e.store.Commit(ctx, port.Txn{
 		If: []port.Condition{{Key: port.LeaderKey, Revision: s.revision}, {Key: port.TermKey, Revision: last.revision}},
-		Writes: []port.Write{
-			{Key: port.LeaderKey, Value: e.codec.EncodeLeader(self), Lease: lease},
-			{Key: port.TermKey, Value: []byte(strconv.FormatUint(self.Term, 10))},
-		},
+		Writes: append(last.successor(), port.Write{
+			Key: port.LeaderKey, Value: e.codec.EncodeLeader(self), Lease: lease,
+		}),
 	})
 	if err != nil {
 		return Term{}, 0, err
 	}
 	renewal := &Renewal{}
 	renewal.Mark(sentAt)
-	return Term{
-		Renewal: renewal, Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision, HasPredecessor: last.number > 0,
-		PredecessorStopped: last.ended,
-	}, lease, nil
+	term := Term{
+		Renewal: renewal, Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision,
+		HasPredecessor: last.number > 0, PredecessorStopped: last.ended,
+	}
+	if !last.sole {
+		term.EarlierSilentAt = e.latestTerm.earlierSilentAt(last.number, time.Now())
+	}
+	return term, lease, nil
 }
 
 // endTermOf ends the lease of a leader that seems to be dead, and returns the state in which it has no key. If the process is
@@ -350,29 +358,6 @@
 	return s, nil
 }
 
-// termRecord is the stored record of the latest term.
-type termRecord struct {
-	number   uint64 // 0 if there has been no term
-	ended    bool   // the leader had stopped its work when it released the key
-	revision ident.Revision
-}
-
-// termEndedSuffix follows the number of a term whose leader stopped its work before it released the key.
-const termEndedSuffix = " over"
-
-func (e *Election) readTermRecord(ctx context.Context) (termRecord, error) {
-	entry, err := e.store.Get(ctx, port.TermKey)
-	if fault.Is(err, fault.NotFound) {
-		return termRecord{}, nil
-	}
-	if err != nil {
-		return termRecord{}, err
-	}
-	digits, ended := strings.CutSuffix(string(entry.Value), termEndedSuffix)
-	number, err := strconv.ParseUint(digits, 10, 64)
-	return termRecord{number, ended, entry.Revision}, fault.WrapAs(fault.Invalid, err, "parse the term record")
-}
-
 // renewLease renews the lease until the lease is lost or the context ends, and returns the reason why it stopped.
 func (e *Election) renewLease(ctx context.Context, lease port.LeaseID, renewal *Renewal) string {
 	lastRenewal := time.Now()
@@ -396,16 +381,18 @@
 	return "the leader stopped its work"
 }
 
-// release deletes the leader key, so that the next leader need not wait until the lease expires, and records that this
-// leader sends no further requests to workers.
-func (e *Election) release(term Term) {
+// release deletes the leader key, so that the next leader need not wait until the lease expires. If this leader is the last one
+// left, it records that none sends further requests to workers.
+func (e *Election) release(term Term, isLastLeft bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_, err := e.store.Commit(ctx, port.Txn{
-		If:      []port.Condition{{Key: port.LeaderKey, Revision: term.Revision}},
-		Writes:  []port.Write{{Key: port.TermKey, Value: []byte(strconv.FormatUint(term.Number, 10) + termEndedSuffix)}},
-		Deletes: []string{port.LeaderKey},
-	})
+	txn := port.Txn{
+		If: []port.Condition{{Key: port.LeaderKey, Revision: term.Revision}}, Deletes: []string{port.LeaderKey},
+	}
+	if isLastLeft {
+		txn.Writes = []port.Write{{Key: port.TermKey, Value: []byte(formatTerm(term.Number) + termEndedSuffix)}}
+	}
+	_, err := e.store.Commit(ctx, txn)
 	if err != nil && !fault.Is(err, fault.Conflict) {
 		e.log.Warn("leadership not given up", "error", err)
 	}
--- a/internal/app/leadership/succession_test.go
+++ b/internal/app/leadership/succession_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,6 +24,7 @@
 	entries  map[string]port.Entry
 	leases   port.LeaseID // granted so far
 	ended    map[port.LeaseID]bool
+	cutOff   uint64 // incarnation of a process that cannot renew its lease
 }
 
 func newKeyStore() *keyStore {
@@ -38,14 +40,16 @@
 	return port.Entry{}, fault.New(fault.NotFound, "no key %s", key)
 }
 
-func (s *keyStore) List(ctx context.Context, prefix string) ([]port.Entry, ident.Revision, error) {
-	e, err := s.Get(ctx, prefix)
+func (s *keyStore) List(_ context.Context, prefix string) ([]port.Entry, ident.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
-		return nil, s.revision, nil //nolint:nilerr // no key with the prefix
+	var list []port.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
 	}
-	return []port.Entry{e}, s.revision, nil
+	return list, s.revision, nil
 }
 
 func (s *keyStore) Watch(
--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -136,14 +136,21 @@
 	return s.predecessor.fencedAt.Sub(s.startedAt)
 }
 
-// predecessorSilentAt returns the time from which the previous leader certainly grants no leases any more. The lock is held.
+// predecessorSilentAt returns the time from which no earlier leader grants leases any more. The lock is held.
 func (s *Scheduler) predecessorSilentAt() time.Time {
 	if s.term.PredecessorStopped {
 		return s.startedAt
 	}
 	latest := s.startedAt.Add(leadership.MaxRenewalGap)
-	if fenced := s.predecessor.fencedAt.Add(authorityWindow); !s.predecessor.fencedAt.IsZero() && fenced.Before(latest) {
-		return fenced
+	if s.predecessor.fencedAt.IsZero() {
+		return latest
+	}
+	silent := s.predecessor.fencedAt.Add(authorityWindow)
+	if s.term.EarlierSilentAt.After(silent) {
+		silent = s.term.EarlierSilentAt // leaders before the previous one may rely on other workers than are recorded now
+	}
+	if silent.Before(latest) {
+		return silent
 	}
 	return latest
 }
--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -45,11 +45,16 @@
 	for name, c := range map[string]struct {
 		answered []ident.WorkerID
 		longest  time.Duration
+		earlier  time.Duration // until when a leader before the predecessor may send requests
 	}{
-		"two thirds answered": {[]ident.WorkerID{"w1", "w2"}, authorityWindow + pool.LapseTime(lease) + 2*placeInterval},
-		"one third answered":  {[]ident.WorkerID{"w1"}, leadership.MaxRenewalGap + pool.LapseTime(lease) + 2*placeInterval},
+		"two thirds answered": {[]ident.WorkerID{"w1", "w2"}, authorityWindow + pool.LapseTime(lease) + 2*placeInterval, 0},
+		"one third answered":  {[]ident.WorkerID{"w1"}, leadership.MaxRenewalGap + pool.LapseTime(lease) + 2*placeInterval, 0},
+		"after a short term":  {[]ident.WorkerID{"w1", "w2"}, 4*time.Second + pool.LapseTime(lease) + 2*placeInterval, 4 * time.Second},
 	} {
 		s, now := newSuccessor(t, c.answered...)
+		if c.earlier > 0 {
+			s.term.EarlierSilentAt = now.Add(c.earlier)
+		}
 		waited, started := time.Duration(0), false
 		for ; !started && waited < 12*time.Second; waited += placeInterval {
 			at := now.Add(waited)
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -247,6 +247,7 @@
 	LeaderKey      = "cell/leader"    // the leader, bound to a lease
 	SuccessorKey   = "cell/successor" // a process that is better suited to lead, bound to a lease
 	TermKey        = "cell/term"      // number of the latest term
+	SoleTermKey    = "cell/term/sole" // number of the latest term that began when no earlier leader was left
 	WorkersKey     = "cell/workers"   // workers to which the leader may have sent requests
 )
 
