Wait for a worker that answers but has unlisted ends

Cause: a worker lists 500 ends at a time, and the next ones once those are acknowledged. A new leader that could not record progress knew of no more, and after the time in which the leases of its predecessor lapse it took the worker for one that runs nothing. But its own syncs had kept the leases alive: tasks whose ends were not listed yet started again, and those ends were acknowledged later.

Change: a worker that has answered and whose lease has not expired is waited for until it has listed everything.

--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -190,3 +190,32 @@
 		}
 	}
 }
+
+// TestUnlistedEndsDelayTakeover guards against a task that runs again after it has ended as done: while ends could not be recorded, a
+// worker listed only the first of them, and the new leader took the others for lost once the leases of its predecessor had lapsed.
+func TestUnlistedEndsDelayTakeover(t *testing.T) {
+	s, now := newSuccessor(t, "w1", "w2")
+	m := s.monitors["w3"]
+	listed := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: "job"}, Index: 1}, Run: 1}
+	for waited := time.Duration(0); waited < 12*time.Second; waited += placeInterval {
+		at := now.Add(waited)
+		for _, id := range []ident.WorkerID{"w1", "w2"} {
+			s.monitors[id].worker.ObserveClock(at.Sub(now)+time.Minute, at, at)
+		}
+		s.applyReply(m, port.SyncReply{WorkerClock: waited + time.Minute, MoreEnds: true, Ended: []port.EndedRun{
+			{Number: 1, End: workflow.End{Run: listed, Outcome: workflow.Done}},
+		}}, at, at)
+		s.mu.Lock()
+		m.worker.ExtendLease(s.settings.leaseDuration(), at) // by the next sync
+		s.mu.Unlock()
+		if launches, _ := s.place(at); len(launches) > 0 {
+			t.Fatalf("the task starts %v after the takeover, although a worker that answers may list its end later", waited)
+		}
+	}
+	s.applyReply(m, port.SyncReply{WorkerClock: time.Hour, Ended: []port.EndedRun{
+		{Number: 1, End: workflow.End{Run: listed, Outcome: workflow.Done}}, {Number: 2, End: workflow.End{Run: firstRun(0), Outcome: workflow.Done}},
+	}}, now.Add(12*time.Second), now.Add(12*time.Second))
+	if state := s.jobs["job"].workflow.State(); state != workflow.Completed {
+		t.Errorf("job is %s after its end was listed, want completed", state)
+	}
+}
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -134,7 +134,8 @@
 	lapsed := now.After(s.predecessorLapsedAt())
 	for id := range s.unsynced {
 		m := s.monitors[id]
-		if m != nil && (m.worker.Synced() || m.replaced) || lapsed {
+		answers := m != nil && !m.answeredAt.IsZero() && !m.worker.LeaseExpired(now) // but has more ends than it lists
+		if m != nil && (m.worker.Synced() || m.replaced) || lapsed && !answers {
 			delete(s.unsynced, id)
 		}
 	}
