Assume the lease of the previous leader on a worker that has answered once

Callers would see two runs of a task at the same time (TWICE).

Cause: a leader gives up the runs of a silent worker once every lease that it has sent has expired. A new leader that had found runs on a worker, and was not confirmed (neither its renewals nor most workers had answered within 1 s, for example after a pause), sent none. If the next sync failed, it took the lease for expired at once, while the one of its predecessor may last for 3.5 s.

Change: with the first answer of a worker in a term the leader assumes a lease of full length from the worker's clock on. The predecessor cannot have granted a later one, as the answer shows that the worker refuses it. An extension of its own is never earlier, so nothing changes where the leader is confirmed.

Test: TestLeaseOfPredecessor failed before ("run given up: true") and passes.

Conclusion: the class is a deadline computed from one's own requests only, while another leader's count too.

--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -32,6 +32,7 @@
 	m.unreachable = false
 	if m.answeredAt.IsZero() {
 		m.answeredAt = now
+		m.worker.AssumeLease(reply.WorkerClock + s.settings.leaseDuration()) // of the previous leader
 		m.worker.Return(now, s.crashHistory(m))
 	}
 	if _, recorded := s.recorded[m.worker.Info().ID]; !recorded && !m.worker.Synced() {
--- a/internal/app/scheduler/reply_test.go
+++ b/internal/app/scheduler/reply_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
@@ -35,3 +39,25 @@
 		t.Errorf("%d runs of the job are active, want 1", len(e.workflow.Active()))
 	}
 }
+
+// TestLeaseOfPredecessor guards against a run that a new leader found and gives up while the lease that its predecessor had granted is
+// in force: the new leader was not confirmed, so it had not extended the lease itself, and the worker fell silent.
+func TestLeaseOfPredecessor(t *testing.T) {
+	s, now := newLeaderFor(t), time.Now()
+	s.term.Renewal = &leadership.Renewal{}
+	s.term.Renewal.Mark(now.Add(-3 * time.Second))
+	s.authority.workers = []ident.WorkerID{"w1", "w2", "w3"}
+	m := newMonitor(pool.WorkerInfo{ID: "w1", Service: "desk", Incarnation: 1})
+	s.monitors["w1"] = m
+	run := firstRun(0)
+	s.applyReply(m, port.SyncReply{
+		Incarnation: 1, WorkerClock: time.Hour, Running: []port.RunningRun{{RunRef: run}},
+	}, now, now)
+	s.mu.Lock()
+	request := s.syncRequest(m, 0)
+	s.mu.Unlock()
+	s.syncFailed(m, "", fault.New(fault.Interrupted, "no response"))
+	if request.LeaseExpiry != 0 || m.worker.Run(run) == nil {
+		t.Errorf("lease requested until %v, run given up: %v; want no lease, and the run kept", request.LeaseExpiry, m.worker.Run(run) == nil)
+	}
+}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -139,6 +139,9 @@
 	return expiry, true
 }
 
+// AssumeLease records that another leader may have sent a lease with the given expiry, on the worker's clock.
+func (w *Worker) AssumeLease(expiry time.Duration) { w.leaseExpiry = max(w.leaseExpiry, expiry) }
+
 // LeaseExpired reports whether every lease that may have reached the worker has expired, so that nothing runs on it.
 func (w *Worker) LeaseExpired(now time.Time) bool {
 	return w.clock.known && w.clock.lowerBound(now) > w.leaseExpiry+leaseMargin
