Model a task that is stored while the leader changes

Cause: spec/leader.pml knew one task that is stored from the start, so it could not show the fault of the fixed window for jobs of the term, in which a task is stored after the new leader took the key and is started by the previous one.

Change: the task is stored at any time. The second leader need not wait for workers that it cannot reach if the task was stored when the first leader had stopped or could not be confirmed any more. The new variant NEW_TASK, in which it never waits with a task that was stored during its term, has to fail.

Three leaders in a row and a leader whose key is overwritten are not modelled.

--- a/spec/leader.pml
+++ b/spec/leader.pml
@@ -3,16 +3,18 @@
  * other. The first leader keeps sending requests until it stops or a worker rejects one. It starts tasks and extends leases only
  * while the store or two of the three workers have confirmed a short time ago that it leads. The second leader waits for a
  * worker that it cannot reach until the first one has stopped, or, once two workers have answered it, until such a confirmation
- * would have run out. Start requests may be delayed. Sync calls get their response at once, unless the leader cannot reach the
+ * would have run out. The task is stored at any time; the second leader does not wait with a task that was stored when the first one
+ * had stopped already. Start requests may be delayed. Sync calls get their response at once, unless the leader cannot reach the
  * worker.
  *
  * Checked properties: the task never runs in two places, and it does not start after its end was acknowledged.
  *
  * Variants that must fail: NO_WAIT (the second leader does not wait for workers that it cannot reach), NO_FENCE (workers
  * accept start requests with any token), ACK_FIRST (an end is acknowledged before it is recorded), NO_STOP (a leader that
- * has lost its lease goes on without a confirmation), MINORITY (the answer of one worker confirms that a leader leads).
+ * has lost its lease goes on without a confirmation), MINORITY (the answer of one worker confirms that a leader leads), NEW_TASK (the
+ * second leader does not wait with a task that was stored during its term).
  */
-// broken: NO_WAIT NO_FENCE ACK_FIRST NO_STOP MINORITY
+// broken: NO_WAIT NO_FENCE ACK_FIRST NO_STOP MINORITY NEW_TASK
 #define WORKERS 3
 #ifdef MINORITY
 #define QUORUM 1
@@ -31,6 +33,8 @@
 bool firstStopped;      /* the first leader sends no further requests */
 bool confirmed = true;  /* the first leader may let tasks run */
 bool fenced;            /* two workers have answered the second leader */
+bool stored;            /* the task is stored */
+bool mayWaitForNone;    /* it was stored when the second leader need not wait with it */
 
 inline check() {
 	assert(running[0] + running[1] + running[2] <= 1);
@@ -39,6 +43,7 @@
 
 #define ALL(a) (a[0] && a[1] && a[2])
 #define NONE(a) (!a[0] && !a[1] && !a[2])
+#define SILENT (firstStopped || (fenced && !confirmed))
 
 #ifdef NO_STOP
 #define MAY_LET_RUN true
@@ -67,6 +72,18 @@
 	od
 }
 
+/* A client submits the task. */
+proctype Submission() {
+	atomic {
+		stored = true;
+#ifdef NEW_TASK
+		mayWaitForNone = currentLeader == 2
+#else
+		mayWaitForNone = currentLeader == 2 && SILENT
+#endif
+	}
+}
+
 proctype Leader(byte self) {
 	bool synced[WORKERS];
 	bool placed[WORKERS]; /* a run was requested there or reported by the worker */
@@ -93,12 +110,12 @@
 #ifdef NO_WAIT
 	:: atomic { self == 2 && !synced[w] -> synced[w] = true }
 #else
-	:: atomic { self == 2 && !synced[w] && leaseExpired[w] && (firstStopped || (fenced && !confirmed)) -> synced[w] = true }
+	:: atomic { self == 2 && !synced[w] && leaseExpired[w] && SILENT -> synced[w] = true }
 #endif
-	:: atomic { ALL(synced) && NONE(placed) && !endKnown && !recorded && MAY_LET_RUN &&
-		pendingStart[w] == 0 && currentLeader == self ->
+	:: atomic { stored && (ALL(synced) || (self == 2 && synced[w] && mayWaitForNone)) && NONE(placed) && !endKnown && !recorded &&
+		MAY_LET_RUN && pendingStart[w] == 0 && currentLeader == self ->
 		pendingStart[w] = self; placed[w] = true }
-	:: atomic { ALL(synced) && NONE(placed) && !endKnown && MAY_LET_RUN &&
+	:: atomic { stored && ALL(synced) && NONE(placed) && !endKnown && MAY_LET_RUN &&
 		pendingStart[w] == 0 && currentLeader != self && self == 1 ->
 		pendingStart[w] = self; placed[w] = true } /* it does not know yet that it has been replaced */
 #ifdef ACK_FIRST
@@ -110,5 +127,5 @@
 }
 
 init {
-	atomic { run Worker(0); run Worker(1); run Worker(2); run Leader(1); run Leader(2) }
+	atomic { run Worker(0); run Worker(1); run Worker(2); run Submission(); run Leader(1); run Leader(2) }
 }
