Trust a cordon only for runs of the leader that recorded it

Cause: a new leader does not wait for a worker that is cordoned in the record with jobs that were stored after that, because the leader that cordoned it starts nothing there. That says nothing of the leader before. If that one was cut off from the store only, it could start such a job there while its successor, which led for a moment, had cordoned the worker as unresponsive.

Change: while runs of a leader before the predecessor may go on, until a lease after EarlierSilentAt, a cordoned worker counts like another one.

Measured: TestCordonedByShortTerm fails before in two cases ("an earlier leader may start runs: 1 starts, held: true", "runs of an earlier leader go on: 1 starts, held: true").

--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -200,6 +200,12 @@
 	return !s.term.PredecessorStopped && (silentRevision == 0 || e.createdRevision <= silentRevision)
 }
 
+// earlierRunsLast reports whether runs of a leader before the previous one may have gone on when the term began. The lock is held.
+func (s *Scheduler) earlierRunsLast() bool {
+	lapsedAt := s.term.EarlierSilentAt.Add(pool.LapseTime(s.settings.leaseDuration()))
+	return !s.term.EarlierSilentAt.IsZero() && s.startedAt.Before(lapsedAt)
+}
+
 // predecessorLapsedAt returns the time from which nothing that an earlier leader started runs on a worker that does not answer.
 // The lock is held.
 func (s *Scheduler) predecessorLapsedAt() time.Time {
--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -70,6 +70,34 @@
 	}
 }
 
+// TestCordonedByShortTerm guards against a task that runs twice: a leader that led for a moment cordoned a worker that it could not
+// reach, and the next one concluded that the leader before both had started no later job there.
+func TestCordonedByShortTerm(t *testing.T) {
+	lapse := pool.LapseTime(Settings{MaxLease: 6 * time.Second}.leaseDuration())
+	for name, c := range map[string]struct {
+		earlierSilent time.Duration // after the start of the term; 0 if no such leader was left before
+		held          bool
+	}{
+		"no earlier leader":                  {},
+		"an earlier leader may start runs":   {earlierSilent: 4 * time.Second, held: true},
+		"runs of an earlier leader go on":    {earlierSilent: -lapse + 100*time.Millisecond, held: true},
+		"runs of an earlier leader are over": {earlierSilent: -lapse - 100*time.Millisecond},
+	} {
+		s, now := newSuccessor(t, "w1", "w2")
+		if c.earlierSilent != 0 {
+			s.term.EarlierSilentAt = now.Add(c.earlierSilent)
+		}
+		for _, id := range []ident.WorkerID{"w1", "w2"} {
+			delete(s.unsynced, id)
+		}
+		s.unsynced["w3"] = port.WorkerRecord{WorkerInfo: s.unsynced["w3"].WorkerInfo, Cordoned: true, CordonedAt: 10}
+		s.jobs["job"].createdRevision = 15
+		if launches, _ := s.place(now); len(launches) > 0 == c.held {
+			t.Errorf("%s: %d starts, held: %v", name, len(launches), c.held)
+		}
+	}
+}
+
 // revisionStore is a store that is at a revision.
 type revisionStore struct {
 	port.TxnStore
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -151,22 +151,23 @@
 }
 
 // mayRunOnUnsynced reports whether tasks of a job may be running on a worker that has not reported its runs yet. A
-// worker that was cordoned before the job was stored has none of them. The lock is held.
+// worker that the predecessor cordoned before the job was stored has none of them, unless they were started by a leader before the
+// predecessor. The lock is held.
 func (s *Scheduler) mayRunOnUnsynced(e *jobEntry) bool {
 	if !e.workflow.MayHaveUnknownRuns() && !s.mayBeStartedByPredecessor(e) {
 		return false
 	}
 	for _, w := range s.unsynced {
-		if mayRunOn(e, w) {
+		if s.mayRunOn(e, w) {
 			return true
 		}
 	}
 	return false
 }
 
-// mayRunOn reports whether tasks of a job may be running on a worker that has not reported its runs yet.
-func mayRunOn(e *jobEntry, w port.WorkerRecord) bool {
-	return !w.Cordoned || e.createdRevision < w.CordonedAt
+// mayRunOn reports whether tasks of a job may be running on a worker that has not reported its runs yet. The lock is held.
+func (s *Scheduler) mayRunOn(e *jobEntry, w port.WorkerRecord) bool {
+	return !w.Cordoned || e.createdRevision < w.CordonedAt || s.earlierRunsLast()
 }
 
 // acceptJob adds a job that was accepted during the term, unless it is already known, has finished, or was cancelled before it was stored. The
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -192,7 +192,7 @@
 func (s *Scheduler) unsyncedAttrs(e *jobEntry) []slog.Attr {
 	var workers []ident.WorkerID
 	for id, w := range s.unsynced {
-		if mayRunOn(e, w) {
+		if s.mayRunOn(e, w) {
 			workers = append(workers, id)
 		}
 	}
