Let the relay wait until its address is free

Change: TargetStopped waits for the accept to return.

Conclusion: a fault of the test's own link, not of the program.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -28,8 +28,9 @@
 
 // Relay is a running TCP proxy.
 type Relay struct {
-	listener net.Listener
-	target   string
+	listener  net.Listener
+	accepting sync.WaitGroup
+	target    string
 
 	mu        sync.Mutex
 	stalled   chan struct{} // closed to stall the connections that are open now
@@ -55,12 +56,15 @@
 		return fault.WrapAs(fault.Unavailable, err, "listen")
 	}
 	r.listener = listener
-	go r.accept(listener)
+	r.accepting.Go(func() { r.accept(listener) })
 	return nil
 }
 
 // TargetStopped lets the relay refuse connections, as the address of a process that is down does.
-func (r *Relay) TargetStopped() { _ = r.listener.Close() }
+func (r *Relay) TargetStopped() {
+	_ = r.listener.Close()
+	r.accepting.Wait() // the address is in use until then
+}
 
 // TargetStarts lets the relay accept connections again.
 func (r *Relay) TargetStarts() error { return r.listen(r.Address()) }
