Pass on what is known of earlier leaders, and do not begin the wait for them anew

Callers would see lasting tasks away for longer than LOST allows, after ordinary sequences of losses.

Cause: a refused connection no longer told anything of the previous leader, so that a new one that fewer than two thirds of the workers answered assumed 6 s for it. And each short term let the next leader assume 6 s again for all leaders before, also where their successor knew better, and where it had stopped in an orderly way itself.

Change: after a refused connection the lease of that leader is ended, and it may go on for 1 s by its last renewal. The record of earlier leaders holds for how long after the start of a term they may be active; it is passed on with the time that is left, and set to zero once that has passed. A leader that stops while earlier ones may be left records that it has stopped itself.

--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -33,6 +33,9 @@
 // outages last about 5 s. Continuing is safe because workers reject the fencing token of a leader that was replaced.
 const MaxRenewalGap = 6 * time.Second
 
+// ConfirmedFor is how long a renewal of its lease, or the answers of most workers, confirm a leader. Afterwards it lets no task run.
+const ConfirmedFor = time.Second
+
 // Term is the period in which one process leads.
 type Term struct {
 	Number             uint64
@@ -40,8 +43,12 @@
 	Revision           ident.Revision // revision of the leader key, a condition of the leader's writes
 	HasPredecessor     bool           // an earlier term exists
 	PredecessorStopped bool           // the previous leader recorded the end of its term, and that no earlier one was left
-	EarlierSilentAt    time.Time      // from when no leader before the previous one sends requests; zero if that has been so
-	Renewal            *Renewal       // when the lease was last renewed; nil in tests that need none
+	// PredecessorSilentAt is the time from which the previous leader lets no task run, unless most workers confirm it after its lease
+	// was ended; zero if it has stopped.
+	PredecessorSilentAt time.Time
+	EarlierSilentAt     time.Time     // from when no leader before the previous one sends requests; zero if that has been so
+	Renewal             *Renewal      // when the lease was last renewed; nil in tests that need none
+	earlierActive       time.Duration // from the start of the term until allSilentAt
 }
 
 // Renewal is the time of the last confirmed renewal of the leader's lease. It is safe for concurrent use.
@@ -270,8 +277,7 @@
 		pause.For(ctx, retryInterval/3)
 		return
 	}
-	takenAt := time.Now()
-	e.latestTerm.observe(term.Number, takenAt)
+	e.latestTerm.observe(term.Number, time.Now())
 	e.log.Info("leadership taken", "term", term.Number, "token", term.Token, "before", s.leader.Process)
 	leadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -298,11 +304,17 @@
 			}
 		}()
 	}
+	silenceRecorded := make(chan struct{})
+	go func() {
+		defer close(silenceRecorded)
+		e.recordSilence(leadCtx, term)
+	}()
 	reason := e.renewLease(leadCtx, lease, term.Renewal)
 	cancel()
 	<-leadEnded
+	<-silenceRecorded
 	e.log.Info("leadership ended", "term", term.Number, "reason", reason)
-	e.release(term, term.isLastLeft(takenAt))
+	e.release(term)
 }
 
 func (e *Election) acquire(ctx context.Context, s leaderState) (Term, port.LeaseID, error) {
@@ -316,46 +328,38 @@
 	if err != nil {
 		return Term{}, 0, err
 	}
-	if s.dead {
-		if s, err = e.endTermOf(ctx, s); err != nil {
+	leaseEnded := false
+	if s.dead && s.lease != 0 {
+		if err := e.endLease(ctx, s.lease); err != nil {
 			return Term{}, 0, err
 		}
+		leaseEnded, s.revision = true, 0
 	}
-	self := e.self
-	self.Term = last.number + 1
 	sentAt := time.Now()
+	term := e.successor(last, leaseEnded, sentAt)
+	self := e.self
+	self.Term = term.Number
 	committed, err := e.store.Commit(ctx, port.Txn{
 		If: []port.Condition{{Key: port.LeaderKey, Revision: s.revision}, {Key: port.TermKey, Revision: last.revision}},
-		Writes: append(last.successor(), port.Write{
+		Writes: append(term.writes(), port.Write{
 			Key: port.LeaderKey, Value: e.codec.EncodeLeader(self), Lease: lease,
 		}),
 	})
 	if err != nil {
 		return Term{}, 0, err
 	}
-	renewal := &Renewal{}
-	renewal.Mark(sentAt)
-	term := Term{
-		Renewal: renewal, Number: self.Term, Token: ident.Epoch(committed.Revision), Revision: committed.Revision,
-		HasPredecessor: last.number > 0, PredecessorStopped: last.ended,
-	}
-	if !last.sole {
-		term.EarlierSilentAt = e.latestTerm.earlierSilentAt(last.number, time.Now())
-	}
+	term.Token, term.Revision, term.Renewal = ident.Epoch(committed.Revision), committed.Revision, &Renewal{}
+	term.Renewal.Mark(sentAt)
 	return term, lease, nil
 }
 
-// endTermOf ends the lease of a leader that seems to be dead, and returns the state in which it has no key. If the process is
-// running nevertheless, its next renewal fails. It would go on if its key were only overwritten: the lease would last.
-func (e *Election) endTermOf(ctx context.Context, s leaderState) (leaderState, error) {
-	if s.lease == 0 {
-		return s, nil
-	}
-	if err := e.store.EndLease(ctx, s.lease); err != nil && !fault.Is(err, fault.NotFound) {
-		return s, err
+// endLease ends the lease of a leader that seems to be dead, which removes its key. If the process is running nevertheless, its next
+// renewal fails. It would go on if its key were only overwritten: the lease would last.
+func (e *Election) endLease(ctx context.Context, lease port.LeaseID) error {
+	if err := e.store.EndLease(ctx, lease); !fault.Is(err, fault.NotFound) {
+		return err
 	}
-	s.revision = 0
-	return s, nil
+	return nil
 }
 
 // renewLease renews the lease until the lease is lost or the context ends, and returns the reason why it stopped.
@@ -381,18 +385,20 @@
 	return "the leader stopped its work"
 }
 
-// release deletes the leader key, so that the next leader need not wait until the lease expires. If this leader is the last one
-// left, it records that none sends further requests to workers.
-func (e *Election) release(term Term, isLastLeft bool) {
+// release deletes the leader key, so that the next leader need not wait until the lease expires, and records that this leader sends no
+// further requests to workers, and whether any earlier one may.
+func (e *Election) release(term Term) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	txn := port.Txn{
-		If: []port.Condition{{Key: port.LeaderKey, Revision: term.Revision}}, Deletes: []string{port.LeaderKey},
+	record := port.Write{Key: port.TermKey, Value: []byte(formatTerm(term.Number) + termEndedSuffix)}
+	if time.Now().Before(term.allSilentAt()) {
+		earlier := formatEarlier(term.Number, term.earlierActive)
+		record = port.Write{Key: port.EarlierTermKey, Value: []byte(earlier + stoppedSuffix)}
 	}
-	if isLastLeft {
-		txn.Writes = []port.Write{{Key: port.TermKey, Value: []byte(formatTerm(term.Number) + termEndedSuffix)}}
-	}
-	_, err := e.store.Commit(ctx, txn)
+	_, err := e.store.Commit(ctx, port.Txn{
+		If:     []port.Condition{{Key: port.LeaderKey, Revision: term.Revision}},
+		Writes: []port.Write{record}, Deletes: []string{port.LeaderKey},
+	})
 	if err != nil && !fault.Is(err, fault.Conflict) {
 		e.log.Warn("leadership not given up", "error", err)
 	}
--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -18,7 +18,7 @@
 // renewed, or more than half of the recorded workers answered, within authorityWindow. Once its successor has been answered by two
 // thirds of the same record, both sets have workers in common, and the predecessor grants nothing after another window.
 const (
-	authorityWindow = time.Second
+	authorityWindow = leadership.ConfirmedFor
 	// confirmInterval limits how often the answers of all workers are looked through.
 	confirmInterval = 20 * time.Millisecond
 	// shortSyncAfter is the age of the last renewal from which syncs wait for less. With ackWait, answers are
@@ -141,18 +141,17 @@
 	if s.term.PredecessorStopped {
 		return s.startedAt
 	}
-	latest := s.startedAt.Add(leadership.MaxRenewalGap)
-	if s.predecessor.fencedAt.IsZero() {
-		return latest
+	silent := s.startedAt.Add(leadership.MaxRenewalGap)
+	if known := s.term.PredecessorSilentAt; !known.IsZero() && known.Before(silent) {
+		silent = known
 	}
-	silent := s.predecessor.fencedAt.Add(authorityWindow)
-	if s.term.EarlierSilentAt.After(silent) {
-		silent = s.term.EarlierSilentAt // leaders before the previous one may rely on other workers than are recorded now
+	if fenced := s.predecessor.fencedAt; !fenced.IsZero() && fenced.Add(authorityWindow).Before(silent) {
+		silent = fenced.Add(authorityWindow)
 	}
-	if silent.Before(latest) {
-		return silent
+	if s.term.EarlierSilentAt.After(silent) {
+		return s.term.EarlierSilentAt // leaders before the previous one may rely on other workers than are recorded now
 	}
-	return latest
+	return silent
 }
 
 // silenceCheckInterval is the interval at which a new leader checks whether its predecessor starts nothing any more.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -241,14 +241,14 @@
 
 // Keys and key prefixes of a cell's records in the store.
 const (
-	JobPrefix      = "job/"           // followed by the job's id: the accepted job
-	ProgressPrefix = "run/"           // followed by the job's id: the progress of the job
-	FinishedPrefix = "done/"          // followed by the job's id: what remains of a finished job, in place of both
-	LeaderKey      = "cell/leader"    // the leader, bound to a lease
-	SuccessorKey   = "cell/successor" // a process that is better suited to lead, bound to a lease
-	TermKey        = "cell/term"      // number of the latest term
-	SoleTermKey    = "cell/term/sole" // number of the latest term that began when no earlier leader was left
-	WorkersKey     = "cell/workers"   // workers to which the leader may have sent requests
+	JobPrefix      = "job/"              // followed by the job's id: the accepted job
+	ProgressPrefix = "run/"              // followed by the job's id: the progress of the job
+	FinishedPrefix = "done/"             // followed by the job's id: what remains of a finished job, in place of both
+	LeaderKey      = "cell/leader"       // the leader, bound to a lease
+	SuccessorKey   = "cell/successor"    // a process that is better suited to lead, bound to a lease
+	TermKey        = "cell/term"         // number of the latest term
+	EarlierTermKey = "cell/term/earlier" // for how long after the start of a term earlier leaders may have been active
+	WorkersKey     = "cell/workers"      // workers to which the leader may have sent requests
 )
 
 // WorkerRecord is an entry of the record of workers to which the leader may have sent requests.
