Acknowledge ends also to a worker that closes each connection

Callers would see nothing, but ends would never be acknowledged and the leader would sync without a pause.

Cause: a worker, or a device before it, that closes each connection after a response never has a connection of that age. It keeps listing the same ends, and a sync that finds ends is answered at once.

Change: a reply tells that acknowledgements were withheld. After three such replies in a row the next sync acknowledges on any connection. The syncs follow one another at once, so a restart between two of them is unlikely, but not ruled out.

Conclusion: on connections that are kept nothing changes.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -29,6 +29,10 @@
 	ackWait = 250 * time.Millisecond
 )
 
+// maxWithheldAcks bounds the syncs in a row that acknowledge nothing because their connections are new: a worker, or a device before
+// it, may close each connection after a response. The syncs follow one another at once, so a restart between two of them is unlikely.
+const maxWithheldAcks = 3
+
 // workerMonitor keeps one worker's lease alive and tracks its runs. Its fields are guarded by the scheduler's lock.
 type workerMonitor struct {
 	worker           *pool.Worker
@@ -40,6 +44,7 @@
 	lastSyncSent     time.Time      // when the request of the last reply that was applied was sent, or a restart was suspected
 	unreachable      bool           // the worker may have restarted since its last reply: a sync failed, or a start showed it
 	failedSyncs      int            // since the last answer
+	withheldAcks     int            // answered syncs in a row that acknowledged nothing, because each had a new connection
 	knownAddress     string         // at which the worker answered last, or that the record names; empty if neither
 	replaced         bool           // another worker responds at its address
 	lapsed           []*pool.Run    // runs that were given up when the lease expired, and the worker has not responded since
@@ -78,6 +83,15 @@
 	m.unreachable, m.lastSyncSent = true, now
 }
 
+// countWithheld counts the syncs in a row that acknowledged nothing because their connections were new. The scheduler's lock is held.
+func (m *workerMonitor) countWithheld(reply port.SyncReply) {
+	if !reply.Withheld {
+		m.withheldAcks = 0
+		return
+	}
+	m.withheldAcks++
+}
+
 // target returns where to call the worker. While it answers, that is not changed by its entry in the worker list, which another
 // writer may have replaced. After a failure both addresses are tried by turns.
 func (m *workerMonitor) target() port.Target {
@@ -171,6 +185,7 @@
 	s.mu.Lock()
 	s.recordOutdated = s.recordOutdated || m.knownAddress != target.Address
 	m.knownAddress, m.failedSyncs = target.Address, 0
+	m.countWithheld(reply)
 	s.mu.Unlock()
 	s.applyReply(m, reply, sentAt, time.Now())
 	return nil
@@ -191,7 +206,10 @@
 		m.ackedEnd = m.pendingEnds[0].number
 		m.pendingEnds = m.pendingEnds[1:]
 	}
-	request.AckThrough, request.ListedAt, request.Wait = m.ackedEnd, m.lastSyncSent, wait
+	request.AckThrough, request.Wait = m.ackedEnd, wait
+	if m.withheldAcks < maxWithheldAcks {
+		request.ListedAt = m.lastSyncSent
+	}
 	return request
 }
 
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -92,7 +92,7 @@
 	Token       ident.Epoch
 	LeaseExpiry time.Duration // end of the lease on the worker's clock; 0 does not renew it
 	AckThrough  uint64        // acknowledges ended runs up to this number, so that the worker drops them
-	ListedAt    time.Time     // when the latest answered sync was sent; nothing is acknowledged on a connection opened since
+	ListedAt    time.Time     // when the latest answered sync was sent; nothing is acknowledged on a connection opened since, unless zero
 	Wait        time.Duration // maximum time to wait for a run to end
 }
 
@@ -117,6 +117,7 @@
 	Running     []RunningRun
 	Ended       []EndedRun
 	MoreEnds    bool // further runs may have ended; they are listed once the first ones are acknowledged
+	Withheld    bool // nothing was acknowledged, because the connection was opened after ListedAt
 }
 
 // RunClient sends requests to workers. The following errors mean that the request had no effect: StaleEpoch (the worker has
