Revert the turns of steps that a pass of placement does not reach

Callers would see: fewer starts and, on the large fleet, jobs that do not start. Cause: in part, the calls to the permit service. Conclusion: a long-running step is tried, another step of a low priority may not be.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -32,50 +32,6 @@
 	idle      map[string]bool // by service: whether much capacity is unused
 	recorded  []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
 	releases  uint64          // releases on the recorded workers
-	rejected  map[pool.Class]rejection
-	choices   int // tasks for which the workers were compared
-}
-
-// rejection is what is known of all requests of a class in one pass.
-type rejection struct {
-	unplaceable   bool // no worker is eligible
-	unpreemptible bool // nor would one be after a preemption
-}
-
-func newPass(s *Scheduler, now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, idle: map[string]bool{}, rejected: map[pool.Class]rejection{}}
-}
-
-// capacityFreed forgets rejections, because capacity that was kept free or in use may be available to other steps.
-func (p *placementPass) capacityFreed() { clear(p.rejected) }
-
-// class returns the class of the requests for all waiting tasks of the step, and false if they may be accepted where others of the
-// class are rejected.
-func (c *candidate) class() (pool.Class, bool) {
-	step := c.entry.workflow.Step(c.ref)
-	if c.permits != nil || step.Gang || len(c.entry.avoidWorkers) > 0 || c.pass.now.Before(c.entry.step(c.ref).holdsUntil) {
-		return pool.Class{}, false
-	}
-	request := c.request(c.pass.now)
-	return request.Class()
-}
-
-// isRejected reports whether requests like those of the step have been rejected in this pass, with and without preemption.
-func (c *candidate) isRejected() rejection {
-	if class, ok := c.class(); ok {
-		return c.pass.rejected[class]
-	}
-	return rejection{}
-}
-
-// reject records that no worker is eligible for a task of the step, or that preemption would not help either.
-func (c *candidate) reject(add rejection) {
-	class, ok := c.class()
-	if !ok {
-		return
-	}
-	known := c.pass.rejected[class]
-	c.pass.rejected[class] = rejection{known.unplaceable || add.unplaceable, known.unpreemptible || add.unpreemptible}
 }
 
 // isIdle reports whether the workers of the service have much unused capacity.
@@ -98,8 +54,8 @@
 const overdueAfter = 2 * time.Second
 
 // candidates returns the steps with tasks to start: overdue ones first, then by the priority of the queue and the age of the job.
-func (s *Scheduler) candidates(now time.Time) []*candidate {
-	var list []*candidate
+func (s *Scheduler) candidates(now time.Time) []candidate {
+	var list []candidate
 	prefetch := s.prefetchDue(now)
 	for _, e := range s.openJobs {
 		held := s.mayRunOnUnsynced(e)
@@ -115,15 +71,15 @@
 			wait := &e.step(ref).wait
 			wait.observe(now)
 			overdue := e.workflow.Step(ref).LongRunning && now.Sub(wait.since) >= overdueAfter
-			list = append(list, &candidate{entry: e, ref: ref, queue: queue, held: held, overdue: overdue})
+			list = append(list, candidate{entry: e, ref: ref, queue: queue, held: held, overdue: overdue})
 		}
 	}
-	slices.SortFunc(list, (*candidate).compare)
+	slices.SortFunc(list, candidate.compare)
 	return list
 }
 
 // compare orders steps as candidates states.
-func (c *candidate) compare(other *candidate) int {
+func (c candidate) compare(other candidate) int {
 	if c.overdue != other.overdue {
 		if c.overdue {
 			return -1
@@ -206,7 +162,6 @@
 // chooseWorker returns the best worker for a task. Workers on which runs have failed are the last choice. The monitor of
 // the result is nil when no worker is eligible.
 func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
-	c.pass.choices++
 	request := c.taskRequest(task, now)
 	best := c.bestWorker(&request, rack)
 	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -59,12 +59,7 @@
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
 	// minTryTime is left for trying steps, however long it took to collect them.
-	minTryTime = 4 * time.Millisecond
-	// turnTime is the part of the time for trying steps in which those that the first part does not reach take turns.
-	turnTime = time.Millisecond
-	// minTurns is how many steps take their turn in a pass even if it runs out of time, unless workers were compared for
-	// that many tasks: a wide gang takes as long as many other steps.
-	minTurns = 16
+	minTryTime = 2 * time.Millisecond
 )
 
 // place decides which runs start now, and for which steps the permit service is called.
@@ -76,43 +71,24 @@
 		return nil, nil
 	}
 	s.breakUpGangs()
-	started, pass := time.Now(), newPass(s, now)
-	list := s.candidates(now)
-	limit := max(maxPlaceTime, time.Since(started)+minTryTime)
 	var launches []launch
 	var calls []permitCall
-	try := func(c *candidate) {
-		c.pass = pass
-		placed, asked := s.tryStep(*c, now)
-		launches, calls = append(launches, placed...), append(calls, asked...)
-	}
-	for len(list) > 0 && time.Since(started) < limit-turnTime {
-		try(list[0])
-		list = list[1:]
-	}
-	list = s.byTurn(list)
-	s.nextTurn, pass.choices = nil, 0
-	for i, c := range list {
-		isMinimum := i == 0 || i < minTurns && pass.choices < minTurns
-		if !isMinimum && time.Since(started) > limit {
-			s.nextTurn = c
+	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+	started := time.Now()
+	list := s.candidates(now)
+	limit := max(maxPlaceTime, time.Since(started)+minTryTime)
+	for _, c := range list {
+		if time.Since(started) > limit {
 			s.wakePlacement()
 			break
 		}
-		try(c)
+		c.pass = pass
+		placed, asked := s.tryStep(c, now)
+		launches, calls = append(launches, placed...), append(calls, asked...)
 	}
 	return launches, calls
 }
 
-// byTurn reorders steps so that the one at which the last pass ran out of time comes first. The lock is held.
-func (s *Scheduler) byTurn(list []*candidate) []*candidate {
-	if s.nextTurn == nil {
-		return list
-	}
-	first, _ := slices.BinarySearchFunc(list, s.nextTurn, (*candidate).compare)
-	return slices.Concat(list[first:], list[:first])
-}
-
 // tryStep places the waiting tasks of a step if something has changed since the last try. For tasks that do not fit it
 // prepares preemptions and calls for permits. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
@@ -136,7 +112,6 @@
 	if unplaced == 0 {
 		if c.waited > 0 {
 			s.dropHolds(c.ref)
-			c.pass.capacityFreed()
 		}
 		return launches, nil
 	}
@@ -156,9 +131,6 @@
 	waiting = slices.DeleteFunc(waiting, func(index int) bool {
 		return c.entry.mustNotStart(workflow.TaskRef{StepRef: c.ref, Index: index})
 	})
-	if len(waiting) == 0 || c.isRejected().unplaceable {
-		return nil, len(waiting)
-	}
 	var launches []launch
 	for i, index := range waiting {
 		task := workflow.TaskRef{StepRef: c.ref, Index: index}
@@ -168,7 +140,6 @@
 		run := workflow.RunRef{Task: task, Run: c.entry.workflow.NextRun(task, s.runNumberFloor())}
 		l, ok := s.reserve(c, run, "", now)
 		if !ok && len(c.entry.avoidWorkers[task]) == 0 {
-			c.reject(rejection{unplaceable: true})
 			return launches, len(waiting) - i // the remaining tasks have the same requirements
 		}
 		if ok {
--- a/internal/app/scheduler/place_test.go
+++ b/internal/app/scheduler/place_test.go
@@ -80,8 +80,8 @@
 		now = now.Add(3 * time.Second)
 		placeAt(s, now)
 		for _, c := range s.candidates(now) {
-			c.pass, c.waited = newPass(s, now), c.entry.step(c.ref).waiting.For(now)
-			c.workers = s.allowedWorkers(*c, now)
+			c.pass, c.waited = testPass(s, now), c.entry.step(c.ref).waiting.For(now)
+			c.workers = s.allowedWorkers(c, now)
 			index := c.entry.workflow.Waiting(c.ref)[0]
 			if best := c.chooseWorker(workflow.TaskRef{StepRef: c.ref, Index: index}, "", now); best.monitor != nil {
 				rt.Fatalf("step %s waits although worker %s could take its task %d", c.ref, best.monitor.worker.Info().ID, index)
@@ -98,7 +98,7 @@
 	step := workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 3000}}
 	acceptNamed(s, "a", step)
 	acceptNamed(s, "b", step)
-	c := candidate{entry: s.jobs["b"], ref: workflow.StepRef{Job: "b"}, queue: s.jobs["b"].queue, pass: newPass(s, now)}
+	c := candidate{entry: s.jobs["b"], ref: workflow.StepRef{Job: "b"}, queue: s.jobs["b"].queue, pass: testPass(s, now)}
 	c.workers, c.waited = s.allowedWorkers(c, now), time.Second
 	s.mu.Lock()
 	s.preempt(c, 1, now) // keeps the free capacity for the step
@@ -129,3 +129,7 @@
 	}
 	t.Errorf("the step of a lower priority is not started within %d passes", passes)
 }
+
+func testPass(s *Scheduler, now time.Time) *placementPass {
+	return &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+}
--- a/internal/app/scheduler/preempt.go
+++ b/internal/app/scheduler/preempt.go
@@ -30,7 +30,7 @@
 	if c.queue.HasTopPriority() {
 		delay = urgentPreemptDelay
 	}
-	if c.waited < delay || c.isRejected().unpreemptible {
+	if c.waited < delay {
 		return
 	}
 	request := c.request(now)
@@ -43,13 +43,6 @@
 		return // waits for the runs that are being stopped
 	}
 	preemptions := planPreemptions(c, &request, unplaced-held, isGang)
-	switch {
-	case len(preemptions) > 0:
-		c.entry.step(c.ref).holdsUntil = now.Add(holdTime)
-		c.pass.capacityFreed()
-	case unplaced > held:
-		c.reject(rejection{unpreemptible: true})
-	}
 	for _, p := range preemptions {
 		s.stopPreempted(c, p)
 	}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -92,7 +92,6 @@
 	recorded        map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated  bool                                 // the record differs from the workers to record
 	permitBusyUntil map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
-	nextTurn        *candidate                           // step at which the last pass of placement ran out of time
 	prefetchedAt    time.Time                            // when calls for steps that are held back were last planned
 	allowedShares   map[string]*permit.AllowedShare      // by queue
 }
@@ -123,8 +122,6 @@
 	waiting  pool.Waiting          // tasks that could not be placed
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
-	// until when workers may keep capacity free for the step
-	holdsUntil time.Time
 }
 
 func (e *jobEntry) step(ref workflow.StepRef) *stepEntry {
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -106,7 +106,7 @@
 	started := time.Now()
 	due := s.dueWaits(now)
 	var reports []waitReport
-	pass := newPass(s, now)
+	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
 	for _, c := range due {
 		if len(reports) == maxWaitReports || len(reports) > 0 && time.Since(started) > maxWaitReportTime {
 			break
@@ -147,7 +147,7 @@
 	slices.SortFunc(due, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(lasting(a), lasting(b)),
-			a.entry.step(a.ref).wait.report.Compare(b.entry.step(b.ref).wait.report), a.compare(&b))
+			a.entry.step(a.ref).wait.report.Compare(b.entry.step(b.ref).wait.report), a.compare(b))
 	})
 	return due
 }
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
-	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
 )
 
@@ -29,26 +28,6 @@
 	Now        time.Time
 }
 
-// Class identifies requests that every worker accepts or rejects alike, unless it keeps capacity free for one of their steps.
-type Class struct {
-	service     string
-	priority    int
-	size        resource.Vector
-	label       string
-	longRunning bool
-	waitedLong  bool
-}
-
-// Class returns the class of the request. It returns false if acceptance depends on the step or on the task.
-func (r *Request) Class() (Class, bool) {
-	if r.Step.MaxPerWorker > 0 || len(r.Avoid) > 0 {
-		return Class{}, false
-	}
-	return Class{
-		r.Service, r.Priority, reservedSize(r.Step), r.Step.RequiredLabel, r.Step.LongRunning, r.WaitedLong(),
-	}, true
-}
-
 // Rejection is the reason for which a worker may not run a task.
 type Rejection string
 
