Keep new long-running steps in their place in the queue

Cause: with a long-running step that has never run goes before all others after 2 s, whatever its priority. A burst of such jobs would delay every other job. Found on reading; only a task that has run has to be back within 6 s. Change: only long-running steps of which a run is known go first. Result: TestNewLongRunningStepKeepsItsPlace fails without the change (2 of 2) and passes, 2 of 2 with the race detector; TestLongRunningTaskIsTried still passes.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -50,7 +50,8 @@
 	ticket  string // empty if the queue needs no permits
 }
 
-// overdueAfter is how long tasks of a long-running step may wait before it goes first: what it serves is away meanwhile.
+// overdueAfter is how long tasks of a long-running step that has run may wait before it goes first: what it served is away
+// meanwhile. A step that has not run yet keeps its place in the queue.
 const overdueAfter = 2 * time.Second
 
 // candidates returns the steps with tasks to start: overdue ones first, then by the priority of the queue and the age of the job.
@@ -70,7 +71,7 @@
 		for _, ref := range refs {
 			wait := &e.step(ref).wait
 			wait.observe(now)
-			overdue := e.workflow.Step(ref).LongRunning && now.Sub(wait.since) >= overdueAfter
+			overdue := e.workflow.Step(ref).LongRunning && now.Sub(wait.since) >= overdueAfter && e.workflow.HasRun(ref)
 			list = append(list, candidate{entry: e, ref: ref, queue: queue, held: held, overdue: overdue})
 		}
 	}
--- a/internal/app/scheduler/place_test.go
+++ b/internal/app/scheduler/place_test.go
@@ -52,6 +52,21 @@
 	t.Error("the task is not started within 6 s")
 }
 
+// TestNewLongRunningStepKeepsItsPlace guards against a burst of long-running jobs that delays all jobs of higher priorities.
+func TestNewLongRunningStepKeepsItsPlace(t *testing.T) {
+	s, now := newLeaderFor(t), time.Now()
+	acceptNamed(s, "lasting", workflow.Step{Count: 1, LongRunning: true, Size: resource.Vector{MilliCores: 3000}})
+	s.jobs["lasting"].queue.Priority = 2
+	acceptNamed(s, "urgent", workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 3000}})
+	placeAt(s, now)
+	later := now.Add(2 * overdueAfter)
+	addTestWorker(s, "w1", 4000, later)
+	launches := placeAt(s, later)
+	if len(launches) != 1 || launches[0].request.Task.Job != "urgent" {
+		t.Errorf("%d starts, want one of the urgent job on the only worker", len(launches))
+	}
+}
+
 // TestNoPlaceableStepIsLeftOut guards against a step that is not started although a worker could take it, because another step with
 // the same needs found none in the same pass.
 func TestNoPlaceableStepIsLeftOut(t *testing.T) {
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"slices"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -125,6 +126,11 @@
 // WaitingCount returns the number of tasks of a step that are neither active nor done.
 func (w *Workflow) WaitingCount(ref StepRef) int { return w.step(ref).waiting }
 
+// HasRun reports whether a run of any task of the step is known.
+func (w *Workflow) HasRun(ref StepRef) bool {
+	return slices.ContainsFunc(w.step(ref).tasks, func(t task) bool { return t.lastRun > 0 })
+}
+
 func (w *Workflow) step(ref StepRef) *stepState {
 	return &w.occurrences[ref.Occurrence].steps[ref.Step]
 }
