Take the lease of a silent worker for expired only while the leader's own is renewed

Callers saw two runs of a task at the same time (TWICE).

Cause: a leader without renewals goes on for up to 6 s if more than half of the workers answer it. Of a worker that does not, it took the lease for expired 3.7 s after its own last extension, and started the tasks again elsewhere. A successor that reaches this worker had found the runs and extended their lease.

Change: runs of a silent worker are given up only if the leader's lease was renewed within the last second. The key outlives that by 0.5 s, so no successor can have extended a lease. While the store is away, tasks of a worker that dies wait for its return.

Test: TestSilentWorkerOfReplacedLeader failed before ("store cut: the run counts as running: false, want true") and passes.

--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -10,6 +10,7 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
@@ -197,6 +198,29 @@
 	}
 }
 
+// TestSilentWorkerOfReplacedLeader guards against a leader that was cut off together with most workers, and starts tasks again that run on
+// a worker which it does not reach: its successor reaches that worker and extends the lease.
+func TestSilentWorkerOfReplacedLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		renewed time.Duration // age of the last renewal
+		kept    bool
+	}{
+		"renewed":   {renewed: authorityWindow / 2},
+		"store cut": {renewed: authorityWindow + 10*time.Millisecond, kept: true},
+	} {
+		s, now := newLeaderFor(t), time.Now()
+		s.term.Renewal = &leadership.Renewal{}
+		s.term.Renewal.Mark(now.Add(-c.renewed))
+		addTestWorker(s, "w1", 4000, now.Add(-time.Minute))
+		m, run := s.monitors["w1"], firstRun(0)
+		m.worker.Adopt(run, &workflow.Step{})
+		s.syncFailed(m, "", fault.New(fault.Interrupted, "no response"))
+		if kept := m.worker.Run(run) != nil; kept != c.kept {
+			t.Errorf("%s: the run counts as running: %v, want %v", name, kept, c.kept)
+		}
+	}
+}
+
 // TestHeldStepGetsPermits guards against steps that wait for the permit service after they have waited for a silent worker: a
 // new leader released all of them at once, and the last ones got their permits seconds later.
 func TestHeldStepGetsPermits(t *testing.T) {
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -253,13 +253,19 @@
 	case fault.Is(err, fault.NotFound) && (m.knownAddress == "" || address == m.knownAddress):
 		s.dropRuns(m, workflow.Lost)
 		m.replaced = true
-	case m.worker.LeaseExpired(time.Now()):
+	case s.leaseExpired(m, time.Now()):
 		s.dropRuns(m, workflow.LeaseExpired)
 	case m.worker.SilentFor(time.Now()) > syncWait+speculateAfter:
 		s.speculate(m)
 	}
 }
 
+// leaseExpired reports whether the lease of a silent worker has certainly expired. A leader whose own lease was not renewed may have a
+// successor that extends it. The lock is held.
+func (s *Scheduler) leaseExpired(m *workerMonitor, now time.Time) bool {
+	return m.worker.LeaseExpired(now) && s.term.Renewal.Within(authorityWindow, now)
+}
+
 // speculate lets copies of the runs of an unresponsive worker start elsewhere, if their steps allow it. The runs keep
 // their capacity on the worker. The lock is held.
 func (s *Scheduler) speculate(m *workerMonitor) {
