--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	started := time.Now()
-	due := s.dueWaits(now)
+	due := s.dueWaits(now, started.Add(maxWaitReportTime))
 	var reports []waitReport
 	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
 	for _, c := range due {
@@ -120,10 +120,14 @@
 }
 
 // dueWaits returns the steps of which a report is due, in the order of the reports. It resets the waits of steps that have no
-// tasks to start. The lock is held.
-func (s *Scheduler) dueWaits(now time.Time) []candidate {
+// tasks to start. Jobs that it does not reach before the deadline are left for the next time: the order of the jobs varies. The lock is
+// held.
+func (s *Scheduler) dueWaits(now, deadline time.Time) []candidate {
 	var due []candidate
 	for _, e := range s.openJobs {
+		if time.Now().After(deadline) {
+			break
+		}
 		ready := e.workflow.Ready(now)
 		for ref, step := range e.steps {
 			if !slices.Contains(ready, ref) {
