Stop a run that made way for a copy when its job is over

Cause: while a worker is silent, runs of speculative steps leave the active ones of their job, so that copies may start. Cancelling stops the active runs only. When the worker answered again, it listed the run, and the leader stopped listed runs of completed tasks only.

Change: listed runs of a job that is over are stopped too.

Measured: TestCancelStopsCopiedRun fails before ("the run of the cancelled job goes on") and passes, 3 of 3 with -race.

Conclusion: what a worker lists is compared with the state of the job, not only of the task.

--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -175,8 +175,8 @@
 			s.adoptRun(m, e, r)
 		}
 		m.worker.UpdateRun(r.RunRef, r.Progress, r.Measurement, now)
-		if e != nil && e.workflow.IsDone(r.Task) {
-			s.stopRuns([]workflow.Placement{{RunRef: r.RunRef, Worker: m.worker.Info().ID}}) // a copy completed first
+		if e != nil && (e.workflow.IsDone(r.Task) || e.workflow.State().Final()) {
+			s.stopRuns([]workflow.Placement{{RunRef: r.RunRef, Worker: m.worker.Info().ID}}) // a copy completed first, or the job is over
 		}
 	}
 	s.acquitRuns(m)
--- a/internal/app/scheduler/speculate_test.go
+++ b/internal/app/scheduler/speculate_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
 )
 
 // TestNoCopyOfGangMember guards against a member of a gang that its job no longer counts while it still runs, because its worker
@@ -29,3 +31,27 @@
 		}
 	}
 }
+
+// TestCancelStopsCopiedRun guards against a run that goes on although its job was cancelled: while its worker was silent, the run had
+// made way for a copy, so the cancelling did not find it among the active ones.
+func TestCancelStopsCopiedRun(t *testing.T) {
+	s, recorder := newLeader(t), &stopRecorder{stopped: map[workflow.RunRef]ident.WorkerID{}}
+	s.ports.RunClient = recorder
+	e := acceptTestJob(s, workflow.Step{Count: 1, Speculative: true})
+	launches, _ := s.place(time.Now())
+	if len(launches) != 1 {
+		t.Fatalf("%d tasks start, want 1", len(launches))
+	}
+	m, run := launches[0].monitor, launches[0].request.RunRef
+	s.startAcked(launches[0], 2*time.Second, time.Now())
+	s.mu.Lock()
+	s.speculate(m)
+	e.workflow.Cancel()
+	s.mu.Unlock()
+	now := time.Now()
+	s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: 3 * time.Second, Running: []port.RunningRun{{RunRef: run}}}, now, now)
+	s.wg.Wait()
+	if recorder.stopped[run] == "" {
+		t.Error("the run of the cancelled job goes on")
+	}
+}
