--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -81,12 +81,15 @@
 }
 
 func (r *waitReport) log(log *slog.Logger) {
-	attrs := []slog.Attr{
+	attrs := []any{
 		slog.String("step", r.ref.String()), slog.String("kind", string(r.reason)),
 		slog.Int64("waited_ms", r.waited.Milliseconds()), slog.Int64("age_ms", r.age.Milliseconds()),
 		slog.Int("unplaced", r.unplaced), slog.Int("first", r.first), slog.Int("priority", r.priority),
 	}
-	log.LogAttrs(context.Background(), slog.LevelInfo, "tasks wait", append(attrs, r.attrs...)...)
+	for _, a := range r.attrs {
+		attrs = append(attrs, a)
+	}
+	log.Info("tasks wait", attrs...)
 }
 
 // reportWaits states why tasks wait, until the term ends.
