Let the demo wait for the restart of a standing task

Users of the demo saw "check FAILED standing goldfields/kiln-season: 3 tasks were started 3 times" now and then.

The check came as soon as the other work had ended. The job's tasks were queued at 34.317 s and started at 34.670 and 34.824 s, as other work came first; the first run ended by itself at 35.372 s, and the job was cancelled at 35.427 s, before that task could start again. The product did nothing wrong.

Change: the check waits for the restart, for at most 5 s. It asks for the same.

A run that fails without the change was not forced.

Conclusion: a fault of the demo's check, by its timeline.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -160,6 +160,22 @@
 	}
 }
 
+// Bounds of the wait for the first restart of a standing task. Its tasks may have started late, because other work came first.
+const (
+	restartTimeout  = 5 * time.Second
+	restartInterval = 50 * time.Millisecond
+)
+
+// awaitRestart returns the status of a standing job once one of its tasks has been started again, or after restartTimeout.
+func awaitRestart(ctx context.Context, client *callerhttp.Client, w demoWorkItem) (callerhttp.JobStatus, error) {
+	for deadline := time.Now().Add(restartTimeout); ; {
+		reply, err := client.Job(ctx, w.team, w.id, 0)
+		if err != nil || reply.Attempts > uint64(w.tasks) || time.Now().After(deadline) || !pause.For(ctx, restartInterval) {
+			return reply, err
+		}
+	}
+}
+
 // runStanding submits a standing job, waits until the context otherWork ends, which means that the other work is done,
 // cancels the job and waits until it has ended.
 func (d *demo) runStanding(ctx, otherWork context.Context, client *callerhttp.Client, w demoWorkItem) {
@@ -167,7 +183,7 @@
 		return
 	}
 	<-otherWork.Done()
-	reply, err := client.Job(ctx, w.team, w.id, 0)
+	reply, err := awaitRestart(ctx, client, w)
 	d.check(err == nil && reply.Attempts > uint64(w.tasks), "standing %s/%s: %d tasks were started %d times (%s)",
 		w.team, w.id, w.tasks, reply.Attempts, errorText(err))
 	if _, err := client.Cancel(ctx, w.team, w.id); err != nil {
