Probe the store at once after it was lost

Callers got 503, "job not stored: store unreachable; transaction not sent", for 150 ms and more after any call to the store had no response, although the store was reachable.

Cause: the breaker waited for 150 ms before its first probe. On a busy machine a renewal of the lease or a read times out because the process itself gets no processor, and all transactions were refused meanwhile.

Change: the first probe follows at once; further ones are 150 ms apart as before.

Conclusion: one lost response costs callers less; a store that is really unreachable is treated as before.

--- a/internal/app/storeguard/storeguard.go
+++ b/internal/app/storeguard/storeguard.go
@@ -36,7 +36,8 @@
 // New returns a circuit breaker for the store. Run probes the store while it is unreachable.
 func New(store port.TxnStore, log *slog.Logger) *Breaker { return &Breaker{store: store, log: log} }
 
-// Run probes the store while it is unreachable, until the context ends.
+// Run probes the store while it is unreachable, until the context ends. The first probe comes at once: the failed call may have been
+// late only because this process got no processor.
 func (b *Breaker) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := b.changed.Changed()
@@ -47,10 +48,12 @@
 			}
 			continue
 		}
-		pause.For(ctx, probeInterval)
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		_, _ = b.Get(probeCtx, port.LeaderKey) // Get observes the result
 		cancel()
+		if b.isUnreachable() {
+			pause.For(ctx, probeInterval)
+		}
 	}
 }
 
