Start no goroutine of the cell's transport once it waits for their end

A process that stopped could panic: "sync: WaitGroup is reused before previous Wait has returned".

Cause: Transport.Run waits for all goroutines when its context ends, while the election may still start some for a session or for the question who leads, which the wait group does not allow once it has reached zero. Under the race detector this fails the test that runs.

Change: goroutines are started under the transport's lock, and none once Run waits. New test: TestQueriesWhileTransportEnds (before, with -race: "race detected during execution of test" at the first Add).

Not changed: Run that ends because it cannot accept a connection still waits for sessions that end only with the process.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -65,6 +65,7 @@
 	followedLeader port.Leader                  // leader at the other end of leaderSession
 	inbound        map[ident.ProcessID]*session // sessions opened by other processes
 	addresses      map[string]bool              // known addresses of processes, including outdated ones
+	ending         bool                         // the context of Run has ended; no goroutine is started any more
 	goroutines     sync.WaitGroup
 }
 
@@ -117,6 +118,9 @@
 	for {
 		conn, err := t.listener.Accept()
 		if err != nil {
+			t.mu.Lock()
+			t.ending = ctx.Err() != nil
+			t.mu.Unlock()
 			t.goroutines.Wait()
 			if ctx.Err() != nil {
 				return nil
@@ -127,6 +131,16 @@
 	}
 }
 
+// start runs f in a goroutine that Run waits for. It returns false if Run waits already: it may have found none left.
+func (t *Transport) start(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ending {
+		t.goroutines.Go(f)
+	}
+	return !t.ending
+}
+
 // accept serves a session that another process opens, until it breaks.
 func (t *Transport) accept(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
@@ -274,7 +288,9 @@
 	t.setLeaderSession(s, leader)
 	defer t.setLeaderSession(nil, port.Leader{})
 	t.log.Info("session opened", "peer", s.peer, "by", "self")
-	t.goroutines.Go(func() { _ = t.serve(ctx, s) }) // ends with the session
+	if !t.start(func() { _ = t.serve(ctx, s) }) { // ends with the session
+		return port.LeaderSessionLost
+	}
 	err = t.monitorLeader(ctx, s)
 	t.log.Info("session to the leader ended", "leader", s.peer, "error", err)
 	if fault.Is(err, fault.NotReady) {
@@ -297,7 +313,9 @@
 	addresses := t.knownAddresses()
 	replies := make(chan port.Leader, len(addresses))
 	for _, address := range addresses {
-		t.goroutines.Go(func() { replies <- t.queryLeaderAt(queryCtx, address) })
+		if !t.start(func() { replies <- t.queryLeaderAt(queryCtx, address) }) {
+			return port.Leader{}, false
+		}
 	}
 	var latest port.Leader
 	for range addresses {
@@ -399,7 +417,10 @@
 		if err != nil {
 			return err
 		}
-		t.goroutines.Go(func() { t.handleCall(ctx, s, stream) })
+		if !t.start(func() { t.handleCall(ctx, s, stream) }) {
+			_ = stream.Close() // no reply is owed at the end
+			return fault.New(fault.Draining, "the process is shutting down")
+		}
 	}
 }
 
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -64,6 +64,40 @@
 	return transport
 }
 
+// TestQueriesWhileTransportEnds guards against a process that panics when it stops while it asks other processes for the leader:
+// "WaitGroup is reused before previous Wait has returned".
+func TestQueriesWhileTransportEnds(t *testing.T) {
+	t.Parallel()
+	other := startTransport(t, "other")
+	for range 50 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		self := port.Leader{Process: "self", Incarnation: 1, Address: listener.Addr().String()}
+		transport := New(self, listener, []string{other.self.Address}, leadingHandler{}, noConfig{}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		asked, ended := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(ended)
+			for n := 0; ctx.Err() == nil; n++ {
+				transport.DiscoverLeader(ctx)
+				if n == 0 {
+					close(asked)
+				}
+			}
+		}()
+		runEnded := make(chan error, 1)
+		go func() { runEnded <- transport.Run(ctx) }()
+		<-asked
+		cancel()
+		if err := <-runEnded; err != nil {
+			t.Error(err)
+		}
+		<-ended
+	}
+}
+
 // openSilentSession opens a session under the name and then neither reads nor sends.
 func openSilentSession(t *testing.T, name, address string) {
 	t.Helper()
