Let a heartbeat not wait behind the tasks that read the heartbeats

Cause: peering kept the heartbeats under one lock, which each task that is placed took to choose its owner, with sorting and another lock inside.

Change: the heartbeats of the live peers are one list that is replaced when a heartbeat arrives or a peer dies, and read without a lock. New tests: TestHeartbeatsAreReadWithoutWaiting (before: "a reader waits while a heartbeat is handled, so a heartbeat waits for its readers, too") and TestHeartbeatsOfLivePeers.

--- a/internal/app/peering/peering.go
+++ b/internal/app/peering/peering.go
@@ -37,6 +37,8 @@
 	liveChanged      notify.Broadcast // signaled when the set of live processes changes
 	heartbeatArrived notify.Broadcast // signaled when a heartbeat arrives
 
+	live atomic.Pointer[[]port.Heartbeat] // last heartbeats of the live peers
+
 	mu         sync.Mutex
 	heartbeats map[ident.ProcessID]port.Heartbeat // last heartbeat by sender
 }
@@ -47,10 +49,12 @@
 	members *membership.Membership, dir *directory.Directory, staticPeers []port.VM, recorder *timeline.Recorder,
 	log *slog.Logger, revision func() ident.Revision, digest func(time.Time) fleet.Digest,
 ) *Service {
-	return &Service{
+	s := &Service{
 		members: members, dir: dir, staticPeers: staticPeers, recorder: recorder, log: log, revision: revision, digest: digest,
 		heartbeats: map[ident.ProcessID]port.Heartbeat{},
 	}
+	s.updateLive()
+	return s
 }
 
 // Heartbeat returns the heartbeat of this process.
@@ -70,6 +74,7 @@
 	s.mu.Lock()
 	s.heartbeats[heartbeat.Peer.ID] = heartbeat
 	s.mu.Unlock()
+	s.updateLive()
 	s.publish(now, change)
 	s.heartbeatArrived.Signal()
 }
@@ -110,8 +115,12 @@
 	s.liveChanged.Signal()
 }
 
-// Heartbeats returns the last heartbeat of each live peer.
-func (s *Service) Heartbeats() []port.Heartbeat {
+// Heartbeats returns the last heartbeat of each live peer, sorted by id. The caller must not change the list. It takes no lock: each
+// task that is placed reads it, and a heartbeat that arrives must not wait for thousands of them.
+func (s *Service) Heartbeats() []port.Heartbeat { return *s.live.Load() }
+
+// updateLive updates the list of the heartbeats after a heartbeat has arrived or a peer has died.
+func (s *Service) updateLive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live []port.Heartbeat
@@ -120,7 +129,7 @@
 			live = append(live, heartbeat)
 		}
 	}
-	return live
+	s.live.Store(&live)
 }
 
 // Settings of the timer that checks for failed peers and detects pauses of the process.
@@ -162,7 +171,10 @@
 		s.recorder.Record(now, timeline.Event{Kind: timeline.ProcessPaused, Detail: delay.Round(time.Millisecond).String()})
 		s.publish(now, s.members.ResumeAfterPause(now, delay))
 	}
-	s.publish(now, s.members.Expire(now))
+	if change := s.members.Expire(now); change.HasEffect() {
+		s.updateLive()
+		s.publish(now, change)
+	}
 	for _, id := range s.members.RemoveDead(s.isConfigured) {
 		s.mu.Lock()
 		delete(s.heartbeats, id)
--- a/internal/app/peering/peering_test.go
+++ b/internal/app/peering/peering_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -58,6 +59,56 @@
 	}
 }
 
+// TestHeartbeatsAreReadWithoutWaiting guards against peers that count as dead while thousands of tasks are placed: each of them reads
+// the heartbeats, and a new heartbeat waited for a second and more behind them for a lock.
+func TestHeartbeatsAreReadWithoutWaiting(t *testing.T) {
+	s, _ := newService(&fakeVMList{})
+	s.HeartbeatReceived(time.Unix(100, 0), port.Heartbeat{Peer: membership.Peer{ID: "b"}})
+	s.mu.Lock() // as while a heartbeat is handled
+	defer s.mu.Unlock()
+	read := make(chan int, 1)
+	go func() { read <- len(s.Heartbeats()) }()
+	select {
+	case n := <-read:
+		if n != 1 {
+			t.Errorf("%d heartbeats, want 1", n)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("a reader waits while a heartbeat is handled, so a heartbeat waits for its readers, too")
+	}
+}
+
+// TestHeartbeatsOfLivePeers guards against heartbeats of dead peers, and outdated ones, in the choice of owners.
+func TestHeartbeatsOfLivePeers(t *testing.T) {
+	s, _ := newService(&fakeVMList{})
+	check := func(when string, want ...port.Heartbeat) {
+		t.Helper()
+		if got := s.Heartbeats(); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: heartbeats %v, want %v", when, got, want)
+		}
+	}
+	b := port.Heartbeat{Peer: membership.Peer{ID: "b", Incarnation: 2}}
+	c := port.Heartbeat{Peer: membership.Peer{ID: "c"}}
+	start := time.Unix(100, 0)
+	check("at the start")
+	s.HeartbeatReceived(start, c)
+	s.HeartbeatReceived(start, b)
+	check("two peers", b, c)
+	s.HeartbeatReceived(start, port.Heartbeat{Peer: membership.Peer{ID: "b", Incarnation: 1}})
+	check("after one of an earlier incarnation", b, c)
+	b.Peer.Revision = 7
+	s.HeartbeatReceived(start.Add(2*time.Second), b)
+	check("after a later one", b, c)
+	s.timerFired(start.Add(4*time.Second), start.Add(4*time.Second))
+	check("one peer dead", b)
+	for i := range 3 {
+		s.HeartbeatReceived(start.Add(time.Duration(4+i)*time.Second), c)
+	}
+	check("alive again", b, c)
+	s.timerFired(start.Add(20*time.Second), start.Add(20*time.Second))
+	check("none alive")
+}
+
 // TestLateTimers guards against a process on an overloaded machine that considers its peers dead: all of its timers
 // fire late, and heartbeats of its peers are not read in time.
 func TestLateTimers(t *testing.T) {
