Let a heartbeat not wait for the digest of a busy owner

Cause: a heartbeat, and the reply to one, carries a digest of the owner's workers, which takes the owner's lock behind the tasks that are placed. Traced with TestCancelWave, four at a time: the making of a heartbeat took up to 1.7 s; a peer is dead after 3 s.

Change: a heartbeat waits for its digest for at most 100 ms and otherwise carries the last one. Only one digest is made at a time. New test: TestHeartbeatWithLateDigest (before: "heartbeat made after 10s, want at most 200 ms").

--- a/internal/app/peering/peering.go
+++ b/internal/app/peering/peering.go
@@ -37,10 +37,12 @@
 	liveChanged      notify.Broadcast // signaled when the set of live processes changes
 	heartbeatArrived notify.Broadcast // signaled when a heartbeat arrives
 
-	live atomic.Pointer[[]port.Heartbeat] // last heartbeats of the live peers
+	live       atomic.Pointer[[]port.Heartbeat] // last heartbeats of the live peers
+	lastDigest atomic.Pointer[fleet.Digest]
 
 	mu         sync.Mutex
 	heartbeats map[ident.ProcessID]port.Heartbeat // last heartbeat by sender
+	digestMade chan struct{}                      // closed when the digest that is being made is the last one; nil if none is
 }
 
 // New returns a service. staticPeers are processes given in the settings; revision and digest return the contents of
@@ -61,7 +63,48 @@
 func (s *Service) Heartbeat(now time.Time) port.Heartbeat {
 	self := s.members.Self()
 	self.Revision = s.revision()
-	return port.Heartbeat{Peer: self, Digest: s.digest(now)}
+	return port.Heartbeat{Peer: self, Digest: s.currentDigest(now)}
+}
+
+// maxDigestWait is how long a heartbeat waits for the digest of a busy owner before it reports the last one.
+const maxDigestWait = 100 * time.Millisecond
+
+// currentDigest returns the digest, or the last one if the owner does not return it in time. Heartbeats that are made at the same time
+// share a digest. Only the first digest is waited for without a limit.
+func (s *Service) currentDigest(now time.Time) fleet.Digest {
+	made := s.startDigest(now)
+	timer := time.NewTimer(maxDigestWait)
+	defer timer.Stop()
+	select {
+	case <-made:
+		return *s.lastDigest.Load()
+	case <-timer.C:
+	}
+	if last := s.lastDigest.Load(); last != nil {
+		return *last
+	}
+	<-made
+	return *s.lastDigest.Load()
+}
+
+// startDigest starts to make a digest, unless one is being made, and returns a channel that is closed when it is the last one.
+func (s *Service) startDigest(now time.Time) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.digestMade != nil {
+		return s.digestMade
+	}
+	made := make(chan struct{})
+	s.digestMade = made
+	go func() {
+		digest := s.digest(now)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lastDigest.Store(&digest)
+		s.digestMade = nil
+		close(made)
+	}()
+	return made
 }
 
 // HeartbeatReceived handles a heartbeat of a peer.
--- a/internal/app/peering/peering_test.go
+++ b/internal/app/peering/peering_test.go
@@ -13,6 +13,7 @@
 	"skylarkstall/internal/domain/fleet"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/timeline"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -78,6 +79,46 @@
 	}
 }
 
+// TestHeartbeatWithLateDigest guards against peers that count this process as dead while its owner is busy: the heartbeat waited for the
+// digest of the owner, which waits for a lock behind thousands of tasks.
+func TestHeartbeatWithLateDigest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newService(&fakeVMList{})
+		free := make(chan struct{})
+		made := fleet.Digest{Capacity: resource.Vector{MilliCores: 1}}
+		s.digest = func(time.Time) fleet.Digest { return made }
+		if got := s.Heartbeat(time.Now()).Digest; !reflect.DeepEqual(got, made) {
+			t.Errorf("digest %v, want %v", got, made)
+		}
+		var calls atomic.Int64
+		s.digest = func(time.Time) fleet.Digest {
+			calls.Add(1)
+			<-free
+			return fleet.Digest{Capacity: resource.Vector{MilliCores: 2}}
+		}
+		go func() {
+			time.Sleep(10 * time.Second)
+			close(free)
+		}()
+		for range 3 {
+			start := time.Now()
+			if got := s.Heartbeat(start).Digest; !reflect.DeepEqual(got, made) {
+				t.Errorf("digest %v while the owner is busy, want the last one, %v", got, made)
+			}
+			if took := time.Since(start); took > 200*time.Millisecond {
+				t.Errorf("heartbeat made after %v, want at most 200 ms", took)
+			}
+		}
+		if n := calls.Load(); n != 1 {
+			t.Errorf("%d digests are waited for at once, want 1", n)
+		}
+		time.Sleep(11 * time.Second)
+		if got := s.Heartbeat(time.Now()).Digest.Capacity.MilliCores; got != 2 {
+			t.Errorf("capacity %d in the digest once the owner is free, want 2", got)
+		}
+	})
+}
+
 // TestHeartbeatsOfLivePeers guards against heartbeats of dead peers, and outdated ones, in the choice of owners.
 func TestHeartbeatsOfLivePeers(t *testing.T) {
 	s, _ := newService(&fakeVMList{})
