Keep a process running that cannot accept a session

A process of the cell ended, with the connections of all its callers, when it could not accept one connection of another process.

Cause: the loop that accepts sessions ended at the first error of the listener, and with it the group of tasks of the process. Such errors pass: EMFILE and ENFILE while no file descriptor is free, ECONNABORTED when the other side has gone. net/http repeats them. `skylarkstall serve` has the same loop.

Evidence: TestFailedAccept of cellwire and of peerwire, which fail two attempts with EMFILE, failed before: "accept a session: accept: accept4: too many open files", and in peerwire "no heartbeat is received after two connections were not accepted".

In the tests, startTransport and startProcess are split so that a test can pass its own listener.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -116,7 +116,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = t.listener.Close() })
 	defer stop()
 	for {
-		conn, err := t.listener.Accept()
+		conn, err := frame.Accept(ctx, t.listener, func(err error) { t.log.Warn("session not accepted", "error", err) })
 		if err != nil {
 			t.mu.Lock()
 			t.ending = ctx.Err() != nil
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +51,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startTransportOn(t, name, listener)
+}
+
+// startTransportOn is like startTransport, with a listener.
+func startTransportOn(t *testing.T, name ident.ProcessID, listener net.Listener) *Transport {
+	t.Helper()
 	self := port.Leader{Process: name, Incarnation: 1, Address: listener.Addr().String()}
 	leading := self
 	leading.Term = 1
@@ -154,3 +163,32 @@
 		t.Errorf("error %v, want Invalid", err)
 	}
 }
+
+// failingListener fails to accept a few times before it accepts a connection.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailedAccept guards against a process that ends with all connections of its callers because it could not accept one session:
+// it had no file descriptor left for a moment.
+func TestFailedAccept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: listener}
+	failing.failures.Store(2)
+	serving := startTransportOn(t, "a", failing)
+	other := startTransport(t, "b")
+	if leader := other.queryLeaderAt(t.Context(), serving.self.Address); leader.Term != 1 {
+		t.Errorf("the process does not answer after it failed to accept two sessions: %+v", leader)
+	}
+}
--- a/internal/adapter/peerwire/transport.go
+++ b/internal/adapter/peerwire/transport.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/timeline"
@@ -64,7 +65,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = t.listener.Close() })
 	defer stop()
 	for {
-		conn, err := t.listener.Accept()
+		conn, err := frame.Accept(ctx, t.listener, func(err error) { t.log.Warn("peer connection not accepted", "error", err) })
 		if err != nil {
 			t.closeAll()
 			t.goroutines.Wait()
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,6 +114,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startProcessOn(t, id, listener, credentials)
+}
+
+func startProcessOn(t *testing.T, id ident.ProcessID, listener net.Listener, credentials *Credentials) *testProcess {
+	t.Helper()
 	p := &testProcess{id: id, log: &logBuffer{}, release: make(chan struct{})}
 	log := slog.New(slog.NewTextHandler(p.log, nil))
 	p.Transport = New(id, listener, credentials, p, p, timeline.NewRecorder(id, 100), log)
@@ -388,3 +395,41 @@
 	var network net.Error
 	return errors.As(err, &network) && network.Timeout()
 }
+
+// failingListener fails to accept a few times before it accepts a connection.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailedAccept guards against a process that ends because it could not accept one connection of a peer: it had no file
+// descriptor left for a moment.
+func TestFailedAccept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: listener}
+	failing.failures.Store(2)
+	b := startProcessOn(t, "b", failing, nil)
+	a := startProcess(t, "a")
+	a.connect(t, listener.Addr().String())
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		b.mu.Lock()
+		received := len(b.heartbeats)
+		b.mu.Unlock()
+		if received > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("no heartbeat is received after two connections were not accepted")
+		}
+	}
+}
