Bound the addresses that are learned from sessions

A process remembered every address that another one named when it opened a session, passed all of them on with each reply to a ping, and dialed all of them when it looked for the leader.

Evidence: TestAddressesAreBounded failed before: "266 addresses are known, want at most 256".

Change: both ways learn addresses through learnAddress.

Measured: go test -race ./internal/adapter/cellwire passed.

Addresses of processes that have left are still kept until the process restarts.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -99,9 +99,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, address := range addresses {
-		if address != "" && address != t.self.Address && len(t.addresses) < maxAddresses {
-			t.addresses[address] = true
-		}
+		t.learnAddress(address)
+	}
+}
+
+// learnAddress adds the address of a process unless the maximum number is reached. The lock is held.
+func (t *Transport) learnAddress(address string) {
+	if address != "" && address != t.self.Address && len(t.addresses) < maxAddresses {
+		t.addresses[address] = true
 	}
 }
 
@@ -172,7 +177,7 @@
 		_ = previous.conn.Close() // the peer has replaced this session
 	}
 	t.inbound[s.peer] = s
-	t.addresses[s.address] = true
+	t.learnAddress(s.address)
 	return true
 }
 
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -192,3 +193,19 @@
 		t.Errorf("the process does not answer after it failed to accept two sessions: %+v", leader)
 	}
 }
+
+// TestAddressesAreBounded guards against memory and calls that grow with the addresses that processes name when they open a session.
+func TestAddressesAreBounded(t *testing.T) {
+	transport := startTransport(t, "a")
+	for i := range maxAddresses + 10 {
+		transport.addInbound(&session{peer: "b", address: "10.0.0.1:" + strconv.Itoa(i+1), conn: discardConn{}})
+	}
+	if n := len(transport.knownAddresses()); n > maxAddresses {
+		t.Errorf("%d addresses are known, want at most %d", n, maxAddresses)
+	}
+}
+
+// discardConn is a connection that can only be closed.
+type discardConn struct{ net.Conn }
+
+func (discardConn) Close() error { return nil }
