End the term, not the process, at a panic while the store is read

A record at which a leader panics at the start of its term ended the process with the connections of its callers, and then each other process that took over.

Cause: the tasks of a term and the calls of others recover from a panic and end the term, but the reading of the store at its start runs before them, in the task of the election, which does not.

The cell schedules nothing while every process panics at the record, but serves callers.

--- a/internal/app/scheduler/panics.go
+++ b/internal/app/scheduler/panics.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"runtime/debug"
+
+	"skylarkstall/internal/domain/ident"
 )
 
 // goTask runs a task of the term in a goroutine. A panic ends the term instead of the process: the panicking task may have
@@ -27,6 +30,19 @@
 	}
 }
 
+// loadGuarded is like load, and ends the term after a panic. Otherwise a record at which load panics would end every process that
+// takes over, one after the other.
+func (s *Scheduler) loadGuarded(ctx context.Context) (asOf ident.Revision, ok, panicked bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			s.endTermAfterPanic(r)
+			ok, panicked = false, true
+		}
+	}()
+	asOf, ok = s.load(ctx)
+	return asOf, ok, false
+}
+
 func (s *Scheduler) endTermAfterPanic(value any) {
 	s.log.Error("panic in a task of the leader", "panic", fmt.Sprint(value), "stack", string(debug.Stack()))
 	s.endTerm("a task of the leader panicked", nil)
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -157,7 +157,11 @@
 	s.startedAt = time.Now()
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	defer s.cancel()
-	asOf, ok := s.load(s.ctx)
+	asOf, ok, panicked := s.loadGuarded(s.ctx)
+	if panicked {
+		s.wg.Wait()
+		return true
+	}
 	if !ok {
 		return s.ctx.Err() == nil
 	}
