Keep the active configuration after a panic in decoding a new one

A configuration at which the decoder panics would have ended every process of a cell at about the same time, and again after each restart.

Cause: the task that watches the configuration and the session to the leader decode it without a recover, and a configuration spreads to all processes within a second.

Evidence: TestPanicAtConfiguration, with a decoder that panics, ended the test process before: "panic: malformed".

Change: Replica takes a panic of the decoder for an invalid configuration, which is logged with its stack and leaves the active one in force.

Other panics in the tasks of the election and of sessions still end the process.

--- a/internal/app/routing/replica.go
+++ b/internal/app/routing/replica.go
@@ -2,9 +2,11 @@
 
 import (
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
@@ -36,7 +38,7 @@
 // apply activates the configuration if it is newer than the active one, and returns its version, or 0 if it cannot be
 // decoded.
 func (r *Replica) apply(source []byte, from string) uint64 {
-	config, err := r.decode(source)
+	config, err := r.decodeGuarded(source)
 	if err != nil {
 		r.log.Error("configuration not understood", "from", from, "error", err)
 		return 0
@@ -49,6 +51,16 @@
 	return config.Version
 }
 
+// decodeGuarded is like decode, and fails with Invalid after a panic: the configuration reaches all processes at the same time.
+func (r *Replica) decodeGuarded(source []byte) (config route.Config, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fault.New(fault.Invalid, "panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return r.decode(source)
+}
+
 // ageMs returns how long ago the configuration was confirmed, or 0 if it never was.
 func ageMs(c route.Confirmation) int64 {
 	if c.At.IsZero() {
--- a/internal/app/routing/routing_test.go
+++ b/internal/app/routing/routing_test.go
@@ -88,3 +88,25 @@
 		}
 	})
 }
+
+// TestPanicAtConfiguration guards against a configuration at which every process ends when it reads it, or hears of it from another
+// process.
+func TestPanicAtConfiguration(t *testing.T) {
+	table := &route.Table{}
+	replica := routing.NewReplica(table, func(source []byte) (route.Config, error) {
+		if bytes.HasPrefix(source, []byte("8")) {
+			panic("malformed")
+		}
+		return decode(source)
+	}, slog.New(slog.DiscardHandler))
+	for _, source := range []string{"7", "8"} {
+		replica.Apply([]byte(source), "peer")
+	}
+	if version := table.Config().Version; version != 7 {
+		t.Errorf("version %d is active, want the former one, 7", version)
+	}
+	replica.Apply([]byte("9"), "peer")
+	if version := table.Config().Version; version != 9 {
+		t.Errorf("version %d is active after a later configuration, want 9", version)
+	}
+}
