Start no runs before the leader has a configuration

A process that led before it had read a configuration sent tasks to the service, and with the policy, that their queue had when the job was accepted, whatever the operator has changed since.

Cause: the routing table of a restarted process is empty, and queueOf takes a queue that is not in the table for one that has been removed, of which the jobs continue under the former settings. The election does not wait for the configuration, which is read beside it.

Change: placement begins once there is a configuration. Leases, ends and stops go on; the leader logs that it waits.

Ends that arrive before the configuration still count against the former maximum of attempts.

--- a/internal/app/scheduler/load_test.go
+++ b/internal/app/scheduler/load_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
@@ -70,3 +76,109 @@
 		t.Fatal("the term goes on after a panic")
 	}
 }
+
+// recordCodec decodes the records of recordStore: a job of one task, which the queue q sent to the service old when it was accepted,
+// and the worker w1.
+type recordCodec struct {
+	port.RecordCodec
+	size resource.Vector // of the task
+}
+
+func (c recordCodec) DecodeJob([]byte) (port.AcceptedJob, error) {
+	return port.AcceptedJob{
+		Spec:       workflow.Spec{ID: "job", Steps: []workflow.Step{{Count: 1, Size: c.size}}},
+		AcceptedAt: time.Now(), Queue: route.Queue{Name: "q", Service: "old", MaxAttempts: 3},
+	}, nil
+}
+
+func (recordCodec) DecodeWorkers([]byte, ident.Revision) ([]port.WorkerRecord, error) {
+	return []port.WorkerRecord{{WorkerInfo: pool.WorkerInfo{ID: "w1", Address: "w1", Service: "old", Incarnation: 1}}}, nil
+}
+
+func (recordCodec) EncodeWorkers([]port.WorkerRecord) []byte { return nil }
+
+// idleRunner is the client of workers that refuse to run anything, and counts the starts on each.
+type idleRunner struct {
+	port.RunClient
+	mu     sync.Mutex
+	starts map[ident.WorkerID]int
+}
+
+func (r *idleRunner) Sync(ctx context.Context, _ port.Target, request port.SyncRequest) (port.SyncReply, error) {
+	select {
+	case <-time.After(max(request.Wait, time.Millisecond)):
+	case <-ctx.Done():
+	}
+	return port.SyncReply{WorkerClock: time.Minute, Incarnation: 1}, ctx.Err()
+}
+
+func (r *idleRunner) Start(_ context.Context, to port.Target, _ port.StartRequest) (time.Duration, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts[to.Worker]++
+	return 0, fault.New(fault.NoCapacity, "no task runs here")
+}
+
+func (r *idleRunner) startsOn(worker ident.WorkerID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts[worker]
+}
+
+// workerList is a list of workers that can be changed. While it is nil, the list cannot be read.
+type workerList struct {
+	mu      sync.Mutex
+	workers []pool.WorkerInfo
+}
+
+func (l *workerList) Workers(context.Context) ([]pool.WorkerInfo, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.workers == nil {
+		return nil, fault.New(fault.Unavailable, "the store is slow")
+	}
+	return l.workers, nil
+}
+
+func (l *workerList) set(workers ...pool.WorkerInfo) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.workers = workers
+}
+
+func listedWorker(id ident.WorkerID, service string) pool.WorkerInfo {
+	return pool.WorkerInfo{
+		ID: id, Address: string(id), Service: service, Incarnation: 1, Capacity: resource.Vector{MilliCores: 4000, MemoryBytes: 8 << 30},
+	}
+}
+
+// runTerm runs a term over the records of recordStore until the test ends. It must be called in a bubble of synctest.
+func runTerm(t *testing.T, size resource.Vector, list *workerList) (*Scheduler, *idleRunner) {
+	t.Helper()
+	s, runner := newLeaderFor(t), &idleRunner{starts: map[ident.WorkerID]int{}}
+	s.ports = Ports{Store: recordStore{workers: true}, RecordCodec: recordCodec{size: size}, RunClient: runner, Workers: list}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return s, runner
+}
+
+// TestRunWithoutConfiguration guards against a restarted process that leads before it has read the configuration, and sends a task
+// where its queue sent tasks when the job was accepted: the operator has changed the route since.
+func TestRunWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &workerList{}
+		list.set(listedWorker("w1", "old"), listedWorker("w2", "new"))
+		s, runner := runTerm(t, resource.Vector{MilliCores: 1000}, list)
+		time.Sleep(2 * time.Second)
+		if n := runner.startsOn("w1"); n > 0 {
+			t.Errorf("%d starts on the service of a former configuration", n)
+		}
+		s.table.Apply(route.Config{Version: 9, Queues: []route.Queue{{Name: "q", Service: "new", MaxAttempts: 3}}})
+		time.Sleep(2 * time.Second)
+		if former, present := runner.startsOn("w1"), runner.startsOn("w2"); former > 0 || present == 0 {
+			t.Errorf("%d starts on the former service, %d on the present one; want only these", former, present)
+		}
+	})
+}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/notify"
+	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
 )
 
@@ -168,7 +169,11 @@
 	s.goTask(func() { s.watchJobs(s.ctx, asOf) })
 	s.goTask(func() { s.watchWorkers(s.ctx) })
 	s.goTask(func() { s.awaitPredecessorSilence(s.ctx) })
-	s.goTask(func() { s.runPlacement(s.ctx) })
+	s.goTask(func() {
+		if s.awaitConfig(s.ctx) {
+			s.runPlacement(s.ctx)
+		}
+	})
 	s.goTask(func() { s.reportWaits(s.ctx) })
 	s.goTask(func() { s.readHistory(s.ctx) })
 	s.goTask(func() { s.archiveFinished(s.ctx) })
@@ -197,6 +202,24 @@
 	}
 }
 
+// configCheckInterval is the interval at which a leader without a configuration checks for one.
+const configCheckInterval = 50 * time.Millisecond
+
+// awaitConfig waits until the process has a configuration. Without one, every queue would count as removed, and its jobs would run as
+// at the time of their acceptance. It returns false when the context ends first.
+func (s *Scheduler) awaitConfig(ctx context.Context) bool {
+	if s.table.Config().Version > 0 {
+		return true
+	}
+	s.log.Warn("no configuration yet; no runs are started")
+	for s.table.Config().Version == 0 {
+		if !pause.For(ctx, configCheckInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // queueOf returns the current settings of a job's queue, or those at the time of its acceptance if the queue has been
 // removed.
 func (s *Scheduler) queueOf(e *jobEntry) route.Queue {
