Use no worker that only the record of workers names

A new leader could start tasks on a worker that had left, until the worker list had named it missing for 2.5 s, or for as long as the list could not be read.

Cause: the leader adds the workers of the record before it has read the list, and they answer while they shut down. That they have no capacity until the list names them kept most tasks away, but a task that needs neither memory nor an accelerator fits, if it needs no processor or is best-effort.

Change: such a worker is not eligible until the list names it; `tasks wait` states `not_listed`.

--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -32,6 +32,7 @@
 		s.authority.workers = append(s.authority.workers, w.ID)
 		s.addWorker(w.WorkerInfo)
 		s.monitors[w.ID].knownAddress = w.Address
+		s.monitors[w.ID].worker.MarkNeverListed()
 		s.recorded[w.ID] = !w.Cordoned
 	}
 	s.ready = true
--- a/internal/app/scheduler/load_test.go
+++ b/internal/app/scheduler/load_test.go
@@ -182,3 +182,19 @@
 		}
 	})
 }
+
+// TestWorkerNotListed guards against a worker that has left and is used again by a new leader, which knows it only from the record of
+// workers and has not read the worker list: a task that needs no capacity fits on it.
+func TestWorkerNotListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &workerList{}
+		s, runner := runTerm(t, resource.Vector{}, list)
+		s.table.Apply(route.Config{Version: 9, Queues: []route.Queue{{Name: "q", Service: "old", MaxAttempts: 3}}})
+		time.Sleep(2 * time.Second)
+		list.set(listedWorker("w2", "old"))
+		time.Sleep(4 * time.Second)
+		if left, listed := runner.startsOn("w1"), runner.startsOn("w2"); left > 0 || listed == 0 {
+			t.Errorf("%d starts on the worker that has left, %d on the listed one; want only these", left, listed)
+		}
+	})
+}
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -35,6 +35,7 @@
 const (
 	NotRejected   Rejection = ""
 	OtherService  Rejection = "service"
+	NotListed     Rejection = "not_listed" // it is known from the record of workers only
 	Unresponsive  Rejection = "unresponsive"
 	Unsteady      Rejection = "unsteady" // it crashed before, and has not been up for long enough since
 	Draining      Rejection = "draining"
@@ -54,6 +55,7 @@
 
 var filters = []filter{
 	{sameService, OtherService},
+	{listed, NotListed},
 	{responsive, Unresponsive},
 	{steady, Unsteady},
 	{notDraining, Draining},
@@ -64,6 +66,8 @@
 
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
+func listed(w *Worker, _ *Request) bool { return !w.neverListed }
+
 func responsive(w *Worker, r *Request) bool {
 	return w.synced && !w.unreached && w.clock.known && w.SilentFor(r.Now) < silenceLimit && w.MissingFor(r.Now) < missingLimit
 }
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -49,6 +49,7 @@
 type Worker struct {
 	info                 WorkerInfo
 	missingSince         time.Time // since when the worker list lacks the entry; zero while it is listed
+	neverListed          bool      // it is known from the record of workers only
 	runs                 map[workflow.RunRef]*Run
 	holds                []hold // capacity that is kept free for tasks of certain steps
 	used                 resource.Vector
@@ -80,7 +81,13 @@
 func (w *Worker) Info() WorkerInfo { return w.info }
 
 // UpdateInfo applies a newer entry of the worker list.
-func (w *Worker) UpdateInfo(info WorkerInfo) { w.info, w.missingSince = info, time.Time{} }
+func (w *Worker) UpdateInfo(info WorkerInfo) {
+	w.info, w.missingSince, w.neverListed = info, time.Time{}, false
+}
+
+// MarkNeverListed records that the worker is known from the record of workers only. It may have left, and gets no starts until the
+// worker list names it.
+func (w *Worker) MarkNeverListed() { w.neverListed = true }
 
 // MarkMissing records that the worker list lacks the worker.
 func (w *Worker) MarkMissing(now time.Time) {
