Check the ticket of a start again right before it leaves

A start could leave with a ticket that had run out, or that was for an earlier life of the worker; the worker rejects it, which is priced.

Cause: the ticket was checked when the run was placed.

Change: requestStart checks the ticket beside the lease and the age of the decision, and the task waits for another ticket.

The validity of a ticket is still counted from when its response was read, so that a pause of the process before that, shorter than the time limit of the call, makes it look valid for longer than it is (by reading).

--- a/internal/app/scheduler/paused_test.go
+++ b/internal/app/scheduler/paused_test.go
@@ -8,6 +8,7 @@
 
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -82,3 +83,52 @@
 		t.Error("the task of the withdrawn start does not wait for another one")
 	}
 }
+
+// TestExpiredTicket guards against a start with a ticket that has run out, or that was for an earlier life of the worker, while the start
+// waited for its turn or the process was paused.
+func TestExpiredTicket(t *testing.T) {
+	for name, c := range map[string]struct {
+		left     time.Duration // validity of the ticket when the start leaves
+		restart  bool          // of the worker after the placement
+		wantSent bool
+	}{
+		"valid":            {left: time.Second, wantSent: true},
+		"expired":          {left: -time.Millisecond},
+		"worker restarted": {left: time.Second, restart: true},
+	} {
+		s, runner := newLeader(t), &countingRunner{}
+		s.ports.RunClient, s.ports.PeerPermitClients = runner, peers{}
+		e := acceptTestJob(s, workflow.Step{Count: 1})
+		e.queue.PermitPolicy = testPermitPolicy()
+		_, calls := s.place(time.Now())
+		if len(calls) != 1 {
+			t.Fatalf("%d calls for permits, want 1", len(calls))
+		}
+		permits := calls[0].permits
+		s.mu.Lock()
+		permits.EndCall(calls[0].Call)
+		permits.ApplyResponse(calls[0].Workers, map[ident.WorkerID]permit.Ticket{"w1": {Value: "t", Expires: time.Now().Add(time.Minute)}})
+		e.step(firstRun(0).Task.StepRef).waiting.Retry()
+		s.mu.Unlock()
+		launches, _ := s.place(time.Now())
+		if len(launches) != 1 || launches[0].request.Ticket != "t" {
+			t.Fatalf("%d starts, want one with a ticket", len(launches))
+		}
+		s.mu.Lock()
+		permits.ApplyResponse(calls[0].Workers, map[ident.WorkerID]permit.Ticket{"w1": {Value: "t", Expires: time.Now().Add(c.left)}})
+		if c.restart {
+			s.monitors["w1"].worker.ResetAfterRestart(2, time.Minute)
+		}
+		s.mu.Unlock()
+		s.startRun(s.ctx, launches[0])
+		if sent := runner.requests.Load() > 0; sent != c.wantSent {
+			t.Errorf("%s: start sent: %v, want %v", name, sent, c.wantSent)
+		}
+		if waiting := e.workflow.Waiting(firstRun(0).Task.StepRef); !c.wantSent && len(waiting) != 1 {
+			t.Errorf("%s: the task of the withdrawn start does not wait for another one", name)
+		}
+		if s.ctx.Err() != nil {
+			t.Errorf("%s: the term has ended", name)
+		}
+	}
+}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -75,12 +75,26 @@
 	if age := sent.Sub(l.decided); age > maxOrderAge || s.isFinal(l.entry) {
 		return sent, 0, fault.New(fault.DeadlineExceeded, "start not requested %v after the decision", age)
 	}
+	if !s.hasValidTicket(l, sent) {
+		return sent, 0, fault.New(fault.Unauthorized, "the ticket is no longer valid")
+	}
 	startCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	clock, err = s.ports.RunClient.Start(startCtx, l.target, l.request)
 	return sent, clock, err
 }
 
+// hasValidTicket reports whether the ticket of a start, if it has one, is still valid, and for the present life of the worker.
+func (s *Scheduler) hasValidTicket(l launch, now time.Time) bool {
+	if l.request.Ticket == "" {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	permits := l.entry.step(l.request.Task.StepRef).permits
+	return permits != nil && permits.Valid(permitWorker(l.monitor), now)
+}
+
 func (s *Scheduler) isFinal(e *jobEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
