Keep a process running whose leader panics at a new job

A process that accepted a job, and led itself, ended with the connections of all its callers if its leader panicked when it was told of the job.

Cause: the methods of the leader end the term after a panic and then pass it on, so that the connection of the caller ends. The gateway tells the leader of a stored job in a task that belongs to no connection, and nothing recovers there.

Evidence: TestPanicOfLeader ended the test process before: "panic: malformed ... gateway.(*Gateway).notifyLeader".

Change: notifyLeader logs the panic and ends. The job is stored, and the next term reads it.

Measured: go test -race ./internal/app/gateway ./internal/eventlog passed.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"skylarkstall/internal/domain/route"
@@ -136,6 +138,11 @@
 func (g *Gateway) notifyLeader(job port.AcceptedJob) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
+	defer func() {
+		if r := recover(); r != nil { // of the leader in this process, which has ended its term
+			g.log.Error("panic while the leader is told of a job", "job", job.Spec.ID, "panic", fmt.Sprint(r), "stack", string(debug.Stack()))
+		}
+	}()
 	for {
 		err := g.notifyOnce(ctx, job)
 		if err == nil {
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -57,3 +59,31 @@
 		}
 	})
 }
+
+// panickingLeader is a leader in this process, whose state a panic leaves half changed.
+type panickingLeader struct {
+	port.Scheduler
+	told atomic.Int64
+}
+
+func (l *panickingLeader) Notify(context.Context, port.AcceptedJob) error {
+	l.told.Add(1)
+	panic("malformed")
+}
+
+// TestPanicOfLeader guards against a process that ends with all connections of its callers because its own leader panics when it is
+// told of a job: that call belongs to no connection.
+func TestPanicOfLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leader, log := &panickingLeader{}, &bytes.Buffer{}
+		g := gateway.New(acceptingStore{}, jobCodec{}, leader, &route.Table{}, slog.New(slog.NewTextHandler(log, nil)))
+		spec := workflow.Spec{ID: "j", Steps: []workflow.Step{{Count: 1}}}
+		if err := g.Submit(t.Context(), route.Queue{Name: "q"}, spec); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if leader.told.Load() == 0 || !strings.Contains(log.String(), "panic while the leader is told of a job") {
+			t.Errorf("the panic is not logged:\n%s", log)
+		}
+	})
+}
