End requests to `serve` whose body does not arrive

A caller that sent half of a body and then nothing kept a connection and a task of a `serve` process for good.

Evidence: TestStalledBody of httpjson failed before: no response within 15 s.

Change: ReadJSON reads for at most 10 s. The deadline is taken back once the body is complete; after a failure it stays, because the server reads the rest of the body before it responds.

Measured: go test -race ./internal/adapter/httpjson ./internal/adapter/callerhttp, and go test ./internal/celltest -run 'TestOnce|TestJob|TestLeaving|TestRolling': passed.

--- a/internal/adapter/httpjson/httpjson.go
+++ b/internal/adapter/httpjson/httpjson.go
@@ -144,9 +144,14 @@
 	return ErrorBody{Kind: response.Name, Message: err.Error(), Ran: response.Execution.String(), Retry: response.Retryable}
 }
 
-// ReadJSON decodes a request body that contains one JSON value in at most MaxBodySize bytes. Unknown fields are rejected. It
-// fails with Invalid or TooLarge.
+// BodyTimeout is how long a request body may take to arrive.
+const BodyTimeout = 10 * time.Second
+
+// ReadJSON decodes a request body that contains one JSON value in at most MaxBodySize bytes and arrives within BodyTimeout. Unknown
+// fields are rejected. It fails with Invalid or TooLarge.
 func ReadJSON(w http.ResponseWriter, r *http.Request, in any) error {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(BodyTimeout)) // fails only if the connection broke
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodySize))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(in)
@@ -158,8 +163,9 @@
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.TooLarge, "request body exceeds %d bytes", MaxBodySize)
 	case err != nil:
-		return fault.WrapAs(fault.Invalid, err, "decode the request body")
+		return fault.WrapAs(fault.Invalid, err, "decode the request body") // the server reads the rest, for which the deadline stays
 	}
+	_ = control.SetReadDeadline(time.Time{}) // fails only if the connection broke
 	return nil
 }
 
--- a/internal/adapter/httpjson/httpjson_test.go
+++ b/internal/adapter/httpjson/httpjson_test.go
@@ -1,8 +1,10 @@
 package httpjson_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -74,3 +76,35 @@
 		client.Reset()
 	}
 }
+
+// TestStalledBody guards against callers that send half of a body and then nothing: each kept a connection and a task of the process
+// for good.
+func TestStalledBody(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httpjson.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var in struct{}
+		if err := httpjson.ReadJSON(w, r, &in); err != nil {
+			httpjson.WriteError(w, err)
+		}
+	}))
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(httpjson.BodyTimeout + 5*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if response, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(response), "HTTP/1.1 400 ") {
+		t.Errorf("a stalled request ends with %q, error %v; want status 400 and the end of the connection", response, err)
+	}
+}
