Log a panic in the request of a caller

A panic in the request of a caller ended its connection, and nothing in the log said so.

Cause: net/http recovers and reports to its error log, which the process passes on at the level debug.

Evidence: TestPanicOfCaller failed with a handler that only recovers, as net/http does: "the panic is not logged once".

Change: the handler of callers is wrapped; the panic is logged with its stack, and the connection ends as before.

Measured: go test -race ./internal/cellnode ./internal/eventlog passed.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -103,7 +103,7 @@
 	n.configWatcher = routing.New(settings.ConfigKey, n.store, replica, log)
 	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log)
 	n.callerServer = &http.Server{
-		Handler: platform.NewCallerHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: logPanics(platform.NewCallerHandler(g), log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	n.readinessServer = &http.Server{Handler: platform.NewReadinessHandler(n.isReady), ReadHeaderTimeout: headerTimeout}
