Check that the leader still leads before it paces a run

A leader that had been paused for longer than its lease allows sent the requests to throttle runs that it had decided on before.

Change: the check is made right before the request, and a refusal for the fencing token ends the term, as for other requests. TestPausedLeader has a case more; the others are unchanged.

Measured: go test -race ./internal/app/scheduler -run 'Paused|Old|Pac|Thrott' passed.

--- a/internal/app/scheduler/paused_test.go
+++ b/internal/app/scheduler/paused_test.go
@@ -9,6 +9,7 @@
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -29,6 +30,11 @@
 	return nil
 }
 
+func (c *countingRunner) Throttle(context.Context, port.Target, pool.Throttle, ident.Epoch) error {
+	c.requests.Add(1)
+	return nil
+}
+
 func (c *countingRunner) Sync(context.Context, port.Target, port.SyncRequest) (port.SyncReply, error) {
 	c.requests.Add(1)
 	return port.SyncReply{WorkerClock: time.Minute, Incarnation: 1}, nil
@@ -42,6 +48,7 @@
 		"start": func(s *Scheduler, l launch) { s.startRun(s.ctx, l) },
 		"stop":  func(s *Scheduler, l launch) { s.stopRun(s.ctx, l.monitor, l.request.RunRef) },
 		"sync":  func(s *Scheduler, l launch) { _ = s.sync(s.ctx, l.monitor, 0) },
+		"pace":  func(s *Scheduler, l launch) { s.throttleRun(l.monitor, pool.Throttle{RunRef: l.request.RunRef, Percent: 50}) },
 	} {
 		for _, paused := range []bool{false, true} {
 			s, runner := newLeader(t), &countingRunner{}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -243,15 +243,25 @@
 	s.mu.Lock()
 	target := m.target()
 	s.mu.Unlock()
-	throttleCtx, cancel := context.WithTimeout(s.ctx, requestTimeout)
-	defer cancel()
-	err := s.ports.RunClient.Throttle(throttleCtx, target, throttle, s.term.Token)
+	err := s.requestThrottle(target, throttle)
 	s.log.Info("run paced", "task", throttle.Task.String(), "run", throttle.Run, "worker", target.Worker,
 		"percent", throttle.Percent, "kind", resultKind(err))
 	if err == nil {
 		return
 	}
+	if fault.Is(err, fault.StaleEpoch) {
+		s.endTerm("another process may lead", err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.worker.ResetThrottle(throttle.RunRef)
 }
+
+func (s *Scheduler) requestThrottle(target port.Target, throttle pool.Throttle) error {
+	if err := s.checkInForce(time.Now()); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+	defer cancel()
+	return s.ports.RunClient.Throttle(ctx, target, throttle, s.term.Token)
+}
