Bound the calls of a session that are handled at the same time

One session of another process could have any number of calls in progress, each with a task and a buffer.

Cause: a stream was accepted and handled as soon as it was opened; only streams that are not accepted yet are limited, to 256.

Evidence: TestCallsAreBounded failed before: "1124 calls in progress, want 1024".

Measured: go test -race ./internal/adapter/cellwire -run TestCallsAreBounded -count=3 and the whole package passed.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -44,6 +44,9 @@
 // maxSessions is the maximum number of sessions that other processes open to this one.
 const maxSessions = 256
 
+// maxCalls is the maximum number of calls of one session that are handled at the same time. Further ones wait.
+const maxCalls = 1024
+
 // Handler handles calls from other processes.
 type Handler interface {
 	port.Scheduler
@@ -417,12 +420,18 @@
 
 // serve handles each call of the peer in a separate goroutine, until the session breaks.
 func (t *Transport) serve(ctx context.Context, s *session) error {
+	calls := make(chan struct{}, maxCalls)
 	for {
+		calls <- struct{}{} // each call ends within replyTimeout
 		stream, err := s.mux.AcceptStreamWithContext(ctx)
 		if err != nil {
 			return err
 		}
-		if !t.start(func() { t.handleCall(ctx, s, stream) }) {
+		handle := func() {
+			defer func() { <-calls }()
+			t.handleCall(ctx, s, stream)
+		}
+		if !t.start(handle) {
 			_ = stream.Close() // no reply is owed at the end
 			return fault.New(fault.Draining, "the process is shutting down")
 		}
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -209,3 +209,60 @@
 type discardConn struct{ net.Conn }
 
 func (discardConn) Close() error { return nil }
+
+// waitingHandler holds back every request for permits until it is released, and counts those in progress.
+type waitingHandler struct {
+	leadingHandler
+	inProgress atomic.Int64
+	release    chan struct{}
+}
+
+func (h *waitingHandler) RequestPermits(
+	ctx context.Context, _ workflow.StepRef, _ []ident.WorkerID,
+) (map[ident.WorkerID]permit.Ticket, error) {
+	h.inProgress.Add(1)
+	defer h.inProgress.Add(-1)
+	select {
+	case <-h.release:
+	case <-ctx.Done():
+	}
+	return nil, ctx.Err()
+}
+
+// TestCallsAreBounded guards against a session of which the calls use up the memory of the process: each has a task and a buffer.
+func TestCallsAreBounded(t *testing.T) {
+	serving, calling := startTransport(t, "a"), startTransport(t, "b")
+	handler := &waitingHandler{leadingHandler: leadingHandler{leader: serving.knownLeader()}, release: make(chan struct{})}
+	serving.handler = handler
+	conn, err := net.Dial("tcp", serving.self.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	s, err := calling.handshake(conn, yamux.Client, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.mux.Close()
+	const calls = maxCalls + 100
+	results := make(chan error, calls)
+	for range calls {
+		go func() {
+			_, err := s.call(t.Context(), &cellpb.Call{Body: &cellpb.Call_Advise{Advise: &cellpb.Advise{Job: "j"}}})
+			results <- err
+		}()
+	}
+	for end := time.Now().Add(3 * time.Second); handler.inProgress.Load() < maxCalls && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if n := handler.inProgress.Load(); n != maxCalls {
+		t.Errorf("%d calls in progress, want %d", n, maxCalls)
+	}
+	close(handler.release)
+	for range calls {
+		if err := <-results; err != nil {
+			t.Fatalf("a call that had to wait fails: %v", err)
+		}
+	}
+}
--- a/internal/app/scheduler/paused_test.go
+++ b/internal/app/scheduler/paused_test.go
@@ -48,7 +48,9 @@
 		"start": func(s *Scheduler, l launch) { s.startRun(s.ctx, l) },
 		"stop":  func(s *Scheduler, l launch) { s.stopRun(s.ctx, l.monitor, l.request.RunRef) },
 		"sync":  func(s *Scheduler, l launch) { _ = s.sync(s.ctx, l.monitor, 0) },
-		"pace":  func(s *Scheduler, l launch) { s.throttleRun(l.monitor, pool.Throttle{RunRef: l.request.RunRef, Percent: 50}) },
+		"pace": func(s *Scheduler, l launch) {
+			s.throttleRun(l.monitor, pool.Throttle{RunRef: l.request.RunRef, Percent: 50})
+		},
 	} {
 		for _, paused := range []bool{false, true} {
 			s, runner := newLeader(t), &countingRunner{}
