Use a restarted worker once the list describes its new life

After a worker had restarted, tasks could start on it by the capacity, the labels and the rack of its former life, for half a second or, while the store is away, for longer. A new incarnation may be of another kind: a start then exceeds its capacity or breaks a label that the step requires.

Cause: a reply to a sync shows the restart before the worker list does. The leader took over the incarnation, kept the rest of the former entry, and overwrote the incarnation of later entries, so that it could not tell for which life an entry was written.

Evidence: TestRestartAsAnotherKind failed before: "1 starts on a worker that has restarted and is not listed since".

Change: the worker remembers the incarnation that the list described last, and is not eligible while it differs from its own; `tasks wait` states `not_listed`. An entry or a reply without an incarnation restricts nothing.

--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -81,10 +81,13 @@
 	}
 }
 
-// restartWorker applies the first reply of the next life of a worker.
+// restartWorker applies the first reply of the next life of a worker, and the entry of the worker list that describes it.
 func restartWorker(s *Scheduler, m *workerMonitor) {
 	now := time.Now()
 	s.applyReply(m, port.SyncReply{Incarnation: m.worker.Info().Incarnation + 1, WorkerClock: time.Second}, now, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.worker.UpdateInfo(m.worker.Info())
 }
 
 // TestFlappingWorker guards against a job that fails because a worker crashes again and again under whatever runs there: the
--- a/internal/app/scheduler/restart_test.go
+++ b/internal/app/scheduler/restart_test.go
@@ -74,3 +74,37 @@
 		t.Errorf("the lease does not count as expired %v after the start", lapsed)
 	}
 }
+
+// TestRestartAsAnotherKind guards against a start for which a restarted worker is too small or has not the label: its new incarnation may
+// be of another kind, and until the worker list describes it, only the former one is known.
+func TestRestartAsAnotherKind(t *testing.T) {
+	s := newLeader(t)
+	delete(s.monitors, "w2")
+	info := s.monitors["w1"].worker.Info()
+	acceptTestJob(s, workflow.Step{Count: 1})
+	now := time.Now()
+	for _, c := range []struct {
+		name   string
+		born   int64 // as the list states it
+		cores  int64
+		starts int
+	}{
+		{"described as before the restart", 1, 4000, 0},
+		{"of a smaller kind", 2, 2000, 0},
+		{"of the same kind", 2, 4000, 1},
+	} {
+		s.applyReply(s.monitors["w1"], port.SyncReply{Incarnation: 2, WorkerClock: now.Sub(s.startedAt) + time.Second}, now, now)
+		if launches, _ := s.place(now); c.born == 1 && len(launches) > 0 {
+			t.Fatalf("%d starts on a worker that has restarted and is not listed since", len(launches))
+		}
+		info.Incarnation, info.Capacity.MilliCores = c.born, c.cores
+		s.mu.Lock()
+		s.updateWorkers([]pool.WorkerInfo{info}, now)
+		s.mu.Unlock()
+		now = now.Add(placeInterval + 200*time.Millisecond)
+		s.applyReply(s.monitors["w1"], port.SyncReply{Incarnation: 2, WorkerClock: now.Sub(s.startedAt) + time.Second}, now, now)
+		if launches, _ := s.place(now); len(launches) != c.starts {
+			t.Fatalf("%s: %d starts, want %d", c.name, len(launches), c.starts)
+		}
+	}
+}
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -114,10 +114,11 @@
 			s.log.Info("worker drains", "worker", w.ID, "remaining_ms", w.RemainingTime.Milliseconds())
 			s.evacuate(m, w.RemainingTime, now)
 		}
-		if incarnation := m.worker.Info().Incarnation; m.worker.Synced() && incarnation != 0 {
-			w.Incarnation = incarnation // sync replies report a restart earlier than the list
-		}
+		incarnation := m.worker.Info().Incarnation
 		m.worker.UpdateInfo(w)
+		if m.worker.Synced() && incarnation != 0 {
+			m.worker.KeepIncarnation(incarnation) // sync replies report a restart earlier than the list
+		}
 	}
 	for id, m := range s.monitors {
 		if !listed[id] {
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -35,7 +35,7 @@
 const (
 	NotRejected   Rejection = ""
 	OtherService  Rejection = "service"
-	NotListed     Rejection = "not_listed" // it is known from the record of workers only
+	NotListed     Rejection = "not_listed" // the worker list does not describe its present incarnation
 	Unresponsive  Rejection = "unresponsive"
 	Unsteady      Rejection = "unsteady" // it crashed before, and has not been up for long enough since
 	Draining      Rejection = "draining"
@@ -66,7 +66,11 @@
 
 func sameService(w *Worker, r *Request) bool { return w.info.Service == r.Service }
 
-func listed(w *Worker, _ *Request) bool { return !w.neverListed }
+// listed reports whether the worker list describes the worker. The next incarnation of a worker may be of another kind.
+func listed(w *Worker, _ *Request) bool {
+	known, described := w.info.Incarnation, w.describedIncarnation
+	return !w.neverListed && (known == described || known == 0 || described == 0)
+}
 
 func responsive(w *Worker, r *Request) bool {
 	return w.synced && !w.unreached && w.clock.known && w.SilentFor(r.Now) < silenceLimit && w.MissingFor(r.Now) < missingLimit
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -50,6 +50,7 @@
 	info                 WorkerInfo
 	missingSince         time.Time // since when the worker list lacks the entry; zero while it is listed
 	neverListed          bool      // it is known from the record of workers only
+	describedIncarnation int64     // which the worker list described last; 0 if it did not say
 	runs                 map[workflow.RunRef]*Run
 	holds                []hold // capacity that is kept free for tasks of certain steps
 	used                 resource.Vector
@@ -74,7 +75,7 @@
 
 // NewWorker returns a worker that has not responded yet.
 func NewWorker(info WorkerInfo) *Worker {
-	return &Worker{info: info, runs: map[workflow.RunRef]*Run{}, speed: 1}
+	return &Worker{info: info, describedIncarnation: info.Incarnation, runs: map[workflow.RunRef]*Run{}, speed: 1}
 }
 
 // Info returns the worker's latest entry in the worker list.
@@ -82,9 +83,12 @@
 
 // UpdateInfo applies a newer entry of the worker list.
 func (w *Worker) UpdateInfo(info WorkerInfo) {
-	w.info, w.missingSince, w.neverListed = info, time.Time{}, false
+	w.info, w.missingSince, w.neverListed, w.describedIncarnation = info, time.Time{}, false, info.Incarnation
 }
 
+// KeepIncarnation sets the incarnation that the worker itself has stated, which may be later than the one that the list describes.
+func (w *Worker) KeepIncarnation(incarnation int64) { w.info.Incarnation = incarnation }
+
 // MarkNeverListed records that the worker is known from the record of workers only. It may have left, and gets no starts until the
 // worker list names it.
 func (w *Worker) MarkNeverListed() { w.neverListed = true }
