Read the worker list at once after the restart of a worker

Since a restarted worker waits for the entry of its new life, it stood idle for up to 0.5 s more.

Cause: the list is read every 0.5 s, whatever happens.

TestListIsReadAfterRestart failed without the signal: "the list was last read 201ms before the restart was noticed".

Change: a reply that shows a restart makes the leader read the list 50 ms later; restarts in that time share one reading.

--- a/internal/app/scheduler/load_test.go
+++ b/internal/app/scheduler/load_test.go
@@ -100,8 +100,9 @@
 // idleRunner is the client of workers that refuse to run anything, and counts the starts on each.
 type idleRunner struct {
 	port.RunClient
-	mu     sync.Mutex
-	starts map[ident.WorkerID]int
+	mu       sync.Mutex
+	starts   map[ident.WorkerID]int
+	restarts int64 // of every worker
 }
 
 func (r *idleRunner) Sync(ctx context.Context, _ port.Target, request port.SyncRequest) (port.SyncReply, error) {
@@ -109,7 +110,16 @@
 	case <-time.After(max(request.Wait, time.Millisecond)):
 	case <-ctx.Done():
 	}
-	return port.SyncReply{WorkerClock: time.Minute, Incarnation: 1}, ctx.Err()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return port.SyncReply{WorkerClock: time.Minute, Incarnation: 1 + r.restarts}, ctx.Err()
+}
+
+// restart restarts every worker.
+func (r *idleRunner) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restarts++
 }
 
 func (r *idleRunner) Start(_ context.Context, to port.Target, _ port.StartRequest) (time.Duration, error) {
@@ -129,11 +139,13 @@
 type workerList struct {
 	mu      sync.Mutex
 	workers []pool.WorkerInfo
+	read    time.Time // when it was last read
 }
 
 func (l *workerList) Workers(context.Context) ([]pool.WorkerInfo, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.read = time.Now()
 	if l.workers == nil {
 		return nil, fault.New(fault.Unavailable, "the store is slow")
 	}
@@ -198,3 +210,32 @@
 		}
 	})
 }
+
+// TestListIsReadAfterRestart guards against a restarted worker that stands idle until the worker list happens to be read: only the list
+// tells of which kind it is now.
+func TestListIsReadAfterRestart(t *testing.T) {
+	for _, age := range []time.Duration{100, 200, 300, 400} { // ms; the list is read every 500 ms
+		synctest.Test(t, func(t *testing.T) {
+			list := &workerList{}
+			list.set(listedWorker("w1", "old"))
+			s, runner := runTerm(t, resource.Vector{MilliCores: 8000}, list)
+			time.Sleep(3*time.Second + age*time.Millisecond)
+			runner.restart()
+			noticed := func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.monitors["w1"].worker.Info().Incarnation == 2
+			}
+			for !noticed() {
+				time.Sleep(time.Millisecond)
+			}
+			at := time.Now()
+			time.Sleep(recordDelay + 10*time.Millisecond)
+			list.mu.Lock()
+			defer list.mu.Unlock()
+			if list.read.Before(at) {
+				t.Errorf("the list was last read %v before the restart was noticed", at.Sub(list.read))
+			}
+		})
+	}
+}
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -94,6 +94,10 @@
 		lost = append(lost, run)
 	}
 	s.noteCrash(m, lost, doubtful)
+	select {
+	case s.restarts <- struct{}{}:
+	default: // already signaled
+	}
 	m.worker.Return(time.Now(), s.crashHistory(m))
 }
 
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	wake           chan struct{} // signals that tasks may be placeable
 	commits        chan struct{} // signals that progress has to be recorded
 	firstAnswers   chan struct{} // signals that a worker that is not recorded has answered for the first time
+	restarts       chan struct{} // signals that a worker has restarted, which the worker list has to describe again
 	progressStored notify.Broadcast
 
 	mu              sync.Mutex
@@ -141,8 +142,8 @@
 	return &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
-		firstAnswers: make(chan struct{}, 1),
-		jobs:         map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
+		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
+		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -42,13 +42,16 @@
 	}
 }
 
-// recordAnswers updates the record of workers after each first answer of a worker, until the given time.
+// recordAnswers updates the record of workers after each first answer of a worker, until the given time or the restart of a worker.
 func (s *Scheduler) recordAnswers(ctx context.Context, until <-chan time.Time) {
 	for {
 		select {
 		case <-s.firstAnswers:
 			pause.For(ctx, recordDelay)
 			s.recordWorkers(ctx)
+		case <-s.restarts:
+			pause.For(ctx, recordDelay)
+			return
 		case <-until:
 			return
 		case <-ctx.Done():
