Compare waiting steps only with workers on which something may have changed

Cause: a regression by processor time, not by a decision. Each pass of the leader used up its time: counted in a play, 200 passes in 4 s, all cut short, 7 steps tried in each, at 0.6 to 0.7 ms a step, most of it for choosing the workers of a call to the permit service among all 1,100.

Change: - A waiting step that nothing but time has changed is compared with the workers on which capacity was released since (releaseLog), and with all of them each 0.25 s (0.1 s with the highest priority), when it may preempt runs, and after Retry. These retries have half of a pass. Each pass reaches one step that has changed, however late it is. - Workers without enough free processors are passed over by one comparison of numbers (placementPass.withRoom). - A call to the permit service chooses among three times the workers that it needs, and asks for preemption only where the others do not suffice and a lower priority exists. What is known of a permit is one entry of a map, not one in each of three. - The runs of a worker are a list; the cost of a preemption is computed without copies, once for each worker. - Candidates are sorted by pointer; gangs are looked through only in jobs that have one.

In TestNoPlaceableStepIsLeftOut only a type changed.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -22,16 +22,23 @@
 	waited  time.Duration // for how long tasks of the step could not be placed
 	held    bool          // tasks of the step may still run on a worker of an earlier leader
 	overdue bool          // tasks of the long-running step have waited for overdueAfter
+	partial bool          // workers holds only those on which capacity was released
 	pass    *placementPass
 }
 
 // placementPass caches what all steps that are tried in one pass have in common.
 type placementPass struct {
-	scheduler *Scheduler
-	now       time.Time
-	idle      map[string]bool // by service: whether much capacity is unused
-	recorded  []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
-	releases  uint64          // releases on the recorded workers
+	scheduler      *Scheduler
+	now            time.Time
+	idle           map[string]bool // by service: whether much capacity is unused
+	recorded       []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
+	freeMilliCores []int64         // of the recorded workers when the list was made; runs that start in the pass only lower them
+	retryTime      time.Duration   // left for steps for which nothing but the time has changed
+	lowestPriority int             // of the queues of open jobs; -1 if not known yet
+}
+
+func (s *Scheduler) newPass(now time.Time) *placementPass {
+	return &placementPass{scheduler: s, now: now, idle: map[string]bool{}, lowestPriority: -1}
 }
 
 // isIdle reports whether the workers of the service have much unused capacity.
@@ -55,8 +62,8 @@
 const overdueAfter = 2 * time.Second
 
 // candidates returns the steps with tasks to start: overdue ones first, then by the priority of the queue and the age of the job.
-func (s *Scheduler) candidates(now time.Time) []candidate {
-	var list []candidate
+func (s *Scheduler) candidates(now time.Time) []*candidate {
+	list := make([]*candidate, 0, len(s.openJobs))
 	prefetch := s.prefetchDue(now)
 	for _, e := range s.openJobs {
 		held := s.mayRunOnUnsynced(e)
@@ -72,23 +79,28 @@
 			wait := &e.step(ref).wait
 			wait.observe(now)
 			overdue := e.workflow.Step(ref).LongRunning && now.Sub(wait.since) >= overdueAfter && e.workflow.HasRun(ref)
-			list = append(list, candidate{entry: e, ref: ref, queue: queue, held: held, overdue: overdue})
+			list = append(list, &candidate{entry: e, ref: ref, queue: queue, held: held, overdue: overdue})
 		}
 	}
-	slices.SortFunc(list, candidate.compare)
+	slices.SortFunc(list, (*candidate).compare)
 	return list
 }
 
 // compare orders steps as candidates states.
-func (c candidate) compare(other candidate) int {
+func (c *candidate) compare(other *candidate) int {
 	if c.overdue != other.overdue {
 		if c.overdue {
 			return -1
 		}
 		return 1
 	}
+	if order := cmp.Compare(c.queue.Priority, other.queue.Priority); order != 0 {
+		return order
+	}
+	if order := c.entry.accepted.Compare(other.entry.accepted); order != 0 {
+		return order
+	}
 	return cmp.Or(
-		cmp.Compare(c.queue.Priority, other.queue.Priority), c.entry.accepted.Compare(other.entry.accepted),
 		cmp.Compare(c.ref.Job, other.ref.Job), cmp.Compare(c.ref.Occurrence, other.ref.Occurrence),
 		cmp.Compare(c.ref.Step, other.ref.Step))
 }
@@ -98,40 +110,52 @@
 func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
 	var workers []allowedWorker
 	if c.permits == nil {
-		return s.recordedWorkers(c.pass)
+		return c.pass.recordedWorkers()
 	}
 	for worker, ticket := range c.permits.Tickets(now) {
 		m := s.monitors[worker.ID]
 		if m != nil && s.recorded[worker.ID] && m.worker.Info().Incarnation == worker.Incarnation {
-			workers = append(workers, allowedWorker{m, ticket})
+			workers = append(workers, allowedWorker{m, ticket.Value})
 		}
 	}
 	return workers
 }
 
 // recordedWorkers returns the workers that may get runs. The lock is held.
-func (s *Scheduler) recordedWorkers(pass *placementPass) []allowedWorker {
-	if pass.recorded == nil {
-		for id, m := range s.monitors {
-			if s.recorded[id] {
-				pass.recorded = append(pass.recorded, allowedWorker{monitor: m})
-				pass.releases += m.worker.Releases()
-			}
+func (p *placementPass) recordedWorkers() []allowedWorker {
+	if p.recorded != nil {
+		return p.recorded
+	}
+	for id, m := range p.scheduler.monitors {
+		if p.scheduler.recorded[id] {
+			p.recorded = append(p.recorded, allowedWorker{monitor: m})
+			p.freeMilliCores = append(p.freeMilliCores, m.worker.Free().MilliCores)
 		}
 	}
-	return pass.recorded
+	return p.recorded
 }
 
-// releases returns how many times capacity was released on the workers on which the step may run.
-func (c *candidate) releases() uint64 {
-	if c.permits == nil {
-		return c.pass.releases
+// withRoom returns those of the recorded workers that may have enough free processors for a task of the step. The lock is held.
+func (p *placementPass) withRoom(step *workflow.Step) iter.Seq[allowedWorker] {
+	return func(yield func(allowedWorker) bool) {
+		workers, needed := p.recordedWorkers(), pool.ReservedSize(step).MilliCores
+		for i, free := range p.freeMilliCores {
+			if free >= needed && !yield(workers[i]) {
+				return
+			}
+		}
 	}
-	var n uint64
-	for w := range c.allowed() {
-		n += w.Releases()
+}
+
+// hasLowestPriority reports whether no open job has a lower priority than the given one, so that nothing can be preempted for it. The
+// lock is held.
+func (p *placementPass) hasLowestPriority(priority int) bool {
+	if p.lowestPriority < 0 {
+		for _, e := range p.scheduler.openJobs {
+			p.lowestPriority = max(p.lowestPriority, e.queue.Priority)
+		}
 	}
-	return n
+	return priority >= p.lowestPriority
 }
 
 // workers returns the workers that the leader knows. The lock is held.
@@ -165,7 +189,7 @@
 func (c *candidate) chooseWorker(task workflow.TaskRef, rack string, now time.Time) allowedWorker {
 	request := c.taskRequest(task, now)
 	best := c.bestWorker(&request, rack)
-	if best.monitor == nil && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
+	if best.monitor == nil && !c.partial && request.NeedsLastChoice(c.allowed(), func() bool { return c.pass.isIdle(c.queue.Service) }) {
 		request.LastChoice = true
 		best = c.bestWorker(&request, rack)
 	}
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -25,6 +25,10 @@
 	// capacityFactor is the expected capacity of the allowed workers in calls, as a multiple of the waiting tasks: other
 	// steps use some of it before the response.
 	capacityFactor = 3
+	// A call is made for the best of enoughOptions workers, and of choiceFactor times as many as are needed. To compare all workers for each
+	// call would take most of the time of placement.
+	enoughOptions = 2 * minWorkersPerCall
+	choiceFactor  = 3
 	// A wide step leaves less of a choice.
 	wideCapacityFactor = 1.5
 	// wideStep is the number of waiting tasks from which workers with much free capacity are preferred: fewer workers have
@@ -85,7 +89,7 @@
 			break
 		}
 		if options == nil {
-			options = s.permitCandidates(c, unplaced, now)
+			options = s.permitCandidates(c, unplaced, missing, now)
 		}
 		if len(options) == 0 {
 			break
@@ -140,6 +144,14 @@
 	fitCount int // further tasks of the step that fit
 }
 
+// expected returns for how many tasks the worker is expected to make room, at the share of workers that the policy usually allows.
+func (o *permitCandidate) expected(share float64) float64 {
+	if o.allowed {
+		return float64(o.fitCount)
+	}
+	return share * float64(o.fitCount)
+}
+
 // selectWorkers returns a call for the first of the options, until their capacity is expected to suffice at the share of
 // workers that the queue's policy usually allows, and the remaining options.
 func (s *Scheduler) selectWorkers(c candidate, options []permitCandidate, missing float64) (permit.Call, []permitCandidate) {
@@ -154,36 +166,39 @@
 			return call, options[i:]
 		}
 		call.Workers = append(call.Workers, o.worker)
-		if o.allowed {
-			call.Expected += float64(o.fitCount)
-		} else {
-			call.Expected += share * float64(o.fitCount)
-		}
+		call.Expected += o.expected(share)
 	}
 	return call, nil
 }
 
-// permitCandidates returns the eligible workers that have no valid ticket and were not refused, in order of preference:
-// those known to be allowed first, for a wide step those with the most free capacity, then those with the best score.
-func (s *Scheduler) permitCandidates(c candidate, unplaced int, now time.Time) []permitCandidate {
-	step := c.entry.workflow.Step(c.ref)
+// permitCandidates returns workers that could take tasks of the step, have no valid ticket and were not refused, in order of preference:
+// those known to be allowed first, for a wide step those with the most free capacity, then those with the best score. There are enough
+// for the missing tasks, and a choice, rather than all. Workers on which other runs would have to be stopped are included if the
+// others do not suffice.
+func (s *Scheduler) permitCandidates(c candidate, unplaced int, missing float64, now time.Time) []permitCandidate {
 	request := c.request(now)
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
+	share, expected := s.allowedShare(c.queue.Name).Estimate(), 0.0
 	var options []permitCandidate
-	for id, m := range s.monitors {
-		w := permitWorker(m)
-		if !s.recorded[id] || c.permits.Refused(w) || c.permits.Asked(w) || c.permits.Valid(w, now) {
-			continue
+	add := func(m *workerMonitor, known bool) {
+		if option, ok := c.permitOption(m, &request, unplaced); ok && option.allowed == known {
+			expected += option.expected(share)
+			options = append(options, option)
 		}
-		option := permitCandidate{worker: w, allowed: c.permits.Allowed(w)}
-		if m.worker.Eligible(&request) {
-			option.score, option.fitCount = m.worker.Score(&request), min(m.worker.FitCount(step), unplaced)
-		} else if plan, ok := c.planLatePreemption(m.worker, &request); ok {
-			option.score, option.fitCount = preemptionScore+plan.Cost, 1
-		} else {
-			continue
+	}
+	for worker := range c.permits.Lapsed(now) {
+		if m := s.monitors[worker.ID]; m != nil && s.recorded[worker.ID] {
+			add(m, true)
 		}
-		options = append(options, option)
+	}
+	for recorded := range c.pass.withRoom(request.Step) {
+		if expected >= choiceFactor*missing && len(options) >= enoughOptions {
+			break
+		}
+		add(recorded.monitor, false)
+	}
+	if expected < missing && c.waited >= askForPreemptionAfter && !c.pass.hasLowestPriority(c.queue.Priority) {
+		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
 	slices.SortFunc(options, func(a, b permitCandidate) int {
 		if a.allowed != b.allowed {
@@ -200,17 +215,50 @@
 	return options
 }
 
-// preemptionScore ranks workers on which other runs have to be stopped behind all on which the task fits.
-const preemptionScore = 10
+// permitOption returns the worker as an option for a call, and false if it cannot take a task now or must not be asked about.
+func (c *candidate) permitOption(m *workerMonitor, request *pool.Request, unplaced int) (permitCandidate, bool) {
+	if !m.worker.Eligible(request) {
+		return permitCandidate{}, false
+	}
+	option := permitCandidate{worker: permitWorker(m)}
+	var mayAsk bool
+	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, request.Now); !mayAsk {
+		return permitCandidate{}, false
+	}
+	option.score, option.fitCount = m.worker.Score(request), min(m.worker.FitCount(request.Step), unplaced)
+	return option, true
+}
 
-// planLatePreemption returns the runs that a step which has waited for long would stop on a worker.
-func (c *candidate) planLatePreemption(w *pool.Worker, request *pool.Request) (pool.Preemption, bool) {
-	if c.waited < preemptDelay {
-		return pool.Preemption{}, false
+// appendPreemptionOptions appends workers on which a task would fit if other runs were stopped, until they suffice for the missing tasks
+// and leave a choice.
+func (c *candidate) appendPreemptionOptions(
+	options []permitCandidate, request *pool.Request, share, missing float64,
+) []permitCandidate {
+	for _, recorded := range c.pass.recordedWorkers() {
+		if missing <= 0 && len(options) >= enoughOptions {
+			break
+		}
+		m := recorded.monitor
+		option := permitCandidate{worker: permitWorker(m), fitCount: 1}
+		var mayAsk bool
+		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, request.Now); !mayAsk || m.worker.Eligible(request) {
+			continue
+		}
+		if cost, ok := m.worker.PreemptionCost(request); ok {
+			option.score = preemptionScore + cost
+			missing -= option.expected(share)
+			options = append(options, option)
+		}
 	}
-	return w.PlanPreemption(request)
+	return options
 }
 
+// preemptionScore ranks workers on which other runs have to be stopped behind all on which the task fits.
+const preemptionScore = 10
+
+// askForPreemptionAfter is how long a step waits before workers are asked for on which it would have to stop other runs.
+const askForPreemptionAfter = 500 * time.Millisecond
+
 func (s *Scheduler) allowedShare(queue string) *permit.AllowedShare {
 	if s.allowedShares[queue] == nil {
 		s.allowedShares[queue] = &permit.AllowedShare{}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -58,7 +58,7 @@
 	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
-	// minTryTime is left for trying steps, however long it took to collect them.
+	// minTryTime is left for trying steps, however long it took to collect them and the workers.
 	minTryTime = 2 * time.Millisecond
 )
 
@@ -71,48 +71,95 @@
 		return nil, nil
 	}
 	s.breakUpGangs()
-	var launches []launch
-	var calls []permitCall
-	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+	s.releases.notice(s, now)
+	pass := s.newPass(now)
 	started := time.Now()
 	list := s.candidates(now)
-	limit := max(maxPlaceTime, time.Since(started)+minTryTime)
+	if len(list) == 0 {
+		return nil, nil
+	}
+	pass.recordedWorkers()
+	collected := time.Since(started)
+	limit := max(maxPlaceTime, collected+minTryTime)
+	pass.retryTime = (limit - collected) / 2
+	return s.tryInOrder(pass, list, started.Add(limit))
+}
+
+// tryInOrder tries the steps in their order until the time limit, and beyond it until one that has changed since its last try was
+// reached, so that none is left out for good. The lock is held.
+func (s *Scheduler) tryInOrder(pass *placementPass, list []*candidate, limit time.Time) ([]launch, []permitCall) {
+	var launches []launch
+	var calls []permitCall
+	reachedChanged := false
 	for _, c := range list {
-		if time.Since(started) > limit {
+		changed := c.entry.step(c.ref).waiting.Changed()
+		if time.Now().After(limit) {
 			s.wakePlacement()
-			break
+			if reachedChanged {
+				break
+			}
+			if !changed {
+				continue
+			}
 		}
+		reachedChanged = reachedChanged || changed
 		c.pass = pass
-		placed, asked := s.tryStep(c, now)
+		placed, asked := s.tryStep(*c, pass.now)
 		launches, calls = append(launches, placed...), append(calls, asked...)
 	}
 	return launches, calls
 }
 
-// tryStep places the waiting tasks of a step if something has changed since the last try. For tasks that do not fit it
-// prepares preemptions and calls for permits. The lock is held.
+// tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
-	c.permits = s.permitsOf(c)
-	c.workers = s.allowedWorkers(c, now)
 	step := c.entry.step(c.ref)
 	step.wait.triedAt = now
+	c.permits = s.permitsOf(c)
 	if c.held {
+		c.workers = s.allowedWorkers(c, now)
 		return nil, s.prefetchPermits(c, now)
 	}
-	waiting, releases := &step.waiting, c.releases()
-	if !waiting.Due(now, releases) {
-		return nil, nil
+	c.waited = step.waiting.For(now)
+	if step.waiting.Changed() {
+		return s.tryAll(c, now)
+	}
+	if step.waiting.Due(now, c.queue.Priority) && c.pass.retryTime > 0 {
+		started := time.Now()
+		defer func() { c.pass.retryTime -= time.Since(started) }()
+		return s.tryAll(c, now)
+	}
+	c.workers, c.partial = s.releasedWorkers(c, now), true
+	if len(c.workers) > 0 && c.entry.workflow.Step(c.ref).Gang {
+		return s.tryAll(c, now) // its members need several workers
+	}
+	return s.tryReleased(c, now), nil
+}
+
+// tryReleased places waiting tasks of a step on workers on which capacity has been released. The lock is held.
+func (s *Scheduler) tryReleased(c candidate, now time.Time) []launch {
+	step := c.entry.step(c.ref)
+	step.triedIn = s.releases.pass
+	if len(c.workers) == 0 {
+		return nil
 	}
-	c.waited = waiting.For(now)
 	launches, unplaced := s.placeStep(c, now)
-	waiting.Tried(now, releases, unplaced)
-	if c.entry.workflow.WaitingCount(c.ref) == 0 {
-		step.wait = stepWait{}
+	if unplaced == 0 {
+		step.waiting.Placed()
+		s.allPlaced(c)
 	}
+	return launches
+}
+
+// tryAll places waiting tasks of a step on all workers that may run them. For tasks that do not fit it prepares preemptions and calls
+// for permits. The lock is held.
+func (s *Scheduler) tryAll(c candidate, now time.Time) ([]launch, []permitCall) {
+	step := c.entry.step(c.ref)
+	c.workers, c.partial = s.allowedWorkers(c, now), false
+	launches, unplaced := s.placeStep(c, now)
+	step.waiting.Tried(now, unplaced)
+	step.triedIn = s.releases.pass
 	if unplaced == 0 {
-		if c.waited > 0 {
-			s.dropHolds(c.ref)
-		}
+		s.allPlaced(c)
 		return launches, nil
 	}
 	s.preempt(c, unplaced, now)
@@ -122,6 +169,16 @@
 	return launches, s.planPermitCalls(c, unplaced, now)
 }
 
+// allPlaced ends what was kept for the waiting tasks of a step. The lock is held.
+func (s *Scheduler) allPlaced(c candidate) {
+	if c.entry.workflow.WaitingCount(c.ref) == 0 {
+		c.entry.step(c.ref).wait = stepWait{}
+	}
+	if c.waited > 0 {
+		s.dropHolds(c.ref)
+	}
+}
+
 // placeStep places waiting tasks of a step and returns how many could not be placed.
 func (s *Scheduler) placeStep(c candidate, now time.Time) ([]launch, int) {
 	waiting := c.entry.workflow.Waiting(c.ref)
@@ -236,7 +293,11 @@
 func (c *candidate) bestWorker(request *pool.Request, rack string) allowedWorker {
 	var best allowedWorker
 	var bestScore float64
-	for _, allowed := range c.workers {
+	workers := slices.Values(c.workers)
+	if c.permits == nil && !c.partial {
+		workers = c.pass.withRoom(request.Step)
+	}
+	for allowed := range workers {
 		worker := allowed.monitor.worker
 		if rack != "" && worker.Info().Rack != rack || !worker.Eligible(request) {
 			continue
--- a/internal/app/scheduler/place_test.go
+++ b/internal/app/scheduler/place_test.go
@@ -96,7 +96,7 @@
 		placeAt(s, now)
 		for _, c := range s.candidates(now) {
 			c.pass, c.waited = testPass(s, now), c.entry.step(c.ref).waiting.For(now)
-			c.workers = s.allowedWorkers(c, now)
+			c.workers = s.allowedWorkers(*c, now)
 			index := c.entry.workflow.Waiting(c.ref)[0]
 			if best := c.chooseWorker(workflow.TaskRef{StepRef: c.ref, Index: index}, "", now); best.monitor != nil {
 				rt.Fatalf("step %s waits although worker %s could take its task %d", c.ref, best.monitor.worker.Info().ID, index)
@@ -146,5 +146,5 @@
 }
 
 func testPass(s *Scheduler, now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+	return s.newPass(now)
 }
--- a/internal/app/scheduler/preempt.go
+++ b/internal/app/scheduler/preempt.go
@@ -1,22 +1,16 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
 )
 
-// Parameters of preemption.
-const (
-	// A task of the highest priority waits this long for a run to end by itself before it preempts one.
-	urgentPreemptDelay = 100 * time.Millisecond
-	// Other tasks have more time, and every preemption delays another task.
-	preemptDelay = 500 * time.Millisecond
-	// holdTime is how long freed capacity is kept for the waiting task. It exceeds the time that a worker takes to stop a
-	// run and to report its end.
-	holdTime = 2 * time.Second
-)
+// holdTime is how long freed capacity is kept for the waiting task. It exceeds the time that a worker takes to stop a
+// run and to report its end.
+const holdTime = 2 * time.Second
 
 // preemption is a decision to stop runs on a worker.
 type preemption struct {
@@ -26,11 +20,7 @@
 
 // preempt stops runs of lower priorities so that waiting tasks of a step can start. The lock is held.
 func (s *Scheduler) preempt(c candidate, unplaced int, now time.Time) {
-	delay := preemptDelay
-	if c.queue.HasTopPriority() {
-		delay = urgentPreemptDelay
-	}
-	if c.waited < delay {
+	if c.waited < pool.PreemptDelay(c.queue.Priority) {
 		return
 	}
 	request := c.request(now)
@@ -51,13 +41,18 @@
 // planPreemptions prepares the workers for up to count tasks; if all is set, for all of them or none.
 func planPreemptions(c candidate, request *pool.Request, count int, all bool) []preemption {
 	var list []preemption
-	for range count {
-		best, ok := cheapestPreemption(c, request)
-		if !ok {
-			break
+	options := preemptionOptions(c, request)
+	for len(list) < count && len(options) > 0 {
+		best := cheapestOption(options)
+		monitor := options[best].monitor
+		plan, _ := monitor.worker.PlanPreemption(request)
+		monitor.worker.Preempt(request, plan, request.Now.Add(holdTime))
+		list = append(list, preemption{monitor, plan})
+		if cost, ok := monitor.worker.PreemptionCost(request); ok {
+			options[best].cost = cost
+		} else {
+			options = slices.Delete(options, best, best+1)
 		}
-		best.monitor.worker.Preempt(request, best.plan, request.Now.Add(holdTime))
-		list = append(list, best)
 	}
 	if all && len(list) < count {
 		for _, p := range list {
@@ -68,20 +63,32 @@
 	return list
 }
 
-func cheapestPreemption(c candidate, request *pool.Request) (preemption, bool) {
-	var best preemption
+// preemptionOption is a worker that can take a task if runs are stopped.
+type preemptionOption struct {
+	monitor *workerMonitor
+	cost    float64
+}
+
+func preemptionOptions(c candidate, request *pool.Request) []preemptionOption {
+	var options []preemptionOption
 	for _, allowed := range c.workers {
-		plan, ok := allowed.monitor.worker.PlanPreemption(request)
-		if !ok {
-			continue
+		if cost, ok := allowed.monitor.worker.PreemptionCost(request); ok {
+			options = append(options, preemptionOption{allowed.monitor, cost})
 		}
-		id := allowed.monitor.worker.Info().ID
-		if best.monitor == nil || plan.Cost < best.plan.Cost ||
-			plan.Cost == best.plan.Cost && id < best.monitor.worker.Info().ID {
-			best = preemption{allowed.monitor, plan}
+	}
+	return options
+}
+
+// cheapestOption returns the index of the option with the lowest cost, among equals that of the lowest worker id.
+func cheapestOption(options []preemptionOption) int {
+	best := 0
+	for i, o := range options {
+		lowest := options[best]
+		if o.cost < lowest.cost || o.cost == lowest.cost && o.monitor.worker.Info().ID < lowest.monitor.worker.Info().ID {
+			best = i
 		}
 	}
-	return best, best.monitor != nil
+	return best
 }
 
 // stopPreempted stops the runs of a preemption; each task resumes from its checkpoint later. The lock is held.
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -227,7 +227,7 @@
 // reported its runs yet. The lock is held.
 func (s *Scheduler) breakUpGangs() {
 	for _, e := range s.openJobs {
-		if s.mayRunOnUnsynced(e) {
+		if !e.hasGang || s.mayRunOnUnsynced(e) {
 			continue
 		}
 		runs := e.workflow.BreakUp()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -93,6 +93,7 @@
 	workersRevision ident.Revision                       // revision of the record of workers
 	recorded        map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated  bool                                 // the record differs from the workers to record
+	releases        releaseLog                           // capacity that placement has not used yet
 	permitBusyUntil map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
 	prefetchedAt    time.Time                            // when calls for steps that are held back were last planned
 	allowedShares   map[string]*permit.AllowedShare      // by queue
@@ -102,6 +103,7 @@
 type jobEntry struct {
 	workflow        *workflow.Workflow
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
+	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
 	accepted        time.Time
 	steps           map[workflow.StepRef]*stepEntry
@@ -122,6 +124,7 @@
 type stepEntry struct {
 	permits  *permit.Permits       // nil if none were needed yet
 	waiting  pool.Waiting          // tasks that could not be placed
+	triedIn  uint64                // number of the pass of placement that last tried the step
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
 }
@@ -233,7 +236,7 @@
 // addJob adds a job that the store holds. The lock is held.
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
-		workflow: workflow.New(job.Spec), queue: job.Queue, accepted: job.AcceptedAt,
+		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -109,7 +109,7 @@
 	started := time.Now()
 	due := s.dueWaits(now, started.Add(maxWaitReportTime))
 	var reports []waitReport
-	pass := &placementPass{scheduler: s, now: now, idle: map[string]bool{}}
+	pass := s.newPass(now)
 	for _, c := range due {
 		if len(reports) == maxWaitReports || len(reports) > 0 && time.Since(started) > maxWaitReportTime {
 			break
@@ -154,7 +154,7 @@
 	slices.SortFunc(due, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(lasting(a), lasting(b)),
-			a.entry.step(a.ref).wait.report.Compare(b.entry.step(b.ref).wait.report), a.compare(b))
+			a.entry.step(a.ref).wait.report.Compare(b.entry.step(b.ref).wait.report), a.compare(&b))
 	})
 	return due
 }
--- a/internal/domain/permit/permit.go
+++ b/internal/domain/permit/permit.go
@@ -23,60 +23,117 @@
 
 // Permits is the set of permits of one step. It is not safe for concurrent use.
 type Permits struct {
-	allowed  map[Worker]bool // as the responses so far state; it does not change within an incarnation of a worker
-	tickets  map[Worker]Ticket
-	asked    map[Worker]bool // workers in calls in progress
-	expected float64         // tasks that calls in progress are expected to make room for
+	workers  map[Worker]*permit
+	allowed  []*permit // those of workers that are allowed
+	asked    int       // workers in calls in progress
+	expected float64   // tasks that calls in progress are expected to make room for
 }
 
+// permit is what is known of one worker.
+type permit struct {
+	worker   Worker
+	answered bool // a response told whether the worker is allowed
+	allowed  bool // as the last response states; it does not change within an incarnation of a worker
+	asked    int  // calls in progress
+	ticket   Ticket
+}
+
+func (p *permit) valid(now time.Time) bool { return now.Before(p.ticket.Expires) }
+
+func (p *permit) refused() bool { return p.answered && !p.allowed }
+
 // New returns an empty set of permits.
-func New() *Permits {
-	return &Permits{allowed: map[Worker]bool{}, tickets: map[Worker]Ticket{}, asked: map[Worker]bool{}}
+func New() *Permits { return &Permits{workers: map[Worker]*permit{}} }
+
+// Tickets returns the tickets that are valid now.
+func (p *Permits) Tickets(now time.Time) iter.Seq2[Worker, Ticket] {
+	return func(yield func(Worker, Ticket) bool) {
+		for _, known := range p.allowed {
+			if known.valid(now) && !yield(known.worker, known.ticket) {
+				return
+			}
+		}
+	}
 }
 
-// Tickets returns the values of the tickets that are valid now.
-func (p *Permits) Tickets(now time.Time) iter.Seq2[Worker, string] {
-	return func(yield func(Worker, string) bool) {
-		for worker, t := range p.tickets {
-			if now.Before(t.Expires) && !yield(worker, t.Value) {
+// Lapsed returns the workers that are allowed and have no ticket that is valid now.
+func (p *Permits) Lapsed(now time.Time) iter.Seq[Worker] {
+	return func(yield func(Worker) bool) {
+		for _, known := range p.allowed {
+			if !known.valid(now) && !yield(known.worker) {
 				return
 			}
 		}
 	}
 }
 
+// of returns what is known of a worker.
+func (p *Permits) of(worker Worker) permit {
+	if known := p.workers[worker]; known != nil {
+		return *known
+	}
+	return permit{}
+}
+
+// entry returns what is known of a worker, to be changed.
+func (p *Permits) entry(worker Worker) *permit {
+	known := p.workers[worker]
+	if known == nil {
+		known = &permit{worker: worker}
+		p.workers[worker] = known
+	}
+	return known
+}
+
 // Valid reports whether there is a ticket for the worker that is valid now.
 func (p *Permits) Valid(worker Worker, now time.Time) bool {
-	t, ok := p.tickets[worker]
-	return ok && now.Before(t.Expires)
+	known := p.of(worker)
+	return known.valid(now)
+}
+
+// Ticket returns the ticket for the worker if there is one that is valid now.
+func (p *Permits) Ticket(worker Worker, now time.Time) (Ticket, bool) {
+	known := p.of(worker)
+	return known.ticket, known.valid(now)
 }
 
+// Refused reports whether the worker is known not to be allowed.
+func (p *Permits) Refused(worker Worker) bool {
+	known := p.of(worker)
+	return known.refused()
+}
+
+// Allowed reports whether the worker is known to be allowed.
+func (p *Permits) Allowed(worker Worker) bool { return p.of(worker).allowed }
+
+// Asked reports whether a call for the worker is in progress.
+func (p *Permits) Asked(worker Worker) bool { return p.of(worker).asked > 0 }
+
 // Status names what is known of the permit for a worker: "valid", "asked" while a call is in progress, "refused", "expired" if
 // it was allowed, or "unknown".
 func (p *Permits) Status(worker Worker, now time.Time) string {
+	known := p.of(worker)
 	switch {
-	case p.Valid(worker, now):
+	case known.valid(now):
 		return "valid"
-	case p.Asked(worker):
+	case known.asked > 0:
 		return "asked"
-	case p.Refused(worker):
+	case known.refused():
 		return "refused"
-	case p.Allowed(worker):
+	case known.allowed:
 		return "expired"
 	default:
 		return "unknown"
 	}
 }
 
-// Refused reports whether the worker is known not to be allowed.
-func (p *Permits) Refused(worker Worker) bool {
-	allowed, known := p.allowed[worker]
-	return known && !allowed
+// MayAsk reports whether a call could bring a ticket for the worker: it has none that is valid, is not known to be refused, and no
+// call for it is in progress. It also reports whether the worker is known to be allowed.
+func (p *Permits) MayAsk(worker Worker, now time.Time) (mayAsk, allowed bool) {
+	known := p.of(worker)
+	return !known.refused() && known.asked == 0 && !known.valid(now), known.allowed
 }
 
-// Allowed reports whether the worker is known to be allowed.
-func (p *Permits) Allowed(worker Worker) bool { return p.allowed[worker] }
-
 // Call is a call for the permits of some workers.
 type Call struct {
 	Workers  []Worker
@@ -86,8 +143,9 @@
 // BeginCall records that a call is in progress.
 func (p *Permits) BeginCall(call Call) {
 	for _, worker := range call.Workers {
-		p.asked[worker] = true
+		p.entry(worker).asked++
 	}
+	p.asked += len(call.Workers)
 	p.expected += call.Expected
 }
 
@@ -95,17 +153,15 @@
 func (p *Permits) Expected() float64 { return p.expected }
 
 // CallInProgress reports whether a call is in progress.
-func (p *Permits) CallInProgress() bool { return len(p.asked) > 0 }
-
-// Asked reports whether a call for the worker is in progress.
-func (p *Permits) Asked(worker Worker) bool { return p.asked[worker] }
+func (p *Permits) CallInProgress() bool { return p.asked > 0 }
 
 // EndCall records that a call is no longer in progress. A call that failed needs nothing else.
 func (p *Permits) EndCall(call Call) {
 	for _, worker := range call.Workers {
-		delete(p.asked, worker)
+		p.entry(worker).asked--
 	}
-	if p.expected -= call.Expected; len(p.asked) == 0 {
+	p.asked -= len(call.Workers)
+	if p.expected -= call.Expected; p.asked == 0 {
 		p.expected = 0 // without rounding errors
 	}
 }
@@ -115,15 +171,19 @@
 func (p *Permits) ApplyResponse(requested []Worker, tickets map[ident.WorkerID]Ticket) (unknown, unknownAllowed int) {
 	for _, worker := range requested {
 		ticket, allowed := tickets[worker.ID]
-		if _, known := p.allowed[worker]; !known {
+		known := p.entry(worker)
+		if !known.answered {
 			unknown++
 			if allowed {
 				unknownAllowed++
 			}
 		}
-		p.allowed[worker] = allowed
+		if allowed && !known.allowed {
+			p.allowed = append(p.allowed, known)
+		}
+		known.answered, known.allowed = true, allowed
 		if allowed {
-			p.tickets[worker] = ticket
+			known.ticket = ticket
 		}
 	}
 	return unknown, unknownAllowed
@@ -158,4 +218,6 @@
 }
 
 // DropTicket drops the ticket of a worker that rejected it.
-func (p *Permits) DropTicket(worker Worker) { delete(p.tickets, worker) }
+func (p *Permits) DropTicket(worker Worker) {
+	p.entry(worker).ticket = Ticket{}
+}
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -87,7 +87,7 @@
 }
 
 func fits(w *Worker, r *Request) bool {
-	return reservedSize(r.Step).Fits(w.Free().Sub(w.heldFromOthers(r)))
+	return ReservedSize(r.Step).Fits(w.Free().Sub(w.heldFromOthers(r)))
 }
 
 // Eligible reports whether a task may start on the worker now.
@@ -110,7 +110,7 @@
 // Rejection returns the reason for which a task may not start on the worker now, or NotRejected if Eligible. Reasons that
 // last longer take precedence over a lack of capacity.
 func (w *Worker) Rejection(r *Request) Rejection {
-	size := reservedSize(r.Step)
+	size := ReservedSize(r.Step)
 	reason := w.filteredBy(r)
 	switch {
 	case reason != NotRejected && reason != NotPreferred:
@@ -153,7 +153,7 @@
 // stay empty enough for large tasks, which find no worker when the free capacity is spread evenly. Best-effort tasks live
 // on unused capacity and are spread. A task that may crash the worker goes where it ends the least other work.
 func unused(w *Worker, r *Request) float64 {
-	after := w.used.Add(reservedSize(r.Step))
+	after := w.used.Add(ReservedSize(r.Step))
 	share := after.DominantShare(w.info.Capacity)
 	if r.Crashes > 0 {
 		return share
--- a/internal/domain/pool/hold.go
+++ b/internal/domain/pool/hold.go
@@ -20,7 +20,7 @@
 // hold keeps capacity free for one more task of the requested step.
 func (w *Worker) hold(r *Request, until time.Time) {
 	w.dropExpiredHolds(r.Now)
-	w.holds = append(w.holds, hold{r.Ref, reservedSize(r.Step), r.Priority, until})
+	w.holds = append(w.holds, hold{r.Ref, ReservedSize(r.Step), r.Priority, until})
 }
 
 // HoldCount returns for how many tasks of the requested step the worker keeps capacity free.
@@ -36,7 +36,7 @@
 
 // heldFor returns the capacity that is kept free for tasks of the step.
 func (w *Worker) heldFor(r *Request) resource.Vector {
-	return reservedSize(r.Step).Scale(int64(w.HoldCount(r)))
+	return ReservedSize(r.Step).Scale(int64(w.HoldCount(r)))
 }
 
 // heldFromOthers returns the capacity that is kept free for other steps and that the task must not use.
--- a/internal/domain/pool/last_choice.go
+++ b/internal/domain/pool/last_choice.go
@@ -34,7 +34,7 @@
 // couldRun reports whether the worker without its present runs could take the task, and has no failures.
 func (w *Worker) couldRun(r *Request) bool {
 	return sameService(w, r) && responsive(w, r) && notDraining(w, r) && hasRequiredLabel(w, r) && !w.hasFailures(r) &&
-		reservedSize(r.Step).Fits(w.info.Capacity)
+		ReservedSize(r.Step).Fits(w.info.Capacity)
 }
 
 // NeedsLastChoice reports whether a task that no worker can take should use workers on which runs have failed: after
--- a/internal/domain/pool/preempt.go
+++ b/internal/domain/pool/preempt.go
@@ -13,6 +13,21 @@
 // checkpoint may be lost.
 const runCost = 0.1
 
+const (
+	// urgentPreemptDelay is how long a task of the highest priority waits for a run to end by itself before it preempts one.
+	urgentPreemptDelay = 100 * time.Millisecond
+	// preemptDelay is the same for other tasks. They have more time, and every preemption delays another task.
+	preemptDelay = 500 * time.Millisecond
+)
+
+// PreemptDelay returns how long tasks of a priority wait before they preempt runs.
+func PreemptDelay(priority int) time.Duration {
+	if priority == 0 {
+		return urgentPreemptDelay
+	}
+	return preemptDelay
+}
+
 var none resource.Vector
 
 // Preemption is the set of runs to stop on a worker so that a task of a higher priority fits. It is empty if the task
@@ -25,25 +40,51 @@
 // PlanPreemption returns the runs to stop so that one more task of the step fits, besides those for which the worker
 // already keeps capacity free. It returns false if the worker cannot take the task even without its preemptible runs.
 func (w *Worker) PlanPreemption(r *Request) (Preemption, bool) {
+	var buffer [usualRunCount]*Run
+	runs, cost, ok := w.chooseForPreemption(r, buffer[:0])
+	p := Preemption{Cost: cost}
+	for _, run := range runs {
+		p.Runs = append(p.Runs, run.RunRef)
+	}
+	return p, ok
+}
+
+// PreemptionCost returns the cost that PlanPreemption states, without the runs.
+func (w *Worker) PreemptionCost(r *Request) (float64, bool) {
+	var buffer [usualRunCount]*Run
+	_, cost, ok := w.chooseForPreemption(r, buffer[:0])
+	return cost, ok
+}
+
+// usualRunCount is the number of runs up to which choosing some for preemption needs no further memory.
+const usualRunCount = 16
+
+// chooseForPreemption returns the runs to stop, as PlanPreemption states, and the cost of stopping them. It overwrites the buffer.
+func (w *Worker) chooseForPreemption(r *Request, buffer []*Run) ([]*Run, float64, bool) {
+	missing := ReservedSize(r.Step).Sub(w.plannedFree(r))
+	if !missing.Fits(w.preemptibleSize(r)) {
+		return nil, 0, false
+	}
 	atLimit := r.Step.MaxPerWorker > 0 && w.CountRuns(r.Ref)+w.HoldCount(r) >= r.Step.MaxPerWorker
 	if atLimit || !w.passesExceptFits(r) {
-		return Preemption{}, false
+		return nil, 0, false
 	}
-	missing := reservedSize(r.Step).Sub(w.plannedFree(r))
-	var p Preemption
-	for _, run := range w.preemptible(r) {
+	chosen, cost := 0, 0.0
+	runs := w.preemptible(r, buffer)
+	for _, run := range runs {
 		if missing.Fits(none) {
 			break
 		}
-		size := reservedSize(&run.Step)
+		size := ReservedSize(&run.Step)
 		if missing.Sub(size).Max(none) == missing.Max(none) {
 			continue // it occupies nothing that the task lacks
 		}
 		missing = missing.Sub(size)
-		p.Runs = append(p.Runs, run.RunRef)
-		p.Cost += runCost + size.DominantShare(w.info.Capacity)
+		runs[chosen] = run
+		chosen++
+		cost += runCost + size.DominantShare(w.info.Capacity)
 	}
-	return p, missing.Fits(none)
+	return runs[:chosen], cost, missing.Fits(none)
 }
 
 // plannedFree returns the capacity that the task could use once all preempted runs have ended.
@@ -51,7 +92,7 @@
 	free := w.Free().Sub(w.heldFromOthers(r)).Sub(w.heldFor(r))
 	for _, run := range w.runs {
 		if run.preempted {
-			free = free.Add(reservedSize(&run.Step))
+			free = free.Add(ReservedSize(&run.Step))
 		}
 	}
 	return free
@@ -60,7 +101,7 @@
 // Preempt marks the runs as being stopped and keeps capacity free for a task of the step.
 func (w *Worker) Preempt(r *Request, p Preemption, until time.Time) {
 	for _, ref := range p.Runs {
-		w.runs[ref].preempted = true
+		w.runs.find(ref).preempted = true
 	}
 	w.hold(r, until)
 }
@@ -68,19 +109,35 @@
 // CancelPreemption undoes Preempt, before any of the runs has been stopped.
 func (w *Worker) CancelPreemption(r *Request, p Preemption) {
 	for _, ref := range p.Runs {
-		w.runs[ref].preempted = false
+		w.runs.find(ref).preempted = false
 	}
 	w.useHold(r.Ref)
 }
 
-// preemptible returns the runs that may be stopped for the task: those of a lower priority that resume from a
-// checkpoint. The lowest priority comes first, then the largest run.
-func (w *Worker) preemptible(r *Request) []*Run {
-	var runs []*Run
+// isPreemptible reports whether the run may be stopped for the task: its priority is lower, and it resumes from a checkpoint.
+func (run *Run) isPreemptible(r *Request) bool {
+	if run.Priority <= r.Priority || !run.Reported || run.preempted || !run.StopAcked.IsZero() {
+		return false
+	}
+	step := &run.Step
+	return step.Checkpointing && !step.Gang && !step.LongRunning && !step.BestEffort
+}
+
+// preemptibleSize returns the capacity that all preemptible runs occupy.
+func (w *Worker) preemptibleSize(r *Request) resource.Vector {
+	var size resource.Vector
+	for _, run := range w.runs {
+		if run.isPreemptible(r) {
+			size = size.Add(ReservedSize(&run.Step))
+		}
+	}
+	return size
+}
+
+// preemptible appends the runs that may be stopped for the task. The lowest priority comes first, then the largest run.
+func (w *Worker) preemptible(r *Request, runs []*Run) []*Run {
 	for _, run := range w.runs {
-		step := &run.Step
-		resumes := step.Checkpointing && !step.Gang && !step.LongRunning && !step.BestEffort
-		if resumes && run.Priority > r.Priority && run.Reported && !run.preempted && run.StopAcked.IsZero() {
+		if run.isPreemptible(r) {
 			runs = append(runs, run)
 		}
 	}
--- a/internal/domain/pool/probation.go
+++ b/internal/domain/pool/probation.go
@@ -41,7 +41,7 @@
 
 // Suspect marks a run as one of a task under which workers have crashed.
 func (w *Worker) Suspect(ref workflow.RunRef, crashes int) {
-	run := w.runs[ref]
+	run := w.runs.find(ref)
 	if run == nil || crashes == 0 {
 		return
 	}
@@ -57,9 +57,9 @@
 		return nil
 	}
 	var acquitted []workflow.RunRef
-	for ref, run := range w.runs {
+	for _, run := range w.runs {
 		if run.crashes > 0 && !run.OnProbation() {
-			acquitted = append(acquitted, ref)
+			acquitted = append(acquitted, run.RunRef)
 			run.crashes = 0
 			w.suspects--
 		}
--- a/internal/domain/pool/throttle.go
+++ b/internal/domain/pool/throttle.go
@@ -21,7 +21,7 @@
 // UpdateRun applies the worker's report of a run: its progress in percent and, for a run with a latency target, the
 // tail latency in milliseconds. For other runs tailMillis is a different measurement and is ignored.
 func (w *Worker) UpdateRun(ref workflow.RunRef, progress int, tailMillis int64, now time.Time) {
-	run := w.runs[ref]
+	run := w.runs.find(ref)
 	if run == nil {
 		return
 	}
@@ -95,7 +95,7 @@
 // ResetThrottle marks the speed of a run as unknown after a throttle request that may not have taken effect, so that
 // another request follows.
 func (w *Worker) ResetThrottle(ref workflow.RunRef) {
-	if run := w.runs[ref]; run != nil {
+	if run := w.runs.find(ref); run != nil {
 		run.SpeedPercent = unknownSpeed
 	}
 }
--- a/internal/domain/pool/waiting.go
+++ b/internal/domain/pool/waiting.go
@@ -2,16 +2,18 @@
 
 import "time"
 
-// waitingRetry is how long a step that could not be placed is left alone while no capacity has been released on the workers
-// that may run it. Trying it again is needed nevertheless, because workers also become eligible with time.
+// waitingRetry is how long a step that could not be placed is left alone, but for workers on which capacity has been released. Trying
+// it again is needed nevertheless, because workers also become eligible with time.
 const waitingRetry = 250 * time.Millisecond
 
-// Waiting tracks a step with tasks that could not be placed. At peak load hundreds of steps wait; trying all of them after
-// every change would take more time than all other work of the leader. The zero value is a step that does not wait.
+// urgentRetry is the same for the highest priority.
+const urgentRetry = 100 * time.Millisecond
+
+// Waiting tracks a step with tasks that could not be placed. At peak load hundreds of steps wait; comparing all of them with all
+// workers after every change would take more time than all other work of the leader. The zero value is a step that does not wait.
 type Waiting struct {
-	since    time.Time // zero if no task waits
-	tried    time.Time // zero if the step should be tried at once
-	released uint64    // releases on the allowed workers at the last try
+	since time.Time // zero if no task waits
+	tried time.Time // on all workers; zero if the step should be tried at once
 }
 
 // For returns for how long the step has had tasks that could not be placed.
@@ -22,23 +24,34 @@
 	return now.Sub(w.since)
 }
 
-// Due reports whether trying the step again may succeed. released is the number of releases so far on the workers that
-// may run it.
-func (w *Waiting) Due(now time.Time, released uint64) bool {
-	return w.tried.IsZero() || released != w.released || now.Sub(w.tried) >= waitingRetry
+// Changed reports whether the step has to be tried on all workers at once: it is new, or Retry was called.
+func (w *Waiting) Changed() bool { return w.tried.IsZero() }
+
+// Due reports whether to try the step on all workers that may run it: at once if it has changed, after waitingRetry or urgentRetry, and
+// as soon as it may preempt runs.
+func (w *Waiting) Due(now time.Time, priority int) bool {
+	retry := waitingRetry
+	if priority == 0 {
+		retry = urgentRetry
+	}
+	mayPreempt := w.since.Add(PreemptDelay(priority))
+	return w.Changed() || now.Sub(w.tried) >= retry || w.tried.Before(mayPreempt) && !now.Before(mayPreempt)
 }
 
-// Tried records a try that left unplaced tasks, or none.
-func (w *Waiting) Tried(now time.Time, released uint64, unplaced int) {
-	switch {
-	case unplaced == 0:
+// Tried records a try on all workers that left unplaced tasks, or none.
+func (w *Waiting) Tried(now time.Time, unplaced int) {
+	if unplaced == 0 {
 		*w = Waiting{}
 		return
-	case w.since.IsZero():
+	}
+	if w.since.IsZero() {
 		w.since = now
 	}
-	w.tried, w.released = now, released
+	w.tried = now
 }
 
+// Placed records that all waiting tasks were placed on workers on which capacity had been released.
+func (w *Waiting) Placed() { *w = Waiting{} }
+
 // Retry makes the step due, after a change other than a release: a task is to start again, or more workers are allowed.
 func (w *Waiting) Retry() { w.tried = time.Time{} }
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -51,7 +51,7 @@
 	missingSince         time.Time // since when the worker list lacks the entry; zero while it is listed
 	neverListed          bool      // it is known from the record of workers only
 	describedIncarnation int64     // which the worker list described last; 0 if it did not say
-	runs                 map[workflow.RunRef]*Run
+	runs                 runList
 	holds                []hold // capacity that is kept free for tasks of certain steps
 	used                 resource.Vector
 	releases             uint64 // number of times that capacity was released
@@ -75,7 +75,7 @@
 
 // NewWorker returns a worker that has not responded yet.
 func NewWorker(info WorkerInfo) *Worker {
-	return &Worker{info: info, describedIncarnation: info.Incarnation, runs: map[workflow.RunRef]*Run{}, speed: 1}
+	return &Worker{info: info, describedIncarnation: info.Incarnation, speed: 1}
 }
 
 // Info returns the worker's latest entry in the worker list.
@@ -179,18 +179,14 @@
 
 // Runs returns the runs that occupy capacity of the worker.
 func (w *Worker) Runs() []*Run {
-	runs := make([]*Run, 0, len(w.runs))
-	for _, run := range w.runs {
-		runs = append(runs, run)
-	}
-	return runs
+	return slices.Clone(w.runs)
 }
 
 // Run returns a run that occupies capacity of the worker, or nil.
-func (w *Worker) Run(ref workflow.RunRef) *Run { return w.runs[ref] }
+func (w *Worker) Run(ref workflow.RunRef) *Run { return w.runs.find(ref) }
 
-// reservedSize returns the capacity that a run of the step occupies. Best-effort runs occupy no processors.
-func reservedSize(step *workflow.Step) resource.Vector {
+// ReservedSize returns the capacity that a run of the step occupies. Best-effort runs occupy no processors.
+func ReservedSize(step *workflow.Step) resource.Vector {
 	size := step.Size
 	if step.BestEffort {
 		size.MilliCores = 0
@@ -202,11 +198,11 @@
 func (w *Worker) Free() resource.Vector { return w.info.Capacity.Sub(w.used) }
 
 // Fits reports whether the worker has capacity for a task of the step.
-func (w *Worker) Fits(step *workflow.Step) bool { return reservedSize(step).Fits(w.Free()) }
+func (w *Worker) Fits(step *workflow.Step) bool { return ReservedSize(step).Fits(w.Free()) }
 
 // Reserve reserves capacity for a run. It fails with NoCapacity.
 func (w *Worker) Reserve(ref workflow.RunRef, step *workflow.Step) error {
-	if w.runs[ref] != nil {
+	if w.runs.find(ref) != nil {
 		return nil
 	}
 	if !w.Fits(step) {
@@ -219,42 +215,44 @@
 
 // Adopt adds a run that the worker reports, whether it fits or not. Its speed limit is not known.
 func (w *Worker) Adopt(ref workflow.RunRef, step *workflow.Step) {
-	if w.runs[ref] == nil {
-		w.add(ref, step)
-		w.runs[ref].SpeedPercent, w.runs[ref].Partial = unknownSpeed, true
+	if w.runs.find(ref) == nil {
+		run := w.add(ref, step)
+		run.SpeedPercent, run.Partial = unknownSpeed, true
 	}
 }
 
 // SetStep sets the step of a run that was adopted while its job was unknown, and reserves the capacity for it.
 func (w *Worker) SetStep(ref workflow.RunRef, step *workflow.Step) {
-	run := w.runs[ref]
+	run := w.runs.find(ref)
 	if run == nil {
 		return
 	}
-	w.used = w.used.Sub(reservedSize(&run.Step)).Add(reservedSize(step))
+	w.used = w.used.Sub(ReservedSize(&run.Step)).Add(ReservedSize(step))
 	w.countRun(&run.Step, -1)
 	w.countRun(step, 1)
 	run.Step = *step
 }
 
-func (w *Worker) add(ref workflow.RunRef, step *workflow.Step) {
-	w.runs[ref] = &Run{RunRef: ref, Step: *step, SpeedPercent: fullSpeed}
-	w.used = w.used.Add(reservedSize(step))
+func (w *Worker) add(ref workflow.RunRef, step *workflow.Step) *Run {
+	run := &Run{RunRef: ref, Step: *step, SpeedPercent: fullSpeed}
+	w.runs = append(w.runs, run)
+	w.used = w.used.Add(ReservedSize(step))
 	w.countRun(step, 1)
+	return run
 }
 
 // Release removes a run and frees its capacity.
 func (w *Worker) Release(ref workflow.RunRef) {
-	run := w.runs[ref]
+	run := w.runs.find(ref)
 	if run == nil {
 		return
 	}
-	delete(w.runs, ref)
+	w.runs = w.runs.without(run)
 	if run.crashes > 0 {
 		w.suspects--
 	}
 	w.releases++
-	w.used = w.used.Sub(reservedSize(&run.Step))
+	w.used = w.used.Sub(ReservedSize(&run.Step))
 	w.countRun(&run.Step, -1)
 }
 
@@ -276,7 +274,7 @@
 // CountRuns returns the number of runs of a step on the worker.
 func (w *Worker) CountRuns(ref workflow.StepRef) int {
 	n := 0
-	for run := range w.runs {
+	for _, run := range w.runs {
 		if run.Task.StepRef == ref {
 			n++
 		}
@@ -289,7 +287,7 @@
 
 // FitCount returns how many further tasks of the step fit on the worker.
 func (w *Worker) FitCount(step *workflow.Step) int {
-	free, size := w.Free(), reservedSize(step)
+	free, size := w.Free(), ReservedSize(step)
 	n := int64(unlimitedFit)
 	for _, pair := range [][2]int64{
 		{free.MilliCores, size.MilliCores}, {free.MemoryBytes, size.MemoryBytes}, {free.Accelerators, size.Accelerators},
--- a/internal/domain/workflow/spec.go
+++ b/internal/domain/workflow/spec.go
@@ -3,6 +3,7 @@
 package workflow
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -62,6 +63,11 @@
 	Period      time.Duration
 }
 
+// HasGang reports whether a step is a gang.
+func (s *Spec) HasGang() bool {
+	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.Gang })
+}
+
 // OccurrenceCount returns how many times the steps run, at least 1.
 func (s *Spec) OccurrenceCount() int { return max(s.Occurrences, 1) }
 
