Limit the starts that the leader has in progress

Callers saw: on an overloaded large fleet the leader loses its lease, and jobs wait for the next one.

Change: at most 128 starts are in progress; while that many are, placement leaves the rest for later. The end of a start wakes it.

The limit counts starts, not processor time: a leader of another speed may need another one.

--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -58,6 +58,8 @@
 	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
+	// maxStartsInProgress keeps the leader from placing more than it has the processor time to start: leases, ends and stops would be late.
+	maxStartsInProgress = 128
 	// minTryTime is left for trying steps, however long it took to collect them and the workers.
 	minTryTime = 2 * time.Millisecond
 )
@@ -92,6 +94,9 @@
 	var calls []permitCall
 	reachedChanged := false
 	for _, c := range list {
+		if s.startsInProgress+len(launches) >= maxStartsInProgress {
+			break // the end of a start wakes placement
+		}
 		changed := c.entry.step(c.ref).waiting.Changed()
 		if time.Now().After(limit) {
 			s.wakePlacement()
@@ -107,6 +112,7 @@
 		placed, asked := s.tryStep(*c, pass.now)
 		launches, calls = append(launches, placed...), append(calls, asked...)
 	}
+	s.startsInProgress += len(launches)
 	return launches, calls
 }
 
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -46,6 +46,7 @@
 // startRun sends the request to start a run and handles the result.
 func (s *Scheduler) startRun(ctx context.Context, l launch) {
 	sent, clock, err := s.requestStart(ctx, l)
+	s.startEnded()
 	s.log.Info("run ordered", "task", l.request.Task.String(), "run", l.request.Run, "worker", l.target.Worker,
 		"age_ms", sent.Sub(l.entry.accepted).Milliseconds(), "seen_ms", l.silence.Milliseconds(), "free", l.free,
 		"took_ms", time.Since(sent).Milliseconds(), "kind", resultKind(err))
@@ -62,6 +63,15 @@
 	}
 }
 
+// startEnded notes that the request of a start has ended.
+func (s *Scheduler) startEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.startsInProgress--; s.startsInProgress == maxStartsInProgress-1 {
+		s.wakePlacement()
+	}
+}
+
 // requestStart sends the request once earlier requests to the worker have ended, unless the decision is too old by then.
 func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
 	if !l.monitor.acquireRequest(ctx) {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -74,29 +74,30 @@
 	restarts       chan struct{} // signals that a worker has restarted, which the worker list has to describe again
 	progressStored notify.Broadcast
 
-	mu              sync.Mutex
-	ready           bool // the store has been read
-	jobs            map[workflow.ID]*jobEntry
-	tombstones      map[workflow.ID]time.Time   // ids that were cancelled before a job was stored, and when the leader learned of it
-	finished        map[workflow.ID]finishedJob // jobs that are archived
-	historyRead     bool                        // finished holds what earlier terms archived
-	openJobs        map[workflow.ID]*jobEntry   // jobs whose state is not final
-	dirty           map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
-	monitors        map[ident.WorkerID]*workerMonitor
-	crashes         map[string]*pool.CrashHistory // by address of the workers
-	authority       authority
-	predecessor     predecessor
-	accounted       bool                                 // every run of earlier terms is known or has ended
-	unsynced        map[ident.WorkerID]port.WorkerRecord // workers of the previous leader that have not reported their runs yet
-	orphans         map[workflow.ID][]orphanRun          // runs of unknown jobs
-	orphanEnds      map[workflow.ID][]orphanEnd          // ends of runs of unknown jobs
-	workersRevision ident.Revision                       // revision of the record of workers
-	recorded        map[ident.WorkerID]bool              // workers of the record; false if cordoned
-	recordOutdated  bool                                 // the record differs from the workers to record
-	releases        releaseLog                           // capacity that placement has not used yet
-	permitBusyUntil map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
-	prefetchedAt    time.Time                            // when calls for steps that are held back were last planned
-	allowedShares   map[string]*permit.AllowedShare      // by queue
+	mu               sync.Mutex
+	ready            bool // the store has been read
+	jobs             map[workflow.ID]*jobEntry
+	tombstones       map[workflow.ID]time.Time   // ids that were cancelled before a job was stored, and when the leader learned of it
+	finished         map[workflow.ID]finishedJob // jobs that are archived
+	historyRead      bool                        // finished holds what earlier terms archived
+	openJobs         map[workflow.ID]*jobEntry   // jobs whose state is not final
+	dirty            map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
+	monitors         map[ident.WorkerID]*workerMonitor
+	crashes          map[string]*pool.CrashHistory // by address of the workers
+	authority        authority
+	predecessor      predecessor
+	accounted        bool                                 // every run of earlier terms is known or has ended
+	unsynced         map[ident.WorkerID]port.WorkerRecord // workers of the previous leader that have not reported their runs yet
+	orphans          map[workflow.ID][]orphanRun          // runs of unknown jobs
+	orphanEnds       map[workflow.ID][]orphanEnd          // ends of runs of unknown jobs
+	workersRevision  ident.Revision                       // revision of the record of workers
+	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
+	recordOutdated   bool                                 // the record differs from the workers to record
+	releases         releaseLog                           // capacity that placement has not used yet
+	startsInProgress int                                  // placed, and the request of the start has not ended
+	permitBusyUntil  map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
+	prefetchedAt     time.Time                            // when calls for steps that are held back were last planned
+	allowedShares    map[string]*permit.AllowedShare      // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
