Show operators how long the queue is and whether placement keeps up with it

Operators see: a leader that leaves tasks waiting although workers have room, or makes no passes at all, differs in no metric and no line from one whose workers are full. Change: waiting tasks and the longest wait by queue; the duration of the passes of placement, the steps that each came to, and the passes by outcome (complete, partial, none tried). "placement falls behind" is logged once no pass has reached all ready steps for 1 s, "placement has caught up" once a pass has done so every 300 ms for 2 s; time in which the leader was not confirmed does not count. The rule is the aggregate domain/placement.Progress; the gauge placement_behind follows it. Series of queues are bounded at 1,000, since names come and go with the configuration. Evidence: without Resume, TestUnconfirmedLeaderIsNotBehind fails: "not confirmed: false, behind: true". Result: a pass does nothing more for an open job. The counts by queue are taken every 2 s in the look through the open jobs that the gauges already needed; it no longer lists the waiting tasks of each step to count them. The lines tell when the leader, and not the workers, is what tasks wait for.

--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -23,9 +23,13 @@
 	scope    tally.Scope
 	close    func() error
 
+	passes           map[string]tally.Counter // passes of placement by outcome
+	passSeconds      tally.Histogram
+	stepsTried       tally.Histogram
 	mu               sync.Mutex
 	scopes           map[[3]string]tally.Scope // scopes by label name, label value and outcome
 	seenPriorities   map[int]bool              // priorities that were exported before; their gauge is set to 0 without tasks
+	queues           map[string]queueGauges    // queues that were exported before
 	lastDroppedLines int64                     // total at the last update
 }
 
@@ -35,9 +39,16 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "skylarkstall", Separator: "_", CachedReporter: e, OmitCardinalityMetrics: true,
 	}, cellInterval)
-	return &CellMetrics{
+	c := &CellMetrics{
 		exporter: e, scope: scope, close: closer.Close, scopes: map[[3]string]tally.Scope{}, seenPriorities: map[int]bool{},
+		queues: map[string]queueGauges{}, passes: map[string]tally.Counter{},
+		passSeconds: scope.Histogram("placement_pass_seconds", passBuckets),
+		stepsTried:  scope.Histogram("placement_steps_tried", stepBuckets),
 	}
+	for _, outcome := range []string{passComplete, passPartial, passNoneTried} {
+		c.passes[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("placement_passes")
+	}
+	return c
 }
 
 // Close reports the last values and stops reporting.
@@ -83,12 +94,9 @@
 }
 
 func (c *CellMetrics) update(s port.ProcessState) {
-	leads := 0.0
-	if s.IsLeader {
-		leads = 1
-	}
 	for name, value := range map[string]float64{
-		"leads": leads, "config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
+		"leads": boolValue(s.IsLeader), "placement_behind": boolValue(s.PlacementBehind),
+		"config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
 		"workers": float64(s.Workers), "runs": float64(s.Runs), "doubtful_starts": float64(s.UnconfirmedStarts), "unrecorded_jobs": float64(s.UnrecordedJobs),
 	} {
 		c.scope.Gauge(name).Update(value)
@@ -102,4 +110,12 @@
 		c.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge("waiting_tasks").
 			Update(float64(s.WaitingTasks[priority]))
 	}
+	c.updateQueues(s.Queues)
+}
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
 }
--- a/internal/adapter/metrics/exporter.go
+++ b/internal/adapter/metrics/exporter.go
@@ -28,7 +28,7 @@
 // series contains the values for one set of tags.
 type series struct {
 	value   float64
-	buckets map[float64]int64 // sample counts by upper bound in seconds; for histograms
+	buckets map[float64]int64 // sample counts by upper bound, of durations in seconds; for histograms
 }
 
 func newExporter() *exporter { return &exporter{families: map[string]*family{}} }
@@ -89,6 +89,9 @@
 
 // ValueBucket implements tally.CachedHistogram.
 func (h seriesHandle) ValueBucket(_, upper float64) tally.CachedHistogramBucket {
+	if upper == math.MaxFloat64 {
+		return bucket{h, math.Inf(1)}
+	}
 	return bucket{h, upper}
 }
 
@@ -103,7 +106,7 @@
 // bucket is one bucket of a histogram.
 type bucket struct {
 	seriesHandle
-	upper float64 // seconds
+	upper float64 // of durations in seconds
 }
 
 // ReportSamples implements tally.CachedHistogramBucket.
@@ -135,7 +138,7 @@
 	s := e.series(name, "histogram", tags)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, upper := range buckets.AsDurations() {
+	for _, upper := range buckets.AsDurations() { // a bound that is no duration counts as seconds
 		s.buckets[upper.Seconds()] += 0
 	}
 	return seriesHandle{e, s}
--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -41,6 +41,7 @@
 	if a := &s.authority; confirmed == a.doubtful {
 		a.doubtful = !confirmed
 		if confirmed {
+			s.progress.Resume(now)
 			s.log.Info("leader confirmed again")
 		} else {
 			s.log.Warn("leader not confirmed; runs are neither started nor extended", "workers", len(a.workers))
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -78,21 +78,24 @@
 	started := time.Now()
 	list := s.candidates(now)
 	if len(list) == 0 {
+		s.observePass(now, started, 0, 0)
 		return nil, nil
 	}
 	pass.recordedWorkers()
 	collected := time.Since(started)
 	limit := max(maxPlaceTime, collected+minTryTime)
 	pass.retryTime = (limit - collected) / 2
-	return s.tryInOrder(pass, list, started.Add(limit))
+	launches, calls, tried := s.tryInOrder(pass, list, started.Add(limit))
+	s.observePass(now, started, tried, len(list))
+	return launches, calls
 }
 
 // tryInOrder tries the steps in their order until the time limit, and beyond it until one that has changed since its last try was
-// reached, so that none is left out for good. The lock is held.
-func (s *Scheduler) tryInOrder(pass *placementPass, list []*candidate, limit time.Time) ([]launch, []permitCall) {
+// reached, so that none is left out for good. It also returns how many it tried. The lock is held.
+func (s *Scheduler) tryInOrder(pass *placementPass, list []*candidate, limit time.Time) ([]launch, []permitCall, int) {
 	var launches []launch
 	var calls []permitCall
-	reachedChanged := false
+	tried, reachedChanged := 0, false
 	for _, c := range list {
 		if s.startsInProgress+len(launches) >= maxStartsInProgress {
 			break // the end of a start wakes placement
@@ -111,9 +114,10 @@
 		c.pass = pass
 		placed, asked := s.tryStep(*c, pass.now)
 		launches, calls = append(launches, placed...), append(calls, asked...)
+		tried++
 	}
 	s.startsInProgress += len(launches)
-	return launches, calls
+	return launches, calls, tried
 }
 
 // tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
@@ -52,8 +53,9 @@
 	RecordCodec       port.RecordCodec
 	RunClient         port.RunClient
 	Workers           WorkerList
-	PermitClient      port.PermitClient // used by this process
-	PeerPermitClients PeerPermitClients // calls through other processes
+	PermitClient      port.PermitClient        // used by this process
+	PeerPermitClients PeerPermitClients        // calls through other processes
+	ObservePass       func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
 }
 
 // Scheduler does the leader's work for one term. It implements port.Scheduler.
@@ -86,6 +88,7 @@
 	crashes          map[string]*pool.CrashHistory // by address of the workers
 	authority        authority
 	predecessor      predecessor
+	progress         placement.Progress                   // of the passes of placement
 	accounted        bool                                 // every run of earlier terms is known or has ended
 	unsynced         map[ident.WorkerID]port.WorkerRecord // workers of the previous leader that have not reported their runs yet
 	orphans          map[workflow.ID][]orphanRun          // runs of unknown jobs
--- a/internal/app/scheduler/state.go
+++ b/internal/app/scheduler/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
 
@@ -20,10 +21,26 @@
 			}
 		}
 	}
-	state.WaitingTasks = map[int]int{}
+	state.PlacementBehind = s.progress.Behind()
+	state.WaitingTasks, state.Queues = map[int]int{}, map[string]port.QueueState{}
 	for _, e := range s.openJobs {
+		queue := s.queueOf(e)
 		for _, ref := range e.workflow.Ready(now) {
-			state.WaitingTasks[s.queueOf(e).Priority] += len(e.workflow.Waiting(ref))
+			waiting := e.workflow.WaitingCount(ref)
+			state.WaitingTasks[queue.Priority] += waiting
+			known := state.Queues[queue.Name]
+			known.WaitingTasks += waiting
+			known.OldestWait = max(known.OldestWait, e.waitOf(ref, now))
+			state.Queues[queue.Name] = known
 		}
 	}
 }
+
+// waitOf returns for how long a ready step has had tasks to start, and 0 if no pass of placement has noticed it yet.
+func (e *jobEntry) waitOf(ref workflow.StepRef, now time.Time) time.Duration {
+	step := e.steps[ref]
+	if step == nil || step.wait.since.IsZero() {
+		return 0
+	}
+	return now.Sub(step.wait.since)
+}
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -45,6 +45,7 @@
 	RunClient    port.RunClient
 	Workers      scheduler.WorkerList
 	PermitClient port.PermitClient
+	ObservePass  func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
 	Decode       routing.DecodeFunc
 	// NewCallerHandler and NewReadinessHandler return the HTTP handlers for callers and for the readiness probe.
 	NewCallerHandler    func(*gateway.Gateway) http.Handler
@@ -116,6 +117,7 @@
 		ports := scheduler.Ports{
 			Store: n.store, RecordCodec: cellwire.RecordCodec{}, RunClient: n.platform.RunClient,
 			Workers: n.platform.Workers, PermitClient: n.platform.PermitClient, PeerPermitClients: n.transport,
+			ObservePass: n.platform.ObservePass,
 		}
 		s := scheduler.New(n.settings.Process, n.settings.Scheduler, ports, n.table, term, n.log)
 		handler.term.Store(term.Number)
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -74,7 +74,9 @@
 	defer cellMetrics.Close() //nolint:errcheck // the process is ending; there is no log left to report to
 	events := eventlog.New(a.out, l, cellMetrics.RecordEvent)
 	log := events.Logger("process", settings.Process)
-	node, err := cellnode.New(nodeSettings(settings), nodePlatform(settings, cellMetrics.RecordCall, log), log)
+	nodePorts := nodePlatform(settings, cellMetrics.RecordCall, log)
+	nodePorts.ObservePass = cellMetrics.RecordPass
+	node, err := cellnode.New(nodeSettings(settings), nodePorts, log)
 	if err != nil {
 		return err
 	}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -265,11 +265,26 @@
 	ConfigVersion     uint64
 	ConfigAge         time.Duration // since the configuration was last confirmed as the newest; 0 if it never was
 	DroppedLogLines   int64
-	Workers           int         // workers that the leader controls
-	Runs              int         // runs on these workers
-	UnconfirmedStarts int         // starts that the worker has not confirmed
-	UnrecordedJobs    int         // jobs with progress that is not stored yet
-	WaitingTasks      map[int]int // tasks that are ready to start, by priority
+	Workers           int                   // workers that the leader controls
+	Runs              int                   // runs on these workers
+	UnconfirmedStarts int                   // starts that the worker has not confirmed
+	UnrecordedJobs    int                   // jobs with progress that is not stored yet
+	WaitingTasks      map[int]int           // tasks that are ready to start, by priority
+	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
+	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
+}
+
+// QueueState is what waits in a queue.
+type QueueState struct {
+	WaitingTasks int           // tasks that are ready to start
+	OldestWait   time.Duration // longest time for which tasks of a step have been ready to start
+}
+
+// PlacementPass describes one pass in which the leader tried to place waiting tasks.
+type PlacementPass struct {
+	Took  time.Duration
+	Tried int // steps that the pass came to, also those of which nothing has changed since the last try
+	Left  int // steps with tasks to start for which no time was left
 }
 
 // Scheduler is the leader's interface for jobs. Calls fail with NotReady if there is no leader.
