Let no start of a low priority hold back urgent work, and no retry wait for good

What callers would see, and the cause: - Urgent work waited while 128 starts of any priority were in progress, on frozen workers for up to 0.9 s; a step of 300 tasks took 300 of 128 places; a start behind stops to a frozen worker held its place for 8 s. (TestUrgentStepDoesNotWaitForStarts, TestUrgentCallDoesNotWaitForStarts, TestStartBehindStopsEnds) - Behind 100 steps of a higher priority that fit nowhere, a step was not started within 6 s on a worker that was no longer cordoned: their retries used up the time for retries in each pass, and what was left did not wake placement. (TestRetriesTakeTurns, TestRetriesThatAreLeftWakePlacement) - A step that nothing can start stays changed, and used up the place that each pass guarantees. (TestNewStepIsTriedBesideOneThatStaysChanged) - A gang that did not fit counted as a release on the workers it had tried. (TestFailedGangReleasesNothing) - Calls for permits chose among some workers, and missed those on the rack of the data; and they took a run for one of the priority that its queue had when the job was accepted. (TestCallAsksWorkersOnDataRack, TestPreemptionByCurrentPriority)

Change: 64 more starts for the highest priority; the limit also counts within a step; a start waits for earlier requests no longer than it is valid; retries that were left out for 0.5 s are made in any case, and placement is woken for those that are left; a step counts as reached only if it is not changed any more; a reservation that is withdrawn is no release; the whole choice for steps with data on a rack. TestStartsAreLimited has both limits.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -22,6 +22,7 @@
 	waited  time.Duration // for how long tasks of the step could not be placed
 	held    bool          // tasks of the step may still run on a worker of an earlier leader
 	overdue bool          // tasks of the long-running step have waited for overdueAfter
+	room    int           // number of starts after which the limit of starts in progress is reached; a gang may exceed it
 	partial bool          // workers holds only those on which capacity was released
 	pass    *placementPass
 }
@@ -34,6 +35,7 @@
 	recorded       []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
 	freeMilliCores []int64         // of the recorded workers when the list was made; runs that start in the pass only lower them
 	retryTime      time.Duration   // left for steps for which nothing but the time has changed
+	retriesLeft    bool            // some of them are due and were left to the next pass
 	lowestPriority int             // of the queues of open jobs; -1 if not known yet
 }
 
@@ -152,7 +154,7 @@
 func (p *placementPass) hasLowestPriority(priority int) bool {
 	if p.lowestPriority < 0 {
 		for _, e := range p.scheduler.openJobs {
-			p.lowestPriority = max(p.lowestPriority, e.queue.Priority)
+			p.lowestPriority = max(p.lowestPriority, p.scheduler.queueOf(e).Priority)
 		}
 	}
 	return priority >= p.lowestPriority
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -192,7 +192,7 @@
 		}
 	}
 	for recorded := range c.pass.withRoom(request.Step) {
-		if expected >= choiceFactor*missing && len(options) >= enoughOptions {
+		if expected >= choiceFactor*missing && len(options) >= enoughOptions && request.Step.DataRack == "" {
 			break
 		}
 		add(recorded.monitor, false)
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -59,7 +60,10 @@
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
 	// maxStartsInProgress keeps the leader from placing more than it has the processor time to start: leases, ends and stops would be late.
+	// No step is tried while as many starts are in progress.
 	maxStartsInProgress = 128
+	// urgentStarts is how many more may be in progress for the highest priority, which must not wait for starts on slow workers.
+	urgentStarts = 64
 	// minTryTime is left for trying steps, however long it took to collect them and the workers.
 	minTryTime = 2 * time.Millisecond
 )
@@ -97,10 +101,11 @@
 	var calls []permitCall
 	tried, reachedChanged := 0, false
 	for _, c := range list {
-		if s.startsInProgress+len(launches) >= maxStartsInProgress {
-			break // the end of a start wakes placement
+		if c.room = maxStarts(c.queue) - s.startsInProgress - len(launches); c.room <= 0 {
+			continue // the end of a start wakes placement
 		}
-		changed := c.entry.step(c.ref).waiting.Changed()
+		waiting := &c.entry.step(c.ref).waiting
+		changed := waiting.Changed()
 		if time.Now().After(limit) {
 			s.wakePlacement()
 			if reachedChanged {
@@ -110,16 +115,27 @@
 				continue
 			}
 		}
-		reachedChanged = reachedChanged || changed
 		c.pass = pass
 		placed, asked := s.tryStep(*c, pass.now)
 		launches, calls = append(launches, placed...), append(calls, asked...)
 		tried++
+		reachedChanged = reachedChanged || changed && !waiting.Changed() // one that nothing can start stays changed
+	}
+	if pass.retriesLeft {
+		s.wakePlacement()
 	}
 	s.startsInProgress += len(launches)
 	return launches, calls, tried
 }
 
+// maxStarts returns the number of starts in progress from which on no step of the queue is tried.
+func maxStarts(queue route.Queue) int {
+	if queue.HasTopPriority() {
+		return maxStartsInProgress + urgentStarts
+	}
+	return maxStartsInProgress
+}
+
 // tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.entry.step(c.ref)
@@ -133,10 +149,13 @@
 	if step.waiting.Changed() {
 		return s.tryAll(c, now)
 	}
-	if step.waiting.Due(now, c.queue.Priority) && c.pass.retryTime > 0 {
-		started := time.Now()
-		defer func() { c.pass.retryTime -= time.Since(started) }()
-		return s.tryAll(c, now)
+	if step.waiting.Due(now, c.queue.Priority) {
+		if c.pass.retryTime > 0 || step.waiting.Overdue(now) {
+			started := time.Now()
+			defer func() { c.pass.retryTime -= time.Since(started) }()
+			return s.tryAll(c, now)
+		}
+		c.pass.retriesLeft = true
 	}
 	c.workers, c.partial = s.releasedWorkers(c, now), true
 	if len(c.workers) > 0 && c.entry.workflow.Step(c.ref).Gang {
@@ -153,9 +172,12 @@
 		return nil
 	}
 	launches, unplaced := s.placeStep(c, now)
-	if unplaced == 0 {
+	switch {
+	case unplaced == 0:
 		step.waiting.Placed()
 		s.allPlaced(c)
+	case len(launches) == c.room:
+		step.waiting.Retry()
 	}
 	return launches
 }
@@ -168,9 +190,13 @@
 	launches, unplaced := s.placeStep(c, now)
 	step.waiting.Tried(now, unplaced)
 	step.triedIn = s.releases.pass
-	if unplaced == 0 {
+	switch {
+	case unplaced == 0:
 		s.allPlaced(c)
 		return launches, nil
+	case len(launches) == c.room:
+		step.waiting.Retry() // the others may have room too
+		return launches, nil
 	}
 	s.preempt(c, unplaced, now)
 	if c.queue.PermitPolicy == nil {
@@ -212,6 +238,9 @@
 		if ok {
 			launches = append(launches, l)
 		}
+		if len(launches) == c.room {
+			break
+		}
 	}
 	return launches, len(waiting) - len(launches)
 }
@@ -260,7 +289,7 @@
 		l, ok := s.reserve(c, workflow.RunRef{Task: task, Run: run}, rack, now)
 		if !ok {
 			for _, l := range launches {
-				l.monitor.worker.Release(l.request.RunRef)
+				l.monitor.worker.CancelReservation(l.request.RunRef)
 				c.entry.workflow.DropRun(l.request.RunRef, l.target.Worker)
 			}
 			return nil
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -67,15 +68,18 @@
 func (s *Scheduler) startEnded() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.startsInProgress--; s.startsInProgress == maxStartsInProgress-1 {
+	s.startsInProgress--
+	if n := s.startsInProgress; n == maxStartsInProgress-1 || n == maxStartsInProgress+urgentStarts-1 {
 		s.wakePlacement()
 	}
 }
 
 // requestStart sends the request once earlier requests to the worker have ended, unless the decision is too old by then.
 func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
-	if !l.monitor.acquireRequest(ctx) {
-		return time.Now(), 0, ctx.Err()
+	acquireCtx, cancelAcquire := context.WithDeadline(ctx, l.decided.Add(maxOrderAge))
+	defer cancelAcquire()
+	if !l.monitor.acquireRequest(acquireCtx) {
+		return time.Now(), 0, cmp.Or(ctx.Err(), fault.New(fault.DeadlineExceeded, "start not requested within %v", maxOrderAge))
 	}
 	defer l.monitor.releaseRequest()
 	sent = time.Now()
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -243,17 +243,27 @@
 
 // Release removes a run and frees its capacity.
 func (w *Worker) Release(ref workflow.RunRef) {
+	if w.remove(ref) {
+		w.releases++
+	}
+}
+
+// CancelReservation undoes Reserve for a run that was not started. It does not count as a release.
+func (w *Worker) CancelReservation(ref workflow.RunRef) { w.remove(ref) }
+
+// remove removes a run and returns false if there is none.
+func (w *Worker) remove(ref workflow.RunRef) bool {
 	run := w.runs.find(ref)
 	if run == nil {
-		return
+		return false
 	}
 	w.runs = w.runs.without(run)
 	if run.crashes > 0 {
 		w.suspects--
 	}
-	w.releases++
 	w.used = w.used.Sub(ReservedSize(&run.Step))
 	w.countRun(&run.Step, -1)
+	return true
 }
 
 func (w *Worker) countRun(step *workflow.Step, sign int) {
