Let the retry that was left out for longest go first, and reach 16 changed steps in each pass

Callers would see: on a starved leader, a step of a low priority that waits although a worker could take it.

Cause: retries followed the order of the steps. A pass without time reached a single changed step.

Conclusion: whether a low priority is served no longer depends on how dear retries are.

--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -59,6 +59,8 @@
 	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
 	maxPlaceTime = 5 * time.Millisecond
+	// minChangedSteps is the number of changed steps that a pass reaches however little time it has.
+	minChangedSteps = 16
 	// maxStartsInProgress keeps the leader from placing more than it has the processor time to start: leases, ends and stops would be late.
 	// No step is tried while as many starts are in progress.
 	maxStartsInProgress = 128
@@ -89,17 +91,35 @@
 	collected := time.Since(started)
 	limit := max(maxPlaceTime, collected+minTryTime)
 	pass.retryTime = (limit - collected) / 2
+	moveOverdueFirst(list, now)
 	launches, calls, tried := s.tryInOrder(pass, list, started.Add(limit))
 	s.observePass(now, started, tried, len(list))
 	return launches, calls
 }
 
-// tryInOrder tries the steps in their order until the time limit, and beyond it until one that has changed since its last try was
-// reached, so that none is left out for good. It also returns how many it tried. The lock is held.
+// moveOverdueFirst moves the step that has waited longest for a retry to the front if it is overdue, so that retries of higher priorities
+// cannot leave it out for good.
+func moveOverdueFirst(list []*candidate, now time.Time) {
+	oldest := -1
+	for i, c := range list {
+		if w := &c.entry.step(c.ref).waiting; w.Overdue(now) &&
+			(oldest < 0 || w.TriedBefore(&list[oldest].entry.step(list[oldest].ref).waiting)) {
+			oldest = i
+		}
+	}
+	if oldest > 0 {
+		first := list[oldest]
+		copy(list[1:oldest+1], list[:oldest])
+		list[0] = first
+	}
+}
+
+// tryInOrder tries the steps in their order until the time limit, and beyond it until minChangedSteps that have changed since their last
+// try were reached, so that none is left out for good. It also returns how many it tried. The lock is held.
 func (s *Scheduler) tryInOrder(pass *placementPass, list []*candidate, limit time.Time) ([]launch, []permitCall, int) {
 	var launches []launch
 	var calls []permitCall
-	tried, reachedChanged := 0, false
+	tried, reached := 0, 0 // reached counts steps that had changed
 	for _, c := range list {
 		if c.room = maxStarts(c.queue) - s.startsInProgress - len(launches); c.room <= 0 {
 			continue // the end of a start wakes placement
@@ -108,7 +128,7 @@
 		changed := waiting.Changed()
 		if time.Now().After(limit) {
 			s.wakePlacement()
-			if reachedChanged {
+			if reached >= minChangedSteps {
 				break
 			}
 			if !changed {
@@ -119,7 +139,9 @@
 		placed, asked := s.tryStep(*c, pass.now)
 		launches, calls = append(launches, placed...), append(calls, asked...)
 		tried++
-		reachedChanged = reachedChanged || changed && !waiting.Changed() // one that nothing can start stays changed
+		if changed && !waiting.Changed() { // one that nothing can start stays changed
+			reached++
+		}
 	}
 	if pass.retriesLeft {
 		s.wakePlacement()
@@ -150,7 +172,7 @@
 		return s.tryAll(c, now)
 	}
 	if step.waiting.Due(now, c.queue.Priority) {
-		if c.pass.retryTime > 0 || step.waiting.Overdue(now) {
+		if c.pass.retryTime > 0 {
 			started := time.Now()
 			defer func() { c.pass.retryTime -= time.Since(started) }()
 			return s.tryAll(c, now)
--- a/internal/domain/pool/waiting.go
+++ b/internal/domain/pool/waiting.go
@@ -38,8 +38,13 @@
 	return w.Changed() || now.Sub(w.tried) >= retry || w.tried.Before(mayPreempt) && !now.Before(mayPreempt)
 }
 
-// Overdue reports whether the step is left out for so long that it is tried also where there is little time for retries.
-func (w *Waiting) Overdue(now time.Time) bool { return now.Sub(w.tried) >= 2*waitingRetry }
+// Overdue reports whether the step has been left out for longer than a retry should take.
+func (w *Waiting) Overdue(now time.Time) bool {
+	return !w.Changed() && now.Sub(w.tried) >= 2*waitingRetry
+}
+
+// TriedBefore reports whether the last try on all workers was earlier than that of the other step.
+func (w *Waiting) TriedBefore(other *Waiting) bool { return w.tried.Before(other.tried) }
 
 // Tried records a try on all workers that left unplaced tasks, or none.
 func (w *Waiting) Tried(now time.Time, unplaced int) {
