Split the transport of the cell into its sessions and the way to the leader

Cause: transport.go had grown to 466 lines with three responsibilities: accepting and serving, one session, and following the leader.

Change: session.go (handshake, reading with a timeout, one call) and leader.go (following, finding and pinging the leader). Code is only moved.

Measured: go vet, and go test -race ./internal/adapter/cellwire.

Conclusion: no behaviour changes.

--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -3,17 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"net"
-	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -22,7 +18,6 @@
 	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
-	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
 )
 
@@ -72,15 +67,6 @@
 	goroutines     sync.WaitGroup
 }
 
-// session is a multiplexed connection to another process.
-type session struct {
-	peer        ident.ProcessID
-	incarnation uint64
-	address     string // listen address of the peer
-	conn        net.Conn
-	mux         *frame.Mux
-}
-
 // New returns a transport that accepts sessions on the listener when Run is called. Seeds are possible addresses of other
 // processes.
 func New(
@@ -192,232 +178,6 @@
 	}
 }
 
-// handshake exchanges hello messages and starts a multiplexed session. The session ends when the peer sends nothing for
-// silenceTimeout, unless that is 0.
-func (t *Transport) handshake(
-	conn net.Conn, newSession frame.SessionFunc, silenceTimeout time.Duration,
-) (*session, error) {
-	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
-		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
-	}
-	ownHello := &cellpb.Hello{
-		Version: protocolVersion, Process: string(t.self.Process), Incarnation: t.self.Incarnation,
-		Address: t.self.Address,
-	}
-	if err := frame.Write(conn, ownHello); err != nil {
-		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
-	}
-	reader := bufio.NewReader(conn)
-	peerHello := &cellpb.Hello{}
-	if err := frame.Read(reader, peerHello); err != nil {
-		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
-	}
-	if peerHello.GetVersion() != protocolVersion {
-		return nil, fault.New(fault.Invalid, "process %q uses protocol version %d, want %d",
-			peerHello.GetProcess(), peerHello.GetVersion(), protocolVersion)
-	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
-	}
-	mux, err := frame.NewMux(newSession, bufferedConn{conn, reader, silenceTimeout}, sessionConfig())
-	if err != nil {
-		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
-	}
-	return &session{
-		peer: ident.ProcessID(peerHello.GetProcess()), incarnation: peerHello.GetIncarnation(), address: peerHello.GetAddress(),
-		conn: conn, mux: mux,
-	}, nil
-}
-
-// bufferedConn reads through the buffer of the handshake, which may contain data that follows the hello message. If it has a
-// silence timeout, a read fails once nothing has arrived for that long: a connection whose other end was lost may stay open
-// without a reset.
-type bufferedConn struct {
-	net.Conn
-	reader         *bufio.Reader
-	silenceTimeout time.Duration
-}
-
-// Read waits twice for half of the timeout: a process that was paused itself finds the first deadline expired, and data that
-// arrived meanwhile unread.
-func (c bufferedConn) Read(p []byte) (int, error) {
-	if c.silenceTimeout == 0 {
-		return c.reader.Read(p)
-	}
-	n, err := c.readWithin(p, c.silenceTimeout/2)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readWithin(p, c.silenceTimeout/2)
-	}
-	return n, err
-}
-
-func (c bufferedConn) readWithin(p []byte, timeout time.Duration) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return 0, err
-	}
-	return c.reader.Read(p)
-}
-
-func sessionConfig() *yamux.Config {
-	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = false // the dialing side pings; the other side ends a session on which no pings arrive
-	config.ConnectionWriteTimeout = pingTimeout
-	config.StreamOpenTimeout = 0 // otherwise yamux closes the session if the peer accepts a stream late
-	config.LogOutput = io.Discard
-	return config
-}
-
-// Follow keeps a session to the leader until the session breaks or the context ends, and returns the reason.
-func (t *Transport) Follow(ctx context.Context, leader port.Leader) port.FollowResult {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", leader.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		t.log.Info("leader refuses connections", "leader", leader.Process, "address", leader.Address)
-		return port.LeaderDead
-	}
-	if err != nil {
-		t.log.Info("leader not reached", "leader", leader.Process, "error", err)
-		pause.For(ctx, redialDelay)
-		return port.LeaderUnreachable
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	s, err := t.handshake(conn, yamux.Client, 0)
-	if err != nil {
-		t.log.Info("leader not reached", "leader", leader.Process, "error", err)
-		pause.For(ctx, redialDelay)
-		return port.LeaderUnreachable
-	}
-	defer s.mux.Close()
-	if s.peer != leader.Process || s.incarnation != leader.Incarnation {
-		t.log.Info("another process answers for the leader", "leader", leader.Process, "answers", s.peer)
-		return port.LeaderDead
-	}
-	t.setLeaderSession(s, leader)
-	defer t.setLeaderSession(nil, port.Leader{})
-	t.log.Info("session opened", "peer", s.peer, "by", "self")
-	if !t.start(func() { _ = t.serve(ctx, s) }) { // ends with the session
-		return port.LeaderSessionLost
-	}
-	err = t.monitorLeader(ctx, s)
-	t.log.Info("session to the leader ended", "leader", s.peer, "error", err)
-	if fault.Is(err, fault.NotReady) {
-		return port.LeaderReplaced
-	}
-	return port.LeaderSessionLost
-}
-
-func (t *Transport) setLeaderSession(s *session, leader port.Leader) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.leaderSession, t.followedLeader = s, leader
-}
-
-// DiscoverLeader queries all known processes for the leader. It returns the one with the highest term, or false if no process
-// knows a leader.
-func (t *Transport) DiscoverLeader(ctx context.Context) (port.Leader, bool) {
-	queryCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	addresses := t.knownAddresses()
-	replies := make(chan port.Leader, len(addresses))
-	for _, address := range addresses {
-		if !t.start(func() { replies <- t.queryLeaderAt(queryCtx, address) }) {
-			return port.Leader{}, false
-		}
-	}
-	var latest port.Leader
-	for range addresses {
-		if reply := <-replies; reply.Term > latest.Term {
-			latest = reply
-		}
-	}
-	return latest, latest.Term > 0
-}
-
-// queryLeaderAt returns the leader that the process at the address knows. The term is 0 if it knows none.
-func (t *Transport) queryLeaderAt(ctx context.Context, address string) port.Leader {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return port.Leader{} // the address may be outdated
-	}
-	defer conn.Close()
-	s, err := t.handshake(conn, yamux.Client, 0)
-	if err != nil {
-		return port.Leader{}
-	}
-	defer s.mux.Close()
-	reply, err := s.call(ctx, &cellpb.Call{Body: &cellpb.Call_Leader{Leader: true}})
-	if err != nil {
-		t.log.Info("process did not tell who leads", "peer", s.peer, "error", err)
-		return port.Leader{}
-	}
-	return decodeLeader(reply.GetLeader())
-}
-
-// knownLeader returns the leader that this process knows. The term is 0 if it knows none.
-func (t *Transport) knownLeader() port.Leader {
-	if leader, ok := t.handler.OwnTerm(); ok {
-		return leader
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.followedLeader
-}
-
-// notLeadingGrace is how long the elected process may report that it is not the leader before it has reported that it is,
-// because it may still be starting its term.
-const notLeadingGrace = time.Second
-
-// monitorLeader sends pings, which carry the version of the configuration, until one fails or the peer is no longer the
-// leader, in which case it fails with NotReady.
-func (t *Transport) monitorLeader(ctx context.Context, s *session) error {
-	graceEnd := time.Now().Add(notLeadingGrace)
-	for ctx.Err() == nil {
-		reply, err := t.ping(ctx, s)
-		if err != nil {
-			return err
-		}
-		if err := t.exchangeConfig(ctx, s, reply); err != nil {
-			return err
-		}
-		t.addAddresses(reply.GetPeers()...)
-		leads := reply.GetLeads()
-		if !leads && !time.Now().Before(graceEnd) {
-			return fault.New(fault.NotReady, "%s is no longer the leader", s.peer)
-		}
-		if leads {
-			graceEnd = time.Now()
-		}
-		select {
-		case <-s.mux.CloseChan():
-			return fault.New(fault.Unavailable, "connection lost")
-		case <-time.After(pingInterval):
-		case <-ctx.Done():
-		}
-	}
-	return ctx.Err()
-}
-
-func (t *Transport) ping(ctx context.Context, s *session) (*cellpb.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	status, _ := t.replica.Current()
-	return s.call(ctx, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}, ConfigStatus: encodeConfigStatus(status)})
-}
-
-// call makes one call on a new stream. It fails with Unavailable or TooLarge if nothing was sent, with Interrupted if no
-// reply arrived, and otherwise with the error that the peer returned.
-func (s *session) call(ctx context.Context, call *cellpb.Call) (*cellpb.Reply, error) {
-	reply := &cellpb.Reply{}
-	if err := s.mux.RoundTrip(ctx, string(s.peer), call, reply); err != nil {
-		return nil, err
-	}
-	if f := reply.GetFailure(); f != nil {
-		return nil, fault.New(fault.Kind(f.GetKind()), "%s: %s", s.peer, f.GetMessage())
-	}
-	return reply, nil
-}
-
 // serve handles each call of the peer in a separate goroutine, until the session breaks.
 func (t *Transport) serve(ctx context.Context, s *session) error {
 	calls := make(chan struct{}, maxCalls)
