Keep the listener that fails to accept in one place

Cause: the tests of both transports had the same fake.

Change: package frametest. What the tests check is unchanged.

Measured: go test -race ./internal/adapter/cellwire ./internal/adapter/peerwire pass.

Conclusion: one copy.

--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -5,11 +5,9 @@
 	"context"
 	"log/slog"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +15,7 @@
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/adapter/frame/frametest"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/workflow"
@@ -165,19 +164,6 @@
 	}
 }
 
-// failingListener fails to accept a few times before it accepts a connection.
-type failingListener struct {
-	net.Listener
-	failures atomic.Int64
-}
-
-func (l *failingListener) Accept() (net.Conn, error) {
-	if l.failures.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
-	}
-	return l.Listener.Accept()
-}
-
 // TestFailedAccept guards against a process that ends with all connections of its callers because it could not accept one session:
 // it had no file descriptor left for a moment.
 func TestFailedAccept(t *testing.T) {
@@ -185,8 +171,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	failing := &failingListener{Listener: listener}
-	failing.failures.Store(2)
+	failing := frametest.NewFailingListener(listener, 2)
 	serving := startTransportOn(t, "a", failing)
 	other := startTransport(t, "b")
 	if leader := other.queryLeaderAt(t.Context(), serving.self.Address); leader.Term != 1 {
--- a/internal/adapter/peerwire/transport_test.go
+++ b/internal/adapter/peerwire/transport_test.go
@@ -8,11 +8,9 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/adapter/frame/frametest"
 	"skylarkstall/internal/adapter/peerwire/peerpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/membership"
@@ -396,19 +395,6 @@
 	return errors.As(err, &network) && network.Timeout()
 }
 
-// failingListener fails to accept a few times before it accepts a connection.
-type failingListener struct {
-	net.Listener
-	failures atomic.Int64
-}
-
-func (l *failingListener) Accept() (net.Conn, error) {
-	if l.failures.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
-	}
-	return l.Listener.Accept()
-}
-
 // TestFailedAccept guards against a process that ends because it could not accept one connection of a peer: it had no file
 // descriptor left for a moment.
 func TestFailedAccept(t *testing.T) {
@@ -416,8 +402,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	failing := &failingListener{Listener: listener}
-	failing.failures.Store(2)
+	failing := frametest.NewFailingListener(listener, 2)
 	b := startProcessOn(t, "b", failing, nil)
 	a := startProcess(t, "a")
 	a.connect(t, listener.Addr().String())
