Let the test of released capacity notice a ticket of a worker's former life

Cause: in the case "permit of its former life" the worker was not eligible for another reason, as the worker list did not describe its new life.

Change: the list describes the new life in that case. The method that checks one worker is allowedOn, as the steps have one named allowed.

Measured: with the incarnation ignored (trial) the test fails now, "1 starts, want 0"; without, it passes.

Conclusion: the check of the incarnation on the path of released capacity has a test.

--- a/internal/app/scheduler/releases.go
+++ b/internal/app/scheduler/releases.go
@@ -55,15 +55,15 @@
 		if !entry.monitor.worker.Fits(step) {
 			continue
 		}
-		if a, ok := s.allowed(c, entry.monitor, now); ok {
+		if a, ok := s.allowedOn(c, entry.monitor, now); ok {
 			workers = append(workers, a)
 		}
 	}
 	return workers
 }
 
-// allowed reports whether the queue's policy allows the step on a worker, and the worker is recorded and not cordoned. The lock is held.
-func (s *Scheduler) allowed(c candidate, m *workerMonitor, now time.Time) (allowedWorker, bool) {
+// allowedOn reports whether the queue's policy allows the step on a worker, and the worker is recorded and not cordoned. The lock is held.
+func (s *Scheduler) allowedOn(c candidate, m *workerMonitor, now time.Time) (allowedWorker, bool) {
 	id := m.worker.Info().ID
 	if !s.recorded[id] || s.monitors[id] != m {
 		return allowedWorker{}, false
--- a/internal/app/scheduler/releases_test.go
+++ b/internal/app/scheduler/releases_test.go
@@ -49,7 +49,11 @@
 		"permit expired":    {permit: "w1"},
 		"permit of another": {permit: "w2", expires: valid},
 		"permit of its former life": {permit: "w1", expires: valid, change: func(s *Scheduler) {
-			s.monitors["w1"].worker.ResetAfterRestart(2, time.Second)
+			worker := s.monitors["w1"].worker
+			info := worker.Info()
+			info.Incarnation = 2
+			worker.ResetAfterRestart(info.Incarnation, 0)
+			worker.UpdateInfo(info) // the worker list describes its new life
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
