Do not count a retry that is left to the next pass as tried

Cause: the time of the last try was set, and the step counted, before it was known whether the pass had time for retries.

Change: both only if the step was tried; a pass reports how many retries it left.

Measured: TestRetryLeftOutIsUntried failed before: "1 steps count as tried without time for retries, last at 1s". go test ./internal/app/scheduler passes 3 of 3, the tests of turns and retries with the race detector 2 of 2.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -35,7 +35,7 @@
 	recorded       []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
 	freeMilliCores []int64         // of the recorded workers when the list was made; runs that start in the pass only lower them
 	retryTime      time.Duration   // left for steps for which nothing but the time has changed
-	retriesLeft    bool            // some of them are due and were left to the next pass
+	retriesLeft    int             // number of them that are due and were left to the next pass
 	lowestPriority int             // of the queues of open jobs; -1 if not known yet
 }
 
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -143,11 +143,11 @@
 			reached++
 		}
 	}
-	if pass.retriesLeft {
+	if pass.retriesLeft > 0 {
 		s.wakePlacement()
 	}
 	s.startsInProgress += len(launches)
-	return launches, calls, tried
+	return launches, calls, tried - pass.retriesLeft
 }
 
 // maxStarts returns the number of starts in progress from which on no step of the queue is tried.
@@ -161,9 +161,9 @@
 // tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.entry.step(c.ref)
-	step.wait.triedAt = now
 	c.permits = s.permitsOf(c)
 	if c.held {
+		step.wait.triedAt = now
 		c.workers = s.allowedWorkers(c, now)
 		return nil, s.prefetchPermits(c, now)
 	}
@@ -171,18 +171,21 @@
 	if step.waiting.Changed() {
 		return s.tryAll(c, now)
 	}
-	if step.waiting.Due(now, c.queue.Priority) {
-		if c.pass.retryTime > 0 {
-			started := time.Now()
-			defer func() { c.pass.retryTime -= time.Since(started) }()
-			return s.tryAll(c, now)
-		}
-		c.pass.retriesLeft = true
+	due := step.waiting.Due(now, c.queue.Priority)
+	if due && c.pass.retryTime > 0 {
+		started := time.Now()
+		defer func() { c.pass.retryTime -= time.Since(started) }()
+		return s.tryAll(c, now)
 	}
 	c.workers, c.partial = s.releasedWorkers(c, now), true
 	if len(c.workers) > 0 && c.entry.workflow.Step(c.ref).Gang {
 		return s.tryAll(c, now) // its members need several workers
 	}
+	if due {
+		c.pass.retriesLeft++
+	} else {
+		step.wait.triedAt = now
+	}
 	return s.tryReleased(c, now), nil
 }
 
@@ -208,6 +211,7 @@
 // for permits. The lock is held.
 func (s *Scheduler) tryAll(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.entry.step(c.ref)
+	step.wait.triedAt = now
 	c.workers, c.partial = s.allowedWorkers(c, now), false
 	launches, unplaced := s.placeStep(c, now)
 	step.waiting.Tried(now, unplaced)
--- a/internal/app/scheduler/place_limits_test.go
+++ b/internal/app/scheduler/place_limits_test.go
@@ -285,3 +285,20 @@
 		}
 	}
 }
+
+// TestRetryLeftOutIsUntried guards against a report and a metric that take a step for tried whose retry was left to the next pass.
+func TestRetryLeftOutIsUntried(t *testing.T) {
+	now := time.Now()
+	s, ref := waitingStep(t, now)
+	step, later := s.jobs[ref.Job].step(ref), now.Add(time.Second)
+	pass := s.newPass(later)
+	list := s.candidates(later)
+	if _, _, tried := s.tryInOrder(pass, list, time.Now().Add(time.Minute)); tried != 0 || step.wait.triedAt.Equal(later) {
+		t.Errorf("%d steps count as tried without time for retries, last at %v", tried, step.wait.triedAt.Sub(now))
+	}
+	pass = s.newPass(later)
+	pass.retryTime = time.Minute
+	if _, _, tried := s.tryInOrder(pass, list, time.Now().Add(time.Minute)); tried != 1 || !step.wait.triedAt.Equal(later) {
+		t.Errorf("%d steps count as tried, last at %v; want the retry at 1s", tried, step.wait.triedAt.Sub(now))
+	}
+}
