Keep an index of workers by free processors, instead of looking at all of them in each pass

Cause: each pass of placement walked all workers three times: to list those that may get runs, to find released capacity and to drop holds; each call for permits sorted the names of all processes. Change: pool.Roster, which the workers keep up to date; a step knows where capacity is held for it; the names are sorted once a pass.

--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -31,7 +31,7 @@
 			silent = silent && a != id
 		}
 		if silent {
-			s.monitors[id] = newMonitor(s.monitors[id].worker.Info())
+			s.putMonitor(id, newMonitor(s.monitors[id].worker.Info()))
 		}
 	}
 	acceptTestJob(s, workflow.Step{Count: 1}).workflow.MarkUnknownRuns()
@@ -134,12 +134,12 @@
 					s.predecessor.workers = append(s.predecessor.workers, id)
 				}
 				s.unsynced["w3"] = port.WorkerRecord{WorkerInfo: s.monitors["w3"].worker.Info()}
-				s.monitors["w3"] = newMonitor(s.monitors["w3"].worker.Info())
+				s.putMonitor("w3", newMonitor(s.monitors["w3"].worker.Info()))
 				s.ports.Store, s.term.PredecessorStopped = revisionStore{revision: 20}, c.stopped
 				if c.fenced > 0 {
 					s.predecessor.fencedAt = s.startedAt.Add(c.fenced)
 				} else {
-					s.monitors["w2"] = newMonitor(s.monitors["w2"].worker.Info())
+					s.putMonitor("w2", newMonitor(s.monitors["w2"].worker.Info()))
 				}
 				go s.awaitPredecessorSilence(s.ctx)
 				time.Sleep(c.age)
--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
@@ -31,12 +32,11 @@
 type placementPass struct {
 	scheduler      *Scheduler
 	now            time.Time
-	idle           map[string]bool // by service: whether much capacity is unused
-	recorded       []allowedWorker // workers that may get runs of steps without permits; nil if not needed yet
-	freeMilliCores []int64         // of the recorded workers when the list was made; runs that start in the pass only lower them
-	retryTime      time.Duration   // left for steps for which nothing but the time has changed
-	retriesLeft    int             // number of them that are due and were left to the next pass
-	lowestPriority int             // of the queues of open jobs; -1 if not known yet
+	idle           map[string]bool   // by service: whether much capacity is unused
+	retryTime      time.Duration     // left for steps for which nothing but the time has changed
+	retriesLeft    int               // number of them that are due and were left to the next pass
+	peerNames      []ident.ProcessID // nil if not needed yet
+	lowestPriority int               // of the queues of open jobs; -1 if not known yet
 }
 
 func (s *Scheduler) newPass(now time.Time) *placementPass {
@@ -112,7 +112,7 @@
 func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
 	var workers []allowedWorker
 	if c.permits == nil {
-		return c.pass.recordedWorkers()
+		return s.recordedWorkers()
 	}
 	for worker, ticket := range c.permits.Tickets(now) {
 		m := s.monitors[worker.ID]
@@ -123,32 +123,6 @@
 	return workers
 }
 
-// recordedWorkers returns the workers that may get runs. The lock is held.
-func (p *placementPass) recordedWorkers() []allowedWorker {
-	if p.recorded != nil {
-		return p.recorded
-	}
-	for id, m := range p.scheduler.monitors {
-		if p.scheduler.recorded[id] {
-			p.recorded = append(p.recorded, allowedWorker{monitor: m})
-			p.freeMilliCores = append(p.freeMilliCores, m.worker.Free().MilliCores)
-		}
-	}
-	return p.recorded
-}
-
-// withRoom returns those of the recorded workers that may have enough free processors for a task of the step. The lock is held.
-func (p *placementPass) withRoom(step *workflow.Step) iter.Seq[allowedWorker] {
-	return func(yield func(allowedWorker) bool) {
-		workers, needed := p.recordedWorkers(), pool.ReservedSize(step).MilliCores
-		for i, free := range p.freeMilliCores {
-			if free >= needed && !yield(workers[i]) {
-				return
-			}
-		}
-	}
-}
-
 // hasLowestPriority reports whether no open job has a lower priority than the given one, so that nothing can be preempted for it. The
 // lock is held.
 func (p *placementPass) hasLowestPriority(priority int) bool {
--- a/internal/app/scheduler/gang_test.go
+++ b/internal/app/scheduler/gang_test.go
@@ -158,7 +158,7 @@
 			s, recorder, e := newGangLeader(t)
 			e.workflow.MarkUnknownRuns()
 			s.unsynced["w3"] = port.WorkerRecord{}
-			s.monitors["w3"] = newMonitor(s.monitors["w3"].worker.Info())
+			s.putMonitor("w3", newMonitor(s.monitors["w3"].worker.Info()))
 			for index, id := range []ident.WorkerID{"w1", "w2"} {
 				reply := port.SyncReply{Incarnation: 1, WorkerClock: time.Second, Running: running(index)}
 				s.applyReply(s.monitors[id], reply, time.Now(), time.Now())
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -33,7 +33,7 @@
 		s.addWorker(w.WorkerInfo)
 		s.monitors[w.ID].knownAddress = w.Address
 		s.monitors[w.ID].worker.MarkNeverListed()
-		s.recorded[w.ID] = !w.Cordoned
+		s.setRecorded(w.ID, !w.Cordoned)
 	}
 	s.ready = true
 	s.log.Info("store read", "jobs", len(s.jobs), "open", len(s.openJobs), "workers", len(workers), "as_of", asOf,
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	m := newMonitor(w)
 	m.cancel, m.unreachable, m.addedAt = cancel, true, time.Now()
-	s.monitors[w.ID] = m
+	s.putMonitor(w.ID, m)
 	s.goTask(func() { s.monitor(ctx, m) })
 }
 
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -84,7 +84,7 @@
 	var calls []permitCall
 	var options []permitCandidate
 	for len(calls) < maxCalls && missing > 0 {
-		process, wait := s.leastBusyProcess(c.queue.HasTopPriority(), now)
+		process, wait := s.leastBusyProcess(c.pass.peers(), c.queue.HasTopPriority(), now)
 		if wait > maxCallBacklog {
 			break
 		}
@@ -191,7 +191,7 @@
 			add(m, true)
 		}
 	}
-	for recorded := range c.pass.withRoom(request.Step) {
+	for recorded := range s.withRoom(request.Step) {
 		if expected >= choiceFactor*missing && len(options) >= enoughOptions && request.Step.DataRack == "" {
 			break
 		}
@@ -234,7 +234,7 @@
 func (c *candidate) appendPreemptionOptions(
 	options []permitCandidate, request *pool.Request, share, missing float64,
 ) []permitCandidate {
-	for _, recorded := range c.pass.recordedWorkers() {
+	for _, recorded := range c.pass.scheduler.recordedWorkers() {
 		if missing <= 0 && len(options) >= enoughOptions {
 			break
 		}
@@ -270,11 +270,18 @@
 // service handles one call of a process at a time, and a call for another queue may take twenty times as long.
 const urgentProcesses = 8
 
+// peers returns the other processes, in the order of their names.
+func (p *placementPass) peers() []ident.ProcessID {
+	if p.peerNames == nil {
+		p.peerNames = p.scheduler.ports.PeerPermitClients.Peers()
+		slices.Sort(p.peerNames)
+	}
+	return p.peerNames
+}
+
 // leastBusyProcess returns the process with the shortest backlog of calls, and the backlog. Among equals this process
 // comes last, because the leader has other work. The lock is held.
-func (s *Scheduler) leastBusyProcess(urgent bool, now time.Time) (ident.ProcessID, time.Duration) {
-	peers := s.ports.PeerPermitClients.Peers()
-	slices.Sort(peers)
+func (s *Scheduler) leastBusyProcess(peers []ident.ProcessID, urgent bool, now time.Time) (ident.ProcessID, time.Duration) {
 	if !urgent {
 		peers = peers[(len(peers)+urgentProcesses-1)/urgentProcesses:]
 	}
--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -68,10 +68,10 @@
 func TestUrgentCallsFindAProcess(t *testing.T) {
 	s, now := newPermitLeader(t, 0), time.Now()
 	for range 100 {
-		process, wait := s.leastBusyProcess(false, now)
+		process, wait := s.leastBusyProcess(s.newPass(now).peers(), false, now)
 		s.permitBusyUntil[process] = now.Add(wait + time.Second)
 	}
-	if process, wait := s.leastBusyProcess(true, now); wait != 0 {
+	if process, wait := s.leastBusyProcess(s.newPass(now).peers(), true, now); wait != 0 {
 		t.Errorf("an urgent call waits %v for process %s", wait, process)
 	}
 }
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -87,7 +87,6 @@
 		s.observePass(now, started, 0, 0)
 		return nil, nil
 	}
-	pass.recordedWorkers()
 	collected := time.Since(started)
 	limit := max(maxPlaceTime, collected+minTryTime)
 	pass.retryTime = (limit - collected) / 2
@@ -237,7 +236,7 @@
 		c.entry.step(c.ref).wait = stepWait{}
 	}
 	if c.waited > 0 {
-		s.dropHolds(c.ref)
+		c.dropHolds()
 	}
 }
 
@@ -360,7 +359,7 @@
 	var bestScore float64
 	workers := slices.Values(c.workers)
 	if c.permits == nil && !c.partial {
-		workers = c.pass.withRoom(request.Step)
+		workers = c.pass.scheduler.withRoom(request.Step)
 	}
 	for allowed := range workers {
 		worker := allowed.monitor.worker
--- a/internal/app/scheduler/place_limits_test.go
+++ b/internal/app/scheduler/place_limits_test.go
@@ -190,7 +190,8 @@
 	t.Helper()
 	const urgentSteps, interval = 200, 15 * time.Millisecond
 	s, now := newPermitLeader(t, 1100), time.Now()
-	s.recorded["w1"], s.recorded["w2"] = false, false
+	s.setRecorded("w1", false)
+	s.setRecorded("w2", false)
 	for id := range s.monitors {
 		if id[0] == 'x' {
 			info := s.monitors[id].worker.Info()
@@ -212,7 +213,7 @@
 	info := s.monitors["w1"].worker.Info()
 	info.Labels = []string{"small"}
 	s.monitors["w1"].worker.UpdateInfo(info)
-	s.recorded["w1"] = true
+	s.setRecorded("w1", true)
 	for more := range 400 { // 6 s
 		if releasesToo {
 			s.monitors["x1"].worker.Release(reserveNothing(s, "x1", more))
--- a/internal/app/scheduler/preempt.go
+++ b/internal/app/scheduler/preempt.go
@@ -41,12 +41,14 @@
 // planPreemptions prepares the workers for up to count tasks; if all is set, for all of them or none.
 func planPreemptions(c candidate, request *pool.Request, count int, all bool) []preemption {
 	var list []preemption
+	step := c.entry.step(c.ref)
 	options := preemptionOptions(c, request)
 	for len(list) < count && len(options) > 0 {
 		best := cheapestOption(options)
 		monitor := options[best].monitor
 		plan, _ := monitor.worker.PlanPreemption(request)
 		monitor.worker.Preempt(request, plan, request.Now.Add(holdTime))
+		step.heldOn = append(step.heldOn, monitor)
 		list = append(list, preemption{monitor, plan})
 		if cost, ok := monitor.worker.PreemptionCost(request); ok {
 			options[best].cost = cost
@@ -103,9 +105,11 @@
 	s.stopRuns(runs)
 }
 
-// dropHolds ends the holds of a step of which no task waits any more. The lock is held.
-func (s *Scheduler) dropHolds(ref workflow.StepRef) {
-	for _, m := range s.monitors {
-		m.worker.DropHolds(ref)
+// dropHolds ends the holds of a step of which no task waits any more. The scheduler's lock is held.
+func (c *candidate) dropHolds() {
+	step := c.entry.step(c.ref)
+	for _, m := range step.heldOn {
+		m.worker.DropHolds(c.ref)
 	}
+	step.heldOn = nil
 }
--- a/internal/app/scheduler/record_test.go
+++ b/internal/app/scheduler/record_test.go
@@ -47,7 +47,7 @@
 			s.mu.Unlock()
 
 			next := newLeader(t)
-			next.monitors[m.worker.Info().ID] = newMonitor(m.worker.Info()) // has not answered the next leader
+			next.putMonitor(m.worker.Info().ID, newMonitor(m.worker.Info())) // has not answered the next leader
 			for _, w := range record {
 				w.CordonedAt = 9 // the revision of the record
 				next.unsynced[w.ID] = w
--- a/internal/app/scheduler/releases.go
+++ b/internal/app/scheduler/releases.go
@@ -24,7 +24,7 @@
 // notice begins a pass: it adds the workers on which capacity was released since the last one. The scheduler's lock is held.
 func (l *releaseLog) notice(s *Scheduler, now time.Time) {
 	l.pass++
-	for _, m := range s.monitors {
+	for _, m := range s.releasedMonitors() {
 		if n := m.worker.Releases(); n != m.noticedReleases {
 			m.noticedReleases = n
 			l.entries = append(l.entries, releaseEntry{l.pass, now, m})
--- a/internal/app/scheduler/releases_test.go
+++ b/internal/app/scheduler/releases_test.go
@@ -41,9 +41,9 @@
 		starts  int
 	}{
 		"allowed":           {starts: 1},
-		"cordoned":          {change: func(s *Scheduler) { s.recorded["w1"] = false }},
-		"not recorded":      {change: func(s *Scheduler) { delete(s.recorded, "w1") }},
-		"removed":           {change: func(s *Scheduler) { delete(s.monitors, "w1") }},
+		"cordoned":          {change: func(s *Scheduler) { s.setRecorded("w1", false) }},
+		"not recorded":      {change: func(s *Scheduler) { s.unrecord("w1") }},
+		"removed":           {change: func(s *Scheduler) { s.removeMonitor("w1") }},
 		"draining":          {change: func(s *Scheduler) { drain(s.monitors["w1"].worker) }},
 		"with a permit":     {permit: "w1", expires: valid, starts: 1},
 		"permit expired":    {permit: "w1"},
--- a/internal/app/scheduler/reply_test.go
+++ b/internal/app/scheduler/reply_test.go
@@ -48,7 +48,7 @@
 	s.term.Renewal.Mark(now.Add(-3 * time.Second))
 	s.authority.workers = []ident.WorkerID{"w1", "w2", "w3"}
 	m := newMonitor(pool.WorkerInfo{ID: "w1", Service: "desk", Incarnation: 1})
-	s.monitors["w1"] = m
+	s.putMonitor("w1", m)
 	run := firstRun(0)
 	s.applyReply(m, port.SyncReply{
 		Incarnation: 1, WorkerClock: time.Hour, Running: []port.RunningRun{{RunRef: run}},
--- a/internal/app/scheduler/restart_test.go
+++ b/internal/app/scheduler/restart_test.go
@@ -79,7 +79,7 @@
 // be of another kind, and until the worker list describes it, only the former one is known.
 func TestRestartAsAnotherKind(t *testing.T) {
 	s := newLeader(t)
-	delete(s.monitors, "w2")
+	s.removeMonitor("w2")
 	info := s.monitors["w1"].worker.Info()
 	acceptTestJob(s, workflow.Step{Count: 1})
 	now := time.Now()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -96,6 +96,7 @@
 	workersRevision  ident.Revision                       // revision of the record of workers
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
+	roster           *workerRoster                        // nil if it has to be made again
 	releases         releaseLog                           // capacity that placement has not used yet
 	startsInProgress int                                  // placed, and the request of the start has not ended
 	permitBusyUntil  map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
@@ -131,6 +132,7 @@
 	triedIn  uint64                // number of the pass of placement that last tried the step
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
+	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
 }
 
 func (e *jobEntry) step(ref workflow.StepRef) *stepEntry {
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -52,7 +52,8 @@
 	})
 	m.worker.ObserveClock(time.Second, now, now)
 	m.worker.MarkSynced()
-	s.monitors[id], s.recorded[id] = m, true
+	s.putMonitor(id, m)
+	s.setRecorded(id, true)
 }
 
 // acceptTestJob accepts a job of one step with tasks of 3 cores.
--- a/internal/app/scheduler/waits_test.go
+++ b/internal/app/scheduler/waits_test.go
@@ -60,8 +60,8 @@
 		},
 		"not recorded, or cordoned": {
 			change: func(_ *testing.T, s *Scheduler, _ *jobEntry) {
-				delete(s.recorded, "w1")
-				s.recorded["w2"] = false
+				s.unrecord("w1")
+				s.setRecorded("w2", false)
 			},
 			want: waitNoWorker, detail: "not_recorded:2",
 		},
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -93,7 +93,7 @@
 		if m == nil {
 			continue
 		}
-		s.recorded[w.ID] = !w.Cordoned
+		s.setRecorded(w.ID, !w.Cordoned)
 		if w.Cordoned && m.cordonedRevision == 0 {
 			m.cordonedRevision = newRevision
 		}
@@ -156,8 +156,7 @@
 			s.resolveLapsed(m)
 			_, known := s.recorded[id]
 			s.recordOutdated = s.recordOutdated || known
-			delete(s.monitors, id)
-			delete(s.recorded, id)
+			s.removeMonitor(id)
 			s.log.Info("worker removed", "worker", id)
 		}
 	}
@@ -180,12 +179,12 @@
 		schedulable, known := s.recorded[id]
 		if (cordoned || !m.worker.Synced()) && !unsynced && m.isSettled() {
 			changed = changed || known
-			delete(s.recorded, id)
+			s.unrecord(id)
 			continue
 		}
 		changed = changed || !known || schedulable == cordoned
 		if cordoned {
-			s.recorded[id] = false
+			s.setRecorded(id, false)
 		} else {
 			m.cordonedRevision = 0
 		}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -71,6 +71,8 @@
 	upSince              time.Time // when it first answered in its present life
 	crashHistory         *CrashHistory
 	speed                float64 // relative to other workers; 1 is ordinary
+	roster               *Roster // nil if the worker is in none
+	position             int     // in the roster
 }
 
 // NewWorker returns a worker that has not responded yet.
@@ -84,6 +86,7 @@
 // UpdateInfo applies a newer entry of the worker list.
 func (w *Worker) UpdateInfo(info WorkerInfo) {
 	w.info, w.missingSince, w.neverListed, w.describedIncarnation = info, time.Time{}, false, info.Incarnation
+	w.noteFree()
 }
 
 // KeepIncarnation sets the incarnation that the worker itself has stated, which may be later than the one that the list describes.
@@ -231,6 +234,7 @@
 	w.countRun(&run.Step, -1)
 	w.countRun(step, 1)
 	run.Step = *step
+	w.noteFree()
 }
 
 func (w *Worker) add(ref workflow.RunRef, step *workflow.Step) *Run {
@@ -238,6 +242,7 @@
 	w.runs = append(w.runs, run)
 	w.used = w.used.Add(ReservedSize(step))
 	w.countRun(step, 1)
+	w.noteFree()
 	return run
 }
 
@@ -245,6 +250,7 @@
 func (w *Worker) Release(ref workflow.RunRef) {
 	if w.remove(ref) {
 		w.releases++
+		w.noteRelease()
 	}
 }
 
@@ -263,6 +269,7 @@
 	}
 	w.used = w.used.Sub(ReservedSize(&run.Step))
 	w.countRun(&run.Step, -1)
+	w.noteFree()
 	return true
 }
 
