Keep the queue of waiting steps by changes, instead of collecting it in each pass

Cause: a pass of placement listed and sorted every ready step of every open job, several hundred times a second; it cost what waited, not what had changed, and the processor time was missing for starts. While runs of earlier leaders are unknown, and after a change of the configuration, the queue is collected as before. Tests that changed the queue's policy of a waiting job by hand now say that the queue is not kept, and retry steps by retryStep.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -1,13 +1,12 @@
 package scheduler
 
 import (
-	"cmp"
 	"iter"
-	"slices"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
@@ -22,10 +21,13 @@
 	workers []allowedWorker
 	waited  time.Duration // for how long tasks of the step could not be placed
 	held    bool          // tasks of the step may still run on a worker of an earlier leader
-	overdue bool          // tasks of the long-running step have waited for overdueAfter
 	room    int           // number of starts after which the limit of starts in progress is reached; a gang may exceed it
 	partial bool          // workers holds only those on which capacity was released
 	pass    *placementPass
+
+	step     *stepEntry
+	position placement.Position
+	round    uint64 // of the queue, in which the step was last found to be ready
 }
 
 // placementPass caches what all steps that are tried in one pass have in common.
@@ -59,53 +61,8 @@
 	ticket  string // empty if the queue needs no permits
 }
 
-// overdueAfter is how long tasks of a long-running step that has run may wait before it goes first: what it served is away
-// meanwhile. A step that has not run yet keeps its place in the queue.
-const overdueAfter = 2 * time.Second
-
-// candidates returns the steps with tasks to start: overdue ones first, then by the priority of the queue and the age of the job.
-func (s *Scheduler) candidates(now time.Time) []*candidate {
-	list := make([]*candidate, 0, len(s.openJobs))
-	prefetch := s.prefetchDue(now)
-	for _, e := range s.openJobs {
-		held := s.mayRunOnUnsynced(e)
-		if held && !prefetch {
-			continue
-		}
-		refs := e.workflow.Ready(now)
-		if len(refs) == 0 {
-			continue
-		}
-		queue := s.queueOf(e)
-		for _, ref := range refs {
-			wait := &e.step(ref).wait
-			wait.observe(now)
-			overdue := e.workflow.Step(ref).LongRunning && now.Sub(wait.since) >= overdueAfter && e.workflow.HasRun(ref)
-			list = append(list, &candidate{entry: e, ref: ref, queue: queue, held: held, overdue: overdue})
-		}
-	}
-	slices.SortFunc(list, (*candidate).compare)
-	return list
-}
-
-// compare orders steps as candidates states.
-func (c *candidate) compare(other *candidate) int {
-	if c.overdue != other.overdue {
-		if c.overdue {
-			return -1
-		}
-		return 1
-	}
-	if order := cmp.Compare(c.queue.Priority, other.queue.Priority); order != 0 {
-		return order
-	}
-	if order := c.entry.accepted.Compare(other.entry.accepted); order != 0 {
-		return order
-	}
-	return cmp.Or(
-		cmp.Compare(c.ref.Job, other.ref.Job), cmp.Compare(c.ref.Occurrence, other.ref.Occurrence),
-		cmp.Compare(c.ref.Step, other.ref.Step))
-}
+// Position implements placement.Step.
+func (c *candidate) Position() *placement.Position { return &c.position }
 
 // allowedWorkers returns the workers on which the queue's policy allows the step, and which are recorded and not
 // cordoned. The lock is held.
--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -57,7 +57,7 @@
 	}
 	s.mu.Lock()
 	e.storedVersion = e.version
-	e.step(workflow.StepRef{Job: e.workflow.Spec().ID}).waiting.Retry()
+	s.retryStep(e, workflow.StepRef{Job: e.workflow.Spec().ID})
 	s.mu.Unlock()
 	startOnly(t, s)
 }
@@ -125,7 +125,7 @@
 		restartWorker(s, m)
 		s.mu.Lock()
 		e.storedVersion = e.version
-		e.step(workflow.StepRef{Job: e.workflow.Spec().ID}).waiting.Retry()
+		s.retryStep(e, workflow.StepRef{Job: e.workflow.Spec().ID})
 		s.mu.Unlock()
 		launches, _ := s.place(time.Now())
 		if len(launches) == 0 {
--- a/internal/app/scheduler/paused_test.go
+++ b/internal/app/scheduler/paused_test.go
@@ -117,7 +117,7 @@
 		s.mu.Lock()
 		permits.EndCall(calls[0].Call)
 		permits.ApplyResponse(calls[0].Workers, map[ident.WorkerID]permit.Ticket{"w1": {Value: "t", Expires: time.Now().Add(time.Minute)}})
-		e.step(firstRun(0).Task.StepRef).waiting.Retry()
+		s.retryStep(e, firstRun(0).Task.StepRef)
 		s.mu.Unlock()
 		launches, _ := s.place(time.Now())
 		if len(launches) != 1 || launches[0].request.Ticket != "t" {
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -308,7 +308,7 @@
 		"took_ms", time.Since(started).Milliseconds(), "kind", resultKind(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	call.entry.step(call.ref).waiting.Retry()
+	s.retryStep(call.entry, call.ref)
 	call.permits.EndCall(call.Call)
 	if err != nil {
 		s.permitBusyUntil[call.process] = time.Now().Add(failedCallPenalty)
--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -56,7 +56,7 @@
 		if len(calls) != wantCalls || len(processes) != wantCalls {
 			t.Errorf("%d tasks: %d calls through %d processes, want %d", count, len(calls), len(processes), wantCalls)
 		}
-		e.step(firstRun(0).Task.StepRef).waiting.Retry()
+		s.retryStep(e, firstRun(0).Task.StepRef)
 		if _, again := s.place(time.Now()); count == 2 && len(again) != 0 {
 			t.Errorf("%d more calls while one is in progress", len(again))
 		}
@@ -91,33 +91,12 @@
 }
 
 func benchmarkPlace(b *testing.B, workers, steps int, changed bool) {
-	s := newLeaderFor(b)
-	now := time.Now()
-	full := workflow.Step{Count: 1}
-	full.Size.MilliCores = 4000
-	for i := range workers {
-		id := ident.WorkerID(fmt.Sprintf("x%d", i))
-		addTestWorker(s, id, 4000, now)
-		ref := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: "full"}, Index: i}, Run: 1}
-		if err := s.monitors[id].worker.Reserve(ref, &full); err != nil {
-			b.Fatal(err)
-		}
-	}
-	for i := range steps {
-		job := port.AcceptedJob{Spec: workflow.Spec{ID: workflow.ID(fmt.Sprintf("j%d", i)), Steps: []workflow.Step{full}}, AcceptedAt: now}
-		job.Queue.Name, job.Queue.Service, job.Queue.MaxAttempts = "q", "desk", 3
-		s.mu.Lock()
-		s.acceptJob(job, 0)
-		s.mu.Unlock()
-	}
-	for range 200 { // a pass does not try all steps
-		s.place(now)
-	}
+	s, now := newFullLeader(b, workers, steps)
 	b.ReportAllocs()
 	for b.Loop() {
 		if changed {
 			for _, e := range s.openJobs {
-				e.step(workflow.StepRef{Job: e.workflow.Spec().ID}).waiting.Retry()
+				s.retryStep(e, workflow.StepRef{Job: e.workflow.Spec().ID})
 			}
 		}
 		s.place(now)
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"slices"
 	"time"
 
@@ -83,33 +84,47 @@
 	pass := s.newPass(now)
 	started := time.Now()
 	list := s.candidates(now)
-	if len(list) == 0 {
-		s.observePass(now, started, 0, 0)
+	if len(list) == 0 || s.nothingToTry(now) {
+		s.observePass(now, started, len(list), len(list))
 		return nil, nil
 	}
 	collected := time.Since(started)
 	limit := max(maxPlaceTime, collected+minTryTime)
 	pass.retryTime = (limit - collected) / 2
-	moveOverdueFirst(list, now)
 	launches, calls, tried := s.tryInOrder(pass, list, started.Add(limit))
 	s.observePass(now, started, tried, len(list))
 	return launches, calls
 }
 
-// moveOverdueFirst moves the step that has waited longest for a retry to the front if it is overdue, so that retries of higher priorities
-// cannot leave it out for good.
-func moveOverdueFirst(list []*candidate, now time.Time) {
+// nothingToTry reports whether the last pass reached all steps, and since then none has changed or become due and no capacity was
+// released. The lock is held.
+func (s *Scheduler) nothingToTry(now time.Time) bool {
+	return s.queue.settled && now.Before(s.queue.nextTry) && len(s.releases.since(s.queue.seenReleases)) == 0
+}
+
+// mostOverdue returns the index of the step that has waited longest for a retry if it is overdue, and -1 if none is. It goes first, so
+// that retries of higher priorities cannot leave it out for good.
+func mostOverdue(list []*candidate, now time.Time) int {
 	oldest := -1
 	for i, c := range list {
-		if w := &c.entry.step(c.ref).waiting; w.Overdue(now) &&
-			(oldest < 0 || w.TriedBefore(&list[oldest].entry.step(list[oldest].ref).waiting)) {
+		if w := &c.step.waiting; w.Overdue(now) && (oldest < 0 || w.TriedBefore(&list[oldest].step.waiting)) {
 			oldest = i
 		}
 	}
-	if oldest > 0 {
-		first := list[oldest]
-		copy(list[1:oldest+1], list[:oldest])
-		list[0] = first
+	return oldest
+}
+
+// inOrder returns the steps of the list, the one at index first before the others unless it is negative.
+func inOrder(list []*candidate, first int) iter.Seq[*candidate] {
+	return func(yield func(*candidate) bool) {
+		if first >= 0 && !yield(list[first]) {
+			return
+		}
+		for i, c := range list {
+			if i != first && !yield(c) {
+				return
+			}
+		}
 	}
 }
 
@@ -119,13 +134,17 @@
 	var launches []launch
 	var calls []permitCall
 	tried, reached := 0, 0 // reached counts steps that had changed
-	for _, c := range list {
-		if c.room = maxStarts(c.queue) - s.startsInProgress - len(launches); c.room <= 0 {
+	settled, nextTry := true, pass.now.Add(placeInterval)
+	for c := range inOrder(list, mostOverdue(list, pass.now)) {
+		room := maxStarts(c.queue) - s.startsInProgress - len(launches)
+		if room <= 0 {
+			settled = false
 			continue // the end of a start wakes placement
 		}
-		waiting := &c.entry.step(c.ref).waiting
+		waiting := &c.step.waiting
 		changed := waiting.Changed()
 		if time.Now().After(limit) {
+			settled = false
 			s.wakePlacement()
 			if reached >= minChangedSteps {
 				break
@@ -134,21 +153,38 @@
 				continue
 			}
 		}
-		c.pass = pass
-		placed, asked := s.tryStep(*c, pass.now)
-		launches, calls = append(launches, placed...), append(calls, asked...)
 		tried++
+		if s.needsTry(c, pass.now) {
+			attempt := *c
+			attempt.room, attempt.pass = room, pass
+			placed, asked := s.tryStep(attempt, pass.now)
+			launches, calls = append(launches, placed...), append(calls, asked...)
+		} else {
+			c.step.wait.triedAt = pass.now
+		}
 		if changed && !waiting.Changed() { // one that nothing can start stays changed
 			reached++
 		}
+		if waiting.Changed() {
+			settled = false // all its tasks were placed, or nothing can start it
+		} else if next := waiting.NextTry(c.queue.Priority); next.Before(nextTry) {
+			nextTry = next
+		}
 	}
 	if pass.retriesLeft > 0 {
 		s.wakePlacement()
 	}
 	s.startsInProgress += len(launches)
+	s.queue.settled, s.queue.nextTry, s.queue.seenReleases = settled && pass.retriesLeft == 0, nextTry, s.releases.pass
 	return launches, calls, tried - pass.retriesLeft
 }
 
+// needsTry reports whether a step has to be compared with any worker. The lock is held.
+func (s *Scheduler) needsTry(c *candidate, now time.Time) bool {
+	waiting := &c.step.waiting
+	return c.held || waiting.Due(now, c.queue.Priority) || len(s.releases.since(c.step.triedIn)) > 0
+}
+
 // maxStarts returns the number of starts in progress from which on no step of the queue is tried.
 func maxStarts(queue route.Queue) int {
 	if queue.HasTopPriority() {
--- a/internal/app/scheduler/place_cost_test.go
+++ b/internal/app/scheduler/place_cost_test.go
@@ -52,7 +52,7 @@
 		now = now.Add(1)
 		if changed {
 			for _, ref := range refs {
-				s.jobs[ref.Job].step(ref).waiting.Retry()
+				s.retryStep(s.jobs[ref.Job], ref)
 			}
 		}
 		_, calls := s.place(now)
--- a/internal/app/scheduler/releases_test.go
+++ b/internal/app/scheduler/releases_test.go
@@ -61,6 +61,7 @@
 			s, ref := waitingStep(t, now)
 			if c.permit != "" {
 				s.jobs[ref.Job].queue.PermitPolicy = testPermitPolicy()
+				s.queue.isKept = false // as after a change of the configuration
 				s.jobs[ref.Job].step(ref).permits = allowOnly(c.permit, now.Add(c.expires))
 			}
 			s.monitors["w1"].worker.Release(firstRun(0))
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -155,7 +155,7 @@
 		m.worker.RecordFailure(end.Run.Task.Job, now)
 		e.avoidWorker(end.Run.Task, worker)
 	}
-	e.step(end.Run.Task.StepRef).waiting.Retry()
+	s.retryStep(e, end.Run.Task.StepRef)
 	effect := e.workflow.ApplyEnd(end, worker, s.queueOf(e).MaxAttempts)
 	s.log.Info("run ended", "task", end.Run.Task.String(), "run", end.Run.Run, "worker", worker, "how", end.Outcome.String(),
 		"job_state", e.workflow.State().String(), "recorded_first", effect.MustRecord)
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -141,7 +141,7 @@
 	defer s.mu.Unlock()
 	l.monitor.worker.Release(l.request.RunRef)
 	l.entry.workflow.DropRun(l.request.RunRef, l.target.Worker)
-	l.entry.step(l.request.Task.StepRef).waiting.Retry()
+	s.retryStep(l.entry, l.request.Task.StepRef)
 	switch fault.KindOf(err) {
 	case fault.Unauthorized:
 		if p := l.entry.step(l.request.Task.StepRef).permits; p != nil {
@@ -240,8 +240,12 @@
 // breakUpGangs stops the remaining members of incomplete gangs. A member that seems to be missing may be on a worker that has not
 // reported its runs yet. The lock is held.
 func (s *Scheduler) breakUpGangs() {
-	for _, e := range s.openJobs {
-		if !e.hasGang || s.mayRunOnUnsynced(e) {
+	for id, e := range s.openGangs {
+		if e.workflow.State().Final() {
+			delete(s.openGangs, id)
+			continue
+		}
+		if s.mayRunOnUnsynced(e) {
 			continue
 		}
 		runs := e.workflow.BreakUp()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -96,12 +96,14 @@
 	workersRevision  ident.Revision                       // revision of the record of workers
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
-	roster           *workerRoster                        // nil if it has to be made again
-	releases         releaseLog                           // capacity that placement has not used yet
-	startsInProgress int                                  // placed, and the request of the start has not ended
-	permitBusyUntil  map[ident.ProcessID]time.Time        // until when each process is busy with calls to the permit service
-	prefetchedAt     time.Time                            // when calls for steps that are held back were last planned
-	allowedShares    map[string]*permit.AllowedShare      // by queue
+	queue            waitQueue
+	openGangs        map[workflow.ID]*jobEntry       // open jobs with a gang
+	roster           *workerRoster                   // nil if it has to be made again
+	releases         releaseLog                      // capacity that placement has not used yet
+	startsInProgress int                             // placed, and the request of the start has not ended
+	permitBusyUntil  map[ident.ProcessID]time.Time   // until when each process is busy with calls to the permit service
+	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
+	allowedShares    map[string]*permit.AllowedShare // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
@@ -123,6 +125,10 @@
 	excuses         map[workflow.TaskRef]int                     // crashes that were put down to the workers
 	suspectedIn     map[workflow.TaskRef][]*pool.CrashHistory    // histories in which a task may have caused a crash
 	history         map[workflow.TaskRef]*runHistory             // of tasks with a run that was given up or is done
+	queued          []*candidate                                 // its steps in the queue
+	isChanged       bool                                         // it is noted in waitQueue.changed
+	nextChange      time.Time                                    // when it is due in waitQueue.due, if isScheduled
+	isScheduled     bool
 }
 
 // stepEntry is a step of a job with the scheduler's own data on it.
@@ -132,6 +138,7 @@
 	triedIn  uint64                // number of the pass of placement that last tried the step
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
+	queued   *candidate            // nil if the step is not in the queue
 	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
 }
 
@@ -152,7 +159,7 @@
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
-		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
+		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, openGangs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
@@ -249,6 +256,11 @@
 	}
 	s.jobs[job.Spec.ID] = e
 	s.openJobs[job.Spec.ID] = e
+	if e.hasGang {
+		s.openGangs[job.Spec.ID] = e
+	}
+	e.workflow.OnChange(func() { s.jobChanged(e) })
+	s.jobChanged(e)
 	return e
 }
 
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -141,7 +141,9 @@
 			wait := &e.step(ref).wait
 			wait.observe(now)
 			if !now.Before(wait.report) {
-				due = append(due, candidate{entry: e, ref: ref, queue: s.queueOf(e), held: s.mayRunOnUnsynced(e)})
+				c := e.newCandidate(ref, s.queueOf(e), now)
+				c.held = s.mayRunOnUnsynced(e)
+				due = append(due, *c)
 			}
 		}
 	}
@@ -154,7 +156,7 @@
 	slices.SortFunc(due, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(lasting(a), lasting(b)),
-			a.entry.step(a.ref).wait.report.Compare(b.entry.step(b.ref).wait.report), a.compare(&b))
+			a.entry.step(a.ref).wait.report.Compare(b.entry.step(b.ref).wait.report), a.position.Compare(&b.position))
 	})
 	return due
 }
--- a/internal/domain/pool/waiting.go
+++ b/internal/domain/pool/waiting.go
@@ -30,12 +30,19 @@
 // Due reports whether to try the step on all workers that may run it: at once if it has changed, after waitingRetry or urgentRetry, and
 // as soon as it may preempt runs.
 func (w *Waiting) Due(now time.Time, priority int) bool {
-	retry := waitingRetry
+	return w.Changed() || !now.Before(w.NextTry(priority))
+}
+
+// NextTry returns when a step that has not changed is due.
+func (w *Waiting) NextTry(priority int) time.Time {
+	next := w.tried.Add(waitingRetry)
 	if priority == 0 {
-		retry = urgentRetry
+		next = w.tried.Add(urgentRetry)
+	}
+	if mayPreempt := w.since.Add(PreemptDelay(priority)); w.tried.Before(mayPreempt) && mayPreempt.Before(next) {
+		return mayPreempt
 	}
-	mayPreempt := w.since.Add(PreemptDelay(priority))
-	return w.Changed() || now.Sub(w.tried) >= retry || w.tried.Before(mayPreempt) && !now.Before(mayPreempt)
+	return next
 }
 
 // Overdue reports whether the step has been left out for longer than a retry should take.
--- a/internal/domain/workflow/crash.go
+++ b/internal/domain/workflow/crash.go
@@ -17,7 +17,7 @@
 	t.lastRun = max(t.lastRun, run.Run)
 	effect := EndEffect{MustRecord: true}
 	if len(t.crashed) >= MaxCrashes && !w.state.Final() {
-		w.state = FailedState
+		w.setState(FailedState)
 		effect.Stop = w.Active()
 	}
 	return effect
--- a/internal/domain/workflow/end.go
+++ b/internal/domain/workflow/end.go
@@ -49,6 +49,7 @@
 			if len(t.active) == 0 {
 				w.step(run.Task.StepRef).waiting++
 			}
+			w.changed()
 			return true
 		}
 	}
@@ -94,6 +95,7 @@
 	t.done, t.active, t.checkpoint = true, nil, ""
 	step.remaining--
 	w.occurrences[ref.Occurrence].remaining--
+	w.changed()
 }
 
 func (w *Workflow) completeIfDone() {
@@ -103,7 +105,7 @@
 		}
 	}
 	if !w.state.Final() {
-		w.state = Completed
+		w.setState(Completed)
 	}
 }
 
@@ -135,7 +137,7 @@
 	}
 	effect := EndEffect{MustRecord: true}
 	if len(*counted) >= maxAttempts && !w.state.Final() {
-		w.state = FailedState
+		w.setState(FailedState)
 		effect.Stop = w.Active()
 	}
 	return effect
--- a/internal/domain/workflow/progress.go
+++ b/internal/domain/workflow/progress.go
@@ -72,7 +72,7 @@
 	}
 	w.completeIfDone()
 	if p.State.Final() {
-		w.state = p.State
+		w.setState(p.State)
 	}
 }
 
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -14,6 +14,7 @@
 	started     bool
 	state       State
 	unknownRuns bool // unknown runs of an earlier leader may still be active
+	onChange    func()
 }
 
 type occurrence struct {
@@ -59,6 +60,21 @@
 	return w
 }
 
+// OnChange sets a function that is called after each change of what Ready returns, but for occurrences that become due.
+func (w *Workflow) OnChange(f func()) { w.onChange = f }
+
+func (w *Workflow) changed() {
+	if w.onChange != nil {
+		w.onChange()
+	}
+}
+
+// setState sets a final state.
+func (w *Workflow) setState(state State) {
+	w.state = state
+	w.changed()
+}
+
 // Spec returns what the caller submitted. It must not be changed.
 func (w *Workflow) Spec() *Spec { return &w.spec }
 
@@ -102,6 +118,19 @@
 	return refs
 }
 
+// NextDue returns when the next occurrence with tasks left becomes due, and false if there is none.
+func (w *Workflow) NextDue(now time.Time) (time.Time, bool) {
+	if w.state.Final() {
+		return time.Time{}, false
+	}
+	for k := range w.occurrences {
+		if due := w.spec.Due(k); due.After(now) && w.occurrences[k].remaining > 0 {
+			return due, true
+		}
+	}
+	return time.Time{}, false
+}
+
 func (w *Workflow) dependenciesDone(occurrence, step int) bool {
 	for _, dependency := range w.spec.Steps[step].DependsOn {
 		if w.occurrences[occurrence].steps[dependency].remaining > 0 {
@@ -198,6 +227,7 @@
 	}
 	t.active = append(t.active, activeRun{run: p.Run, worker: p.Worker})
 	t.lastRun = max(t.lastRun, p.Run)
+	w.changed()
 }
 
 // RecordCheckpoint stores a checkpoint that a run has reported, unless a later run has been started.
@@ -249,6 +279,6 @@
 	if w.state.Final() {
 		return false
 	}
-	w.state = Cancelled
+	w.setState(Cancelled)
 	return true
 }
