Spend less on each try of a step that needs permits

Cause: a try looked up each worker with a ticket by name in two maps, copied its entry of the worker list and added up the use of all workers once a pass. Change: a monitor knows the roster that it is in; ids and incarnations are read without a copy; the use of a service is added up every 50 ms; released workers are not looked at for a step without a valid ticket.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -34,7 +34,6 @@
 type placementPass struct {
 	scheduler      *Scheduler
 	now            time.Time
-	idle           map[string]bool   // by service: whether much capacity is unused
 	retryTime      time.Duration     // left for steps for which nothing but the time has changed
 	retriesLeft    int               // number of them that are due and were left to the next pass
 	peerNames      []ident.ProcessID // nil if not needed yet
@@ -42,17 +41,26 @@
 }
 
 func (s *Scheduler) newPass(now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, idle: map[string]bool{}, lowestPriority: -1}
+	return &placementPass{scheduler: s, now: now, lowestPriority: -1}
+}
+
+// idleCheckInterval is the interval at which the use of a service's workers is added up.
+const idleCheckInterval = 50 * time.Millisecond
+
+// idleCheck states whether much capacity of a service was unused at a time.
+type idleCheck struct {
+	at   time.Time
+	idle bool
 }
 
 // isIdle reports whether the workers of the service have much unused capacity.
 func (p *placementPass) isIdle(service string) bool {
-	idle, known := p.idle[service]
-	if !known {
-		idle = pool.Idle(service, p.scheduler.workers(), p.now)
-		p.idle[service] = idle
+	last := p.scheduler.idle[service]
+	if age := p.now.Sub(last.at); age < 0 || age >= idleCheckInterval {
+		last = idleCheck{p.now, pool.Idle(service, p.scheduler.workers(), p.now)}
+		p.scheduler.idle[service] = last
 	}
-	return idle
+	return last.idle
 }
 
 // allowedWorker is a worker on which the policy of the queue allows a step to run.
@@ -73,7 +81,7 @@
 	}
 	for worker, ticket := range c.permits.Tickets(now) {
 		m := s.monitors[worker.ID]
-		if m != nil && s.recorded[worker.ID] && m.worker.Info().Incarnation == worker.Incarnation {
+		if m != nil && s.mayGetRuns(m) && m.worker.Incarnation() == worker.Incarnation {
 			workers = append(workers, allowedWorker{m, ticket.Value})
 		}
 	}
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -44,6 +44,7 @@
 	lastSyncSent     time.Time      // when the request of the last reply that was applied was sent, or a restart was suspected
 	unreachable      bool           // the worker may have restarted since its last reply: a sync failed, or a start showed it
 	failedSyncs      int            // since the last answer
+	roster           *workerRoster  // the last one that it was in
 	noticedReleases  uint64         // releases on the worker up to the last pass of placement
 	withheldAcks     int            // answered syncs in a row that acknowledged nothing, because each had a new connection
 	knownAddress     string         // at which the worker answered last, or that the record names; empty if neither
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -54,8 +54,7 @@
 
 // permitWorker identifies a worker and its incarnation to the permit service.
 func permitWorker(m *workerMonitor) permit.Worker {
-	info := m.worker.Info()
-	return permit.Worker{ID: info.ID, Incarnation: info.Incarnation}
+	return permit.Worker{ID: m.worker.ID(), Incarnation: m.worker.Incarnation()}
 }
 
 // permitsOf returns the permits of a step, or nil if its queue needs none. The lock is held.
@@ -63,11 +62,10 @@
 	if c.queue.PermitPolicy == nil {
 		return nil
 	}
-	step := c.entry.step(c.ref)
-	if step.permits == nil {
-		step.permits = permit.New()
+	if c.step.permits == nil {
+		c.step.permits = permit.New()
 	}
-	return step.permits
+	return c.step.permits
 }
 
 // planPermitCalls returns the calls for a step of which some tasks could not be placed. There is none when the calls in
@@ -187,7 +185,7 @@
 		}
 	}
 	for worker := range c.permits.Lapsed(now) {
-		if m := s.monitors[worker.ID]; m != nil && s.recorded[worker.ID] {
+		if m := s.monitors[worker.ID]; m != nil && s.mayGetRuns(m) {
 			add(m, true)
 		}
 	}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -195,7 +195,7 @@
 
 // tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
-	step := c.entry.step(c.ref)
+	step := c.step
 	c.permits = s.permitsOf(c)
 	if c.held {
 		step.wait.triedAt = now
@@ -226,7 +226,7 @@
 
 // tryReleased places waiting tasks of a step on workers on which capacity has been released. The lock is held.
 func (s *Scheduler) tryReleased(c candidate, now time.Time) []launch {
-	step := c.entry.step(c.ref)
+	step := c.step
 	step.triedIn = s.releases.pass
 	if len(c.workers) == 0 {
 		return nil
@@ -245,7 +245,7 @@
 // tryAll places waiting tasks of a step on all workers that may run them. For tasks that do not fit it prepares preemptions and calls
 // for permits. The lock is held.
 func (s *Scheduler) tryAll(c candidate, now time.Time) ([]launch, []permitCall) {
-	step := c.entry.step(c.ref)
+	step := c.step
 	step.wait.triedAt = now
 	c.workers, c.partial = s.allowedWorkers(c, now), false
 	launches, unplaced := s.placeStep(c, now)
@@ -269,7 +269,7 @@
 // allPlaced ends what was kept for the waiting tasks of a step. The lock is held.
 func (s *Scheduler) allPlaced(c candidate) {
 	if c.entry.workflow.WaitingCount(c.ref) == 0 {
-		c.entry.step(c.ref).wait = stepWait{}
+		c.step.wait = stepWait{}
 	}
 	if c.waited > 0 {
 		c.dropHolds()
@@ -399,11 +399,11 @@
 	}
 	for allowed := range workers {
 		worker := allowed.monitor.worker
-		if rack != "" && worker.Info().Rack != rack || !worker.Eligible(request) {
+		if rack != "" && worker.Rack() != rack || !worker.Eligible(request) {
 			continue
 		}
 		score := worker.Score(request)
-		tie := best.monitor != nil && score == bestScore && worker.Info().ID < best.monitor.worker.Info().ID
+		tie := best.monitor != nil && score == bestScore && worker.ID() < best.monitor.worker.ID()
 		if best.monitor == nil || score < bestScore || tie {
 			best, bestScore = allowed, score
 		}
--- a/internal/app/scheduler/place_test.go
+++ b/internal/app/scheduler/place_test.go
@@ -113,10 +113,11 @@
 	step := workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 3000}}
 	acceptNamed(s, "a", step)
 	acceptNamed(s, "b", step)
-	c := candidate{entry: s.jobs["b"], ref: workflow.StepRef{Job: "b"}, queue: s.jobs["b"].queue, pass: testPass(s, now)}
-	c.workers, c.waited = s.allowedWorkers(c, now), time.Second
+	c := s.jobs["b"].newCandidate(workflow.StepRef{Job: "b"}, s.jobs["b"].queue, now)
+	c.pass = testPass(s, now)
+	c.workers, c.waited = s.allowedWorkers(*c, now), time.Second
 	s.mu.Lock()
-	s.preempt(c, 1, now) // keeps the free capacity for the step
+	s.preempt(*c, 1, now) // keeps the free capacity for the step
 	s.mu.Unlock()
 	launches := placeAt(s, now)
 	if len(launches) != 1 || launches[0].request.Task.Job != "b" {
--- a/internal/app/scheduler/preempt.go
+++ b/internal/app/scheduler/preempt.go
@@ -41,7 +41,7 @@
 // planPreemptions prepares the workers for up to count tasks; if all is set, for all of them or none.
 func planPreemptions(c candidate, request *pool.Request, count int, all bool) []preemption {
 	var list []preemption
-	step := c.entry.step(c.ref)
+	step := c.step
 	options := preemptionOptions(c, request)
 	for len(list) < count && len(options) > 0 {
 		best := cheapestOption(options)
@@ -86,7 +86,7 @@
 	best := 0
 	for i, o := range options {
 		lowest := options[best]
-		if o.cost < lowest.cost || o.cost == lowest.cost && o.monitor.worker.Info().ID < lowest.monitor.worker.Info().ID {
+		if o.cost < lowest.cost || o.cost == lowest.cost && o.monitor.worker.ID() < lowest.monitor.worker.ID() {
 			best = i
 		}
 	}
@@ -107,7 +107,7 @@
 
 // dropHolds ends the holds of a step of which no task waits any more. The scheduler's lock is held.
 func (c *candidate) dropHolds() {
-	step := c.entry.step(c.ref)
+	step := c.step
 	for _, m := range step.heldOn {
 		m.worker.DropHolds(c.ref)
 	}
--- a/internal/app/scheduler/releases.go
+++ b/internal/app/scheduler/releases.go
@@ -51,7 +51,10 @@
 func (s *Scheduler) releasedWorkers(c candidate, now time.Time) []allowedWorker {
 	var workers []allowedWorker
 	step := c.entry.workflow.Step(c.ref)
-	for _, entry := range s.releases.since(c.entry.step(c.ref).triedIn) {
+	if c.permits != nil && !c.permits.AnyValid(now) {
+		return nil
+	}
+	for _, entry := range s.releases.since(c.step.triedIn) {
 		if !entry.monitor.worker.Fits(step) {
 			continue
 		}
@@ -64,8 +67,7 @@
 
 // allowedOn reports whether the queue's policy allows the step on a worker, and the worker is recorded and not cordoned. The lock is held.
 func (s *Scheduler) allowedOn(c candidate, m *workerMonitor, now time.Time) (allowedWorker, bool) {
-	id := m.worker.Info().ID
-	if !s.recorded[id] || s.monitors[id] != m {
+	if !s.mayGetRuns(m) {
 		return allowedWorker{}, false
 	}
 	if c.permits == nil {
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -53,6 +53,7 @@
 	var workers []*pool.Worker
 	for id, m := range s.monitors {
 		if s.recorded[id] {
+			m.roster = s.roster
 			s.roster.workers = append(s.roster.workers, allowedWorker{monitor: m})
 			workers = append(workers, m.worker)
 		}
@@ -61,6 +62,9 @@
 	return s.roster
 }
 
+// mayGetRuns reports whether a worker is recorded and not cordoned. The lock is held.
+func (s *Scheduler) mayGetRuns(m *workerMonitor) bool { return m.roster == s.currentRoster() }
+
 // recordedWorkers returns the workers that may get runs. The lock is held.
 func (s *Scheduler) recordedWorkers() []allowedWorker { return s.currentRoster().workers }
 
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -97,6 +97,7 @@
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
 	queue            waitQueue
+	idle             map[string]idleCheck            // by service
 	openGangs        map[workflow.ID]*jobEntry       // open jobs with a gang
 	roster           *workerRoster                   // nil if it has to be made again
 	releases         releaseLog                      // capacity that placement has not used yet
@@ -159,7 +160,7 @@
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
-		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, openGangs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
+		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{}, finished: map[workflow.ID]finishedJob{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
--- a/internal/domain/permit/permit.go
+++ b/internal/domain/permit/permit.go
@@ -26,6 +26,7 @@
 	workers  map[Worker]*permit
 	allowed  []*permit // those of workers that are allowed
 	asked    int       // workers in calls in progress
+	latest   time.Time // when the last of the tickets expires
 	expected float64   // tasks that calls in progress are expected to make room for
 }
 
@@ -56,6 +57,9 @@
 	}
 }
 
+// AnyValid reports whether a ticket may be valid now.
+func (p *Permits) AnyValid(now time.Time) bool { return now.Before(p.latest) }
+
 // Lapsed returns the workers that are allowed and have no ticket that is valid now.
 func (p *Permits) Lapsed(now time.Time) iter.Seq[Worker] {
 	return func(yield func(Worker) bool) {
@@ -184,6 +188,9 @@
 		known.answered, known.allowed = true, allowed
 		if allowed {
 			known.ticket = ticket
+			if ticket.Expires.After(p.latest) {
+				p.latest = ticket.Expires
+			}
 		}
 	}
 	return unknown, unknownAllowed
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -83,6 +83,15 @@
 // Info returns the worker's latest entry in the worker list.
 func (w *Worker) Info() WorkerInfo { return w.info }
 
+// ID returns the worker's id.
+func (w *Worker) ID() ident.WorkerID { return w.info.ID }
+
+// Incarnation returns the worker's present incarnation.
+func (w *Worker) Incarnation() int64 { return w.info.Incarnation }
+
+// Rack returns the rack of the worker's latest entry in the worker list.
+func (w *Worker) Rack() string { return w.info.Rack }
+
 // UpdateInfo applies a newer entry of the worker list.
 func (w *Worker) UpdateInfo(info WorkerInfo) {
 	w.info, w.missingSince, w.neverListed, w.describedIncarnation = info, time.Time{}, false, info.Incarnation
