Write log lines together, and start without a timer that is not needed

Cause: each log line woke the writer, which made a system call for it; each line made a new handler. Each start made a timer for the wait for its worker, although most wait for none. Change: lines of 10 ms are written by one call, and the attributes of a logger are formatted once. The timer is made when a start waits. Conclusion: a process that is killed loses the lines of its last 10 ms.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -112,6 +112,21 @@
 	return &workerMonitor{worker: pool.NewWorker(w), inFlight: make(chan struct{}, maxRequests)}
 }
 
+// acquireRequestBy is like acquireRequest, with a deadline. It makes no timer if nothing has to be waited for.
+func (m *workerMonitor) acquireRequestBy(ctx context.Context, deadline time.Time) bool {
+	if ctx.Err() != nil || !time.Now().Before(deadline) {
+		return false
+	}
+	select {
+	case m.inFlight <- struct{}{}:
+		return true
+	default:
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return m.acquireRequest(ctx)
+}
+
 // acquireRequest waits until a request may be sent to the worker. It returns false when the context ends first.
 func (m *workerMonitor) acquireRequest(ctx context.Context) bool {
 	select {
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -76,9 +76,7 @@
 
 // requestStart sends the request once earlier requests to the worker have ended, unless the decision is too old by then.
 func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
-	acquireCtx, cancelAcquire := context.WithDeadline(ctx, l.decided.Add(maxOrderAge))
-	defer cancelAcquire()
-	if !l.monitor.acquireRequest(acquireCtx) {
+	if !l.monitor.acquireRequestBy(ctx, l.decided.Add(maxOrderAge)) {
 		return time.Now(), 0, cmp.Or(ctx.Err(), fault.New(fault.DeadlineExceeded, "start not requested within %v", maxOrderAge))
 	}
 	defer l.monitor.releaseRequest()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"skylarkstall/internal/pause"
 )
 
 // Limits of the buffer, in bytes.
@@ -19,6 +21,9 @@
 	generalLimit = bufferSize / 2
 )
 
+// flushDelay collects lines into one write. Lines of the last flushDelay are lost when the process is killed.
+const flushDelay = 10 * time.Millisecond
+
 // Event describes a log line for an observer.
 type Event struct {
 	Name    string        // the message
@@ -33,6 +38,9 @@
 	observe func(Event)
 	wake    chan struct{}
 
+	formatting sync.Mutex
+	line       lineWriter // of the record that is being formatted
+
 	mu           sync.Mutex
 	buffer       bytes.Buffer
 	dropped      map[string]int // lines dropped since the last flush, by message
@@ -42,7 +50,9 @@
 // New returns a Log that writes lines of at least the level. Every event is passed to observe, including those below the
 // level.
 func New(out io.Writer, level slog.Level, observe func(Event)) *Log {
-	return &Log{out: out, level: level, observe: observe, wake: make(chan struct{}, 1), dropped: map[string]int{}}
+	l := &Log{out: out, level: level, observe: observe, wake: make(chan struct{}, 1), dropped: map[string]int{}}
+	l.line.log = l
+	return l
 }
 
 // Dropped returns the number of lines that were dropped since the start.
@@ -50,7 +60,8 @@
 
 // Logger returns a logger that adds the attributes to each line.
 func (l *Log) Logger(attrs ...any) *slog.Logger {
-	return slog.New(&handler{log: l}).With(attrs...)
+	text := slog.NewTextHandler(&l.line, &slog.HandlerOptions{Level: slog.LevelDebug})
+	return slog.New(&handler{log: l, text: text}).With(attrs...)
 }
 
 // Run writes lines until the context ends, and then writes the remaining ones.
@@ -58,6 +69,7 @@
 	for {
 		select {
 		case <-l.wake:
+			pause.For(ctx, flushDelay)
 			l.flush()
 		case <-ctx.Done():
 			l.flush()
@@ -118,8 +130,8 @@
 
 // handler formats records and reports them to the observer.
 type handler struct {
-	log   *Log
-	attrs []slog.Attr
+	log  *Log
+	text slog.Handler // writes to log.line
 }
 
 // Enabled implements slog.Handler. Records below the level are enabled only to be reported to the observer.
@@ -148,13 +160,15 @@
 	if record.Level < h.log.level {
 		return nil
 	}
-	out := &lineWriter{log: h.log, name: record.Message, jobRelated: jobRelated}
-	return slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}).WithAttrs(h.attrs).Handle(ctx, record)
+	h.log.formatting.Lock()
+	defer h.log.formatting.Unlock()
+	h.log.line.name, h.log.line.jobRelated = record.Message, jobRelated
+	return h.text.Handle(ctx, record)
 }
 
 // WithAttrs implements slog.Handler.
 func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &handler{log: h.log, attrs: append(append([]slog.Attr(nil), h.attrs...), attrs...)}
+	return &handler{log: h.log, text: h.text.WithAttrs(attrs)}
 }
 
 // WithGroup implements slog.Handler. Groups are not used in this code base.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -1,6 +1,7 @@
 package eventlog_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"skylarkstall/internal/eventlog"
@@ -65,6 +67,36 @@
 	}
 }
 
+// countingWriter counts the calls of Write, and the lines.
+type countingWriter struct{ writes, lines int }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.writes++
+	w.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+// TestLinesAreWrittenTogether guards against a leader that spends its processor time on a system call for each line.
+func TestLinesAreWrittenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &countingWriter{}
+		log := eventlog.New(out, slog.LevelInfo, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		go log.Run(ctx)
+		logger := log.Logger()
+		for range 1000 {
+			logger.Info("run ordered")
+			time.Sleep(100 * time.Microsecond)
+		}
+		time.Sleep(time.Second)
+		stop()
+		synctest.Wait()
+		if out.lines != 1000 || out.writes > 20 {
+			t.Errorf("%d lines of 100 ms are written by %d calls, want 1000 lines by at most 20 calls", out.lines, out.writes)
+		}
+	})
+}
+
 // TestObserve guards against an observer that does not get events below the level, or gets wrong outcomes or durations.
 func TestObserve(t *testing.T) {
 	var mu sync.Mutex
