Bound placement by the process's share of a processor

Cause: the pause after a pass was twice its duration, whatever the process's share of a processor: on 0.4 of a core, passes could take five sixths of the processor time, and starts, ends and leases waited. Change: passes take at most a third of the share that the settings name (limits.cpuShare). Result: TestPlacementLeavesProcessorTime, new. Conclusion: without a limit nothing changes.

--- a/internal/app/scheduler/pass_test.go
+++ b/internal/app/scheduler/pass_test.go
@@ -84,3 +84,19 @@
 		t.Errorf("not confirmed: %v, behind: %v; log:\n%s", s.authority.doubtful, s.progress.Behind(), out)
 	}
 }
+
+// TestPlacementLeavesProcessorTime guards against passes of placement that take the processor time which leases, ends and the requests of
+// starts need, on a process with a small share of a processor.
+func TestPlacementLeavesProcessorTime(t *testing.T) {
+	for _, cpuShare := range []float64{0, 0.2, 0.4, 0.8, 1} {
+		const took = 2 * time.Millisecond
+		pause := Settings{CPUShare: cpuShare}.placePause(took)
+		used := float64(took) / float64(took+pause)
+		if cpuShare == 0 {
+			cpuShare = 1
+		}
+		if limit := 1.001 * cpuShare / 3; used > limit {
+			t.Errorf("with %.1f of a processor, passes take %.3f of it, want at most a third of the share", cpuShare, used)
+		}
+	}
+}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -46,16 +46,25 @@
 		for _, call := range calls {
 			s.goTask(func() { s.callPermits(ctx, call) })
 		}
-		pause.For(ctx, min(max(placePause, placePauseFactor*time.Since(started)), maxPlacePause))
+		pause.For(ctx, s.settings.placePause(time.Since(started)))
 	}
 }
 
+// placePause returns the pause after a pass that took some time.
+func (s Settings) placePause(took time.Duration) time.Duration {
+	share := placeShare
+	if s.CPUShare > 0 {
+		share *= min(s.CPUShare, 1)
+	}
+	return min(max(minPlacePause, time.Duration((1/share-1)*float64(took))), maxPlacePause)
+}
+
 const (
-	// placePause limits the rate of placement when many changes arrive at once.
-	placePause = 4 * time.Millisecond
-	// placePauseFactor is the pause as a multiple of the time that placement took: leases, ends and stops need the lock and
-	// the processor too, and starts are what may slow down under overload.
-	placePauseFactor = 2
+	// minPlacePause limits the rate of placement when many changes arrive at once.
+	minPlacePause = 4 * time.Millisecond
+	// placeShare is the part of the processor time that placement may take: leases, ends, stops and the requests of starts need the
+	// rest, and placement is what may slow down under overload.
+	placeShare = 1.0 / 3
 	// maxPlacePause keeps starts going on a process that has hardly any processor time.
 	maxPlacePause = 50 * time.Millisecond
 	// maxPlaceTime bounds one pass, in which the lock is held. The next pass continues with the steps that were not tried.
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 type Settings struct {
 	MaxLease        time.Duration // longest lease that a worker grants
 	StatusRetention time.Duration // how long the state of a finished job can be queried
+	CPUShare        float64       // CPU limit of the process as a fraction of a core; 0 if it is not known
 }
 
 // maxRunLease is how long runs continue without a sync, unless the platform's limit is lower. It exceeds the duration
--- a/internal/app/scheduler/simulated_load_test.go
+++ b/internal/app/scheduler/simulated_load_test.go
@@ -7,7 +7,8 @@
 	"math/rand/v2"
 	"os"
 	"runtime"
-	"runtime/pprof"
+	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -38,20 +39,39 @@
 
 	mu       sync.Mutex
 	workers  map[ident.WorkerID]*simulatedWorker
-	duration map[workflow.ID]time.Duration // of the tasks of a job
+	jobs     map[workflow.ID]*simulatedJob
 	revision ident.Revision
 	starts   int
 }
 
+// simulatedJob is a job that was submitted.
+type simulatedJob struct {
+	priority  int
+	duration  time.Duration // of each task
+	submitted time.Time
+	started   time.Time // zero before its first task starts
+}
+
+// simulatedLatency is the time of a message to a worker or back.
 const simulatedLatency = time.Millisecond
 
+func newSimulatedCell() *simulatedCell {
+	return &simulatedCell{
+		began: time.Now().Add(-time.Minute), workers: map[ident.WorkerID]*simulatedWorker{}, jobs: map[workflow.ID]*simulatedJob{},
+	}
+}
+
 func (c *simulatedCell) Start(_ context.Context, to port.Target, request port.StartRequest) (time.Duration, error) {
 	time.Sleep(2 * simulatedLatency)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
 	c.workers[to.Worker].running[request.RunRef] = true
-	time.AfterFunc(c.duration[request.Task.Job], func() { c.end(to.Worker, request.RunRef, workflow.Done) })
+	job := c.jobs[request.Task.Job]
+	if job.started.IsZero() {
+		job.started = time.Now()
+	}
+	time.AfterFunc(job.duration, func() { c.end(to.Worker, request.RunRef, workflow.Done) })
 	return time.Since(c.began), nil
 }
 
@@ -162,23 +182,41 @@
 	}
 }
 
+// simulatedKind is a kind of jobs as on the large cell of the users.
 type simulatedKind struct {
-	name     string
-	priority int
-	perS     float64
-	steps    int
-	width    int
-	cores    int64
-	memGB    int64
-	duration time.Duration
-	policy   route.PermitPolicy
+	name      string
+	priority  int
+	perSecond float64
+	steps     int
+	width     int // mean number of tasks of a step
+	size      resource.Vector
+	duration  time.Duration // mean of its tasks
+	policy    route.PermitPolicy
+}
+
+var simulatedKinds = []simulatedKind{
+	{
+		name: "urgent", priority: 0, perSecond: 41, steps: 2, width: 11, size: resource.Vector{MilliCores: 7000, MemoryBytes: 13 << 30},
+		duration: 850 * time.Millisecond,
+		policy:   route.PermitPolicy{CallLatency: 43 * time.Millisecond, WorkerLatency: 611 * time.Microsecond},
+	},
+	{
+		name: "wide", priority: 2, perSecond: 6.2, steps: 2, width: 41, size: resource.Vector{MilliCores: 9000, MemoryBytes: 13 << 30},
+		duration: 3200 * time.Millisecond,
+		policy:   route.PermitPolicy{CallLatency: 572 * time.Millisecond, WorkerLatency: 8060 * time.Microsecond},
+	},
+	{
+		name: "lasting", priority: 1, perSecond: 0.45, steps: 1, width: 40, size: resource.Vector{MilliCores: 9000, MemoryBytes: 9 << 30},
+		duration: 40 * time.Second,
+		policy:   route.PermitPolicy{CallLatency: 416 * time.Millisecond, WorkerLatency: 5980 * time.Microsecond},
+	},
 }
 
-func (c *simulatedCell) submit(s *Scheduler, number int, k simulatedKind, r *rand.Rand) {
+// submit announces a job of the kind to the leader.
+func (c *simulatedCell) submit(s *Scheduler, number int, k simulatedKind, random *rand.Rand) {
 	job := port.AcceptedJob{Spec: workflow.Spec{ID: workflow.ID(fmt.Sprintf("%s-%d", k.name, number))}, AcceptedAt: time.Now()}
 	for i := range k.steps {
-		step := workflow.Step{Count: 1 + r.IntN(2*k.width), Checkpointing: k.priority > 0}
-		step.Size = resource.Vector{MilliCores: k.cores, MemoryBytes: k.memGB << 30}
+		step := workflow.Step{Count: 1 + random.IntN(2*k.width), Checkpointing: k.priority > 0, Size: k.size}
 		if i > 0 {
 			step.DependsOn = []int{i - 1}
 		}
@@ -187,32 +225,58 @@
 	policy := k.policy
 	job.Queue = route.Queue{Name: k.name, Service: "desk", MaxAttempts: 3, Priority: k.priority, PermitPolicy: &policy}
 	c.mu.Lock()
-	c.duration[job.Spec.ID] = time.Duration((0.5 + r.Float64()) * float64(k.duration))
+	c.jobs[job.Spec.ID] = &simulatedJob{
+		priority: k.priority, submitted: time.Now(), duration: time.Duration((0.5 + random.Float64()) * float64(k.duration)),
+	}
 	c.mu.Unlock()
 	_ = s.Notify(context.Background(), job)
 }
 
-func TestSimulatedLoad(t *testing.T) {
-	rate := 1.0
-	if v := os.Getenv("SIM_RATE"); v != "" {
-		fmt.Sscan(v, &rate)
-	}
-	kinds := []simulatedKind{
-		{"proof", 0, 41, 2, 11, 7000, 13, 850 * time.Millisecond, route.PermitPolicy{CallLatency: 43 * time.Millisecond, WorkerLatency: 611 * time.Microsecond}},
-		{"colour", 2, 6.2, 2, 41, 9000, 13, 3200 * time.Millisecond, route.PermitPolicy{CallLatency: 572 * time.Millisecond, WorkerLatency: 8060 * time.Microsecond}},
-		{"plate", 1, 0.45, 1, 40, 9000, 9, 40 * time.Second, route.PermitPolicy{CallLatency: 416 * time.Millisecond, WorkerLatency: 5980 * time.Microsecond}},
+// submitFor submits jobs of all kinds at a multiple of their usual rates.
+func (c *simulatedCell) submitFor(s *Scheduler, length time.Duration, load float64) {
+	const tick = 5 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 2))
+	due := make([]float64, len(simulatedKinds))
+	number := 0
+	for range length / tick {
+		for i, k := range simulatedKinds {
+			for due[i] += load * k.perSecond * tick.Seconds(); due[i] >= 1; due[i]-- {
+				number++
+				c.submit(s, number, k, random)
+			}
+		}
+		time.Sleep(tick)
 	}
-	if p := os.Getenv("SIM_PROFILE"); p != "" {
-		f, _ := os.Create(p)
-		_ = pprof.StartCPUProfile(f)
-		defer pprof.StopCPUProfile()
+}
+
+// urgentWaits returns how long jobs of the highest priority took to their first start, in ascending order.
+func (c *simulatedCell) urgentWaits() []time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var waits []time.Duration
+	for _, job := range c.jobs {
+		if job.priority == 0 && !job.started.IsZero() {
+			waits = append(waits, job.started.Sub(job.submitted))
+		}
 	}
+	slices.Sort(waits)
+	return waits
+}
+
+// urgentStart is within what the users plan for urgent work.
+const urgentStart = 1100 * time.Millisecond
+
+// TestSimulatedLoad guards against urgent work that starts late on a large cell under its usual load. It also reports what a start costs
+// the leader, with its surroundings: SIMULATED_LOAD is a multiple of the usual load, SIMULATED_SECONDS the length.
+func TestSimulatedLoad(t *testing.T) {
+	load, seconds := setting(t, "SIMULATED_LOAD", 1), setting(t, "SIMULATED_SECONDS", 2)
 	synctest.Test(t, func(t *testing.T) {
-		s := newLeaderFor(t)
-		c := &simulatedCell{began: time.Now().Add(-time.Minute), workers: map[ident.WorkerID]*simulatedWorker{}, duration: map[workflow.ID]time.Duration{}}
+		s, c := newLeaderFor(t), newSimulatedCell()
 		passes, tried := 0, 0
-		s.ports = Ports{Store: c, RecordCodec: noProgressCodec{}, RunClient: c, PermitClient: c, PeerPermitClients: c,
-			ObservePass: func(p port.PlacementPass) { passes++; tried += p.Tried }}
+		s.ports = Ports{
+			Store: c, RecordCodec: noProgressCodec{}, RunClient: c, PermitClient: c, PeerPermitClients: c,
+			ObservePass: func(p port.PlacementPass) { passes, tried = passes+1, tried+p.Tried },
+		}
 		s.historyRead = true
 		s.mu.Lock()
 		c.addWorkers(s, 1100)
@@ -223,38 +287,46 @@
 			s.goTask(func() { s.commitProgress(s.ctx) })
 		}
 		time.Sleep(2 * time.Second)
-		r := rand.New(rand.NewPCG(1, 2))
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
 		cpu := processTime()
-		const seconds = 15
-		due := make([]float64, len(kinds))
-		for i := range seconds * 200 {
-			for k, kind := range kinds {
-				for due[k] += rate * kind.perS / 200; due[k] >= 1; due[k]-- {
-					c.submit(s, 10*i+k, kind, r)
-				}
-			}
-			time.Sleep(5 * time.Millisecond)
-		}
-		runtime.ReadMemStats(&after)
+		c.submitFor(s, time.Duration(seconds*float64(time.Second)), load)
 		cpu = processTime() - cpu
-		s.mu.Lock()
-		open, ready := len(s.openJobs), 0
-		for _, e := range s.openJobs {
-			ready += len(e.workflow.Ready(time.Now()))
+		runtime.ReadMemStats(&after)
+		waits := c.urgentWaits()
+		c.mu.Lock()
+		starts := c.starts
+		c.mu.Unlock()
+		if starts == 0 || len(waits) == 0 {
+			t.Fatalf("%d starts, %d urgent jobs have started", starts, len(waits))
+		}
+		t.Logf("%d starts, %.0f us of processor time and %d allocations a start, %d passes tried %d steps, urgent jobs start within %v, half within %v",
+			starts, float64(cpu.Microseconds())/float64(starts), (after.Mallocs-before.Mallocs)/uint64(starts), passes, tried,
+			waits[len(waits)-1], waits[len(waits)/2])
+		if late := waits[len(waits)-1]; load == 1 && late > urgentStart {
+			t.Errorf("an urgent job starts after %v, want %v", late, urgentStart)
 		}
-		s.mu.Unlock()
-		t.Logf("starts %d (%d/s) cpu %v (%.0f us/start) mallocs/start %.0f KB/start %.1f passes %d tried %d open %d ready %d",
-			c.starts, c.starts/seconds, cpu, float64(cpu.Microseconds())/float64(c.starts),
-			float64(after.Mallocs-before.Mallocs)/float64(c.starts), float64(after.TotalAlloc-before.TotalAlloc)/1024/float64(c.starts),
-			passes, tried, open, ready)
 		s.cancel()
 	})
 }
 
+// setting returns a number from the environment.
+func setting(t *testing.T, name string, byDefault float64) float64 {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return byDefault
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return value
+}
+
+// processTime returns the processor time that this process has used.
 func processTime() time.Duration {
 	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // fails only for invalid arguments
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
