--- a/internal/app/scheduler/simulated_load_test.go
+++ b/internal/app/scheduler/simulated_load_test.go
@@ -293,10 +293,9 @@
 		c.submitFor(s, time.Duration(seconds*float64(time.Second)), load)
 		cpu = processTime() - cpu
 		runtime.ReadMemStats(&after)
-		waits := c.urgentWaits()
-		c.mu.Lock()
-		starts := c.starts
-		c.mu.Unlock()
+		s.cancel()
+		s.wg.Wait()
+		waits, starts := c.urgentWaits(), c.starts
 		if starts == 0 || len(waits) == 0 {
 			t.Fatalf("%d starts, %d urgent jobs have started", starts, len(waits))
 		}
@@ -306,7 +305,6 @@
 		if late := waits[len(waits)-1]; load == 1 && late > urgentStart {
 			t.Errorf("an urgent job starts after %v, want %v", late, urgentStart)
 		}
-		s.cancel()
 	})
 }
 
