--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -94,6 +94,7 @@
 }
 
 func (c *CellMetrics) update(s port.ProcessState) {
+	reportUsage(c.scope)
 	for name, value := range map[string]float64{
 		"leads": boolValue(s.IsLeader), "placement_behind": boolValue(s.PlacementBehind),
 		"config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -97,7 +97,7 @@
 	m.peerTraffic(sources.Traffic())
 	m.gauge("live_processes", float64(sources.LiveProcesses()))
 	m.gauge("documents_revision", float64(sources.Revision()))
-	m.processUsage()
+	reportUsage(m.scope)
 }
 
 func (m *Metrics) workCounts(counts meter.Snapshot) {
@@ -149,14 +149,14 @@
 	m.gauge("peer_sessions", float64(t.OpenSessions))
 }
 
-// processUsage exports the CPU time and memory of the process.
-func (m *Metrics) processUsage() {
+// reportUsage exports the CPU time and memory of the process.
+func reportUsage(scope tally.Scope) {
 	var usage syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
-		m.gauge("process_cpu_seconds", time.Duration(usage.Utime.Nano()+usage.Stime.Nano()).Seconds())
+		scope.Gauge("process_cpu_seconds").Update(time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds())
 	}
 	if bytes, ok := residentBytes(); ok {
-		m.gauge("process_resident_bytes", float64(bytes))
+		scope.Gauge("process_resident_bytes").Update(float64(bytes))
 	}
 }
 
--- a/internal/adapter/metrics/placement_test.go
+++ b/internal/adapter/metrics/placement_test.go
@@ -76,3 +76,15 @@
 		t.Errorf("%d queues, want %d", n, maxQueueLabels+1)
 	}
 }
+
+// TestUsageMetrics guards against a leader without processor time that cannot be told from one whose passes are dear.
+func TestUsageMetrics(t *testing.T) {
+	c := NewCellMetrics()
+	c.update(port.ProcessState{})
+	text := scrape(t, c)
+	for _, name := range []string{"skylarkstall_process_cpu_seconds", "skylarkstall_process_resident_bytes"} {
+		if !strings.Contains(text, "\n"+name+" ") {
+			t.Errorf("no line for %s", name)
+		}
+	}
+}
