--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -134,7 +134,7 @@
 			next, ok = overdueAt, true
 		}
 	}
-	if ok && !(e.isScheduled && next.Equal(e.nextChange)) {
+	if ok && (!e.isScheduled || !next.Equal(e.nextChange)) {
 		s.queue.due.Add(next, e)
 	}
 	e.nextChange, e.isScheduled = next, ok
