Do not take a process that refuses permit calls for less busy

Cause: after a call for permits that failed, the process counted as busy for 1 s from then on, which was often shorter than its real backlog. It got the next call, which the permit service refused too (429, 32 calls waiting). Each refused call is planned, sent and handled by the leader. Change: a failed call never shortens the backlog, and a process gets at most 24 calls at once.

--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -38,6 +38,8 @@
 	maxCallsOfWideStep = 6
 	// maxCallBacklog is the longest wait for the least busy process with which a call is still made.
 	maxCallBacklog = 1500 * time.Millisecond
+	// maxCallsPerProcess is below the number of waiting calls, 32, from which on the permit service refuses further ones.
+	maxCallsPerProcess = 24
 	// callTimeoutSlack is added to the expected duration of a call to get its timeout.
 	callTimeoutSlack = time.Second
 	// failedCallPenalty is how long a process gets no calls after one failed there.
@@ -97,6 +99,7 @@
 		missing -= call.Expected
 		duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(call.Workers))*c.queue.PermitPolicy.WorkerLatency
 		s.permitBusyUntil[process] = now.Add(wait + duration)
+		s.permitCalls[process]++
 		c.permits.BeginCall(call)
 		calls = append(calls, permitCall{c, call, process, wait + duration + callTimeoutSlack})
 	}
@@ -283,15 +286,24 @@
 	if !urgent {
 		peers = peers[(len(peers)+urgentProcesses-1)/urgentProcesses:]
 	}
-	best, wait := s.self, max(s.permitBusyUntil[s.self].Sub(now), 0)
+	best, wait := s.self, s.permitBacklog(s.self, now)
 	for _, peer := range peers {
-		if w := max(s.permitBusyUntil[peer].Sub(now), 0); w < wait || w == wait && best == s.self {
+		if w := s.permitBacklog(peer, now); w < wait || w == wait && best == s.self {
 			best, wait = peer, w
 		}
 	}
 	return best, wait
 }
 
+// permitBacklog returns how long a further call through a process would wait for those in progress. The lock is held.
+func (s *Scheduler) permitBacklog(process ident.ProcessID, now time.Time) time.Duration {
+	backlog := max(s.permitBusyUntil[process].Sub(now), 0)
+	if s.permitCalls[process] >= maxCallsPerProcess {
+		return max(backlog, 2*maxCallBacklog)
+	}
+	return backlog
+}
+
 // callPermits makes the call and applies the response.
 func (s *Scheduler) callPermits(ctx context.Context, call permitCall) {
 	ids := make([]ident.WorkerID, 0, len(call.Workers))
@@ -308,14 +320,24 @@
 	defer s.mu.Unlock()
 	s.retryStep(call.entry, call.ref)
 	call.permits.EndCall(call.Call)
+	if s.permitCalls[call.process]--; s.permitCalls[call.process] == 0 {
+		delete(s.permitCalls, call.process)
+	}
 	if err != nil {
-		s.permitBusyUntil[call.process] = time.Now().Add(failedCallPenalty)
+		s.penalize(call.process, time.Now())
 	} else {
 		s.allowedShare(call.queue.Name).Observe(call.permits.ApplyResponse(call.Workers, tickets))
 	}
 	s.wakePlacement()
 }
 
+// penalize keeps calls away from a process after one has failed there. Other calls may still be in progress there. The lock is held.
+func (s *Scheduler) penalize(process ident.ProcessID, now time.Time) {
+	if until := now.Add(failedCallPenalty); until.After(s.permitBusyUntil[process]) {
+		s.permitBusyUntil[process] = until
+	}
+}
+
 func (s *Scheduler) requestPermits(
 	ctx context.Context, call permitCall, workers []ident.WorkerID,
 ) (map[ident.WorkerID]permit.Ticket, error) {
--- a/internal/app/scheduler/permits_test.go
+++ b/internal/app/scheduler/permits_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
@@ -76,6 +78,51 @@
 	}
 }
 
+// refusingPermitClients refuses every call for permits.
+type refusingPermitClients struct{ peers }
+
+func (refusingPermitClients) RequestPermitsVia(
+	context.Context, ident.ProcessID, workflow.StepRef, []ident.WorkerID,
+) (map[ident.WorkerID]permit.Ticket, error) {
+	return nil, fault.New(fault.Overloaded, "too many calls are waiting")
+}
+
+// TestRefusedPermitCallKeepsBacklog guards against a process that gets one call after the other although each is refused, because a
+// refused call makes its backlog look shorter than it is, while the step finds no process that would answer.
+func TestRefusedPermitCallKeepsBacklog(t *testing.T) {
+	s, now := newLeader(t), time.Now()
+	s.ports.PeerPermitClients = refusingPermitClients{peers{names: []ident.ProcessID{"p0"}}}
+	e := acceptTestJob(s, workflow.Step{Count: 2})
+	e.queue.PermitPolicy = testPermitPolicy()
+	busyUntil := now.Add(maxCallBacklog - 100*time.Millisecond)
+	s.permitBusyUntil["p0"], s.permitBusyUntil[s.self] = busyUntil, now.Add(time.Hour)
+	_, calls := s.place(now)
+	if len(calls) != 1 || calls[0].process != "p0" {
+		t.Fatalf("%d calls, want one through p0", len(calls))
+	}
+	s.callPermits(t.Context(), calls[0])
+	if s.permitBusyUntil["p0"].Before(busyUntil) {
+		t.Errorf("the backlog of p0 ends %v earlier than before the call", busyUntil.Sub(s.permitBusyUntil["p0"]))
+	}
+	if s.permitCalls["p0"] != 0 {
+		t.Errorf("%d calls count as in progress, want 0", s.permitCalls["p0"])
+	}
+}
+
+// TestPermitCallsOfProcess guards against more short calls through one process than the permit service lets wait.
+func TestPermitCallsOfProcess(t *testing.T) {
+	s, now := newPermitLeader(t, 0), time.Now()
+	names := s.newPass(now).peers()
+	s.permitCalls[names[0]] = maxCallsPerProcess
+	for range 100 {
+		process, wait := s.leastBusyProcess(names, true, now)
+		if process == names[0] {
+			t.Fatalf("a call goes through process %s, which has %d in progress", process, s.permitCalls[process])
+		}
+		s.permitBusyUntil[process] = now.Add(wait + time.Millisecond)
+	}
+}
+
 // BenchmarkPlace measures one pass of placement in which every step waits for capacity, and one in which nothing has
 // changed since.
 func BenchmarkPlace(b *testing.B) {
--- a/internal/app/scheduler/place_cost_test.go
+++ b/internal/app/scheduler/place_cost_test.go
@@ -60,6 +60,7 @@
 			call.permits.EndCall(call.Call)
 		}
 		clear(s.permitBusyUntil)
+		clear(s.permitCalls)
 		for _, ref := range refs {
 			if s.jobs[ref.Job].step(ref).wait.triedAt.Equal(now) {
 				tried++
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -104,6 +104,7 @@
 	releases         releaseLog                      // capacity that placement has not used yet
 	startsInProgress int                             // placed, and the request of the start has not ended
 	permitBusyUntil  map[ident.ProcessID]time.Time   // until when each process is busy with calls to the permit service
+	permitCalls      map[ident.ProcessID]int         // calls to the permit service in progress
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
 }
@@ -166,7 +167,7 @@
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
-		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{},
+		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{}, permitCalls: map[ident.ProcessID]int{},
 		allowedShares: map[string]*permit.AllowedShare{},
 	}
 }
