--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -221,14 +221,7 @@
 		return err
 	}
 	time.Sleep(200 * time.Millisecond)
-	for i := range queues {
-		queues[i]["host"], queues[i]["service"] = hostName, "desk"
-	}
-	config := map[string]any{
-		"version": 1, "routes": queues, "services": []map[string]any{{"name": "desk", "enforcesCapacity": false}},
-		"limits": map[string]any{"maxBodyBytes": 262144},
-	}
-	if err := d.put("op/config", config); err != nil {
+	if err := d.configure(1, queues); err != nil {
 		return err
 	}
 	for i := range workers {
