--- a/review/standins-2/case7.go
+++ b/review/standins-2/case8.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["7"] = replacedRoute }
+func init() { cases["8"] = replacedRoute }
 
 // Parameters of the case.
 const (
