review: tasks that never start after workers were cut off (case 8)

Cause: a run that is given up for a copy before its start is sent counts as one under which its worker may have crashed, and that doubt is never resolved when the start is then refused; after three of them the task never starts again (rule LOST). No change of the product.

--- a/review/standins-2/case8.go
+++ b/review/standins-2/case8.go
@@ -4,68 +4,102 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 )
 
-func init() { cases["8"] = replacedRoute }
+func init() { cases["8"] = cutWorkers }
 
-// Parameters of the case.
+// Parameters of the case: 4 of 20 workers are cut off at a time, the share that the pages set for srv_cut (.2), each for less than its
+// for_s (5 s).
 const (
-	routeWorkers  = 6
-	configApply   = 2 * time.Second // bounds.configApplyMs
-	visibleAfter  = 3 * time.Second // bounds.visible_ms
-	askAfter      = 10 * time.Second
-	routePath     = "/watch/00000000000000a1"
-	cancelApplies = 4 * time.Second // bounds.cancel_ms and bounds.stopGraceMs, rounded up
+	cutOffWorkers = 20
+	cutCount      = 4
+	cutGap        = 500 * time.Millisecond // between the cuts of a round
+	cutLength     = 4 * time.Second        // of each cut
+	submitAfter   = 300 * time.Millisecond // after the first cut
+	cutRounds     = 6                      // each with a job of its own
+	copiesTasks   = 12
+	copiesRunMs   = 1000
+	roundPause    = 800 * time.Millisecond // before a round, at most
+	roundLimit    = 5 * time.Second        // for the job of a round, after the cuts
+	doneLimit     = 25 * time.Second       // for a job that took longer, after that
 )
 
-// replacedRoute changes the name of a route, which no client sees, while a job of it runs. Clients reach the same prefix of the same host,
-// and the same service, in every version.
-func replacedRoute(d *deployment) (bool, error) {
-	route := func(name string) map[string]any {
-		return map[string]any{"name": name, "prefix": "/watch/", "priority": 1, "maxAttempts": 3}
-	}
-	other := map[string]any{"name": "r-other", "prefix": "/other/", "priority": 2, "maxAttempts": 3}
-	if err := d.begin(routeWorkers, func(int) string { return "a" }, []map[string]any{route("r-first"), other}); err != nil {
-		return false, err
-	}
-	lasting := map[string]any{"spec": "{}", "steps": []map[string]any{
-		{"count": 2, "cpu": 4000, "memMb": 1024, "estimateMs": 1000, "longRunning": true, "image": "x"},
-	}}
-	if err := d.submit(routePath, lasting); err != nil {
+// cutWorkers cuts four workers off for some seconds, one shortly after the other, while a job comes whose step allows copies. Some of its
+// tasks never run, although all workers are back.
+func cutWorkers(d *deployment) (bool, error) {
+	queues := []map[string]any{{"name": "quick", "prefix": "/quick/", "priority": 0, "maxAttempts": 4}}
+	d.relayed = true
+	if err := d.begin(cutOffWorkers, func(int) string { return "a" }, queues); err != nil {
 		return false, err
 	}
-	time.Sleep(visibleAfter)
-	if d.trouble {
-		if err := d.configure(2, []map[string]any{route("r-second"), other}); err != nil {
+	for round := range cutRounds {
+		path := fmt.Sprintf("/quick/00000000000000a%d", round)
+		time.Sleep(time.Duration(rand.Int64N(int64(roundPause)))) // so that the rounds begin at any moment of the system's calls
+		cutsEnded := make(chan struct{})
+		go func() {
+			defer close(cutsEnded)
+			d.cutInTurn()
+		}()
+		time.Sleep(submitAfter)
+		job := map[string]any{"spec": fmt.Sprintf(`{"runMs":%d}`, copiesRunMs), "steps": []map[string]any{
+			{"count": copiesTasks, "cpu": 2000, "memMb": 1024, "estimateMs": copiesRunMs, "speculative": true},
+		}}
+		if err := d.submit(path, job); err != nil {
 			return false, err
 		}
+		<-cutsEnded
+		if d.completes(path, roundLimit) {
+			continue
+		}
+		if !d.completes(path, doneLimit) {
+			d.note("LOST: %s isn't completed %v after all workers are back; %d of %d tasks are done, %d run", path, roundLimit+doneLimit,
+				d.doneTasks(path[len("/quick/"):]), copiesTasks, len(d.running()))
+			return true, nil
+		}
 	}
-	time.Sleep(configApply)
-	broken := false
-	for end := time.Now().Add(askAfter); time.Now().Before(end); time.Sleep(time.Second) {
-		for _, e := range d.entries {
-			if status, _ := d.call(e, http.MethodGet, routePath, nil); status == http.StatusGone {
-				d.note("LOST: the accepted job is answered 410, and %d of its tasks run", len(d.running()))
-				broken = true
-			}
+	return false, nil
+}
+
+// cutInTurn cuts the first workers off, one after the other, each for cutLength.
+func (d *deployment) cutInTurn() {
+	if !d.trouble {
+		return
+	}
+	for i := range cutCount {
+		d.note("trouble: %s is cut off", d.workers[i].name)
+		_ = d.relays[i].cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(cutGap)
+	}
+	time.Sleep(cutLength - cutCount*cutGap)
+	for i := range cutCount {
+		d.note("trouble: %s is reached again", d.workers[i].name)
+		_ = d.relays[i].cmd.Process.Signal(syscall.SIGUSR2)
+		time.Sleep(cutGap)
+	}
+}
+
+// completes asks for the state of a job until it is completed, and returns false if it isn't in time.
+func (d *deployment) completes(path string, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Second) {
+		if status, reply := d.call(d.entries[0], http.MethodGet, path, nil); status == http.StatusOK && reply["state"] == "completed" {
+			return true
 		}
 	}
-	status, _ := d.call(d.entries[0], http.MethodDelete, routePath, nil)
-	time.Sleep(cancelApplies)
-	d.note("%d tasks run %v after the client's DELETE was answered %d", len(d.running()), cancelApplies, status)
-	return broken, nil
+	return false
 }
 
-// configure writes a version of the configuration as the operator does.
-func (d *deployment) configure(version int, queues []map[string]any) error {
-	for i := range queues {
-		queues[i]["host"], queues[i]["service"] = hostName, "desk"
+func (d *deployment) doneTasks(job string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	done := map[string]bool{}
+	for _, e := range d.events {
+		if e.what == "end" && e.how == "done" && e.task[:len(job)] == job {
+			done[e.task] = true
+		}
 	}
-	d.note("operator: version %d with routes %s", version, fmt.Sprint(queues))
-	return d.put("op/config", map[string]any{
-		"version": version, "routes": queues, "services": []map[string]any{{"name": "desk", "enforcesCapacity": false}},
-		"limits": map[string]any{"maxBodyBytes": 262144},
-	})
+	return len(done)
 }
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -52,6 +52,8 @@
 	storeAddress string
 	entries      []*entry
 	workers      []*proc
+	relays       []*proc // of the workers, if relayed is set before begin
+	relayed      bool
 	client       *http.Client
 
 	mu      sync.Mutex
@@ -229,8 +231,19 @@
 		if err != nil {
 			return err
 		}
+		listen := address
+		if d.relayed {
+			if listen, err = freeAddress(); err != nil {
+				return err
+			}
+			r := &proc{name: fmt.Sprintf("relay%02d", i), args: []string{self, "relay", address, listen}}
+			d.relays = append(d.relays, r)
+			if err := d.launch(r); err != nil {
+				return err
+			}
+		}
 		w := &proc{name: fmt.Sprintf("w%02d", i), args: []string{
-			self, "worker", fmt.Sprintf("w%02d", i), address, fmt.Sprintf("r1-%d", i/workersARack), kind(i), d.storeAddress,
+			self, "worker", fmt.Sprintf("w%02d", i), address, listen, fmt.Sprintf("r1-%d", i/workersARack), kind(i), d.storeAddress,
 			strconv.Itoa(workerCPU), strconv.Itoa(workerMemMb),
 		}}
 		d.workers = append(d.workers, w)
