review: order the cases by gravity

Cause: the script of the workers that are cut off shows accepted work that never ends; the one of the crashed workers may be meant by the users.

--- a/review/standins-2/case6.go
+++ b/review/standins-2/case6.go
@@ -4,114 +4,102 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 )
 
-func init() { cases["6"] = crashedWorkers }
+func init() { cases["6"] = cutWorkers }
 
-// Parameters of the case. One of 20 workers is down at a time; the pages let a share of .15 crash at a time.
+// Parameters of the case: 4 of 20 workers are cut off at a time, the share that the pages set for srv_cut (.2), each for less than its
+// for_s (5 s).
 const (
-	crashWorkers = 20
-	crashes      = 3
-	crashAfter   = 700 * time.Millisecond // since the task started on the worker
-	crashDown    = 500 * time.Millisecond
-	startLimit   = 8 * time.Second
-	watchAfter   = 10 * time.Second
-	otherWorkMs  = 100_000
-	batchRunMs   = 6000
+	cutOffWorkers = 20
+	cutCount      = 4
+	cutGap        = 500 * time.Millisecond // between the cuts of a round
+	cutLength     = 4 * time.Second        // of each cut
+	submitAfter   = 300 * time.Millisecond // after the first cut
+	cutRounds     = 6                      // each with a job of its own
+	copiesTasks   = 12
+	copiesRunMs   = 1000
+	roundPause    = 800 * time.Millisecond // before a round, at most
+	roundLimit    = 5 * time.Second        // for the job of a round, after the cuts
+	doneLimit     = 25 * time.Second       // for a job that took longer, after that
 )
 
-// crashedWorkers lets three workers crash, one after the other, each soon after it has started the task of a job. The job is then shown
-// as failed, although no task has ended as failed.
-func crashedWorkers(d *deployment) (bool, error) {
-	queues := []map[string]any{
-		{"name": "watch", "prefix": "/watch/", "priority": 1, "maxAttempts": 3},
-		{"name": "batch", "prefix": "/batch/", "priority": 2, "maxAttempts": 4},
-	}
-	if err := d.begin(crashWorkers, func(int) string { return "a" }, queues); err != nil {
-		return false, err
-	}
-	others := map[string]any{"spec": fmt.Sprintf(`{"runMs":%d}`, otherWorkMs), "steps": []map[string]any{
-		{"count": crashWorkers, "cpu": 4000, "memMb": 1024, "estimateMs": otherWorkMs, "antiAffinity": 1},
-	}}
-	if err := d.submit("/batch/00000000000000c1", others); err != nil {
-		return false, err
-	}
-	time.Sleep(2 * time.Second)
-	lasting := map[string]any{"spec": "{}", "steps": []map[string]any{
-		{"count": 1, "cpu": 4000, "memMb": 1024, "estimateMs": 1000, "longRunning": true, "image": "x"},
-	}}
-	batch := map[string]any{"spec": fmt.Sprintf(`{"runMs":%d}`, batchRunMs), "steps": []map[string]any{
-		{"count": 1, "cpu": 4000, "memMb": 1024, "estimateMs": batchRunMs},
-	}}
-	if err := d.crashUnder("/watch/00000000000000a1", "00000000000000a1.0.0.0", lasting); err != nil {
-		return false, err
-	}
-	if err := d.crashUnder("/batch/00000000000000b1", "00000000000000b1.0.0.0", batch); err != nil {
+// cutWorkers cuts four workers off for some seconds, one shortly after the other, while a job comes whose step allows copies. Some of its
+// tasks never run, although all workers are back.
+func cutWorkers(d *deployment) (bool, error) {
+	queues := []map[string]any{{"name": "quick", "prefix": "/quick/", "priority": 0, "maxAttempts": 4}}
+	d.relayed = true
+	if err := d.begin(cutOffWorkers, func(int) string { return "a" }, queues); err != nil {
 		return false, err
 	}
-	return d.watchStates([]string{"/watch/00000000000000a1", "/batch/00000000000000b1"}), nil
-}
-
-// crashUnder submits a job of one task, and kills the worker that runs the task some times.
-func (d *deployment) crashUnder(path, task string, job any) error {
-	if err := d.submit(path, job); err != nil {
-		return err
-	}
-	run := uint64(0)
-	for range crashes {
-		start, ok := d.awaitStart(task, run)
-		if !ok {
-			d.note("task %s does not start again within %v", task, startLimit)
-			return nil
+	for round := range cutRounds {
+		path := fmt.Sprintf("/quick/00000000000000a%d", round)
+		time.Sleep(time.Duration(rand.Int64N(int64(roundPause)))) // so that the rounds begin at any moment of the system's calls
+		cutsEnded := make(chan struct{})
+		go func() {
+			defer close(cutsEnded)
+			d.cutInTurn()
+		}()
+		time.Sleep(submitAfter)
+		job := map[string]any{"spec": fmt.Sprintf(`{"runMs":%d}`, copiesRunMs), "steps": []map[string]any{
+			{"count": copiesTasks, "cpu": 2000, "memMb": 1024, "estimateMs": copiesRunMs, "speculative": true},
+		}}
+		if err := d.submit(path, job); err != nil {
+			return false, err
 		}
-		run = start.run
-		time.Sleep(time.Until(start.at.Add(crashAfter)))
-		if !d.trouble {
-			return nil
+		<-cutsEnded
+		if d.completes(path, roundLimit) {
+			continue
 		}
-		if err := d.crash(crashDown, d.worker(start.worker)); err != nil {
-			return err
+		if !d.completes(path, doneLimit) {
+			d.note("LOST: %s isn't completed %v after all workers are back; %d of %d tasks are done, %d run", path, roundLimit+doneLimit,
+				d.doneTasks(path[len("/quick/"):]), copiesTasks, len(d.running()))
+			return true, nil
 		}
 	}
-	return nil
+	return false, nil
 }
 
-// awaitStart waits until a task runs with a higher number than the given one.
-func (d *deployment) awaitStart(task string, run uint64) (workerEvent, bool) {
-	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-		if start, ok := d.running()[task]; ok && start.run > run {
-			return start, true
-		}
+// cutInTurn cuts the first workers off, one after the other, each for cutLength.
+func (d *deployment) cutInTurn() {
+	if !d.trouble {
+		return
+	}
+	for i := range cutCount {
+		d.note("trouble: %s is cut off", d.workers[i].name)
+		_ = d.relays[i].cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(cutGap)
+	}
+	time.Sleep(cutLength - cutCount*cutGap)
+	for i := range cutCount {
+		d.note("trouble: %s is reached again", d.workers[i].name)
+		_ = d.relays[i].cmd.Process.Signal(syscall.SIGUSR2)
+		time.Sleep(cutGap)
 	}
-	return workerEvent{}, false
 }
 
-// watchStates asks for the states of jobs that nobody has cancelled. It returns whether one is shown as failed or cancelled although no
-// task has ended as failed.
-func (d *deployment) watchStates(paths []string) bool {
-	broken := false
-	for end := time.Now().Add(watchAfter); time.Now().Before(end); time.Sleep(time.Second) {
-		for i, path := range paths {
-			status, reply := d.call(d.entries[i], http.MethodGet, path, nil)
-			if status == http.StatusOK && (reply["state"] == "failed" || reply["state"] == "cancelled") && d.failedEnds() == 0 {
-				d.note("LOST: %s is shown as %v, although no task has ended as failed and nobody has cancelled it", path, reply["state"])
-				broken = true
-			}
+// completes asks for the state of a job until it is completed, and returns false if it isn't in time.
+func (d *deployment) completes(path string, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Second) {
+		if status, reply := d.call(d.entries[0], http.MethodGet, path, nil); status == http.StatusOK && reply["state"] == "completed" {
+			return true
 		}
 	}
-	return broken
+	return false
 }
 
-func (d *deployment) failedEnds() int {
+func (d *deployment) doneTasks(job string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := 0
+	done := map[string]bool{}
 	for _, e := range d.events {
-		if e.what == "end" && e.how == "failed" {
-			n++
+		if e.what == "end" && e.how == "done" && e.task[:len(job)] == job {
+			done[e.task] = true
 		}
 	}
-	return n
+	return len(done)
 }
