review: let the processes of the scripts listen on free ports

Cause: the entry processes of the scripts had fixed ports on addresses of their own. Change: ports that are free are chosen for them.

--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -143,8 +143,11 @@
 	fmt.Fprintf(d.record, "%8.3f %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress() (string, error) { return freeAddressAt("127.0.0.1") }
+
+// freeAddressAt returns a free port of a loopback address.
+func freeAddressAt(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", err
 	}
@@ -255,16 +258,29 @@
 }
 
 func (d *deployment) beginEntries() error {
-	control := make([]string, entryCount)
-	for i := range control {
-		control[i] = fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, 10+i)
+	ips, seeds := make([]string, entryCount), make([]string, entryCount)
+	for i := range ips {
+		ips[i] = fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, 10+i) // one address a process: each serves its metrics at the same port
+		address, err := freeAddressAt(ips[i])
+		if err != nil {
+			return err
+		}
+		seeds[i] = address
 	}
-	for i, ip := range control {
-		e := &entry{proc: &proc{name: fmt.Sprintf("entry-%d", i)}, front: ip + ":8161", ready: ip + ":8167"}
+	for i, ip := range ips {
+		front, err := freeAddressAt(ip)
+		if err != nil {
+			return err
+		}
+		ready, err := freeAddressAt(ip)
+		if err != nil {
+			return err
+		}
+		e := &entry{proc: &proc{name: fmt.Sprintf("entry-%d", i)}, front: front, ready: ready}
 		settings := []string{
 			"node=" + e.name, "role=node", "machineClass=frontend", "serves=frontend,control_plane", "ip=" + ip, "zone=z1", "region=r1",
-			"zones.z1=r1", "listen.front=" + e.front, "listen.ready=" + e.ready, "listen.control=" + ip + ":8166", "portRange=7720,7735",
-			"seeds=" + strings.Join(control, ":8166,") + ":8166", "bootstrap=true", "limits.cpuShare=0.4", "limits.cores=1",
+			"zones.z1=r1", "listen.front=" + front, "listen.ready=" + ready, "listen.control=" + seeds[i], "portRange=7720,7735",
+			"seeds=" + strings.Join(seeds, ","), "bootstrap=true", "limits.cpuShare=0.4", "limits.cores=1",
 			"limits.memoryMb=284", "limits.maxFds=4100", "bounds.graceS=" + strconv.Itoa(graceS), "bounds.maxHoldMs=6000",
 			"bounds.stopGraceMs=400", "bounds.status_s=" + strconv.Itoa(statusS), "controlMode=rpc", "advice=127.0.0.1:9",
 			"platform.address=" + d.storeAddress, "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000",
