Forget doubts about runs whose start was refused

Cause: when the copies of a silent worker's runs are allowed, each run is noted as one that may have crashed it, also a run whose start still waits for its turn. That start is then withdrawn by the leader, or refused, and nothing ever resolves the doubt. Three of them keep the task from starting.

Change: only a run whose start may have been sent is in doubt; a start is not sent for a run that was given up while it waited; a refused start resolves the doubt.

Conclusion: the doubt follows what the worker may have seen, so it ends when the worker certainly has not seen it.

--- a/internal/app/scheduler/crash.go
+++ b/internal/app/scheduler/crash.go
@@ -102,10 +102,10 @@
 	s.markSuspected(e)
 }
 
-// doubtRuns records that runs were given up on a silent worker. The lock is held.
+// doubtRuns records that runs were given up on a silent worker. A run that has not been requested cannot crash it. The lock is held.
 func (s *Scheduler) doubtRuns(runs []*pool.Run) {
 	for _, run := range runs {
-		if e := s.jobs[run.Task.Job]; e != nil && run.OnProbation() {
+		if e := s.jobs[run.Task.Job]; e != nil && run.MayHaveStarted() && run.OnProbation() {
 			e.workflow.Doubt(run.RunRef)
 			s.markSuspected(e)
 		}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -84,12 +84,15 @@
 	if err := s.checkMayStart(sent); err != nil {
 		return sent, 0, err
 	}
-	if age := sent.Sub(l.decided); age > maxOrderAge || s.isFinal(l.entry) {
+	if age := sent.Sub(l.decided); age > maxOrderAge {
 		return sent, 0, fault.New(fault.DeadlineExceeded, "start not requested %v after the decision", age)
 	}
 	if !s.hasValidTicket(l, sent) {
 		return sent, 0, fault.New(fault.Unauthorized, "the ticket is no longer valid")
 	}
+	if err := s.markRequested(l); err != nil {
+		return sent, 0, err
+	}
 	startCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	clock, err = s.ports.RunClient.Start(startCtx, l.target, l.request)
@@ -107,10 +110,18 @@
 	return permits != nil && permits.Valid(permitWorker(l.monitor), now)
 }
 
-func (s *Scheduler) isFinal(e *jobEntry) bool {
+// markRequested notes that the request of a start is sent. It fails with Canceled if the run has been given up meanwhile, or its job is
+// over.
+func (s *Scheduler) markRequested(l launch) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return e.workflow.State().Final()
+	run := l.monitor.worker.Run(l.request.RunRef)
+	active := l.entry.workflow.IsActive(workflow.Placement{RunRef: l.request.RunRef, Worker: l.target.Worker})
+	if run == nil || !active || l.entry.workflow.State().Final() {
+		return fault.New(fault.Canceled, "the run was given up before its start was requested")
+	}
+	run.Requested = true
+	return nil
 }
 
 func (s *Scheduler) startAcked(l launch, clock time.Duration, sent time.Time) {
@@ -139,6 +150,7 @@
 	defer s.mu.Unlock()
 	l.monitor.worker.Release(l.request.RunRef)
 	l.entry.workflow.DropRun(l.request.RunRef, l.target.Worker)
+	s.resolveDoubt(l.entry, l.request.RunRef)
 	s.retryStep(l.entry, l.request.Task.StepRef)
 	switch fault.KindOf(err) {
 	case fault.Unauthorized:
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -29,6 +29,7 @@
 	workflow.RunRef
 	Step            workflow.Step
 	Priority        int       // of its queue; 0 is the highest
+	Requested       bool      // the request to start it may have been sent
 	Reported        bool      // the worker has reported it as running
 	Started         time.Time // when the worker acknowledged the start or first reported the run; zero before
 	Doubtful        bool      // the worker restarted when its start was in flight, and has not reported it since
@@ -197,6 +198,9 @@
 // Run returns a run that occupies capacity of the worker, or nil.
 func (w *Worker) Run(ref workflow.RunRef) *Run { return w.runs.find(ref) }
 
+// MayHaveStarted reports whether the worker may have started the run.
+func (r *Run) MayHaveStarted() bool { return r.Requested || r.Reported || !r.Started.IsZero() }
+
 // ReservedSize returns the capacity that a run of the step occupies. Best-effort runs occupy no processors.
 func ReservedSize(step *workflow.Step) resource.Vector {
 	size := step.Size
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -273,6 +273,12 @@
 	return runs
 }
 
+// IsActive reports whether a run was added and has not ended.
+func (w *Workflow) IsActive(p Placement) bool {
+	t := w.task(p.Task)
+	return t != nil && slices.ContainsFunc(t.active, func(a activeRun) bool { return a.run == p.Run && a.worker == p.Worker })
+}
+
 // Cancel sets the state to Cancelled and returns true, unless the state is already final. The caller stops the active
 // runs.
 func (w *Workflow) Cancel() bool {
