Find jobs by the address of their queue as well as by its name

Cause: the leader and the gateway compared the name of the route that a request selects with the name that the job was accepted under. Callers do not see that name: they know host, prefix and id.

Change: jobs, archived jobs and the calls between processes carry the name and the address of the queue (route.QueueRef), and one of both has to match, for queries, cancellations and pending jobs. Tasks follow the settings of the queue of the same name, else of the one at the same address if it has the same service.

Conclusion: a job is now identified by what its caller knows; the name still serves when the operator moves a queue to another address.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -7,6 +7,7 @@
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -36,25 +37,40 @@
 }
 
 // State implements port.Scheduler.
-func (t *Transport) State(ctx context.Context, queue string, id workflow.ID) (workflow.State, error) {
-	name := &cellpb.JobName{Queue: queue, Id: string(id)}
-	reply, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_State{State: name}})
+func (t *Transport) State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
+	reply, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_State{State: encodeJobName(queue, id)}})
 	return workflow.State(reply.GetState()), err
 }
 
 // Cancel implements port.Scheduler.
-func (t *Transport) Cancel(ctx context.Context, queue string, id workflow.ID) error {
-	name := &cellpb.JobName{Queue: queue, Id: string(id)}
-	_, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Cancel{Cancel: name}})
+func (t *Transport) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
+	_, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Cancel{Cancel: encodeJobName(queue, id)}})
 	return err
 }
 
 // PendingJobs implements port.Scheduler.
-func (t *Transport) PendingJobs(ctx context.Context, queue string) (int, error) {
-	reply, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Waiting{Waiting: queue}})
+func (t *Transport) PendingJobs(ctx context.Context, queue route.QueueRef) (int, error) {
+	reply, err := t.callLeader(ctx, &cellpb.Call{
+		Body: &cellpb.Call_Waiting{Waiting: queue.Name}, WaitingHost: queue.Host, WaitingPrefix: queue.Prefix,
+	})
 	return int(reply.GetWaiting()), err
 }
 
+func encodeJobName(queue route.QueueRef, id workflow.ID) *cellpb.JobName {
+	return &cellpb.JobName{Queue: queue.Name, Host: queue.Host, Prefix: queue.Prefix, Id: string(id)}
+}
+
+// queueFields are the fields of a message that identify a queue.
+type queueFields interface {
+	GetQueue() string
+	GetHost() string
+	GetPrefix() string
+}
+
+func decodeQueueRef(m queueFields) route.QueueRef {
+	return route.QueueRef{Name: m.GetQueue(), Host: m.GetHost(), Prefix: m.GetPrefix()}
+}
+
 // Peers returns the processes that have an open session to this one.
 func (t *Transport) Peers() []ident.ProcessID {
 	t.mu.Lock()
@@ -108,12 +124,13 @@
 	case *cellpb.Call_Notify:
 		return withJob(body.Notify, func(job port.AcceptedJob) error { return handler.Notify(ctx, job) })
 	case *cellpb.Call_State:
-		state, err := handler.State(ctx, body.State.GetQueue(), workflow.ID(body.State.GetId()))
+		state, err := handler.State(ctx, decodeQueueRef(body.State), workflow.ID(body.State.GetId()))
 		return &cellpb.Reply{State: uint32(state)}, err
 	case *cellpb.Call_Cancel:
-		return &cellpb.Reply{}, handler.Cancel(ctx, body.Cancel.GetQueue(), workflow.ID(body.Cancel.GetId()))
+		return &cellpb.Reply{}, handler.Cancel(ctx, decodeQueueRef(body.Cancel), workflow.ID(body.Cancel.GetId()))
 	case *cellpb.Call_Waiting:
-		n, err := handler.PendingJobs(ctx, body.Waiting)
+		queue := route.QueueRef{Name: body.Waiting, Host: call.GetWaitingHost(), Prefix: call.GetWaitingPrefix()}
+		n, err := handler.PendingJobs(ctx, queue)
 		return &cellpb.Reply{Waiting: int64(n)}, err
 	case *cellpb.Call_NewConfig:
 		t.replica.Apply(body.NewConfig, string(s.peer))
--- a/internal/adapter/cellwire/fuzz_test.go
+++ b/internal/adapter/cellwire/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"skylarkstall/internal/adapter/cellwire"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -59,7 +60,7 @@
 	codec := cellwire.RecordCodec{}
 	f.Add(codec.EncodeLeader(port.Leader{Process: "a", Term: 3}))
 	f.Add(codec.EncodeWorkers([]port.WorkerRecord{{Cordoned: true, CordonedAt: ident.Revision(4)}}))
-	f.Add(codec.EncodeFinished(port.FinishedJob{Queue: "q", State: workflow.FailedState}))
+	f.Add(codec.EncodeFinished(port.FinishedJob{Queue: route.QueueRef{Name: "q"}, State: workflow.FailedState}))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		_, _ = codec.DecodeFinished(raw)
 		_, _ = codec.DecodeLeader(raw)
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -60,7 +60,7 @@
 
 func encodeQueue(q route.Queue) *cellpb.Queue {
 	m := &cellpb.Queue{
-		Name: q.Name, Service: q.Service, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+		Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
 	}
 	if q.PermitPolicy != nil {
 		m.Advised, m.DecisionUs = true, q.PermitPolicy.CallLatency.Microseconds()
@@ -107,7 +107,8 @@
 
 func decodeQueue(m *cellpb.Queue) route.Queue {
 	q := route.Queue{
-		Name: m.GetName(), Service: m.GetService(), Priority: int(m.GetPriority()), MaxAttempts: int(m.GetMaxAttempts()),
+		Name: m.GetName(), Host: m.GetHost(), Prefix: m.GetPrefix(), Service: m.GetService(), Priority: int(m.GetPriority()),
+		MaxAttempts: int(m.GetMaxAttempts()),
 	}
 	if m.GetAdvised() {
 		q.PermitPolicy = &route.PermitPolicy{
@@ -198,7 +199,8 @@
 
 // EncodeFinished returns the record of a finished job.
 func (RecordCodec) EncodeFinished(job port.FinishedJob) []byte {
-	return marshal(&cellpb.FinishedJob{Queue: job.Queue, State: uint32(job.State)})
+	q := job.Queue
+	return marshal(&cellpb.FinishedJob{Queue: q.Name, Host: q.Host, Prefix: q.Prefix, State: uint32(job.State)})
 }
 
 // DecodeFinished is the inverse of EncodeFinished. It fails with Invalid, also if the state is not final.
@@ -210,7 +212,7 @@
 	if m.GetState() > uint32(workflow.Cancelled) || !workflow.State(m.GetState()).Final() {
 		return port.FinishedJob{}, fault.New(fault.Invalid, "record of a finished job: state %d", m.GetState())
 	}
-	return port.FinishedJob{Queue: m.GetQueue(), State: workflow.State(m.GetState())}, nil
+	return port.FinishedJob{Queue: decodeQueueRef(m), State: workflow.State(m.GetState())}, nil
 }
 
 // EncodeLeader returns the record of the leader.
--- a/internal/adapter/cellwire/records_test.go
+++ b/internal/adapter/cellwire/records_test.go
@@ -19,7 +19,7 @@
 	job := port.AcceptedJob{
 		AcceptedAt: time.UnixMilli(1_700_000_000_123),
 		Queue: route.Queue{
-			Name: "q", Service: "desk", Priority: 2, MaxAttempts: 3,
+			Name: "q", Host: "h", Prefix: "/q/", Service: "desk", Priority: 2, MaxAttempts: 3,
 			PermitPolicy: &route.PermitPolicy{
 				CallLatency: 370 * time.Millisecond, WorkerLatency: 5300 * time.Microsecond, TicketTTL: 2 * time.Second,
 			},
@@ -94,11 +94,11 @@
 // TestFinishedRecord guards against the result of a job that is lost once the job is archived.
 func TestFinishedRecord(t *testing.T) {
 	codec := cellwire.RecordCodec{}
-	want := port.FinishedJob{Queue: "q", State: workflow.FailedState}
+	want := port.FinishedJob{Queue: route.QueueRef{Name: "q", Host: "h", Prefix: "/q/"}, State: workflow.FailedState}
 	if got, err := codec.DecodeFinished(codec.EncodeFinished(want)); err != nil || got != want {
 		t.Errorf("decoded %v, error %v; want %v", got, err, want)
 	}
-	if _, err := codec.DecodeFinished(codec.EncodeFinished(port.FinishedJob{Queue: "q", State: workflow.Running})); err == nil {
+	if _, err := codec.DecodeFinished(codec.EncodeFinished(port.FinishedJob{Queue: want.Queue, State: workflow.Running})); err == nil {
 		t.Error("the state running is accepted as final")
 	}
 }
--- a/internal/adapter/cellwire/session_fuzz_test.go
+++ b/internal/adapter/cellwire/session_fuzz_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/yamux"
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -23,9 +24,9 @@
 
 func (idleScheduler) StoreJob(context.Context, port.AcceptedJob) error  { return nil }
 func (idleScheduler) Notify(context.Context, port.AcceptedJob) error    { return nil }
-func (idleScheduler) Cancel(context.Context, string, workflow.ID) error { return nil }
-func (idleScheduler) PendingJobs(context.Context, string) (int, error)  { return 1, nil }
-func (idleScheduler) State(context.Context, string, workflow.ID) (workflow.State, error) {
+func (idleScheduler) Cancel(context.Context, route.QueueRef, workflow.ID) error { return nil }
+func (idleScheduler) PendingJobs(context.Context, route.QueueRef) (int, error)  { return 1, nil }
+func (idleScheduler) State(context.Context, route.QueueRef, workflow.ID) (workflow.State, error) {
 	return workflow.Running, nil
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -164,7 +164,7 @@
 // State returns the state of a job. It fails with NotFound if the queue has no such job.
 func (g *Gateway) State(ctx context.Context, queue route.Queue, id workflow.ID) (workflow.State, error) {
 	leaderCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
-	state, err := g.leader.State(leaderCtx, queue.Name, id)
+	state, err := g.leader.State(leaderCtx, queue.Ref(), id)
 	cancel()
 	if err == nil {
 		return state, nil
@@ -190,7 +190,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if job.Tombstone || job.Queue.Name != queue.Name {
+	if job.Tombstone || !job.Queue.Ref().Matches(queue.Ref()) {
 		return 0, fault.New(fault.NotFound, "job %s not found in queue %s", id, queue.Name)
 	}
 	if fault.Is(cause, fault.NotFound) {
@@ -218,7 +218,7 @@
 		return 0, err
 	}
 	job, err := g.codec.DecodeFinished(entry.Value)
-	if err == nil && job.Queue != queue.Name {
+	if err == nil && !job.Queue.Matches(queue.Ref()) {
 		err = fault.New(fault.NotFound, "job %s not found in queue %s", id, queue.Name)
 	}
 	return job.State, err
@@ -227,7 +227,7 @@
 // Cancel returns when the cancellation is stored. It retries while there is no leader.
 func (g *Gateway) Cancel(ctx context.Context, queue route.Queue, id workflow.ID) error {
 	for {
-		err := g.leader.Cancel(ctx, queue.Name, id)
+		err := g.leader.Cancel(ctx, queue.Ref(), id)
 		if err == nil || fault.Is(err, fault.NotFound) {
 			g.log.Info("job cancelled by its caller", "job", id, "queue", queue.Name, "kind", outcomeLabel(err))
 			return err
@@ -243,7 +243,7 @@
 func (g *Gateway) PendingJobs(ctx context.Context, queue route.Queue) (int, error) {
 	for {
 		leaderCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
-		n, err := g.leader.PendingJobs(leaderCtx, queue.Name)
+		n, err := g.leader.PendingJobs(leaderCtx, queue.Ref())
 		cancel()
 		if err == nil || !hasTimeToRetry(ctx) || !pause.For(ctx, 2*retryInterval) {
 			return n, err
--- a/internal/app/scheduler/archive.go
+++ b/internal/app/scheduler/archive.go
@@ -83,7 +83,7 @@
 		txn.If = append(txn.If, port.Condition{Key: key, Revision: e.revision})
 		txn.Writes = append(txn.Writes, port.Write{
 			Key:   port.FinishedPrefix + string(id),
-			Value: s.ports.RecordCodec.EncodeFinished(port.FinishedJob{Queue: e.queue.Name, State: e.storedState}),
+			Value: s.ports.RecordCodec.EncodeFinished(port.FinishedJob{Queue: e.queue.Ref(), State: e.storedState}),
 		})
 		txn.Deletes = append(txn.Deletes, port.JobPrefix+string(id), key)
 	}
@@ -99,7 +99,7 @@
 func (s *Scheduler) markArchived(e *jobEntry) {
 	id := e.workflow.Spec().ID
 	delete(s.jobs, id)
-	s.finished[id] = finishedJob{port.FinishedJob{Queue: e.queue.Name, State: e.storedState}, e.finished}
+	s.finished[id] = finishedJob{port.FinishedJob{Queue: e.queue.Ref(), State: e.storedState}, e.finished}
 }
 
 // resolveArchive handles a conflict: another process leads, an earlier attempt took effect, or a record of progress has another
--- a/internal/app/scheduler/archive_test.go
+++ b/internal/app/scheduler/archive_test.go
@@ -9,6 +9,7 @@
 
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
@@ -32,10 +33,10 @@
 
 type finishedCodec struct{ port.RecordCodec }
 
-func (finishedCodec) EncodeFinished(job port.FinishedJob) []byte { return []byte(job.Queue) }
+func (finishedCodec) EncodeFinished(job port.FinishedJob) []byte { return []byte(job.Queue.Name) }
 
 func (finishedCodec) DecodeFinished(raw []byte) (port.FinishedJob, error) {
-	return port.FinishedJob{Queue: string(raw), State: workflow.Completed}, nil
+	return port.FinishedJob{Queue: route.QueueRef{Name: string(raw)}, State: workflow.Completed}, nil
 }
 
 // TestOnlySettledJobsAreArchived guards against a job whose record is deleted although writes of its progress are on their way
@@ -204,3 +205,22 @@
 		t.Error("a new job is not taken in")
 	}
 }
+
+// TestArchivedJobOfReplacedQueue guards against a finished job that is out of reach because its queue has got another name since, and
+// against one that is shown to the callers of another queue.
+func TestArchivedJobOfReplacedQueue(t *testing.T) {
+	s := newLeader(t)
+	e := finishedEntry(s, "job", time.Now())
+	e.queue.Host, e.queue.Prefix = "h", "/q/"
+	s.mu.Lock()
+	s.markArchived(e)
+	s.mu.Unlock()
+	for ref, want := range map[route.QueueRef]bool{
+		{Name: "renamed", Host: "h", Prefix: "/q/"}:   true,
+		{Name: "other", Host: "h", Prefix: "/other/"}: false,
+	} {
+		if state, err := s.State(t.Context(), ref, "job"); (err == nil && state == workflow.Cancelled) != want {
+			t.Errorf("state of the job in queue %v: %v, error %v; found: want %v", ref, state, err, want)
+		}
+	}
+}
--- a/internal/app/scheduler/cancel.go
+++ b/internal/app/scheduler/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -11,7 +12,7 @@
 
 // Cancel implements port.Scheduler. A write that would store the job may still be on its way, so NotFound is returned only after a
 // tombstone has taken its place. A job that has finished remains as it is.
-func (s *Scheduler) Cancel(ctx context.Context, queue string, id workflow.ID) error {
+func (s *Scheduler) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
 	defer s.guardCall()
 	e, err := s.lookUpJob(ctx, queue, id)
 	if fault.Is(err, fault.NotFound) && id.Validate() == nil {
@@ -32,7 +33,7 @@
 }
 
 // lookUpJob returns a job, or nil if the job is archived. It reads the store for a job that is not known yet.
-func (s *Scheduler) lookUpJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
+func (s *Scheduler) lookUpJob(ctx context.Context, queue route.QueueRef, id workflow.ID) (*jobEntry, error) {
 	s.mu.Lock()
 	ready, e := s.ready, s.findJob(queue, id)
 	finished, isFinished := s.finished[id]
@@ -58,8 +59,8 @@
 }
 
 // checkQueue fails with NotFound if a finished job belongs to another queue.
-func checkQueue(queue string, id workflow.ID, job port.FinishedJob) error {
-	if job.Queue != queue {
+func checkQueue(queue route.QueueRef, id workflow.ID, job port.FinishedJob) error {
+	if !job.Queue.Matches(queue) {
 		return fault.New(fault.NotFound, "job %s belongs to another queue", id)
 	}
 	return nil
@@ -67,7 +68,7 @@
 
 // acceptStored takes in a job of the store and returns it. It fails with NotFound if it is a tombstone or belongs to another
 // queue.
-func (s *Scheduler) acceptStored(queue string, job port.StoredJob) (*jobEntry, error) {
+func (s *Scheduler) acceptStored(queue route.QueueRef, job port.StoredJob) (*jobEntry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acceptJob(job.AcceptedJob, job.Revision)
@@ -79,7 +80,7 @@
 
 // preventJob stores a tombstone, so that the job is not stored later. It fails with NotFound once that is certain, and returns the job if
 // it was stored meanwhile, or nil if it is archived.
-func (s *Scheduler) preventJob(ctx context.Context, queue string, id workflow.ID) (*jobEntry, error) {
+func (s *Scheduler) preventJob(ctx context.Context, queue route.QueueRef, id workflow.ID) (*jobEntry, error) {
 	if s.hasTombstone(id) {
 		return nil, fault.New(fault.NotFound, "job %s was cancelled before", id)
 	}
@@ -90,7 +91,7 @@
 	if stored.Finished != nil {
 		return nil, checkQueue(queue, id, *stored.Finished)
 	}
-	s.log.Info("unknown job cancelled", "job", id, "queue", queue, "stored_meanwhile", !stored.Tombstone)
+	s.log.Info("unknown job cancelled", "job", id, "queue", queue.Name, "stored_meanwhile", !stored.Tombstone)
 	return s.acceptStored(queue, stored)
 }
 
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
@@ -98,8 +99,8 @@
 }
 
 // findJob returns a job of a queue, or nil if it is not known. The lock is held.
-func (s *Scheduler) findJob(queue string, id workflow.ID) *jobEntry {
-	if e := s.jobs[id]; e != nil && e.queue.Name == queue {
+func (s *Scheduler) findJob(queue route.QueueRef, id workflow.ID) *jobEntry {
+	if e := s.jobs[id]; e != nil && e.queue.Ref().Matches(queue) {
 		return e
 	}
 	return nil
@@ -112,7 +113,7 @@
 
 // State implements port.Scheduler. A final state is returned only after it has been recorded; until then the job counts
 // as running.
-func (s *Scheduler) State(_ context.Context, queue string, id workflow.ID) (workflow.State, error) {
+func (s *Scheduler) State(_ context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
 	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,7 +122,7 @@
 	}
 	e := s.findJob(queue, id)
 	if e == nil {
-		if job, ok := s.finished[id]; ok && job.Queue == queue {
+		if job, ok := s.finished[id]; ok && job.Queue.Matches(queue) {
 			return job.State, nil
 		}
 		return 0, fault.New(fault.NotFound, "job %s is not known", id)
@@ -133,7 +134,7 @@
 }
 
 // PendingJobs implements port.Scheduler. It counts the open jobs of which no task has started.
-func (s *Scheduler) PendingJobs(_ context.Context, queue string) (int, error) {
+func (s *Scheduler) PendingJobs(_ context.Context, queue route.QueueRef) (int, error) {
 	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,7 +143,7 @@
 	}
 	n := 0
 	for _, e := range s.openJobs {
-		if e.queue.Name == queue && e.workflow.State() == workflow.Pending {
+		if e.queue.Ref().Matches(queue) && e.workflow.State() == workflow.Pending {
 			n++
 		}
 	}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -244,10 +244,7 @@
 // queueOf returns the current settings of a job's queue, or those at the time of its acceptance if the queue has been
 // removed.
 func (s *Scheduler) queueOf(e *jobEntry) route.Queue {
-	if q, ok := s.table.Queue(e.queue.Name); ok {
-		return q
-	}
-	return e.queue
+	return s.table.Current(e.queue)
 }
 
 // addJob adds a job that the store holds. The lock is held.
--- a/internal/app/scheduler/scheduler_test.go
+++ b/internal/app/scheduler/scheduler_test.go
@@ -194,7 +194,7 @@
 	if launches, _ := s.place(time.Now()); len(launches) != 0 {
 		t.Fatalf("%d members of a gang of 3 start on two workers with capacity for one each", len(launches))
 	}
-	if n, err := s.PendingJobs(t.Context(), "q"); n != 1 || err != nil {
+	if n, err := s.PendingJobs(t.Context(), route.QueueRef{Name: "q"}); n != 1 || err != nil {
 		t.Errorf("%d jobs are waiting, error %v; want 1", n, err)
 	}
 }
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -7,6 +7,7 @@
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -34,15 +35,15 @@
 	return c.target().Notify(ctx, job)
 }
 
-func (c *leaderClient) State(ctx context.Context, queue string, id workflow.ID) (workflow.State, error) {
+func (c *leaderClient) State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
 	return c.target().State(ctx, queue, id)
 }
 
-func (c *leaderClient) Cancel(ctx context.Context, queue string, id workflow.ID) error {
+func (c *leaderClient) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
 	return c.target().Cancel(ctx, queue, id)
 }
 
-func (c *leaderClient) PendingJobs(ctx context.Context, queue string) (int, error) {
+func (c *leaderClient) PendingJobs(ctx context.Context, queue route.QueueRef) (int, error) {
 	return c.target().PendingJobs(ctx, queue)
 }
 
@@ -73,13 +74,13 @@
 
 func (n notLeader) Notify(context.Context, port.AcceptedJob) error { return n.err() }
 
-func (n notLeader) State(context.Context, string, workflow.ID) (workflow.State, error) {
+func (n notLeader) State(context.Context, route.QueueRef, workflow.ID) (workflow.State, error) {
 	return 0, n.err()
 }
 
-func (n notLeader) Cancel(context.Context, string, workflow.ID) error { return n.err() }
+func (n notLeader) Cancel(context.Context, route.QueueRef, workflow.ID) error { return n.err() }
 
-func (n notLeader) PendingJobs(context.Context, string) (int, error) { return 0, n.err() }
+func (n notLeader) PendingJobs(context.Context, route.QueueRef) (int, error) { return 0, n.err() }
 
 // RequestPermits implements port.PermitClient on behalf of the leader.
 func (h *peerHandler) RequestPermits(
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -26,6 +26,25 @@
 	PermitPolicy *PermitPolicy // nil if tasks of the queue need no permits
 }
 
+// QueueRef identifies a queue by its name, and by the address at which callers reach it. The operator may change either.
+type QueueRef struct {
+	Name   string
+	Host   string
+	Prefix string
+}
+
+// Ref returns the reference to the queue.
+func (q *Queue) Ref() QueueRef { return QueueRef{q.Name, q.Host, q.Prefix} }
+
+// hasAddress reports whether the reference has an address, which it lacks in records of earlier versions.
+func (r QueueRef) hasAddress() bool { return r.Host != "" || r.Prefix != "" }
+
+// Matches reports whether both references are to one queue: they have the same name, or the same address, so that a caller who submitted
+// a job to one of them reaches it through the other.
+func (r QueueRef) Matches(other QueueRef) bool {
+	return r.Name == other.Name || r.hasAddress() && r.Host == other.Host && r.Prefix == other.Prefix
+}
+
 // HasTopPriority reports whether the queue has the highest priority, so that no other queue is scheduled before it.
 func (q *Queue) HasTopPriority() bool { return q.Priority == 0 }
 
@@ -43,15 +62,19 @@
 	Source string    // who stated it
 }
 
-// Table holds the active configuration, indexed by queue name and host. It is safe for concurrent use.
+// Table holds the active configuration, indexed by queue name, host and address. It is safe for concurrent use.
 type Table struct {
 	mu        sync.RWMutex
 	config    Config
 	confirmed Confirmation
 	byName    map[string]*Queue
 	byHost    map[string][]*Queue
+	byAddress map[address]*Queue
 }
 
+// address is the host and the prefix of a queue.
+type address struct{ host, prefix string }
+
 // Apply activates the configuration if its version is newer than the active one, and reports whether it did.
 func (t *Table) Apply(config Config) bool {
 	t.mu.Lock()
@@ -60,11 +83,14 @@
 		return false
 	}
 	t.config = config
-	t.byName, t.byHost = map[string]*Queue{}, map[string][]*Queue{}
+	t.byName, t.byHost, t.byAddress = map[string]*Queue{}, map[string][]*Queue{}, map[address]*Queue{}
 	for i := range config.Queues {
 		q := &t.config.Queues[i]
 		t.byName[q.Name] = q
 		t.byHost[q.Host] = append(t.byHost[q.Host], q)
+		if at := (address{q.Host, q.Prefix}); t.byAddress[at] == nil {
+			t.byAddress[at] = q // the one that Match returns
+		}
 	}
 	return true
 }
@@ -93,14 +119,18 @@
 	return t.config
 }
 
-// Queue returns the queue with the given name.
-func (t *Table) Queue(name string) (Queue, bool) {
+// Current returns the active settings of a queue, or the given ones if it has been removed. A queue of another name at the same address
+// takes its place if its tasks run on the same service.
+func (t *Table) Current(queue Queue) Queue {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	if q := t.byName[name]; q != nil {
-		return *q, true
+	if q := t.byName[queue.Name]; q != nil {
+		return *q
+	}
+	if q := t.byAddress[address{queue.Host, queue.Prefix}]; q != nil && queue.Ref().hasAddress() && q.Service == queue.Service {
+		return *q
 	}
-	return Queue{}, false
+	return queue
 }
 
 // Match returns the queue of the host with the longest prefix that matches the path.
--- a/internal/domain/route/route_test.go
+++ b/internal/domain/route/route_test.go
@@ -61,3 +61,52 @@
 		}
 	}
 }
+
+// TestQueueRefMatches guards against a job that is out of reach because the operator gave its queue another name or another address, and
+// against one that is shown to the callers of another queue.
+func TestQueueRefMatches(t *testing.T) {
+	job := route.QueueRef{Name: "q", Host: "h", Prefix: "/q/"}
+	for _, c := range []struct {
+		other route.QueueRef
+		want  bool
+	}{
+		{route.QueueRef{Name: "other", Host: "h", Prefix: "/q/"}, true},
+		{route.QueueRef{Name: "q", Host: "h", Prefix: "/moved/"}, true},
+		{route.QueueRef{Name: "q"}, true},
+		{route.QueueRef{Name: "other", Host: "g", Prefix: "/q/"}, false},
+		{route.QueueRef{Name: "other", Host: "h", Prefix: "/"}, false},
+		{route.QueueRef{Name: "other"}, false},
+	} {
+		if got := job.Matches(c.other); got != c.want || c.other.Matches(job) != c.want {
+			t.Errorf("%v matches %v: %v, want %v", job, c.other, got, c.want)
+		}
+	}
+	if old := (route.QueueRef{Name: "q"}); old.Matches(route.QueueRef{Name: "other"}) {
+		t.Error("two references without an address match, although their names differ")
+	}
+}
+
+// TestCurrent guards against tasks that do not follow the settings of their queue after it got another name, and against tasks that move
+// to another service because a new queue has the address of one that was removed.
+func TestCurrent(t *testing.T) {
+	var table route.Table
+	table.Apply(route.Config{Version: 1, Queues: []route.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Service: "desk", Priority: 1},
+		{Name: "renamed", Host: "h", Prefix: "/a/", Service: "desk", Priority: 2},
+		{Name: "replaced", Host: "h", Prefix: "/b/", Service: "kiln", Priority: 3},
+		{Name: "without an address", Service: "desk", Priority: 4},
+	}})
+	for _, c := range []struct {
+		queue    route.Queue
+		priority int
+	}{
+		{route.Queue{Name: "q", Host: "h", Prefix: "/a/", Service: "kiln"}, 1},
+		{route.Queue{Name: "former", Host: "h", Prefix: "/a/", Service: "desk"}, 2},
+		{route.Queue{Name: "former", Host: "h", Prefix: "/b/", Service: "desk"}, 0},
+		{route.Queue{Name: "former", Service: "desk"}, 0},
+	} {
+		if got := table.Current(c.queue); got.Priority != c.priority {
+			t.Errorf("settings of %+v: priority %d, want %d", c.queue, got.Priority, c.priority)
+		}
+	}
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -190,7 +190,7 @@
 
 // FinishedJob is what remains of a job some time after it has finished.
 type FinishedJob struct {
-	Queue string // name
+	Queue route.QueueRef
 	State workflow.State
 }
 
@@ -294,11 +294,11 @@
 	// Notify announces a stored job, so that it can start before the leader next reads the store.
 	Notify(ctx context.Context, job AcceptedJob) error
 	// State fails with NotFound if the leader does not know the job.
-	State(ctx context.Context, queue string, id workflow.ID) (workflow.State, error)
+	State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error)
 	// Cancel returns when the cancellation is stored. It fails with NotFound if the job does not exist.
-	Cancel(ctx context.Context, queue string, id workflow.ID) error
+	Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error
 	// PendingJobs returns the number of jobs in the queue of which no task has started.
-	PendingJobs(ctx context.Context, queue string) (int, error)
+	PendingJobs(ctx context.Context, queue route.QueueRef) (int, error)
 }
 
 // ConfigStatus describes the active configuration of a process.
