Keep requests to a former life of a worker from taking effect on the next

Cause: a lease expiry is a time on the clock of one life of a worker. A sync or start that was meant for the former life and is carried out by the next one leaves the longest lease there (6 s in place of 3.5 s), as its expiry lies far ahead on the new clock. The id and the fencing token were the same for both lives, so nothing told them apart. The next leader did not know of such a lease, and the same leader reckoned with it only once, when it noticed the restart.

Evidence: such runs lapse 6.2 s after the start of their worker, whatever the last renewal was.

Change: after a restart the leader's requests to that worker carry a higher token, the revision of a record that it writes on condition that it leads. The worker gets no starts until it has answered one; from then on the longest lease is reckoned with once. A new leader does the same at the first answer, and while it waits for workers that do not answer, unless the record says that the worker is fenced or there was no earlier leader. Refusals of an earlier token of its own do not end a term. 'worker reached' and 'worker fenced' log the clock, the incarnation, the token and the lease.

Tests changed: the records of TestSilentWorkerDelaysTakeover, TestCordonedByShortTerm and TestHeldStepGetsPermits say that the worker is fenced, with the bounds as they were, and cases without it are added; restartWorker records the restart, as starts need it now, and TestFlappingWorker checks that the task starts at all.

Conclusion: the fencing token is the only thing that a worker compares before it acts, so it has to differ from life to life.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -249,7 +249,7 @@
 	for _, w := range workers {
 		m.Workers = append(m.Workers, &cellpb.Worker{
 			Id: string(w.ID), Address: w.Address, Service: w.Service, Born: w.Incarnation, Closed: w.Cordoned,
-			ClosedAt: uint64(w.CordonedAt),
+			ClosedAt: uint64(w.CordonedAt), Fenced: w.Fenced,
 		})
 	}
 	return marshal(m)
@@ -267,7 +267,7 @@
 			WorkerInfo: pool.WorkerInfo{
 				ID: ident.WorkerID(w.GetId()), Address: w.GetAddress(), Service: w.GetService(), Incarnation: w.GetBorn(),
 			},
-			Cordoned: w.GetClosed(), CordonedAt: ident.Revision(w.GetClosedAt()),
+			Cordoned: w.GetClosed(), CordonedAt: ident.Revision(w.GetClosedAt()), Fenced: w.GetFenced(),
 		}
 		if record.Cordoned && record.CordonedAt == 0 {
 			record.CordonedAt = revision
--- a/internal/adapter/cellwire/records_test.go
+++ b/internal/adapter/cellwire/records_test.go
@@ -66,7 +66,7 @@
 // worker without a revision was cordoned at the revision of the record itself.
 func TestWorkersRecord(t *testing.T) {
 	workers := []port.WorkerRecord{
-		{WorkerInfo: pool.WorkerInfo{ID: "a", Address: "h:1", Service: "desk", Incarnation: 7}},
+		{WorkerInfo: pool.WorkerInfo{ID: "a", Address: "h:1", Service: "desk", Incarnation: 7}, Fenced: true},
 		{WorkerInfo: pool.WorkerInfo{ID: "b", Address: "h:2", Service: "desk", Incarnation: 8}, Cordoned: true},
 		{WorkerInfo: pool.WorkerInfo{ID: "c", Address: "h:3", Service: "desk", Incarnation: 9}, Cordoned: true, CordonedAt: 40},
 	}
--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -200,14 +200,29 @@
 	return !s.term.PredecessorStopped && (silentRevision == 0 || e.createdRevision <= silentRevision)
 }
 
-// earlierRunsLast reports whether runs of a leader before the previous one may have gone on when the term began. The lock is held.
-func (s *Scheduler) earlierRunsLast() bool {
-	lapsedAt := s.term.EarlierSilentAt.Add(pool.LapseTime(s.settings.leaseDuration()))
+// earlierRunsLast reports whether runs of a leader before the previous one may have gone on on a worker when the term began. The lock is
+// held.
+func (s *Scheduler) earlierRunsLast(w port.WorkerRecord) bool {
+	lapsedAt := s.term.EarlierSilentAt.Add(s.lapseTime(w))
 	return !s.term.EarlierSilentAt.IsZero() && s.startedAt.Before(lapsedAt)
 }
 
-// predecessorLapsedAt returns the time from which nothing that an earlier leader started runs on a worker that does not answer.
+// predecessorLapsedAt returns the time from which nothing that an earlier leader started runs on any worker that does not answer.
 // The lock is held.
 func (s *Scheduler) predecessorLapsedAt() time.Time {
-	return s.predecessorSilentAt().Add(pool.LapseTime(s.settings.leaseDuration()))
+	longest := time.Duration(0)
+	for _, w := range s.unsynced {
+		longest = max(longest, s.lapseTime(w))
+	}
+	return s.predecessorSilentAt().Add(longest)
+}
+
+// lapseTime returns how long after the last request of an earlier leader nothing runs any more on a worker that does not answer. If the
+// worker may have carried out a request to an earlier life, that may have left the longest lease that it grants. The lock is held.
+func (s *Scheduler) lapseTime(w port.WorkerRecord) time.Duration {
+	m := s.monitors[w.ID]
+	if w.Fenced && (m == nil || m.worker.Incarnation() == w.Incarnation) {
+		return pool.LapseTime(s.settings.leaseDuration())
+	}
+	return pool.LapseTime(s.settings.MaxLease)
 }
--- a/internal/app/scheduler/authority_test.go
+++ b/internal/app/scheduler/authority_test.go
@@ -22,7 +22,7 @@
 	now := s.startedAt
 	for _, id := range []ident.WorkerID{"w1", "w2", "w3"} {
 		addTestWorker(s, id, 4000, now)
-		s.unsynced[id] = port.WorkerRecord{WorkerInfo: s.monitors[id].worker.Info()}
+		s.unsynced[id] = port.WorkerRecord{WorkerInfo: s.monitors[id].worker.Info(), Fenced: true}
 		s.predecessor.workers = append(s.predecessor.workers, id)
 	}
 	for _, id := range []ident.WorkerID{"w1", "w2", "w3"} {
@@ -40,19 +40,38 @@
 
 // TestSilentWorkerDelaysTakeover guards against tasks that stay away for 10 s after the loss of a rack and then of the leader: a
 // new leader that has reached most workers need not wait until its predecessor would have stopped without them. It must still
-// wait for the lease of the worker that it cannot reach.
+// wait for the lease of the worker that it cannot reach, which is the longest if a request to an earlier life of the worker may have extended it.
 func TestSilentWorkerDelaysTakeover(t *testing.T) {
-	lease := Settings{MaxLease: 6 * time.Second}.leaseDuration()
+	const maxLease = 6 * time.Second
+	lease := Settings{MaxLease: maxLease}.leaseDuration()
 	for name, c := range map[string]struct {
 		answered []ident.WorkerID
 		longest  time.Duration
 		earlier  time.Duration // until when a leader before the predecessor may send requests
+		change   func(s *Scheduler)
 	}{
-		"two thirds answered": {[]ident.WorkerID{"w1", "w2"}, authorityWindow + pool.LapseTime(lease) + 2*placeInterval, 0},
-		"one third answered":  {[]ident.WorkerID{"w1"}, leadership.MaxRenewalGap + pool.LapseTime(lease) + 2*placeInterval, 0},
-		"after a short term":  {[]ident.WorkerID{"w1", "w2"}, 4*time.Second + pool.LapseTime(lease) + 2*placeInterval, 4 * time.Second},
+		"two thirds answered": {
+			answered: []ident.WorkerID{"w1", "w2"}, longest: authorityWindow + pool.LapseTime(lease) + 2*placeInterval,
+		},
+		"one third answered": {
+			answered: []ident.WorkerID{"w1"}, longest: leadership.MaxRenewalGap + pool.LapseTime(lease) + 2*placeInterval,
+		},
+		"after a short term": {
+			answered: []ident.WorkerID{"w1", "w2"}, longest: 4*time.Second + pool.LapseTime(lease) + 2*placeInterval, earlier: 4 * time.Second,
+		},
+		"not fenced by the predecessor": {
+			answered: []ident.WorkerID{"w1", "w2"}, longest: authorityWindow + pool.LapseTime(maxLease) + 2*placeInterval,
+			change: func(s *Scheduler) { s.unsynced["w3"] = port.WorkerRecord{WorkerInfo: s.unsynced["w3"].WorkerInfo} },
+		},
+		"restarted since the record": {
+			answered: []ident.WorkerID{"w1", "w2"}, longest: authorityWindow + pool.LapseTime(maxLease) + 2*placeInterval,
+			change: func(s *Scheduler) { s.monitors["w3"].worker.KeepIncarnation(2) }, // as the worker list states it
+		},
 	} {
 		s, now := newSuccessor(t, c.answered...)
+		if c.change != nil {
+			c.change(s)
+		}
 		if c.earlier > 0 {
 			s.term.EarlierSilentAt = now.Add(c.earlier)
 		}
@@ -91,7 +110,7 @@
 		for _, id := range []ident.WorkerID{"w1", "w2"} {
 			delete(s.unsynced, id)
 		}
-		s.unsynced["w3"] = port.WorkerRecord{WorkerInfo: s.unsynced["w3"].WorkerInfo, Cordoned: true, CordonedAt: 10}
+		s.unsynced["w3"] = port.WorkerRecord{WorkerInfo: s.unsynced["w3"].WorkerInfo, Cordoned: true, CordonedAt: 10, Fenced: true}
 		s.jobs["job"].createdRevision = 15
 		if launches, _ := s.place(now); len(launches) > 0 == c.held {
 			t.Errorf("%s: %d starts, held: %v", name, len(launches), c.held)
@@ -214,7 +233,7 @@
 		addTestWorker(s, "w1", 4000, now.Add(-time.Minute))
 		m, run := s.monitors["w1"], firstRun(0)
 		m.worker.Adopt(run, &workflow.Step{})
-		s.syncFailed(m, "", fault.New(fault.Interrupted, "no response"))
+		s.syncFailed(m, "", s.term.Token, fault.New(fault.Interrupted, "no response"))
 		if kept := m.worker.Run(run) != nil; kept != c.kept {
 			t.Errorf("%s: the run counts as running: %v, want %v", name, kept, c.kept)
 		}
@@ -254,7 +273,7 @@
 		for _, id := range []ident.WorkerID{"w1", "w2"} {
 			s.monitors[id].worker.ObserveClock(at.Sub(now)+time.Minute, at, at)
 		}
-		s.applyReply(m, port.SyncReply{WorkerClock: waited + time.Minute, MoreEnds: true, Ended: []port.EndedRun{
+		s.applyReply(m, s.term.Token, port.SyncReply{WorkerClock: waited + time.Minute, MoreEnds: true, Ended: []port.EndedRun{
 			{Number: 1, End: workflow.End{Run: listed, Outcome: workflow.Done}},
 		}}, at, at)
 		s.mu.Lock()
@@ -264,7 +283,7 @@
 			t.Fatalf("the task starts %v after the takeover, although a worker that answers may list its end later", waited)
 		}
 	}
-	s.applyReply(m, port.SyncReply{WorkerClock: time.Hour, Ended: []port.EndedRun{
+	s.applyReply(m, s.term.Token, port.SyncReply{WorkerClock: time.Hour, Ended: []port.EndedRun{
 		{Number: 1, End: workflow.End{Run: listed, Outcome: workflow.Done}}, {Number: 2, End: workflow.End{Run: firstRun(0), Outcome: workflow.Done}},
 	}}, now.Add(12*time.Second), now.Add(12*time.Second))
 	if state := s.jobs["job"].workflow.State(); state != workflow.Completed {
--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -36,7 +36,7 @@
 		if restarts {
 			reply.Incarnation, want = reply.Incarnation+1, 1
 		}
-		s.applyReply(m, reply, time.Now(), time.Now())
+		s.applyReply(m, s.term.Token, reply, time.Now(), time.Now())
 		if n := e.workflow.Crashes(run.Task); n != want {
 			t.Errorf("%d crashes under the task, want %d (worker restarted: %v)", n, want, restarts)
 		}
@@ -81,13 +81,16 @@
 	}
 }
 
-// restartWorker applies the first reply of the next life of a worker, and the entry of the worker list that describes it.
+// restartWorker applies the first replies of the next life of a worker, and the entry of the worker list that describes it.
 func restartWorker(s *Scheduler, m *workerMonitor) {
 	now := time.Now()
-	s.applyReply(m, port.SyncReply{Incarnation: m.worker.Info().Incarnation + 1, WorkerClock: time.Second}, now, now)
+	reply := port.SyncReply{Incarnation: m.worker.Info().Incarnation + 1, WorkerClock: time.Second}
+	s.applyReply(m, m.worker.Token(), reply, now, now)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	m.worker.UpdateInfo(m.worker.Info())
+	m.worker.SetToken(m.worker.Token() + 1) // the restart is recorded
+	s.mu.Unlock()
+	s.applyReply(m, m.worker.Token(), reply, now, now)
 }
 
 // TestFlappingWorker guards against a job that fails because a worker crashes again and again under whatever runs there: the
@@ -99,13 +102,18 @@
 	m := s.monitors["w1"]
 	m.answeredAt = time.Now()
 	restartWorker(s, m) // nothing ran there
+	started := 0
 	for range workflow.MaxCrashes {
 		if launches, _ := s.place(time.Now()); len(launches) == 1 {
+			started++
 			m.worker.Run(launches[0].request.RunRef).Started = time.Now()
 			time.Sleep(time.Millisecond)
 		}
 		restartWorker(s, m)
 	}
+	if started == 0 {
+		t.Error("the task has not started on the worker that flaps")
+	}
 	if state, n := e.workflow.State(), e.workflow.Crashes(firstRun(0).Task); state.Final() || n > 0 {
 		t.Errorf("job is %s after %d crashes that count against its task; want none, as the worker crashed without it before", state, n)
 	}
--- a/internal/app/scheduler/gang_test.go
+++ b/internal/app/scheduler/gang_test.go
@@ -138,16 +138,16 @@
 		want []workflow.RunRef
 	}{
 		"member is gone": {func(s *Scheduler, m *workerMonitor) {
-			s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: time.Second}, time.Now(), time.Now())
+			s.applyReply(m, s.term.Token, port.SyncReply{Incarnation: 1, WorkerClock: time.Second}, time.Now(), time.Now())
 		}, []workflow.RunRef{member(0), member(1)}},
 		"member is there": {func(s *Scheduler, m *workerMonitor) {
 			reply := port.SyncReply{Incarnation: 1, WorkerClock: time.Second, Running: running(2)}
-			s.applyReply(m, reply, time.Now(), time.Now())
+			s.applyReply(m, s.term.Token, reply, time.Now(), time.Now())
 		}, nil},
 		"gang is done": {func(s *Scheduler, m *workerMonitor) {
 			reply := port.SyncReply{Incarnation: 1, WorkerClock: time.Second}
 			reply.Ended = []port.EndedRun{{Number: 1, End: workflow.End{Run: member(2), Outcome: workflow.Done}}}
-			s.applyReply(m, reply, time.Now(), time.Now())
+			s.applyReply(m, s.term.Token, reply, time.Now(), time.Now())
 		}, nil},
 		"worker is silent": {func(s *Scheduler, _ *workerMonitor) {
 			s.startedAt = s.startedAt.Add(-time.Minute)
@@ -161,7 +161,7 @@
 			s.putMonitor("w3", newMonitor(s.monitors["w3"].worker.Info()))
 			for index, id := range []ident.WorkerID{"w1", "w2"} {
 				reply := port.SyncReply{Incarnation: 1, WorkerClock: time.Second, Running: running(index)}
-				s.applyReply(s.monitors[id], reply, time.Now(), time.Now())
+				s.applyReply(s.monitors[id], s.term.Token, reply, time.Now(), time.Now())
 			}
 			checkStopped(t, s, recorder)
 			test.last(s, s.monitors["w3"])
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -31,7 +31,7 @@
 		s.predecessor.workers = append(s.predecessor.workers, w.ID)
 		s.authority.workers = append(s.authority.workers, w.ID)
 		s.addWorker(w.WorkerInfo)
-		s.monitors[w.ID].knownAddress = w.Address
+		s.monitors[w.ID].knownAddress, s.monitors[w.ID].recordedFenced = w.Address, w.Fenced
 		s.monitors[w.ID].worker.MarkNeverListed()
 		s.setRecorded(w.ID, !w.Cordoned)
 	}
@@ -132,11 +132,11 @@
 		return
 	}
 	s.observeFencing(now)
-	lapsed := now.After(s.predecessorLapsedAt())
-	for id := range s.unsynced {
+	silentAt := s.predecessorSilentAt()
+	for id, w := range s.unsynced {
 		m := s.monitors[id]
 		answers := m != nil && !m.answeredAt.IsZero() && !m.worker.LeaseExpired(now) // but has more ends than it lists
-		if m != nil && (m.worker.Synced() || m.replaced) || lapsed && !answers {
+		if m != nil && (m.worker.Synced() || m.replaced) || now.After(silentAt.Add(s.lapseTime(w))) && !answers {
 			delete(s.unsynced, id)
 		}
 	}
@@ -168,7 +168,7 @@
 
 // mayRunOn reports whether tasks of a job may be running on a worker that has not reported its runs yet. The lock is held.
 func (s *Scheduler) mayRunOn(e *jobEntry, w port.WorkerRecord) bool {
-	return !w.Cordoned || e.createdRevision < w.CordonedAt || s.earlierRunsLast()
+	return !w.Cordoned || e.createdRevision < w.CordonedAt || s.earlierRunsLast(w)
 }
 
 // acceptJob adds a job that was accepted during the term, unless it is already known, has finished, or was cancelled before it was stored. The
--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -27,6 +27,8 @@
 	speculateAfter = 300 * time.Millisecond
 	// ackWait is how long the next sync is delayed to wait for the reported ends to be recorded.
 	ackWait = 250 * time.Millisecond
+	// fenceSyncWait is the longest wait of a sync with a restarted worker, which gets no starts until it has answered a later one.
+	fenceSyncWait = 100 * time.Millisecond
 )
 
 // maxWithheldAcks bounds the syncs in a row that acknowledge nothing because their connections are new: a worker, or a device before
@@ -53,6 +55,7 @@
 	addedAt          time.Time      // when the worker was added
 	answeredAt       time.Time      // when it answered for the first time
 	cordonedRevision ident.Revision // of the record that cordoned the worker; 0 while there is none
+	recordedFenced   bool           // the record states that the worker is fenced
 }
 
 // pendingEnd is an end that is acknowledged once the recorded progress of the job has reached the version.
@@ -196,7 +199,7 @@
 		return ctx.Err()
 	}
 	if err != nil {
-		s.syncFailed(m, target.Address, err)
+		s.syncFailed(m, target.Address, request.Token, err)
 		return err
 	}
 	s.mu.Lock()
@@ -204,7 +207,7 @@
 	m.knownAddress, m.failedSyncs = target.Address, 0
 	m.countWithheld(reply)
 	s.mu.Unlock()
-	s.applyReply(m, reply, sentAt, time.Now())
+	s.applyReply(m, request.Token, reply, sentAt, time.Now())
 	return nil
 }
 
@@ -212,7 +215,7 @@
 // worker may have restarted, and then numbers its ends from 1 again. It does not renew the lease either, so that the
 // lease can expire while the worker does not respond. The lock is held.
 func (s *Scheduler) syncRequest(m *workerMonitor, wait time.Duration) port.SyncRequest {
-	request := port.SyncRequest{Token: s.term.Token}
+	request := port.SyncRequest{Token: m.worker.Token()}
 	if m.unreachable {
 		return request
 	}
@@ -224,6 +227,9 @@
 		m.pendingEnds = m.pendingEnds[1:]
 	}
 	request.AckThrough, request.Wait = m.ackedEnd, wait
+	if m.worker.AwaitsFence() {
+		request.Wait = min(wait, fenceSyncWait)
+	}
 	if m.withheldAcks < maxWithheldAcks {
 		request.ListedAt = m.lastSyncSent
 	}
@@ -253,9 +259,9 @@
 
 // syncFailed handles a failed sync at an address. That another worker answers shows that the runs have ended only at the address
 // where the worker was.
-func (s *Scheduler) syncFailed(m *workerMonitor, address string, err error) {
+func (s *Scheduler) syncFailed(m *workerMonitor, address string, token ident.Epoch, err error) {
 	if fault.Is(err, fault.StaleEpoch) {
-		s.endTerm("another process may lead", err)
+		s.tokenRefused(m, token, err)
 		return
 	}
 	s.mu.Lock()
@@ -277,6 +283,18 @@
 	}
 }
 
+// tokenRefused ends the term after a worker has refused the token of a request, unless it may have seen a higher one of this leader: the
+// requests that follow a restart of the worker carry it. It reports whether the term ends.
+func (s *Scheduler) tokenRefused(m *workerMonitor, token ident.Epoch, err error) bool {
+	s.mu.Lock()
+	outdated := token < m.worker.Token()
+	s.mu.Unlock()
+	if !outdated {
+		s.endTerm("another process may lead", err)
+	}
+	return !outdated
+}
+
 // leaseExpired reports whether the lease of a silent worker has certainly expired. A leader whose own lease was not renewed may have a
 // successor that extends it. The lock is held.
 func (s *Scheduler) leaseExpired(m *workerMonitor, now time.Time) bool {
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -115,7 +115,7 @@
 
 // prefetchDue reports whether to plan calls for steps that are held back. The lock is held.
 func (s *Scheduler) prefetchDue(now time.Time) bool {
-	if s.accounted || now.Before(s.predecessorLapsedAt().Add(-prefetchLead)) || now.Sub(s.prefetchedAt) < prefetchInterval {
+	if s.accounted || now.Sub(s.prefetchedAt) < prefetchInterval || now.Before(s.predecessorLapsedAt().Add(-prefetchLead)) {
 		return false
 	}
 	s.prefetchedAt = now
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -393,7 +393,7 @@
 		decided: now,
 		request: port.StartRequest{
 			RunRef: ref, Payload: c.entry.workflow.Spec().Payload, Checkpoint: checkpoint,
-			Ticket: best.ticket, Token: s.term.Token, LeaseExpiry: leaseUntil,
+			Ticket: best.ticket, Token: worker.Token(), LeaseExpiry: leaseUntil,
 		},
 	}, true
 }
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -10,8 +10,9 @@
 )
 
 // applyReply applies a sync reply. A reply to a request that was sent before that of the last applied reply only
-// updates the clock: the worker reports the rest again. If it is of another incarnation, it may be of a former one.
-func (s *Scheduler) applyReply(m *workerMonitor, reply port.SyncReply, sentAt, now time.Time) {
+// updates the clock: the worker reports the rest again. If it is of another incarnation, it may be of a former one. The token is that
+// of the request.
+func (s *Scheduler) applyReply(m *workerMonitor, token ident.Epoch, reply port.SyncReply, sentAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	overtaken := sentAt.Before(m.lastSyncSent)
@@ -20,6 +21,7 @@
 		return
 	}
 	s.detectRestart(m, reply, sentAt)
+	s.closeFence(m, token, reply, now)
 	s.resolveLapsed(m)
 	m.worker.ObserveClock(reply.WorkerClock, sentAt, now)
 	if overtaken {
@@ -27,12 +29,13 @@
 	}
 	m.lastSyncSent = sentAt
 	if m.unreachable {
-		s.log.Info("worker reached", "worker", m.worker.Info().ID, "running", len(reply.Running), "ended", len(reply.Ended))
+		s.log.Info("worker reached", "worker", m.worker.Info().ID, "running", len(reply.Running), "ended", len(reply.Ended),
+			"incarnation", reply.Incarnation, "clock_ms", reply.WorkerClock.Milliseconds(), "token", token,
+			"lease_left_ms", m.worker.LeaseLeft(now).Milliseconds())
 	}
 	m.unreachable = false
 	if m.answeredAt.IsZero() {
 		m.answeredAt = now
-		m.worker.AssumeLease(reply.WorkerClock + s.settings.leaseDuration()) // of the previous leader
 		m.worker.Return(now, s.crashHistory(m))
 	}
 	if _, recorded := s.recorded[m.worker.Info().ID]; !recorded && !m.worker.Synced() {
@@ -55,6 +58,24 @@
 	s.wakePlacement()
 }
 
+// closeFence notes the first answer of the worker to a request with its present token. Requests with lower tokens may have left the longest
+// lease there, if they were meant for an earlier life of the worker, unless there were none or the previous leader has recorded that none
+// of them can. The lock is held.
+func (s *Scheduler) closeFence(m *workerMonitor, token ident.Epoch, reply port.SyncReply, now time.Time) {
+	restarted := m.worker.AwaitsFence()
+	record := s.unsynced[m.worker.Info().ID]
+	fencedBefore := record.Fenced && record.Incarnation == reply.Incarnation || !s.term.HasPredecessor
+	longest := s.settings.MaxLease
+	if fencedBefore && !restarted {
+		longest = s.settings.leaseDuration()
+	}
+	m.worker.CloseFence(token, reply.WorkerClock, longest, now)
+	if restarted && !m.worker.AwaitsFence() {
+		s.log.Info("worker fenced", "worker", m.worker.Info().ID, "incarnation", reply.Incarnation, "token", token,
+			"clock_ms", reply.WorkerClock.Milliseconds(), "lease_ms", longest.Milliseconds())
+	}
+}
+
 // isRestarted reports whether a reply is of another incarnation than the known one.
 func isRestarted(m *workerMonitor, reply port.SyncReply) bool {
 	return reply.Incarnation != 0 && reply.Incarnation != m.worker.Info().Incarnation
--- a/internal/app/scheduler/reply_test.go
+++ b/internal/app/scheduler/reply_test.go
@@ -21,12 +21,12 @@
 	l := launches[0]
 	m, sentAt := l.monitor, time.Now()
 	s.finished["over"] = finishedJob{}
-	s.applyReply(m, port.SyncReply{Incarnation: 2, WorkerClock: time.Millisecond}, sentAt, time.Now())
+	s.applyReply(m, s.term.Token, port.SyncReply{Incarnation: 2, WorkerClock: time.Millisecond}, sentAt, time.Now())
 	s.startAcked(l, 2*time.Millisecond, time.Now())
 
 	former := firstRun(0)
 	former.Task.Job = "over"
-	s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: time.Hour, Ended: []port.EndedRun{
+	s.applyReply(m, s.term.Token, port.SyncReply{Incarnation: 1, WorkerClock: time.Hour, Ended: []port.EndedRun{
 		{Number: 7, End: workflow.End{Run: former, Outcome: workflow.Done}},
 	}}, sentAt.Add(-time.Second), time.Now())
 	if acked := ackedEnd(s, m); acked != 0 {
@@ -50,13 +50,13 @@
 	m := newMonitor(pool.WorkerInfo{ID: "w1", Service: "desk", Incarnation: 1})
 	s.putMonitor("w1", m)
 	run := firstRun(0)
-	s.applyReply(m, port.SyncReply{
+	s.applyReply(m, s.term.Token, port.SyncReply{
 		Incarnation: 1, WorkerClock: time.Hour, Running: []port.RunningRun{{RunRef: run}},
 	}, now, now)
 	s.mu.Lock()
 	request := s.syncRequest(m, 0)
 	s.mu.Unlock()
-	s.syncFailed(m, "", fault.New(fault.Interrupted, "no response"))
+	s.syncFailed(m, "", s.term.Token, fault.New(fault.Interrupted, "no response"))
 	if request.LeaseExpiry != 0 || m.worker.Run(run) == nil {
 		t.Errorf("lease requested until %v, run given up: %v; want no lease, and the run kept", request.LeaseExpiry, m.worker.Run(run) == nil)
 	}
--- a/internal/app/scheduler/restart_test.go
+++ b/internal/app/scheduler/restart_test.go
@@ -37,7 +37,7 @@
 		t.Errorf("ends up to %d are acknowledged to a worker that has restarted, want none", request.AckThrough)
 	}
 	now := time.Now()
-	s.applyReply(m, port.SyncReply{Incarnation: 2, WorkerClock: 2 * time.Millisecond, Ended: []port.EndedRun{
+	s.applyReply(m, s.term.Token, port.SyncReply{Incarnation: 2, WorkerClock: 2 * time.Millisecond, Ended: []port.EndedRun{
 		{Number: 1, End: workflow.End{Run: l.request.RunRef, Outcome: workflow.Done}},
 	}}, now, now)
 	if e.workflow.State() != workflow.Completed {
@@ -52,7 +52,7 @@
 	sentAt := time.Now()
 	_, l := startAfterRestart(t, s)
 	m := l.monitor
-	s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: 2 * time.Second}, sentAt, time.Now())
+	s.applyReply(m, s.term.Token, port.SyncReply{Incarnation: 1, WorkerClock: 2 * time.Second}, sentAt, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n := s.syncRequest(m, 0).AckThrough; n != 0 {
@@ -93,7 +93,7 @@
 		{"of a smaller kind", 2, 2000, 0},
 		{"of the same kind", 2, 4000, 1},
 	} {
-		s.applyReply(s.monitors["w1"], port.SyncReply{Incarnation: 2, WorkerClock: now.Sub(s.startedAt) + time.Second}, now, now)
+		s.applyReply(s.monitors["w1"], s.term.Token, port.SyncReply{Incarnation: 2, WorkerClock: now.Sub(s.startedAt) + time.Second}, now, now)
 		if launches, _ := s.place(now); c.born == 1 && len(launches) > 0 {
 			t.Fatalf("%d starts on a worker that has restarted and is not listed since", len(launches))
 		}
@@ -102,7 +102,7 @@
 		s.updateWorkers([]pool.WorkerInfo{info}, now)
 		s.mu.Unlock()
 		now = now.Add(placeInterval + 200*time.Millisecond)
-		s.applyReply(s.monitors["w1"], port.SyncReply{Incarnation: 2, WorkerClock: now.Sub(s.startedAt) + time.Second}, now, now)
+		s.applyReply(s.monitors["w1"], s.term.Token, port.SyncReply{Incarnation: 2, WorkerClock: now.Sub(s.startedAt) + time.Second}, now, now)
 		if launches, _ := s.place(now); len(launches) != c.starts {
 			t.Fatalf("%s: %d starts, want %d", c.name, len(launches), c.starts)
 		}
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
@@ -57,8 +58,7 @@
 	case ctx.Err() != nil:
 	case fault.Is(err, fault.Interrupted):
 		s.resolveStart(ctx, l)
-	case fault.Is(err, fault.StaleEpoch):
-		s.endTerm("another process may lead", err)
+	case fault.Is(err, fault.StaleEpoch) && s.tokenRefused(l.monitor, l.request.Token, err):
 	default:
 		s.startRefused(l, err)
 	}
@@ -110,8 +110,8 @@
 	return permits != nil && permits.Valid(permitWorker(l.monitor), now)
 }
 
-// markRequested notes that the request of a start is sent. It fails with Canceled if the run has been given up meanwhile, or its job is
-// over.
+// markRequested notes that the request of a start is sent. It fails with Canceled if meanwhile the run has been given up, its job is over or
+// the worker has restarted.
 func (s *Scheduler) markRequested(l launch) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,6 +120,9 @@
 	if run == nil || !active || l.entry.workflow.State().Final() {
 		return fault.New(fault.Canceled, "the run was given up before its start was requested")
 	}
+	if l.monitor.worker.Token() != l.request.Token || l.monitor.worker.AwaitsFence() {
+		return fault.New(fault.Canceled, "the worker has restarted before the start was requested")
+	}
 	run.Requested = true
 	return nil
 }
@@ -199,21 +202,20 @@
 func (s *Scheduler) stopRun(ctx context.Context, m *workerMonitor, run workflow.RunRef) {
 	for wait := minStopDelay; ctx.Err() == nil; wait = min(2*wait, maxStopDelay) {
 		s.mu.Lock()
-		target, known := m.target(), m.worker.Run(run)
+		target, token, known := m.target(), m.worker.Token(), m.worker.Run(run)
 		gone := known == nil || !known.StopAcked.IsZero()
 		s.mu.Unlock()
 		if gone {
 			return
 		}
-		err := s.requestStop(ctx, m, target, run)
+		err := s.requestStop(ctx, m, target, run, token)
 		if err == nil {
 			if !s.markStopAcked(m, run) {
 				_ = s.sync(ctx, m, 0) // the monitor handles failures with its own syncs
 			}
 			return
 		}
-		if fault.Is(err, fault.StaleEpoch) {
-			s.endTerm("another process may lead", err)
+		if fault.Is(err, fault.StaleEpoch) && s.tokenRefused(m, token, err) {
 			return
 		}
 		s.log.Info("stop not answered", "task", run.Task.String(), "run", run.Run, "worker", target.Worker, "error", err)
@@ -221,7 +223,9 @@
 	}
 }
 
-func (s *Scheduler) requestStop(ctx context.Context, m *workerMonitor, target port.Target, run workflow.RunRef) error {
+func (s *Scheduler) requestStop(
+	ctx context.Context, m *workerMonitor, target port.Target, run workflow.RunRef, token ident.Epoch,
+) error {
 	if !m.acquireRequest(ctx) {
 		return ctx.Err()
 	}
@@ -231,7 +235,7 @@
 	}
 	stopCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	return s.ports.RunClient.Stop(stopCtx, target, run, s.term.Token)
+	return s.ports.RunClient.Stop(stopCtx, target, run, token)
 }
 
 // markStopAcked records the acknowledgement of a stop. It reports whether the worker will list the end of the run by
@@ -269,27 +273,27 @@
 // throttleRun sends the speed limit of a run to its worker. A failed request is repeated after a later sync.
 func (s *Scheduler) throttleRun(m *workerMonitor, throttle pool.Throttle) {
 	s.mu.Lock()
-	target := m.target()
+	target, token := m.target(), m.worker.Token()
 	s.mu.Unlock()
-	err := s.requestThrottle(target, throttle)
+	err := s.requestThrottle(target, throttle, token)
 	s.log.Info("run paced", "task", throttle.Task.String(), "run", throttle.Run, "worker", target.Worker,
 		"percent", throttle.Percent, "kind", resultKind(err))
 	if err == nil {
 		return
 	}
 	if fault.Is(err, fault.StaleEpoch) {
-		s.endTerm("another process may lead", err)
+		s.tokenRefused(m, token, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.worker.ResetThrottle(throttle.RunRef)
 }
 
-func (s *Scheduler) requestThrottle(target port.Target, throttle pool.Throttle) error {
+func (s *Scheduler) requestThrottle(target port.Target, throttle pool.Throttle, token ident.Epoch) error {
 	if err := s.checkInForce(time.Now()); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
 	defer cancel()
-	return s.ports.RunClient.Throttle(ctx, target, throttle, s.term.Token)
+	return s.ports.RunClient.Throttle(ctx, target, throttle, token)
 }
--- a/internal/app/scheduler/speculate_test.go
+++ b/internal/app/scheduler/speculate_test.go
@@ -49,7 +49,7 @@
 	e.workflow.Cancel()
 	s.mu.Unlock()
 	now := time.Now()
-	s.applyReply(m, port.SyncReply{Incarnation: 1, WorkerClock: 3 * time.Second, Running: []port.RunningRun{{RunRef: run}}}, now, now)
+	s.applyReply(m, s.term.Token, port.SyncReply{Incarnation: 1, WorkerClock: 3 * time.Second, Running: []port.RunningRun{{RunRef: run}}}, now, now)
 	s.wg.Wait()
 	if recorder.stopped[run] == "" {
 		t.Error("the run of the cancelled job goes on")
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -94,9 +94,13 @@
 			continue
 		}
 		s.setRecorded(w.ID, !w.Cordoned)
+		m.recordedFenced = w.Fenced
 		if w.Cordoned && m.cordonedRevision == 0 {
 			m.cordonedRevision = newRevision
 		}
+		if m.worker.NeedsToken() {
+			m.worker.SetToken(ident.Epoch(newRevision)) // lower than that of every later leader, as this one led at the revision
+		}
 	}
 	s.log.Info("workers recorded", "workers", len(record), "known", len(s.monitors))
 	s.wakePlacement()
@@ -182,7 +186,8 @@
 			s.unrecord(id)
 			continue
 		}
-		changed = changed || !known || schedulable == cordoned
+		fenced := s.isFenced(m, time.Now())
+		changed = changed || !known || schedulable == cordoned || fenced != m.recordedFenced || m.worker.NeedsToken()
 		if cordoned {
 			s.setRecorded(id, false)
 		} else {
@@ -190,12 +195,23 @@
 		}
 		info := m.worker.Info()
 		info.Address = cmp.Or(m.knownAddress, info.Address)
-		record = append(record, port.WorkerRecord{WorkerInfo: info, Cordoned: cordoned, CordonedAt: m.cordonedRevision})
+		record = append(record, port.WorkerRecord{
+			WorkerInfo: info, Cordoned: cordoned, CordonedAt: m.cordonedRevision, Fenced: fenced,
+		})
 	}
 	s.recordOutdated = changed
 	return record, changed
 }
 
+// isFenced reports whether the next leader may rely on leases of the usual length on the worker. The lock is held.
+func (s *Scheduler) isFenced(m *workerMonitor, now time.Time) bool {
+	if !m.answeredAt.IsZero() {
+		return m.worker.IsFenced(s.settings.leaseDuration(), now)
+	}
+	record := s.unsynced[m.worker.Info().ID] // this leader has sent no leases to the worker
+	return record.Fenced && record.Incarnation == m.worker.Info().Incarnation
+}
+
 // storeWorkers writes the record of workers if it still has the revision. It returns the new revision, and false when
 // the write failed.
 func (s *Scheduler) storeWorkers(
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -36,6 +36,7 @@
 	NotRejected   Rejection = ""
 	OtherService  Rejection = "service"
 	NotListed     Rejection = "not_listed" // the worker list does not describe its present incarnation
+	NotFenced     Rejection = "not_fenced" // it has restarted, and requests to its earlier life may still take effect
 	Unresponsive  Rejection = "unresponsive"
 	Unsteady      Rejection = "unsteady" // it crashed before, and has not been up for long enough since
 	Draining      Rejection = "draining"
@@ -56,6 +57,7 @@
 var filters = []filter{
 	{sameService, OtherService},
 	{listed, NotListed},
+	{fenced, NotFenced},
 	{responsive, Unresponsive},
 	{steady, Unsteady},
 	{notDraining, Draining},
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -61,6 +61,7 @@
 	bestEffortMilliCores int64  // processors that the best-effort runs could use
 	latencyRuns          int    // number of long-running runs with a latency target
 	clock                clock
+	fence                fence
 	leaseExpiry          time.Duration // latest lease expiry that was sent, on the worker's clock
 	lastResponse         time.Time     // when the last response arrived
 	lastAnswered         time.Time     // when the latest request that was answered was sent
@@ -163,9 +164,6 @@
 	return expiry, true
 }
 
-// AssumeLease records that another leader may have sent a lease with the given expiry, on the worker's clock.
-func (w *Worker) AssumeLease(expiry time.Duration) { w.leaseExpiry = max(w.leaseExpiry, expiry) }
-
 // LeaseExpired reports whether every lease that may have reached the worker has expired, so that nothing runs on it.
 func (w *Worker) LeaseExpired(now time.Time) bool {
 	return w.clock.known && w.clock.lowerBound(now) > w.leaseExpiry+leaseMargin
@@ -177,7 +175,7 @@
 	return w.leaseExpiry - w.clock.lowerBound(now)
 }
 
-// ResetAfterRestart resets the worker to a new incarnation. Requests that were in flight may extend the lease up to
+// ResetAfterRestart resets the worker to a new incarnation. Requests to the former one may have extended the lease up to
 // leaseExpiry on the new clock. The caller releases the runs that ended with the previous incarnation.
 func (w *Worker) ResetAfterRestart(incarnation int64, leaseExpiry time.Duration) {
 	w.info.Incarnation, w.speed = incarnation, 1
@@ -188,6 +186,7 @@
 // its own clock.
 func (w *Worker) RestartClock(leaseExpiry time.Duration) {
 	w.clock, w.leaseExpiry = clock{}, leaseExpiry
+	w.OutdateToken()
 }
 
 // Runs returns the runs that occupy capacity of the worker.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -257,6 +257,7 @@
 	pool.WorkerInfo
 	Cordoned   bool           // the worker gets no new runs
 	CordonedAt ident.Revision // revision of the record that first marked it so
+	Fenced     bool           // no request to an earlier life has left a lease that lasts longer than one of the usual length granted now
 }
 
 // ProcessState is the state of a process for its metrics. Fields about workers, runs and jobs are set only on the leader.
