Decide where calls for permits go in a dispatcher that serves few processes too

Cause: an eighth of the other processes, rounded up, made urgent calls only. With one other process that was all of them, and all other calls went through the leader's own, which needs more time for them than there is. Besides, calls queued at the service for 1.5 s in the order in which they were made, so that lasting tasks waited behind batches.

Change: permit.Dispatcher, an aggregate without sockets or clocks, takes the place of the maps in the scheduler. Below four processes a reserved one is lent while the others have a backlog, one call at a time and for half of its time. Calls that are not urgent queue for 0.5 s at most, and the first step in order goes first.

--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -36,14 +36,8 @@
 	wideStep = 8
 	// maxCallsOfWideStep bounds the calls for a wide step that are planned at once.
 	maxCallsOfWideStep = 6
-	// maxCallBacklog is the longest wait for the least busy process with which a call is still made.
-	maxCallBacklog = 1500 * time.Millisecond
-	// maxCallsPerProcess is below the number of waiting calls, 32, from which on the permit service refuses further ones.
-	maxCallsPerProcess = 24
 	// callTimeoutSlack is added to the expected duration of a call to get its timeout.
 	callTimeoutSlack = time.Second
-	// failedCallPenalty is how long a process gets no calls after one failed there.
-	failedCallPenalty = time.Second
 )
 
 // permitCall is a call to the permit service for the workers that may run a step.
@@ -84,8 +78,8 @@
 	var calls []permitCall
 	var options []permitCandidate
 	for len(calls) < maxCalls && missing > 0 {
-		process, wait := s.leastBusyProcess(c.pass.peers(), c.queue.HasTopPriority(), now)
-		if wait > maxCallBacklog {
+		slot, ok := s.dispatcher.Next(c.pass.peers(), &c.position, c.queue.HasTopPriority(), now)
+		if !ok {
 			break
 		}
 		if options == nil {
@@ -98,10 +92,9 @@
 		call, options = s.selectWorkers(c, options, missing)
 		missing -= call.Expected
 		duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(call.Workers))*c.queue.PermitPolicy.WorkerLatency
-		s.permitBusyUntil[process] = now.Add(wait + duration)
-		s.permitCalls[process]++
+		s.dispatcher.Begin(slot, c.queue.HasTopPriority(), duration, now)
 		c.permits.BeginCall(call)
-		calls = append(calls, permitCall{c, call, process, wait + duration + callTimeoutSlack})
+		calls = append(calls, permitCall{c, call, slot.Process, slot.Wait + duration + callTimeoutSlack})
 	}
 	return calls
 }
@@ -267,10 +260,6 @@
 	return s.allowedShares[queue]
 }
 
-// urgentProcesses is the divisor of the number of processes that make only calls for the highest priority: the permit
-// service handles one call of a process at a time, and a call for another queue may take twenty times as long.
-const urgentProcesses = 8
-
 // peers returns the other processes, in the order of their names.
 func (p *placementPass) peers() []ident.ProcessID {
 	if p.peerNames == nil {
@@ -280,30 +269,6 @@
 	return p.peerNames
 }
 
-// leastBusyProcess returns the process with the shortest backlog of calls, and the backlog. Among equals this process
-// comes last, because the leader has other work. The lock is held.
-func (s *Scheduler) leastBusyProcess(peers []ident.ProcessID, urgent bool, now time.Time) (ident.ProcessID, time.Duration) {
-	if !urgent {
-		peers = peers[(len(peers)+urgentProcesses-1)/urgentProcesses:]
-	}
-	best, wait := s.self, s.permitBacklog(s.self, now)
-	for _, peer := range peers {
-		if w := s.permitBacklog(peer, now); w < wait || w == wait && best == s.self {
-			best, wait = peer, w
-		}
-	}
-	return best, wait
-}
-
-// permitBacklog returns how long a further call through a process would wait for those in progress. The lock is held.
-func (s *Scheduler) permitBacklog(process ident.ProcessID, now time.Time) time.Duration {
-	backlog := max(s.permitBusyUntil[process].Sub(now), 0)
-	if s.permitCalls[process] >= maxCallsPerProcess {
-		return max(backlog, 2*maxCallBacklog)
-	}
-	return backlog
-}
-
 // callPermits makes the call and applies the response.
 func (s *Scheduler) callPermits(ctx context.Context, call permitCall) {
 	ids := make([]ident.WorkerID, 0, len(call.Workers))
@@ -320,24 +285,16 @@
 	defer s.mu.Unlock()
 	s.retryStep(call.entry, call.ref)
 	call.permits.EndCall(call.Call)
-	if s.permitCalls[call.process]--; s.permitCalls[call.process] == 0 {
-		delete(s.permitCalls, call.process)
+	s.dispatcher.End(call.process, err != nil, time.Now())
+	if ref, ok := s.dispatcher.Waiter(); ok && s.openJobs[ref.Job] != nil {
+		s.retryStep(s.openJobs[ref.Job], ref)
 	}
-	if err != nil {
-		s.penalize(call.process, time.Now())
-	} else {
+	if err == nil {
 		s.allowedShare(call.queue.Name).Observe(call.permits.ApplyResponse(call.Workers, tickets))
 	}
 	s.wakePlacement()
 }
 
-// penalize keeps calls away from a process after one has failed there. Other calls may still be in progress there. The lock is held.
-func (s *Scheduler) penalize(process ident.ProcessID, now time.Time) {
-	if until := now.Add(failedCallPenalty); until.After(s.permitBusyUntil[process]) {
-		s.permitBusyUntil[process] = until
-	}
-}
-
 func (s *Scheduler) requestPermits(
 	ctx context.Context, call permitCall, workers []ident.WorkerID,
 ) (map[ident.WorkerID]permit.Ticket, error) {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -103,8 +103,7 @@
 	roster           *workerRoster                   // nil if it has to be made again
 	releases         releaseLog                      // capacity that placement has not used yet
 	startsInProgress int                             // placed, and the request of the start has not ended
-	permitBusyUntil  map[ident.ProcessID]time.Time   // until when each process is busy with calls to the permit service
-	permitCalls      map[ident.ProcessID]int         // calls to the permit service in progress
+	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
 }
@@ -168,7 +167,7 @@
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
-		recorded: map[ident.WorkerID]bool{}, permitBusyUntil: map[ident.ProcessID]time.Time{}, permitCalls: map[ident.ProcessID]int{},
+		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
 		allowedShares: map[string]*permit.AllowedShare{},
 	}
 }
