Say in comments when a term ends, and what a life of a worker is

Cause: reading the change once more: a case of a switch ends the term as a side effect, and the glossary's word for a life is incarnation.

--- a/internal/app/scheduler/authority.go
+++ b/internal/app/scheduler/authority.go
@@ -200,8 +200,7 @@
 	return !s.term.PredecessorStopped && (silentRevision == 0 || e.createdRevision <= silentRevision)
 }
 
-// earlierRunsLast reports whether runs of a leader before the previous one may have gone on on a worker when the term began. The lock is
-// held.
+// earlierRunsLast reports whether runs of a leader before the previous one may have gone on there when the term began. The lock is held.
 func (s *Scheduler) earlierRunsLast(w port.WorkerRecord) bool {
 	lapsedAt := s.term.EarlierSilentAt.Add(s.lapseTime(w))
 	return !s.term.EarlierSilentAt.IsZero() && s.startedAt.Before(lapsedAt)
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -58,7 +58,7 @@
 	case ctx.Err() != nil:
 	case fault.Is(err, fault.Interrupted):
 		s.resolveStart(ctx, l)
-	case fault.Is(err, fault.StaleEpoch) && s.tokenRefused(l.monitor, l.request.Token, err):
+	case fault.Is(err, fault.StaleEpoch) && s.tokenRefused(l.monitor, l.request.Token, err): // the term ends
 	default:
 		s.startRefused(l, err)
 	}
--- a/internal/domain/pool/fence.go
+++ b/internal/domain/pool/fence.go
@@ -6,8 +6,8 @@
 	"skylarkstall/internal/domain/ident"
 )
 
-// fence keeps requests that were meant for an earlier life of a worker, or that an earlier leader sent, from taking effect late on its
-// present life. A worker ignores requests with a lower token than the highest that it has seen, and forgets the tokens when it restarts.
+// fence keeps requests that were meant for an earlier life (incarnation) of a worker, or that an earlier leader sent, from taking effect
+// late on its present one. A worker ignores requests with a lower token than the highest that it has seen, and forgets the tokens when it restarts.
 type fence struct {
 	token    ident.Epoch   // of the requests to the worker
 	outdated bool          // requests to an earlier life carried the token
