Decode client accounts and objectives, and ask callers for their key

The gateway names the account of a caller (401 without one), and the record of a job holds it. Records of earlier versions have no account.

Unit tests pass.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
@@ -48,6 +49,7 @@
 	m := &cellpb.Job{
 		Id: string(spec.ID), Queue: encodeQueue(job.Queue), Payload: spec.Payload, Occurrences: int32(spec.Occurrences),
 		PeriodMs: spec.Period.Milliseconds(), AcceptedAtMs: job.AcceptedAt.UnixMilli(),
+		Account: string(job.Account), Excess: job.Excess,
 	}
 	if spec.Occurrences > 0 {
 		m.FirstAtMs = spec.FirstAt.UnixMilli()
@@ -61,6 +63,7 @@
 func encodeQueue(q route.Queue) *cellpb.Queue {
 	m := &cellpb.Queue{
 		Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+		Public: q.Public, Stretch: q.Objective.Stretch, SlackMs: q.Objective.Slack.Milliseconds(),
 	}
 	if q.PermitPolicy != nil {
 		m.Advised, m.DecisionUs = true, q.PermitPolicy.CallLatency.Microseconds()
@@ -99,7 +102,9 @@
 	for _, step := range m.GetSteps() {
 		spec.Steps = append(spec.Steps, decodeStep(step))
 	}
-	job := port.AcceptedJob{Spec: spec, Queue: decodeQueue(m.GetQueue()), AcceptedAt: acceptedAt}
+	job := port.AcceptedJob{
+		Spec: spec, Queue: decodeQueue(m.GetQueue()), Account: account.ID(m.GetAccount()), Excess: m.GetExcess(), AcceptedAt: acceptedAt,
+	}
 	return job, spec.Validate()
 }
 
@@ -108,7 +113,8 @@
 func decodeQueue(m *cellpb.Queue) route.Queue {
 	q := route.Queue{
 		Name: m.GetName(), Host: m.GetHost(), Prefix: m.GetPrefix(), Service: m.GetService(), Priority: int(m.GetPriority()),
-		MaxAttempts: int(m.GetMaxAttempts()),
+		MaxAttempts: int(m.GetMaxAttempts()), Public: m.GetPublic(),
+		Objective: route.Objective{Stretch: m.GetStretch(), Slack: millis(m.GetSlackMs())},
 	}
 	if m.GetAdvised() {
 		q.PermitPolicy = &route.PermitPolicy{
@@ -200,7 +206,7 @@
 // EncodeFinished returns the record of a finished job.
 func (RecordCodec) EncodeFinished(job port.FinishedJob) []byte {
 	q := job.Queue
-	return marshal(&cellpb.FinishedJob{Queue: q.Name, Host: q.Host, Prefix: q.Prefix, State: uint32(job.State)})
+	return marshal(&cellpb.FinishedJob{Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Account: string(job.Account), State: uint32(job.State)})
 }
 
 // DecodeFinished is the inverse of EncodeFinished. It fails with Invalid, also if the state is not final.
@@ -212,7 +218,7 @@
 	if m.GetState() > uint32(workflow.Cancelled) || !workflow.State(m.GetState()).Final() {
 		return port.FinishedJob{}, fault.New(fault.Invalid, "record of a finished job: state %d", m.GetState())
 	}
-	return port.FinishedJob{Queue: decodeQueueRef(m), State: workflow.State(m.GetState())}, nil
+	return port.FinishedJob{Queue: decodeQueueRef(m), Account: account.ID(m.GetAccount()), State: workflow.State(m.GetState())}, nil
 }
 
 // EncodeLeader returns the record of the leader.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"time"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -60,19 +61,39 @@
 	return route.Queue{}, fault.New(fault.NotFound, "configuration %d has no route for %s%s", version, host, path)
 }
 
+// Caller is who calls, and the queue that the call is for.
+type Caller struct {
+	Queue   route.Queue
+	Account account.ID // empty if the queue is public, or the configuration has no accounts
+}
+
+// Authenticate returns the caller who presents a key. It fails with Unauthorized if the queue needs a key and no account of the
+// active configuration has this one.
+func (g *Gateway) Authenticate(queue route.Queue, key string) (Caller, error) {
+	config := g.table.Config()
+	if queue.Public || config.Accounts.Len() == 0 {
+		return Caller{Queue: queue}, nil
+	}
+	id, ok := config.Accounts.ByKey(key)
+	if !ok {
+		return Caller{}, fault.New(fault.Unauthorized, "no account of configuration %d has the key", config.Version)
+	}
+	return Caller{Queue: queue, Account: id}, nil
+}
+
 // MaxBodyBytes returns the limit of a request body in the active configuration, or 0 if it sets none.
 func (g *Gateway) MaxBodyBytes() int64 { return g.table.Config().MaxBodyBytes }
 
 // Submit returns when the job is stored. Submitting the same id again is idempotent. StoreUnavailable means that the job
 // was not stored and never runs, Canceled that it was cancelled and never runs, and Interrupted that it is unknown whether it was
 // stored.
-func (g *Gateway) Submit(ctx context.Context, queue route.Queue, spec workflow.Spec) error {
+func (g *Gateway) Submit(ctx context.Context, caller Caller, spec workflow.Spec) error {
 	if err := spec.Validate(); err != nil {
 		return err
 	}
-	job := port.AcceptedJob{Spec: spec, Queue: queue, AcceptedAt: time.Now()}
+	job := port.AcceptedJob{Spec: spec, Queue: caller.Queue, Account: caller.Account, AcceptedAt: time.Now()}
 	err := g.storeJob(ctx, job)
-	g.log.Info("job submitted", "job", spec.ID, "queue", queue.Name, "steps", len(spec.Steps), "version", g.table.Config().Version,
+	g.log.Info("job submitted", "job", spec.ID, "queue", caller.Queue.Name, "account", caller.Account, "steps", len(spec.Steps), "version", g.table.Config().Version,
 		"took_ms", time.Since(job.AcceptedAt).Milliseconds(), "kind", outcomeLabel(err), "error", err)
 	return err
 }
@@ -162,7 +183,8 @@
 }
 
 // State returns the state of a job. It fails with NotFound if the queue has no such job.
-func (g *Gateway) State(ctx context.Context, queue route.Queue, id workflow.ID) (workflow.State, error) {
+func (g *Gateway) State(ctx context.Context, caller Caller, id workflow.ID) (workflow.State, error) {
+	queue := caller.Queue
 	leaderCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	state, err := g.leader.State(leaderCtx, queue.Ref(), id)
 	cancel()
@@ -225,7 +247,8 @@
 }
 
 // Cancel returns when the cancellation is stored. It retries while there is no leader.
-func (g *Gateway) Cancel(ctx context.Context, queue route.Queue, id workflow.ID) error {
+func (g *Gateway) Cancel(ctx context.Context, caller Caller, id workflow.ID) error {
+	queue := caller.Queue
 	for {
 		err := g.leader.Cancel(ctx, queue.Ref(), id)
 		if err == nil || fault.Is(err, fault.NotFound) {
@@ -240,10 +263,10 @@
 }
 
 // PendingJobs returns the number of jobs in the queue of which no task has started.
-func (g *Gateway) PendingJobs(ctx context.Context, queue route.Queue) (int, error) {
+func (g *Gateway) PendingJobs(ctx context.Context, caller Caller) (int, error) {
 	for {
 		leaderCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
-		n, err := g.leader.PendingJobs(leaderCtx, queue.Ref())
+		n, err := g.leader.PendingJobs(leaderCtx, caller.Queue.Ref())
 		cancel()
 		if err == nil || !hasTimeToRetry(ctx) || !pause.For(ctx, 2*retryInterval) {
 			return n, err
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -50,7 +50,7 @@
 		leader := &electedLater{electedAt: time.Now().Add(2 * time.Second)}
 		g := gateway.New(acceptingStore{}, jobCodec{}, leader, &route.Table{}, slog.New(slog.DiscardHandler))
 		spec := workflow.Spec{ID: "j", Steps: []workflow.Step{{Count: 1}}}
-		if err := g.Submit(t.Context(), route.Queue{Name: "q"}, spec); err != nil {
+		if err := g.Submit(t.Context(), gateway.Caller{Queue: route.Queue{Name: "q"}}, spec); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(3 * time.Second)
@@ -78,7 +78,7 @@
 		leader, log := &panickingLeader{}, &bytes.Buffer{}
 		g := gateway.New(acceptingStore{}, jobCodec{}, leader, &route.Table{}, slog.New(slog.NewTextHandler(log, nil)))
 		spec := workflow.Spec{ID: "j", Steps: []workflow.Step{{Count: 1}}}
-		if err := g.Submit(t.Context(), route.Queue{Name: "q"}, spec); err != nil {
+		if err := g.Submit(t.Context(), gateway.Caller{Queue: route.Queue{Name: "q"}}, spec); err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"skylarkstall/internal/domain/account"
 )
 
 // PermitPolicy describes how long the permit service takes to respond for a queue, and how long its tickets are valid.
@@ -24,8 +26,19 @@
 	Priority     int // 0 is the highest
 	MaxAttempts  int
 	PermitPolicy *PermitPolicy // nil if tasks of the queue need no permits
+	Public       bool          // calls need no key, and jobs belong to no account
+	Objective    Objective
+}
+
+// Objective states how soon after its submission a job should be completed. The zero value states nothing.
+type Objective struct {
+	Stretch float64       // multiple of the duration that the job takes without any waiting
+	Slack   time.Duration // additional time
 }
 
+// IsSet reports whether jobs of the queue have an objective.
+func (o Objective) IsSet() bool { return o.Stretch > 0 }
+
 // QueueRef identifies a queue by its name, and by the address at which callers reach it. The operator may change either.
 type QueueRef struct {
 	Name   string
@@ -52,8 +65,9 @@
 type Config struct {
 	Version      uint64
 	Queues       []Queue
-	MaxBodyBytes int64  // largest request body, in bytes
-	Source       []byte // as the operator wrote it
+	Accounts     *account.Set // nil if the configuration names none
+	MaxBodyBytes int64        // largest request body, in bytes
+	Source       []byte       // as the operator wrote it
 }
 
 // Confirmation is the latest evidence that the active configuration is the newest one.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
@@ -147,6 +148,8 @@
 type AcceptedJob struct {
 	Spec       workflow.Spec
 	Queue      route.Queue // the queue's policy when the job was accepted
+	Account    account.ID  // to which the job belongs; empty if it belongs to none
+	Excess     bool        // the account had used up its share when the job was accepted
 	AcceptedAt time.Time   // time of acceptance
 	// Tombstone marks an id that was cancelled before a job was stored under it. A write of the job that is still on its way
 	// must not take effect. A tombstone has no steps.
@@ -190,8 +193,9 @@
 
 // FinishedJob is what remains of a job some time after it has finished.
 type FinishedJob struct {
-	Queue route.QueueRef
-	State workflow.State
+	Queue   route.QueueRef
+	Account account.ID
+	State   workflow.State
 }
 
 // RecordCodec encodes and decodes the records of a cell in the store. Decoding fails with Invalid.
