Start no more of an account than its limit allows

Cause: a configuration limits what an account may run at once over all endpoints, and nothing in the leader counted that. Starts went above the limits as soon as an account had enough waiting tasks and there was room.

Change: account.Usage counts what each account has running against the limits in force. The workers report each change of their runs to an observer, so that nothing is recounted in a pass; a run counts until the worker gives up its capacity, as for the rule that no task runs twice. What may run on workers that have not reported to a new leader, or that run something of an unknown job, counts as used by every account with a limit, with their whole capacity. A step that has no room under its limit leaves the queue until something of its account ends, its limit changes or the leader learns more; it holds no capacity, and neither preempts nor asks for permits. "tasks wait" says account_limit, and "account at its limit" is logged.

Result: unit tests, among them random sequences against a recount of what the workers hold, pass; without the hooks, the reckoning of silent workers or the release after an end they fail. The race detector ends the tests of app/scheduler with an error of its own (tsan_rtl.cpp:346) before and after this change; a part of them that includes the new ones passes with it.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -23,11 +23,13 @@
 	held    bool          // tasks of the step may still run on a worker of an earlier leader
 	room    int           // number of starts after which the limit of starts in progress is reached; a gang may exceed it
 	partial bool          // workers holds only those on which capacity was released
+	under   int           // number of tasks that may start under the limit of the account
 	pass    *placementPass
 
 	step     *stepEntry
 	position placement.Position
-	round    uint64 // of the queue, in which the step was last found to be ready
+	aside    *asideSteps // nil while the step is in the queue
+	round    uint64      // of the queue, in which the step was last found to be ready
 }
 
 // placementPass caches what all steps that are tried in one pass have in common.
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -92,6 +92,7 @@
 	s.releases.notice(s, now)
 	pass := s.newPass(now)
 	started := time.Now()
+	s.refreshLimits(now)
 	list := s.candidates(now)
 	if len(list) == 0 || s.nothingToTry(now) {
 		s.observePass(now, started, len(list), len(list))
@@ -101,6 +102,7 @@
 	limit := max(maxPlaceTime, collected+minTryTime)
 	pass.retryTime = (limit - collected) / 2
 	launches, calls, tried := s.tryInOrder(pass, list, started.Add(limit))
+	s.setAside(now)
 	s.observePass(now, started, tried, len(list))
 	return launches, calls
 }
@@ -145,6 +147,11 @@
 	tried, reached := 0, 0 // reached counts steps that had changed
 	settled, nextTry := true, pass.now.Add(placeInterval)
 	for c := range inOrder(list, mostOverdue(list, pass.now)) {
+		if c.under = s.underLimit(c); c.under == 0 {
+			s.limits.reached = append(s.limits.reached, c)
+			tried++
+			continue
+		}
 		room := maxStarts(c.queue) - s.startsInProgress - len(launches)
 		if room <= 0 {
 			settled = false
@@ -165,7 +172,7 @@
 		tried++
 		if s.needsTry(c, pass.now) {
 			attempt := *c
-			attempt.room, attempt.pass = room, pass
+			attempt.room, attempt.pass = min(room, c.under), pass
 			placed, asked := s.tryStep(attempt, pass.now)
 			launches, calls = append(launches, placed...), append(calls, asked...)
 		} else {
@@ -303,7 +310,7 @@
 		run := workflow.RunRef{Task: task, Run: c.entry.workflow.NextRun(task, s.runNumberFloor())}
 		l, ok := s.reserve(c, run, "", now)
 		if !ok && len(c.entry.avoidWorkers[task]) == 0 {
-			return launches, len(waiting) - i // the remaining tasks have the same requirements
+			return launches, min(len(waiting)-i, c.under-len(launches)) // the remaining tasks have the same requirements
 		}
 		if ok {
 			launches = append(launches, l)
@@ -312,7 +319,7 @@
 			break
 		}
 	}
-	return launches, len(waiting) - len(launches)
+	return launches, min(len(waiting), c.under) - len(launches)
 }
 
 // placeGang places all tasks of a gang or none.
--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -72,6 +72,7 @@
 func (s *Scheduler) rebuildQueue(now time.Time) {
 	q := &s.queue
 	q.isKept, q.settled, q.due = s.accounted, false, placement.Schedule[*jobEntry]{}
+	s.limits.dropAside()
 	list := make([]*candidate, 0, q.steps.Len())
 	prefetch := s.prefetchDue(now)
 	for _, e := range s.openJobs {
@@ -85,6 +86,10 @@
 			c := e.newCandidate(ref, queue, now)
 			c.held = held
 			e.enterQueue(c)
+			if s.underLimit(c) == 0 {
+				s.limits.add(c, now)
+				continue
+			}
 			list = append(list, c)
 		}
 		s.scheduleChange(e, now)
@@ -114,13 +119,13 @@
 			kept = append(kept, c)
 			continue
 		}
-		q.steps.Remove(&c.position)
+		s.dequeue(c)
 		c.step.queued = nil
 	}
 	clear(e.queued[len(kept):])
 	e.queued = kept
 	for _, c := range added {
-		q.steps.Add(c)
+		s.enqueue(c, now)
 		e.enterQueue(c)
 	}
 	s.scheduleChange(e, now)
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -20,16 +20,26 @@
 // putMonitor adds the monitor of a worker, or replaces it. The lock is held.
 func (s *Scheduler) putMonitor(id ident.WorkerID, m *workerMonitor) {
 	m.worker.SetToken(s.term.Token)
+	s.stopObserving(id)
+	m.worker.SetObserver(&s.limits)
 	s.monitors[id], s.roster = m, nil
 }
 
 // removeMonitor removes a worker and what is recorded of it. The lock is held.
 func (s *Scheduler) removeMonitor(id ident.WorkerID) {
+	s.stopObserving(id)
 	delete(s.monitors, id)
 	s.roster = nil
 	s.unrecord(id)
 }
 
+// stopObserving takes what runs on a worker out of the use of accounts. The lock is held.
+func (s *Scheduler) stopObserving(id ident.WorkerID) {
+	if m := s.monitors[id]; m != nil {
+		m.worker.SetObserver(nil)
+	}
+}
+
 // setRecorded notes that a worker is recorded, and whether it may get runs. The lock is held.
 func (s *Scheduler) setRecorded(id ident.WorkerID, schedulable bool) {
 	if known, ok := s.recorded[id]; !ok || known != schedulable {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
@@ -98,10 +99,11 @@
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
 	queue            waitQueue
-	idle             map[string]idleCheck            // by service
-	openGangs        map[workflow.ID]*jobEntry       // open jobs with a gang
-	roster           *workerRoster                   // nil if it has to be made again
-	releases         releaseLog                      // capacity that placement has not used yet
+	idle             map[string]idleCheck      // by service
+	openGangs        map[workflow.ID]*jobEntry // open jobs with a gang
+	roster           *workerRoster             // nil if it has to be made again
+	releases         releaseLog                // capacity that placement has not used yet
+	limits           accountLimits
 	startsInProgress int                             // placed, and the request of the start has not ended
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
@@ -111,6 +113,7 @@
 // jobEntry is a job with the scheduler's own data on it.
 type jobEntry struct {
 	workflow        *workflow.Workflow
+	account         account.ID     // empty if the job belongs to none
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
 	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
@@ -157,7 +160,7 @@
 func New(
 	self ident.ProcessID, settings Settings, ports Ports, table *route.Table, term leadership.Term, log *slog.Logger,
 ) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
@@ -170,6 +173,8 @@
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
 		allowedShares: map[string]*permit.AllowedShare{},
 	}
+	s.limits = newAccountLimits(s)
+	return s
 }
 
 // Run runs the scheduler until the context ends or the process finds that it is no longer the leader. It reports whether the
@@ -249,7 +254,7 @@
 // addJob adds a job that the store holds. The lock is held.
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
-		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
+		workflow: workflow.New(job.Spec), account: job.Account, hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -37,6 +37,7 @@
 	waitUntried       waitReason = "pass_out_of_time"   // the passes of placement did not reach the step
 	waitCrashRecord   waitReason = "crash_unrecorded"   // a crash or a run in doubt is not recorded yet
 	waitDoubts        waitReason = "runs_in_doubt"      // too many workers have crashed, or may have, under the task
+	waitAccountLimit  waitReason = "account_limit"      // the account may not run more at once
 	waitNoAttempts    waitReason = "no_attempts"
 	waitGangMember    waitReason = "gang_member_active" // a member of an earlier run of the gang is active
 	waitNoPermit      waitReason = "no_permit"          // no worker has a valid ticket
@@ -177,6 +178,8 @@
 		report.reason, report.attrs = waitUnsynced, s.unsyncedAttrs(c.entry)
 	case s.authority.doubtful:
 		report.reason = waitUnconfirmed
+	case s.underLimit(&c) == 0:
+		report.reason, report.attrs = waitAccountLimit, s.limits.attrs(c.entry.account)
 	case step.wait.untriedFor(now) > untriedLimit:
 		report.reason = waitUntried
 		report.attrs = []slog.Attr{slog.Int64("untried_ms", step.wait.untriedFor(now).Milliseconds())}
--- a/internal/app/scheduler/waits_test.go
+++ b/internal/app/scheduler/waits_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
@@ -88,6 +89,14 @@
 			},
 			want: waitDoubts,
 		},
+		"account at its limit": {
+			change: func(t *testing.T, s *Scheduler, e *jobEntry) {
+				e.account = "a"
+				s.limits.usage.Add("a", resource.Vector{MilliCores: 500})
+				setLimits(t, s, map[account.ID]int64{"a": 2000})
+			},
+			want: waitAccountLimit, detail: "account=a used=500m cores",
+		},
 		"gang member": {
 			step: workflow.Step{Count: 2, Gang: true},
 			change: func(_ *testing.T, _ *Scheduler, e *jobEntry) {
--- /dev/null
+++ b/internal/domain/account/usage.go
@@ -0,0 +1,144 @@
+package account
+
+import (
+	"math"
+
+	"skylarkstall/internal/domain/resource"
+)
+
+// Unlimited is what Room returns for an account without a limit.
+const Unlimited = math.MaxInt
+
+// Usage counts what each account has running over all endpoints, against the limits of a configuration. What may run besides, of any
+// account, counts as used by each account with a limit. It is not safe for concurrent use.
+type Usage struct {
+	limits    *Set
+	limited   int // number of accounts with a limit
+	used      map[ID]use
+	unknown   resource.Vector
+	unbounded bool
+}
+
+// use is what an account has running.
+type use struct {
+	size resource.Vector
+	runs int
+}
+
+// NewUsage returns a usage in which nothing runs and no account has a limit.
+func NewUsage() *Usage { return &Usage{used: map[ID]use{}} }
+
+// SetLimits puts the limits of a configuration in force. What runs is not changed by it.
+func (u *Usage) SetLimits(accounts *Set) {
+	u.limits, u.limited = accounts, 0
+	for _, a := range accounts.All() {
+		if hasLimit(a.Limit) {
+			u.limited++
+		}
+	}
+}
+
+// HasLimits reports whether an account has a limit.
+func (u *Usage) HasLimits() bool { return u.limited > 0 }
+
+// SetUnknown sets the most that may run besides what is counted. If unbounded is set, no bound of it is known, and no account with a
+// limit may start anything.
+func (u *Usage) SetUnknown(most resource.Vector, unbounded bool) {
+	u.unknown, u.unbounded = most, unbounded
+}
+
+// Add counts a run of an account. Runs without an account are not counted.
+func (u *Usage) Add(id ID, size resource.Vector) { u.change(id, size, 1) }
+
+// Remove ends the count of a run that was added.
+func (u *Usage) Remove(id ID, size resource.Vector) { u.change(id, size, -1) }
+
+func (u *Usage) change(id ID, size resource.Vector, sign int) {
+	if id == "" {
+		return
+	}
+	next := u.used[id]
+	next.size, next.runs = next.size.Add(size.Scale(int64(sign))), next.runs+sign
+	if next.runs == 0 {
+		delete(u.used, id)
+		return
+	}
+	u.used[id] = next
+}
+
+// Used returns what an account has running, and the number of its runs.
+func (u *Usage) Used(id ID) (resource.Vector, int) { return u.used[id].size, u.used[id].runs }
+
+// Unknown returns what may run besides, and whether no bound of it is known.
+func (u *Usage) Unknown() (resource.Vector, bool) { return u.unknown, u.unbounded }
+
+// Limit returns the limit of an account, and false if it has none.
+func (u *Usage) Limit(id ID) (resource.Vector, bool) {
+	if u.limited == 0 {
+		return resource.Vector{}, false
+	}
+	a, _ := u.limits.Get(id)
+	return a.Limit, hasLimit(a.Limit)
+}
+
+// Room returns how many tasks of a size an account may start now. An account of which certainly nothing runs may start one task that
+// exceeds its limit by itself, which could never start otherwise.
+func (u *Usage) Room(id ID, size resource.Vector) int {
+	limit, ok := u.Limit(id)
+	if !ok {
+		return Unlimited
+	}
+	if u.unbounded {
+		return 0
+	}
+	room := tasksWithin(limit, u.used[id].size.Add(u.unknown), size)
+	if u.runsNothing(id) {
+		return max(room, 1)
+	}
+	return room
+}
+
+// HasRoomForGang reports whether an account may start all members of a gang at once. An account of which certainly nothing runs may start
+// a gang that exceeds its limit by no more than one member.
+func (u *Usage) HasRoomForGang(id ID, size resource.Vector, members int) bool {
+	room := u.Room(id, size)
+	if room >= members {
+		return true
+	}
+	limit, _ := u.Limit(id)
+	return u.runsNothing(id) && tasksWithin(limit, resource.Vector{}, size) >= members-1
+}
+
+// EverHasRoom reports whether an account that runs nothing may start a task, or a gang if there are more members than one, of a size.
+func (u *Usage) EverHasRoom(id ID, size resource.Vector, members int) bool {
+	limit, ok := u.Limit(id)
+	return !ok || tasksWithin(limit, resource.Vector{}, size) >= members-1
+}
+
+func (u *Usage) runsNothing(id ID) bool {
+	return u.used[id].runs == 0 && u.unknown.IsZero() && !u.unbounded
+}
+
+func hasLimit(limit resource.Vector) bool {
+	return limit.MilliCores > 0 || limit.MemoryBytes > 0 || limit.Accelerators > 0
+}
+
+// tasksWithin returns how many tasks of a size fit under a limit beside what is used.
+func tasksWithin(limit, used, size resource.Vector) int {
+	room := int64(math.MaxInt)
+	for _, c := range [...][3]int64{
+		{limit.MilliCores, used.MilliCores, size.MilliCores},
+		{limit.MemoryBytes, used.MemoryBytes, size.MemoryBytes},
+		{limit.Accelerators, used.Accelerators, size.Accelerators},
+	} {
+		limit, free, size := c[0], c[0]-c[1], c[2]
+		switch {
+		case limit == 0:
+		case free < 0:
+			return 0
+		case size > 0:
+			room = min(room, free/size)
+		}
+	}
+	return int(room)
+}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -43,6 +43,7 @@
 	lastProgress    time.Time // when the progress last changed
 	lastReport      time.Time // when the worker last reported it
 	firstReported   time.Time // when the worker first reported it
+	owner           Owner     // zero if the worker has no observer
 	overTargetSince time.Time // since when its tail latency exceeds the target; zero while it does not
 }
 
@@ -72,9 +73,10 @@
 	backoffUntil         time.Time // no starts before this time
 	upSince              time.Time // when it first answered in its present life
 	crashHistory         *CrashHistory
-	speed                float64 // relative to other workers; 1 is ordinary
-	roster               *Roster // nil if the worker is in none
-	position             int     // in the roster
+	speed                float64     // relative to other workers; 1 is ordinary
+	roster               *Roster     // nil if the worker is in none
+	position             int         // in the roster
+	observer             RunObserver // nil if there is none
 }
 
 // NewWorker returns a worker that has not responded yet.
@@ -245,7 +247,9 @@
 	w.used = w.used.Sub(ReservedSize(&run.Step)).Add(ReservedSize(step))
 	w.countRun(&run.Step, -1)
 	w.countRun(step, 1)
+	w.noteRemoved(run)
 	run.Step = *step
+	w.noteAdded(run)
 	w.noteFree()
 }
 
@@ -255,6 +259,7 @@
 	w.used = w.used.Add(ReservedSize(step))
 	w.countRun(step, 1)
 	w.noteFree()
+	w.noteAdded(run)
 	return run
 }
 
@@ -282,6 +287,7 @@
 	w.used = w.used.Sub(ReservedSize(&run.Step))
 	w.countRun(&run.Step, -1)
 	w.noteFree()
+	w.noteRemoved(run)
 	return true
 }
 
