Read the configuration once in a pass of placement

Cause: the limits were refreshed with a second read of the configuration, about 20 ns of the 240 ns of a pass with nothing to do.

Change: the queue of waiting steps reads it, and hands it on.

Result: tests of app/scheduler pass.

--- a/internal/app/scheduler/limits.go
+++ b/internal/app/scheduler/limits.go
@@ -97,17 +97,21 @@
 
 // refreshLimits puts the limits of the configuration in force, reckons what may run besides the known runs, and queues steps again for
 // which there may be room. The lock is held.
-func (s *Scheduler) refreshLimits(now time.Time) {
+func (s *Scheduler) refreshLimits(version uint64, accounts *account.Set, now time.Time) {
 	l := &s.limits
-	if config := s.table.Config(); config.Version != l.config {
-		l.config = config.Version
-		l.usage.SetLimits(config.Accounts)
-		s.queue.isKept = false // all steps are queued again
+	if version != l.config {
+		l.config = version
+		l.usage.SetLimits(accounts) // the queue is made again for the version
 	}
-	if !l.usage.HasLimits() {
-		return
+	if l.usage.HasLimits() {
+		s.reckonUnknown()
+		s.releaseFreed(now)
 	}
-	s.reckonUnknown()
+}
+
+// releaseFreed queues steps again for which something has ended or changed. The lock is held.
+func (s *Scheduler) releaseFreed(now time.Time) {
+	l := &s.limits
 	freed := l.freed
 	l.freed = nil
 	for _, a := range freed {
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -92,7 +92,6 @@
 	s.releases.notice(s, now)
 	pass := s.newPass(now)
 	started := time.Now()
-	s.refreshLimits(now)
 	list := s.candidates(now)
 	if len(list) == 0 || s.nothingToTry(now) {
 		s.observePass(now, started, len(list), len(list))
--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -51,9 +51,11 @@
 	for e, ok := q.due.TakeDue(now); ok; e, ok = q.due.TakeDue(now) {
 		s.jobChanged(e)
 	}
-	if config := s.table.Config().Version; q.needsRebuild(config) {
+	config := s.table.Config()
+	s.refreshLimits(config.Version, config.Accounts, now)
+	if q.needsRebuild(config.Version) {
 		s.rebuildQueue(now)
-		q.config = config
+		q.config = config.Version
 	} else {
 		for _, e := range q.changed {
 			s.requeueSteps(e, now)
