Hand the lead to a process with a decisively larger share

Cause: a constant counted 0.4 of a core as ample for a leader. On a cell of VMs with 0.8, 0.48 and 0.144 of a core, a VM of 0.48 that was the first back after a loss of power led for good and did not keep up.

Change: processes tell each other their share (Hello, cell/leader, the offer to succeed); the leader tells its followers the largest of theirs, and election delays follow from it. A process whose share is 1.25 times that of the leader offers to lead. The leader hands over while the cell is starting (10 s), if the other has 2.5 times as much, or once it has been late for 1.5 s: its timers fire late or passes of placement are behind. Otherwise it stays, as a hand-over costs about a second. One process hands over once in 20 s at most. The decisions are in domain/fitness. The way to hand over is the one there was: the work ends, the end of the term is recorded and the key released in one transaction. An unknown share means the rule of before, which compares election delays.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -116,7 +116,10 @@
 	case *cellpb.Call_Ping:
 		_, leads := handler.OwnTerm()
 		status, config := t.answerConfigStatus(s.peer, call.GetConfigStatus())
-		return &cellpb.Reply{Leads: leads, Peers: t.knownAddresses(), ConfigStatus: status, Config: config}, nil
+		return &cellpb.Reply{
+			Leads: leads, Peers: t.knownAddresses(), ConfigStatus: status, Config: config,
+			LargestCpuMillicores: t.LargestShare().Millicores(),
+		}, nil
 	case *cellpb.Call_Leader:
 		return &cellpb.Reply{Leader: encodeLeader(t.knownLeader())}, nil
 	case *cellpb.Call_Record:
--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -61,6 +62,29 @@
 	t.leaderSession, t.followedLeader = s, leader
 }
 
+// LargestShare returns the largest share of a processor among the processes that follow the leader: on the leader itself those in
+// touch, elsewhere what the leader last told.
+func (t *Transport) LargestShare() fitness.Share {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.inbound) == 0 {
+		return t.largestShare
+	}
+	var largest fitness.Share
+	for _, s := range t.inbound {
+		largest = max(largest, s.cpu)
+	}
+	return largest
+}
+
+func (t *Transport) learnLargestShare(share fitness.Share) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if share > 0 {
+		t.largestShare = share
+	}
+}
+
 // DiscoverLeader queries all known processes for the leader. It returns the one with the highest term, or false if no process
 // knows a leader.
 func (t *Transport) DiscoverLeader(ctx context.Context) (port.Leader, bool) {
@@ -129,6 +153,7 @@
 			return err
 		}
 		t.addAddresses(reply.GetPeers()...)
+		t.learnLargestShare(fitness.ShareOf(reply.GetLargestCpuMillicores()))
 		leads := reply.GetLeads()
 		if !leads && !time.Now().Before(graceEnd) {
 			return fault.New(fault.NotReady, "%s is no longer the leader", s.peer)
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -9,6 +9,7 @@
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
@@ -229,7 +230,7 @@
 func encodeLeader(l port.Leader) *cellpb.Leader {
 	return &cellpb.Leader{
 		Process: string(l.Process), Address: l.Address, Incarnation: l.Incarnation, Term: l.Term,
-		ElectionDelayMs: uint32(l.ElectionDelay.Milliseconds()),
+		ElectionDelayMs: uint32(l.ElectionDelay.Milliseconds()), CpuMillicores: l.CPU.Millicores(),
 	}
 }
 
@@ -246,6 +247,7 @@
 	return port.Leader{
 		Process: ident.ProcessID(m.GetProcess()), Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
 		Term: m.GetTerm(), ElectionDelay: time.Duration(m.GetElectionDelayMs()) * time.Millisecond,
+		CPU: fitness.ShareOf(m.GetCpuMillicores()),
 	}
 }
 
--- a/internal/adapter/cellwire/session.go
+++ b/internal/adapter/cellwire/session.go
@@ -13,6 +13,7 @@
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 )
@@ -22,6 +23,7 @@
 	peer        ident.ProcessID
 	incarnation uint64
 	address     string // listen address of the peer
+	cpu         fitness.Share
 	conn        net.Conn
 	mux         *frame.Mux
 }
@@ -36,7 +38,7 @@
 	}
 	ownHello := &cellpb.Hello{
 		Version: protocolVersion, Process: string(t.self.Process), Incarnation: t.self.Incarnation,
-		Address: t.self.Address,
+		Address: t.self.Address, CpuMillicores: t.self.CPU.Millicores(),
 	}
 	if err := frame.Write(conn, ownHello); err != nil {
 		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
@@ -59,7 +61,7 @@
 	}
 	return &session{
 		peer: ident.ProcessID(peerHello.GetProcess()), incarnation: peerHello.GetIncarnation(), address: peerHello.GetAddress(),
-		conn: conn, mux: mux,
+		cpu: fitness.ShareOf(peerHello.GetCpuMillicores()), conn: conn, mux: mux,
 	}, nil
 }
 
--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -16,6 +16,7 @@
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -63,6 +64,7 @@
 	followedLeader port.Leader                  // leader at the other end of leaderSession
 	inbound        map[ident.ProcessID]*session // sessions opened by other processes
 	addresses      map[string]bool              // known addresses of processes, including outdated ones
+	largestShare   fitness.Share                // among the processes that follow the leader, as the leader last told it
 	ending         bool                         // the context of Run has ended; no goroutine is started any more
 	goroutines     sync.WaitGroup
 }
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
@@ -27,6 +28,8 @@
 	retryInterval = 150 * time.Millisecond
 	// giveWayDelay is how long a leader that gave way leaves the key to others. It exceeds their election delays.
 	giveWayDelay = 1500 * time.Millisecond
+	// handOverDelay is how long a leader that handed over leaves the key to others. It exceeds the longest election delay.
+	handOverDelay = 800 * time.Millisecond
 )
 
 // MaxRenewalGap is how long a leader continues to send requests to workers without a confirmed lease renewal. Store
@@ -48,6 +51,7 @@
 	PredecessorSilentAt time.Time
 	EarlierSilentAt     time.Time     // from when no leader before the previous one sends requests; zero if that has been so
 	Renewal             *Renewal      // when the lease was last renewed; nil in tests that need none
+	Lateness            *Lateness     // whether the leader keeps up; nil in tests that need none
 	earlierActive       time.Duration // from the start of the term until allSilentAt
 }
 
@@ -85,7 +89,9 @@
 	resigned   chan struct{}
 	resignOnce sync.Once
 	gaveWayAt  time.Time // when this process last gave way; zero if it never did
-	latestTerm seenTerm  // as read from the store, or led
+	handedOver time.Time // when it last handed over to a better placed process; zero if it never did
+	tenure     *fitness.Tenure
+	latestTerm seenTerm // as read from the store, or led
 }
 
 // New returns an Election that starts with Run. Before it takes a vacant leader key it waits for the election delay of
@@ -96,7 +102,7 @@
 ) *Election {
 	return &Election{
 		self: self, store: store, codec: codec, follower: follower, lead: lead, log: log,
-		resigned: make(chan struct{}),
+		resigned: make(chan struct{}), tenure: fitness.NewTenure(self.CPU),
 	}
 }
 
@@ -149,7 +155,7 @@
 
 // isStillVacant waits for the election delay, or longer if this process gave way, and reports whether no other process took the key in that time.
 func (e *Election) isStillVacant(ctx context.Context, s leaderState) bool {
-	delay := max(e.self.ElectionDelay, giveWayDelay-time.Since(e.gaveWayAt))
+	delay := max(e.electionDelay(), giveWayDelay-time.Since(e.gaveWayAt), handOverDelay-time.Since(e.handedOver))
 	if delay <= 0 {
 		return ctx.Err() == nil
 	}
@@ -160,6 +166,14 @@
 	return err == nil && current.revision == s.revision
 }
 
+// electionDelay follows from the shares of a processor that the process has learnt of others, once it has learnt any.
+func (e *Election) electionDelay() time.Duration {
+	if largest := e.follower.LargestShare(); largest > 0 && e.self.CPU > 0 {
+		return fitness.ElectionDelay(e.self.CPU, largest)
+	}
+	return e.self.ElectionDelay
+}
+
 func (e *Election) readLeader(ctx context.Context) (leaderState, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -297,13 +311,15 @@
 			e.log.Warn("gives way to other processes", "term", term.Number)
 		}
 	}()
-	if e.self.ElectionDelay > 0 {
-		go func() {
-			if e.awaitSuccessor(leadCtx) {
-				cancel()
-			}
-		}()
-	}
+	handOverDecided := make(chan struct{})
+	go func() {
+		defer close(handOverDecided)
+		if e.awaitSuccessor(leadCtx, term) {
+			e.handedOver = time.Now()
+			cancel()
+		}
+	}()
+	go term.Lateness.watchTimers(leadCtx)
 	silenceRecorded := make(chan struct{})
 	go func() {
 		defer close(silenceRecorded)
@@ -313,6 +329,7 @@
 	cancel()
 	<-leadEnded
 	<-silenceRecorded
+	<-handOverDecided
 	e.log.Info("leadership ended", "term", term.Number, "reason", reason)
 	e.release(term)
 }
@@ -349,6 +366,7 @@
 		return Term{}, 0, err
 	}
 	term.Token, term.Revision, term.Renewal = ident.Epoch(committed.Revision), committed.Revision, &Renewal{}
+	term.Lateness = &Lateness{}
 	term.Renewal.Mark(sentAt)
 	return term, lease, nil
 }
--- a/internal/app/leadership/leadership_test.go
+++ b/internal/app/leadership/leadership_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -55,6 +56,7 @@
 type fakeFollower struct {
 	mu       sync.Mutex
 	followed []ident.ProcessID
+	largest  fitness.Share // in touch
 }
 
 func (f *fakeFollower) Follow(ctx context.Context, leader port.Leader) port.FollowResult {
@@ -65,6 +67,8 @@
 	return port.LeaderSessionLost
 }
 
+func (f *fakeFollower) LargestShare() fitness.Share { return f.largest }
+
 func (f *fakeFollower) DiscoverLeader(context.Context) (port.Leader, bool) {
 	return port.Leader{}, false
 }
--- a/internal/app/scheduler/pass.go
+++ b/internal/app/scheduler/pass.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/port"
 )
@@ -14,6 +15,9 @@
 	if s.ports.ObservePass != nil {
 		s.ports.ObservePass(pass)
 	}
+	if s.progress.Behind() {
+		s.term.Lateness.Note(fitness.PassesBehind, now)
+	}
 	behindFor := s.progress.BehindFor(now)
 	switch s.progress.Observe(now, pass.Left) {
 	case placement.FellBehind:
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -17,6 +17,7 @@
 	"skylarkstall/internal/app/routing"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/app/storeguard"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
@@ -35,7 +36,7 @@
 	ConfigKey         string   // key of the configuration in the store
 	Scheduler         scheduler.Settings
 	StopGracePeriod   time.Duration // from the signal to stop until the process is killed
-	ElectionDelay     time.Duration // how long the process waits before it takes a vacant leader key
+	CPU               fitness.Share // 0 if it is not known
 	DrainAcceptPeriod time.Duration // how long a draining process still accepts new connections
 }
 
@@ -91,7 +92,7 @@
 	handler.remote = notLeader{}
 	self := port.Leader{
 		Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
-		ElectionDelay: settings.ElectionDelay,
+		ElectionDelay: fitness.StartingDelay(settings.CPU), CPU: settings.CPU,
 	}
 	handler.self = self
 	replica := routing.NewReplica(n.table, platform.Decode, log)
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -19,6 +19,7 @@
 	"skylarkstall/internal/adapter/metrics"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/cellnode"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/eventlog"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -149,20 +150,10 @@
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), CallerAddress: s.CallerAddress,
 		ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress, Seeds: s.Seeds, ConfigKey: platform.ConfigKey,
 		Scheduler:       scheduler.Settings{MaxLease: s.MaxLease, StatusRetention: s.StatusRetention, CPUShare: s.CPUShare},
-		StopGracePeriod: s.StopGracePeriod, DrainAcceptPeriod: platform.UnreadyPropagationDelay, ElectionDelay: electionDelay(s.CPUShare),
+		StopGracePeriod: s.StopGracePeriod, DrainAcceptPeriod: platform.UnreadyPropagationDelay, CPU: fitness.Share(s.CPUShare),
 	}
 }
 
-// The leader needs a share of a core that grows with the cell, so processes with a smaller share delay their candidacy.
-const (
-	ampleCPUShare    = 0.4 // cores; a process with at least as much does not delay
-	maxElectionDelay = 400 * time.Millisecond
-)
-
-func electionDelay(cpuShare float64) time.Duration {
-	return time.Duration(max(1-cpuShare/ampleCPUShare, 0) * float64(maxElectionDelay))
-}
-
 func nodePlatform(s platform.Settings, observe platform.CallObserver, log *slog.Logger) cellnode.Platform {
 	client := platform.NewClient(observe)
 	store := platform.NewStore(client, s.StoreAddress)
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
@@ -167,9 +168,10 @@
 	Address     string // host:port for other processes
 	Incarnation uint64
 	Term        uint64
-	// ElectionDelay is how long the process waits before it takes the vacant key. It is longer for a process with a smaller
-	// share of a processor.
+	// ElectionDelay is how long the process waits before it takes the vacant key as long as it does not know the shares of the others.
+	// Processes that do not tell their share are compared by it.
 	ElectionDelay time.Duration
+	CPU           fitness.Share // of the process
 }
 
 // FollowResult is the reason why Follow returned.
@@ -187,6 +189,9 @@
 type Follower interface {
 	// Follow keeps a session to the leader until it breaks or the context ends.
 	Follow(ctx context.Context, leader Leader) FollowResult
+	// LargestShare returns the largest share of a processor among the processes that follow the leader, as this process last learned
+	// it, and 0 if it knows of none.
+	LargestShare() fitness.Share
 	// DiscoverLeader queries other processes for the current leader, and returns false if none knows it.
 	DiscoverLeader(ctx context.Context) (Leader, bool)
 }
