Limit starts in progress by the time the leader takes to send them

Cause: a leader that lacked processor time kept up to 192 starts in progress. Their decisions were too old when they could be sent: of 15,060 decided in 20 s it refused 5,366 itself, and decided them again.

Change: placement.StartLimit lowers the number of starts in progress by 30% for each 0.2 s in which a third of them took the leader 100 ms or more, and raises it by 8 otherwise, between 16 and 128 (and 320 for each core of the share). Time for which a worker is busy with other requests does not count. A ticket that is expected to expire before the start is sent is not used. A start that was dropped is logged once, as refused. Lateness of the leader, the limit and the dropped decisions are exported. Decisions on starts move to starts.go.

Tests: allowedWorkers has a parameter less, and the limits of starts in progress, which two tests name, are constants of the tests; no check changed.

--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -31,6 +31,8 @@
 	seenPriorities   map[int]bool              // priorities that were exported before; their gauge is set to 0 without tasks
 	queues           map[string]queueGauges    // queues that were exported before
 	lastDroppedLines int64                     // total at the last update
+
+	lastDroppedStarts int // of the term, at the last update
 }
 
 // NewCellMetrics registers the metrics of a process. Close must be called to report the last values.
@@ -99,11 +101,14 @@
 		"leads": boolValue(s.IsLeader), "placement_behind": boolValue(s.PlacementBehind),
 		"config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
 		"workers": float64(s.Workers), "runs": float64(s.Runs), "doubtful_starts": float64(s.UnconfirmedStarts), "unrecorded_jobs": float64(s.UnrecordedJobs),
+		"leader_late_seconds": s.LateFor.Seconds(), "start_limit": float64(s.StartLimit), "starts_in_progress": float64(s.StartsInProgress),
 	} {
 		c.scope.Gauge(name).Update(value)
 	}
 	c.scope.Counter("log_lines_dropped").Inc(s.DroppedLogLines - c.lastDroppedLines)
 	c.lastDroppedLines = s.DroppedLogLines
+	c.scope.Counter("starts_dropped").Inc(int64(max(s.DroppedStarts-c.lastDroppedStarts, 0))) // each term counts anew
+	c.lastDroppedStarts = s.DroppedStarts
 	for priority := range s.WaitingTasks {
 		c.seenPriorities[priority] = true
 	}
--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -34,6 +34,7 @@
 type placementPass struct {
 	scheduler      *Scheduler
 	now            time.Time
+	ticketTime     time.Time         // until when tickets have to be valid: starts that are decided now are then sent
 	retryTime      time.Duration     // left for steps for which nothing but the time has changed
 	retriesLeft    int               // number of them that are due and were left to the next pass
 	peerNames      []ident.ProcessID // nil if not needed yet
@@ -41,7 +42,7 @@
 }
 
 func (s *Scheduler) newPass(now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, lowestPriority: -1}
+	return &placementPass{scheduler: s, now: now, ticketTime: now.Add(s.starts.Delay()), lowestPriority: -1}
 }
 
 // idleCheckInterval is the interval at which the use of a service's workers is added up.
@@ -74,12 +75,12 @@
 
 // allowedWorkers returns the workers on which the queue's policy allows the step, and which are recorded and not
 // cordoned. The lock is held.
-func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
+func (s *Scheduler) allowedWorkers(c candidate) []allowedWorker {
 	var workers []allowedWorker
 	if c.permits == nil {
 		return s.recordedWorkers()
 	}
-	for worker, ticket := range c.permits.Tickets(now) {
+	for worker, ticket := range c.permits.Tickets(c.pass.ticketTime) {
 		m := s.monitors[worker.ID]
 		if m != nil && s.mayGetRuns(m) && m.worker.Incarnation() == worker.Incarnation {
 			workers = append(workers, allowedWorker{m, ticket.Value})
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -180,7 +180,7 @@
 			options = append(options, option)
 		}
 	}
-	for worker := range c.permits.Lapsed(now) {
+	for worker := range c.permits.Lapsed(c.pass.ticketTime) {
 		if m := s.monitors[worker.ID]; m != nil && s.mayGetRuns(m) {
 			add(m, true)
 		}
@@ -216,7 +216,7 @@
 	}
 	option := permitCandidate{worker: permitWorker(m)}
 	var mayAsk bool
-	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, request.Now); !mayAsk {
+	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk {
 		return permitCandidate{}, false
 	}
 	option.score, option.fitCount = m.worker.Score(request), min(m.worker.FitCount(request.Step), unplaced)
@@ -235,7 +235,7 @@
 		m := recorded.monitor
 		option := permitCandidate{worker: permitWorker(m), fitCount: 1}
 		var mayAsk bool
-		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, request.Now); !mayAsk || m.worker.Eligible(request) {
+		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || m.worker.Eligible(request) {
 			continue
 		}
 		if cost, ok := m.worker.PreemptionCost(request); ok {
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"skylarkstall/internal/domain/pool"
-	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -71,11 +70,6 @@
 	maxPlaceTime = 5 * time.Millisecond
 	// minChangedSteps is the number of changed steps that a pass reaches however little time it has.
 	minChangedSteps = 16
-	// maxStartsInProgress keeps the leader from placing more than it has the processor time to start: leases, ends and stops would be late.
-	// No step is tried while as many starts are in progress.
-	maxStartsInProgress = 128
-	// urgentStarts is how many more may be in progress for the highest priority, which must not wait for starts on slow workers.
-	urgentStarts = 64
 	// minTryTime is left for trying steps, however long it took to collect them and the workers.
 	minTryTime = 2 * time.Millisecond
 )
@@ -88,6 +82,7 @@
 	if !s.mayLetRun(now) {
 		return nil, nil
 	}
+	s.adaptStarts(now)
 	s.breakUpGangs()
 	s.releases.notice(s, now)
 	pass := s.newPass(now)
@@ -145,7 +140,7 @@
 	tried, reached := 0, 0 // reached counts steps that had changed
 	settled, nextTry := true, pass.now.Add(placeInterval)
 	for c := range inOrder(list, mostOverdue(list, pass.now)) {
-		room := maxStarts(c.queue) - s.startsInProgress - len(launches)
+		room := s.starts.Max(c.queue.HasTopPriority()) - s.startsInProgress - len(launches)
 		if room <= 0 {
 			settled = false
 			continue // the end of a start wakes placement
@@ -194,21 +189,13 @@
 	return c.held || waiting.Due(now, c.queue.Priority) || len(s.releases.since(c.step.triedIn)) > 0
 }
 
-// maxStarts returns the number of starts in progress from which on no step of the queue is tried.
-func maxStarts(queue route.Queue) int {
-	if queue.HasTopPriority() {
-		return maxStartsInProgress + urgentStarts
-	}
-	return maxStartsInProgress
-}
-
 // tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.step
 	c.permits = s.permitsOf(c)
 	if c.held {
 		step.wait.triedAt = now
-		c.workers = s.allowedWorkers(c, now)
+		c.workers = s.allowedWorkers(c)
 		return nil, s.prefetchPermits(c, now)
 	}
 	c.waited = step.waiting.For(now)
@@ -221,7 +208,7 @@
 		defer func() { c.pass.retryTime -= time.Since(started) }()
 		return s.tryAll(c, now)
 	}
-	c.workers, c.partial = s.releasedWorkers(c, now), true
+	c.workers, c.partial = s.releasedWorkers(c), true
 	if len(c.workers) > 0 && c.entry.workflow.Step(c.ref).Gang {
 		return s.tryAll(c, now) // its members need several workers
 	}
@@ -256,7 +243,7 @@
 func (s *Scheduler) tryAll(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.step
 	step.wait.triedAt = now
-	c.workers, c.partial = s.allowedWorkers(c, now), false
+	c.workers, c.partial = s.allowedWorkers(c), false
 	launches, unplaced := s.placeStep(c, now)
 	step.waiting.Tried(now, unplaced)
 	step.triedIn = s.releases.pass
--- a/internal/app/scheduler/place_test.go
+++ b/internal/app/scheduler/place_test.go
@@ -96,7 +96,7 @@
 		placeAt(s, now)
 		for _, c := range s.candidates(now) {
 			c.pass, c.waited = testPass(s, now), c.entry.step(c.ref).waiting.For(now)
-			c.workers = s.allowedWorkers(*c, now)
+			c.workers = s.allowedWorkers(*c)
 			index := c.entry.workflow.Waiting(c.ref)[0]
 			if best := c.chooseWorker(workflow.TaskRef{StepRef: c.ref, Index: index}, "", now); best.monitor != nil {
 				rt.Fatalf("step %s waits although worker %s could take its task %d", c.ref, best.monitor.worker.Info().ID, index)
@@ -115,7 +115,7 @@
 	acceptNamed(s, "b", step)
 	c := s.jobs["b"].newCandidate(workflow.StepRef{Job: "b"}, s.jobs["b"].queue, now)
 	c.pass = testPass(s, now)
-	c.workers, c.waited = s.allowedWorkers(*c, now), time.Second
+	c.workers, c.waited = s.allowedWorkers(*c), time.Second
 	s.mu.Lock()
 	s.preempt(*c, 1, now) // keeps the free capacity for the step
 	s.mu.Unlock()
--- a/internal/app/scheduler/releases.go
+++ b/internal/app/scheduler/releases.go
@@ -48,17 +48,17 @@
 
 // releasedWorkers returns the workers on which the step may run and capacity was released since the pass that last tried the step,
 // enough for a task. The lock is held.
-func (s *Scheduler) releasedWorkers(c candidate, now time.Time) []allowedWorker {
+func (s *Scheduler) releasedWorkers(c candidate) []allowedWorker {
 	var workers []allowedWorker
 	step := c.entry.workflow.Step(c.ref)
-	if c.permits != nil && !c.permits.AnyValid(now) {
+	if c.permits != nil && !c.permits.AnyValid(c.pass.ticketTime) {
 		return nil
 	}
 	for _, entry := range s.releases.since(c.step.triedIn) {
 		if !entry.monitor.worker.Fits(step) {
 			continue
 		}
-		if a, ok := s.allowedOn(c, entry.monitor, now); ok {
+		if a, ok := s.allowedOn(c, entry.monitor); ok {
 			workers = append(workers, a)
 		}
 	}
@@ -66,13 +66,13 @@
 }
 
 // allowedOn reports whether the queue's policy allows the step on a worker, and the worker is recorded and not cordoned. The lock is held.
-func (s *Scheduler) allowedOn(c candidate, m *workerMonitor, now time.Time) (allowedWorker, bool) {
+func (s *Scheduler) allowedOn(c candidate, m *workerMonitor) (allowedWorker, bool) {
 	if !s.mayGetRuns(m) {
 		return allowedWorker{}, false
 	}
 	if c.permits == nil {
 		return allowedWorker{monitor: m}, true
 	}
-	ticket, ok := c.permits.Ticket(permitWorker(m), now)
+	ticket, ok := c.permits.Ticket(permitWorker(m), c.pass.ticketTime)
 	return allowedWorker{m, ticket.Value}, ok
 }
--- a/internal/app/scheduler/runs.go
+++ b/internal/app/scheduler/runs.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -22,17 +21,6 @@
 	maxStopDelay = 800 * time.Millisecond
 )
 
-// launch is a run that has been placed and is to be started.
-type launch struct {
-	monitor *workerMonitor
-	entry   *jobEntry
-	target  port.Target
-	request port.StartRequest
-	decided time.Time     // when the run was placed
-	silence time.Duration // since the worker's last response
-	free    string        // free capacity of the worker before the placement
-}
-
 // resultKind returns the result of a call for log lines: "ok" or the kind of the error.
 func resultKind(err error) string {
 	if err == nil {
@@ -41,92 +29,6 @@
 	return fault.KindOf(err).String()
 }
 
-// maxOrderAge is how old a decision to start a run may be when the request is sent. Meanwhile the process may have been
-// paused, the lease may have shortened and the job may have been cancelled.
-const maxOrderAge = 500 * time.Millisecond
-
-// startRun sends the request to start a run and handles the result.
-func (s *Scheduler) startRun(ctx context.Context, l launch) {
-	sent, clock, err := s.requestStart(ctx, l)
-	s.startEnded()
-	s.log.Info("run ordered", "task", l.request.Task.String(), "run", l.request.Run, "worker", l.target.Worker,
-		"age_ms", sent.Sub(l.entry.accepted).Milliseconds(), "seen_ms", l.silence.Milliseconds(), "free", l.free,
-		"took_ms", time.Since(sent).Milliseconds(), "kind", resultKind(err))
-	switch {
-	case err == nil:
-		s.startAcked(l, clock, sent)
-	case ctx.Err() != nil:
-	case fault.Is(err, fault.Interrupted):
-		s.resolveStart(ctx, l)
-	case fault.Is(err, fault.StaleEpoch) && s.tokenRefused(l.monitor, l.request.Token, err): // the term ends
-	default:
-		s.startRefused(l, err)
-	}
-}
-
-// startEnded notes that the request of a start has ended.
-func (s *Scheduler) startEnded() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.startsInProgress--
-	if n := s.startsInProgress; n == maxStartsInProgress-1 || n == maxStartsInProgress+urgentStarts-1 {
-		s.wakePlacement()
-	}
-}
-
-// requestStart sends the request once earlier requests to the worker have ended, unless the decision is too old by then.
-func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
-	if !l.monitor.acquireRequestBy(ctx, l.decided.Add(maxOrderAge)) {
-		return time.Now(), 0, cmp.Or(ctx.Err(), fault.New(fault.DeadlineExceeded, "start not requested within %v", maxOrderAge))
-	}
-	defer l.monitor.releaseRequest()
-	sent = time.Now()
-	if err := s.checkMayStart(sent); err != nil {
-		return sent, 0, err
-	}
-	if age := sent.Sub(l.decided); age > maxOrderAge {
-		return sent, 0, fault.New(fault.DeadlineExceeded, "start not requested %v after the decision", age)
-	}
-	if !s.hasValidTicket(l, sent) {
-		return sent, 0, fault.New(fault.Unauthorized, "the ticket is no longer valid")
-	}
-	if err := s.markRequested(l); err != nil {
-		return sent, 0, err
-	}
-	startCtx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	clock, err = s.ports.RunClient.Start(startCtx, l.target, l.request)
-	return sent, clock, err
-}
-
-// hasValidTicket reports whether the ticket of a start, if it has one, is still valid, and for the present life of the worker.
-func (s *Scheduler) hasValidTicket(l launch, now time.Time) bool {
-	if l.request.Ticket == "" {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	permits := l.entry.step(l.request.Task.StepRef).permits
-	return permits != nil && permits.Valid(permitWorker(l.monitor), now)
-}
-
-// markRequested notes that the request of a start is sent. It fails with Canceled if meanwhile the run has been given up, its job is over or
-// the worker has restarted.
-func (s *Scheduler) markRequested(l launch) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	run := l.monitor.worker.Run(l.request.RunRef)
-	active := l.entry.workflow.IsActive(workflow.Placement{RunRef: l.request.RunRef, Worker: l.target.Worker})
-	if run == nil || !active || l.entry.workflow.State().Final() {
-		return fault.New(fault.Canceled, "the run was given up before its start was requested")
-	}
-	if l.monitor.worker.Token() != l.request.Token || l.monitor.worker.AwaitsFence() {
-		return fault.New(fault.Canceled, "the worker has restarted before the start was requested")
-	}
-	run.Requested = true
-	return nil
-}
-
 func (s *Scheduler) startAcked(l launch, clock time.Duration, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -103,6 +103,7 @@
 	roster           *workerRoster                   // nil if it has to be made again
 	releases         releaseLog                      // capacity that placement has not used yet
 	startsInProgress int                             // placed, and the request of the start has not ended
+	starts           *placement.StartLimit           // of startsInProgress
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
@@ -168,7 +169,7 @@
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{},
+		allowedShares: map[string]*permit.AllowedShare{}, starts: placement.NewStartLimit(settings.CPUShare),
 	}
 }
 
--- a/internal/app/scheduler/starts_test.go
+++ b/internal/app/scheduler/starts_test.go
@@ -6,11 +6,18 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
+// Starts that a leader that keeps up may have in progress, and how many more with the highest priority.
+const (
+	maxStartsInProgress = placement.MaxStarts
+	urgentStarts        = maxStartsInProgress / 2
+)
+
 // TestStartsAreLimited guards against a leader that places more tasks than it has the time to start, so that its leases are late, and
 // against one that places none once starts have ended.
 func TestStartsAreLimited(t *testing.T) {
--- a/internal/app/scheduler/state.go
+++ b/internal/app/scheduler/state.go
@@ -21,7 +21,8 @@
 			}
 		}
 	}
-	state.PlacementBehind = s.progress.Behind()
+	state.PlacementBehind, state.LateFor = s.progress.Behind(), s.term.Lateness.For(now)
+	state.StartLimit, state.StartsInProgress, state.DroppedStarts = s.starts.Max(false), s.startsInProgress, s.starts.Dropped()
 	state.WaitingTasks, state.Queues = map[int]int{}, map[string]port.QueueState{}
 	for _, e := range s.openJobs {
 		queue := s.queueOf(e)
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -170,7 +170,7 @@
 		unplaced: len(waiting), first: waiting[0],
 	}
 	c.permits, c.waited = step.permits, step.waiting.For(now)
-	c.workers = s.allowedWorkers(c, now)
+	c.workers = s.allowedWorkers(c)
 	task := workflow.TaskRef{StepRef: c.ref, Index: report.first}
 	switch {
 	case c.held:
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -282,6 +282,10 @@
 	WaitingTasks      map[int]int           // tasks that are ready to start, by priority
 	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
 	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
+	LateFor           time.Duration         // for how long the leader has been late; 0 if it keeps up
+	StartLimit        int                   // starts that may be in progress
+	StartsInProgress  int                   // starts that were decided and whose request has not ended
+	DroppedStarts     int                   // decisions of the term that were too old to be sent
 }
 
 // QueueState is what waits in a queue.
