--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -105,6 +105,7 @@
 	releases         releaseLog                // capacity that placement has not used yet
 	limits           accountLimits
 	startsInProgress int                             // placed, and the request of the start has not ended
+	starts           *placement.StartLimit           // of startsInProgress
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
@@ -171,7 +172,7 @@
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{},
+		allowedShares: map[string]*permit.AllowedShare{}, starts: placement.NewStartLimit(settings.CPUShare),
 	}
 	s.limits = newAccountLimits(s)
 	return s
