--- a/internal/domain/account/account.go
+++ b/internal/domain/account/account.go
@@ -16,6 +16,10 @@
 // a version that does not know accounts.
 type ID string
 
+// CanReach reports whether a caller of this account may read or cancel what belongs to owner. What belongs to no account is open to
+// every caller of its queue, and so is everything to a caller without an account, whom the operator lets in without a key.
+func (id ID) CanReach(owner ID) bool { return id == "" || owner == "" || id == owner }
+
 // KeyDigest is the SHA-256 digest of a key.
 type KeyDigest [sha256.Size]byte
 
@@ -112,7 +116,7 @@
 // ByKey returns the account to which a key belongs, and false if the key is unknown. How long it takes does not tell how much of a key
 // is right: only digests are compared.
 func (s *Set) ByKey(key string) (ID, bool) {
-	if s == nil {
+	if s == nil || key == "" { // a caller without a key has no account, whatever the configuration holds
 		return "", false
 	}
 	digest := DigestKey(key)
--- a/internal/domain/account/account_test.go
+++ b/internal/domain/account/account_test.go
@@ -72,3 +72,16 @@
 		}
 	}
 }
+
+// TestCanReach guards against a job that another account reaches, and against one that nobody does: it may have been accepted without an
+// account, or its queue may be public now.
+func TestCanReach(t *testing.T) {
+	for _, c := range []struct {
+		caller, owner account.ID
+		want          bool
+	}{{"a", "a", true}, {"a", "b", false}, {"a", "", true}, {"", "b", true}, {"", "", true}} {
+		if got := c.caller.CanReach(c.owner); got != c.want {
+			t.Errorf("account %q reaches a job of %q: %v, want %v", c.caller, c.owner, got, c.want)
+		}
+	}
+}
