Bind jobs to accounts, and accept a key only on recent evidence

The age of the evidence that a configuration is the newest was counted from the arrival of a message by a clock that stands still while the machine is suspended, and version and evidence were read apart.

Change: port.JobRef carries the caller's account to the leader; State, Cancel, the path through the store, the archive and a second submission of an id check it. Jobs without an account stay open. account.WithdrawalPolicy decides on a key from the age of the evidence, taken after the whole call was read, by CLOCK_BOOTTIME; bounds.revokeStrict, revokeMs and configApplyMs set it. A reply to a ping is counted from when the ping was sent; a ping from the clock of the reply that it echoes, and without an echo it is no evidence. Processes of earlier versions state ages in another field, which is not used any more.

Existing tests: calls of routing.NewReplica name a clock (time.Now, as before), fakes of port.Scheduler and port.ConfigReplica follow the interfaces, and the cell of platform/cell_test.go takes accounts, a policy and a clock. No check is changed.

Tests of the changed packages pass, platform in 103 s before the new tests were added and the new ones in 35 s.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/route"
@@ -37,14 +38,14 @@
 }
 
 // State implements port.Scheduler.
-func (t *Transport) State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
-	reply, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_State{State: encodeJobName(queue, id)}})
+func (t *Transport) State(ctx context.Context, job port.JobRef) (workflow.State, error) {
+	reply, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_State{State: encodeJobRef(job)}})
 	return workflow.State(reply.GetState()), err
 }
 
 // Cancel implements port.Scheduler.
-func (t *Transport) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
-	_, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Cancel{Cancel: encodeJobName(queue, id)}})
+func (t *Transport) Cancel(ctx context.Context, job port.JobRef) error {
+	_, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Cancel{Cancel: encodeJobRef(job)}})
 	return err
 }
 
@@ -56,8 +57,13 @@
 	return int(reply.GetWaiting()), err
 }
 
-func encodeJobName(queue route.QueueRef, id workflow.ID) *cellpb.JobName {
-	return &cellpb.JobName{Queue: queue.Name, Host: queue.Host, Prefix: queue.Prefix, Id: string(id)}
+func encodeJobRef(job port.JobRef) *cellpb.JobName {
+	q := job.Queue
+	return &cellpb.JobName{Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Id: string(job.ID), Account: string(job.Account)}
+}
+
+func decodeJobRef(m *cellpb.JobName) port.JobRef {
+	return port.JobRef{Queue: decodeQueueRef(m), Account: account.ID(m.GetAccount()), ID: workflow.ID(m.GetId())}
 }
 
 // queueFields are the fields of a message that identify a queue.
@@ -124,10 +130,10 @@
 	case *cellpb.Call_Notify:
 		return withJob(body.Notify, func(job port.AcceptedJob) error { return handler.Notify(ctx, job) })
 	case *cellpb.Call_State:
-		state, err := handler.State(ctx, decodeQueueRef(body.State), workflow.ID(body.State.GetId()))
+		state, err := handler.State(ctx, decodeJobRef(body.State))
 		return &cellpb.Reply{State: uint32(state)}, err
 	case *cellpb.Call_Cancel:
-		return &cellpb.Reply{}, handler.Cancel(ctx, decodeQueueRef(body.Cancel), workflow.ID(body.Cancel.GetId()))
+		return &cellpb.Reply{}, handler.Cancel(ctx, decodeJobRef(body.Cancel))
 	case *cellpb.Call_Waiting:
 		queue := route.QueueRef{Name: body.Waiting, Host: call.GetWaitingHost(), Prefix: call.GetWaitingPrefix()}
 		n, err := handler.PendingJobs(ctx, queue)
--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -120,11 +120,13 @@
 // leader, in which case it fails with NotReady.
 func (t *Transport) monitorLeader(ctx context.Context, s *session) error {
 	graceEnd := time.Now().Add(notLeadingGrace)
+	var peerClock int64 // of the latest reply
 	for ctx.Err() == nil {
-		reply, err := t.ping(ctx, s)
+		reply, err := t.ping(ctx, s, peerClock)
 		if err != nil {
 			return err
 		}
+		peerClock = reply.GetConfigStatus().GetClockNs()
 		if err := t.exchangeConfig(ctx, s, reply); err != nil {
 			return err
 		}
@@ -146,9 +148,14 @@
 	return ctx.Err()
 }
 
-func (t *Transport) ping(ctx context.Context, s *session) (*cellpb.Reply, error) {
+// ping sends the status of the configuration with the clock of the peer's latest reply, and returns the reply.
+func (t *Transport) ping(ctx context.Context, s *session, peerClock int64) (pingReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	status, _ := t.replica.Current()
-	return s.call(ctx, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}, ConfigStatus: encodeConfigStatus(status)})
+	current, _ := t.replica.Current()
+	sentAt := t.replica.Now()
+	status := encodeConfigStatus(current, sentAt)
+	status.EchoNs = peerClock
+	reply, err := s.call(ctx, &cellpb.Call{Body: &cellpb.Call_Ping{Ping: true}, ConfigStatus: status})
+	return pingReply{reply, sentAt}, err
 }
--- a/internal/adapter/cellwire/records_test.go
+++ b/internal/adapter/cellwire/records_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"skylarkstall/internal/adapter/cellwire"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
@@ -102,3 +103,26 @@
 		t.Error("the state running is accepted as final")
 	}
 }
+
+// TestAccountOfRecords guards against a job that belongs to nobody once it is stored or archived, and against records of versions without
+// accounts that no caller can reach any more.
+func TestAccountOfRecords(t *testing.T) {
+	codec := cellwire.RecordCodec{}
+	spec := workflow.Spec{ID: "j", Queue: "q", Steps: []workflow.Step{{Count: 1}}}
+	for _, owner := range []account.ID{"a", ""} {
+		job, err := codec.DecodeJob(codec.EncodeJob(port.AcceptedJob{Spec: spec, Queue: route.Queue{Name: "q"}, Account: owner, AcceptedAt: time.UnixMilli(1)}))
+		if err != nil || job.Account != owner {
+			t.Errorf("the job of account %q is decoded as one of %q, error %v", owner, job.Account, err)
+		}
+		finished, err := codec.DecodeFinished(codec.EncodeFinished(port.FinishedJob{Account: owner, State: workflow.Completed}))
+		if err != nil || finished.Account != owner {
+			t.Errorf("the archived job of account %q is decoded as one of %q, error %v", owner, finished.Account, err)
+		}
+	}
+	// A record of bba9e44, which knows no accounts: field 1, the queue "q", and field 2, the state.
+	finished, err := codec.DecodeFinished([]byte{0x0a, 1, 'q', 0x10, byte(workflow.Completed)})
+	ref := port.JobRef{Queue: route.QueueRef{Name: "q"}, Account: "a", ID: "j"}
+	if err != nil || !ref.Reaches(finished.Queue, finished.Account) {
+		t.Errorf("an archived job of an earlier version is out of reach: %+v, error %v", finished, err)
+	}
+}
--- a/internal/adapter/cellwire/session_fuzz_test.go
+++ b/internal/adapter/cellwire/session_fuzz_test.go
@@ -22,11 +22,11 @@
 // idleScheduler accepts every call of a peer and does nothing.
 type idleScheduler struct{}
 
-func (idleScheduler) StoreJob(context.Context, port.AcceptedJob) error          { return nil }
-func (idleScheduler) Notify(context.Context, port.AcceptedJob) error            { return nil }
-func (idleScheduler) Cancel(context.Context, route.QueueRef, workflow.ID) error { return nil }
-func (idleScheduler) PendingJobs(context.Context, route.QueueRef) (int, error)  { return 1, nil }
-func (idleScheduler) State(context.Context, route.QueueRef, workflow.ID) (workflow.State, error) {
+func (idleScheduler) StoreJob(context.Context, port.AcceptedJob) error         { return nil }
+func (idleScheduler) Notify(context.Context, port.AcceptedJob) error           { return nil }
+func (idleScheduler) Cancel(context.Context, port.JobRef) error                { return nil }
+func (idleScheduler) PendingJobs(context.Context, route.QueueRef) (int, error) { return 1, nil }
+func (idleScheduler) State(context.Context, port.JobRef) (workflow.State, error) {
 	return workflow.Running, nil
 }
 
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -40,6 +40,7 @@
 // noConfig is a replica without a configuration.
 type noConfig struct{}
 
+func (noConfig) Now() time.Time                       { return time.Time{} }
 func (noConfig) Current() (port.ConfigStatus, []byte) { return port.ConfigStatus{}, nil }
 func (noConfig) Apply([]byte, string)                 {}
 func (noConfig) Confirm(port.ConfigStatus, string)    {}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -36,13 +36,23 @@
 	leader port.Scheduler
 	table  *route.Table
 	log    *slog.Logger
+
+	withdrawal account.WithdrawalPolicy
+	clock      port.Clock // by which the evidence of the table is dated
 }
 
 // New returns a Gateway that stores jobs with the codec and reaches the leader through the scheduler.
 func New(
 	store port.TxnStore, codec port.RecordCodec, leader port.Scheduler, table *route.Table, log *slog.Logger,
 ) *Gateway {
-	return &Gateway{store: store, codec: codec, leader: leader, table: table, log: log}
+	return &Gateway{store: store, codec: codec, leader: leader, table: table, log: log, clock: time.Now}
+}
+
+// WithWithdrawal sets the bounds for withdrawn keys, and the clock by which the evidence of the table is dated. It is called before the
+// first request.
+func (g *Gateway) WithWithdrawal(policy account.WithdrawalPolicy, clock port.Clock) *Gateway {
+	g.withdrawal, g.clock = policy, clock
+	return g
 }
 
 // Route returns the queue that a request belongs to. It fails with NotReady before the first configuration is active, and
@@ -52,12 +62,14 @@
 	if ok {
 		return queue, nil
 	}
-	version, confirmed := g.table.Config().Version, g.table.Confirmed()
+	config, confirmed := g.table.Active()
+	version := config.Version
 	if version == 0 {
 		return route.Queue{}, fault.New(fault.NotReady, "no configuration is active yet")
 	}
+	age, _ := confirmed.Age(g.clock())
 	g.log.Info("request without a route", "host", host, "path", path, "version", version,
-		"confirmed_ms", time.Since(confirmed.At).Milliseconds(), "from", confirmed.Source)
+		"confirmed_ms", age.Milliseconds(), "from", confirmed.Source)
 	return route.Queue{}, fault.New(fault.NotFound, "configuration %d has no route for %s%s", version, host, path)
 }
 
@@ -67,18 +79,31 @@
 	Account account.ID // empty if the queue is public, or the configuration has no accounts
 }
 
-// Authenticate returns the caller who presents a key. It fails with Unauthorized if the queue needs a key and no account of the
-// active configuration has this one.
+func (c *Caller) jobRef(id workflow.ID) port.JobRef {
+	return port.JobRef{Queue: c.Queue.Ref(), Account: c.Account, ID: id}
+}
+
+// Authenticate returns the caller who presents a key. It is called after the whole call has been read, because the call may have been
+// sent until then. It fails with Unauthorized if the queue needs a key and no account of the active configuration has this one, and with
+// NotReady while the configuration may be too old to tell.
 func (g *Gateway) Authenticate(queue route.Queue, key string) (Caller, error) {
-	config := g.table.Config()
-	if queue.Public || config.Accounts.Len() == 0 {
+	config, evidence := g.table.Active()
+	if queue.Public || config.Accounts.Len() == 0 && !g.withdrawal.IsSet() {
 		return Caller{Queue: queue}, nil
 	}
-	id, ok := config.Accounts.ByKey(key)
-	if !ok {
-		return Caller{}, fault.New(fault.Unauthorized, "no account of configuration %d has the key", config.Version)
+	id, known := config.Accounts.ByKey(key)
+	now := g.clock()
+	verdict := g.withdrawal.Decide(known, evidence, now)
+	if verdict == account.Accepted {
+		return Caller{Queue: queue, Account: id}, nil
+	}
+	age, _ := evidence.Age(now)
+	g.log.Info("call refused", "kind", verdict.String(), "queue", queue.Name, "account", id, "version", config.Version,
+		"confirmed_ms", age.Milliseconds(), "from", evidence.Source)
+	if verdict == account.EvidenceTooOld {
+		return Caller{}, fault.New(fault.NotReady, "configuration %d may be outdated", config.Version)
 	}
-	return Caller{Queue: queue, Account: id}, nil
+	return Caller{}, fault.New(fault.Unauthorized, "no account of configuration %d has the key", config.Version)
 }
 
 // MaxBodyBytes returns the limit of a request body in the active configuration, or 0 if it sets none.
@@ -86,7 +111,7 @@
 
 // Submit returns when the job is stored. Submitting the same id again is idempotent. StoreUnavailable means that the job
 // was not stored and never runs, Canceled that it was cancelled and never runs, and Interrupted that it is unknown whether it was
-// stored.
+// stored. Conflict means that the id is taken by a job of another account.
 func (g *Gateway) Submit(ctx context.Context, caller Caller, spec workflow.Spec) error {
 	if err := spec.Validate(); err != nil {
 		return err
@@ -115,12 +140,12 @@
 			go g.notifyLeader(job)
 			return nil
 		}
-		if fault.Is(err, fault.Canceled) {
+		if isFinal(err) {
 			return err
 		}
 		maybeStored = maybeStored || fault.Is(err, fault.Interrupted)
 		err = g.storeThroughLeader(ctx, job)
-		if err == nil || fault.Is(err, fault.Canceled) {
+		if err == nil || isFinal(err) {
 			return err
 		}
 		maybeStored = maybeStored || fault.Is(err, fault.Interrupted)
@@ -133,6 +158,9 @@
 	}
 }
 
+// isFinal reports whether another attempt to store the job cannot end differently: it was cancelled, or its id is another account's.
+func isFinal(err error) bool { return fault.Is(err, fault.Canceled) || fault.Is(err, fault.Conflict) }
+
 func hasTimeToRetry(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
 	return !ok || time.Until(deadline) > storeTimeout
@@ -142,10 +170,10 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	stored, err := port.CreateJob(ctx, g.store, g.codec, job)
-	if err == nil && stored.Finished == nil && stored.Tombstone {
-		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
+	if err != nil {
+		return err
 	}
-	return err
+	return stored.CheckSubmission(job)
 }
 
 func (g *Gateway) storeThroughLeader(ctx context.Context, job port.AcceptedJob) error {
@@ -182,28 +210,25 @@
 	return g.leader.Notify(ctx, job)
 }
 
-// State returns the state of a job. It fails with NotFound if the queue has no such job.
+// State returns the state of a job. It fails with NotFound if the queue has no such job, or if it belongs to another account.
 func (g *Gateway) State(ctx context.Context, caller Caller, id workflow.ID) (workflow.State, error) {
-	queue := caller.Queue
 	leaderCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
-	state, err := g.leader.State(leaderCtx, queue.Ref(), id)
+	state, err := g.leader.State(leaderCtx, caller.jobRef(id))
 	cancel()
 	if err == nil {
 		return state, nil
 	}
-	return g.stateFromStore(ctx, queue, id, err)
+	return g.stateFromStore(ctx, caller.jobRef(id), err)
 }
 
 // stateFromStore reads the state of a job from the store after the leader failed with cause. NotFound is such a cause: the
 // leader may not have read a stored job yet.
-func (g *Gateway) stateFromStore(
-	ctx context.Context, queue route.Queue, id workflow.ID, cause error,
-) (workflow.State, error) {
+func (g *Gateway) stateFromStore(ctx context.Context, ref port.JobRef, cause error) (workflow.State, error) {
 	storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entry, err := g.store.Get(storeCtx, port.JobPrefix+string(id))
+	entry, err := g.store.Get(storeCtx, port.JobPrefix+string(ref.ID))
 	if fault.Is(err, fault.NotFound) {
-		return g.finishedState(storeCtx, queue, id)
+		return g.finishedState(storeCtx, ref)
 	}
 	if err != nil {
 		return 0, err
@@ -212,15 +237,15 @@
 	if err != nil {
 		return 0, err
 	}
-	if job.Tombstone || !job.Queue.Ref().Matches(queue.Ref()) {
-		return 0, fault.New(fault.NotFound, "job %s not found in queue %s", id, queue.Name)
+	if job.Tombstone || !ref.Reaches(job.Queue.Ref(), job.Account) {
+		return 0, errNoSuchJob(ref)
 	}
 	if fault.Is(cause, fault.NotFound) {
 		return workflow.Pending, nil
 	}
-	entry, err = g.store.Get(storeCtx, port.ProgressPrefix+string(id))
+	entry, err = g.store.Get(storeCtx, port.ProgressPrefix+string(ref.ID))
 	if fault.Is(err, fault.NotFound) {
-		state, err := g.finishedState(storeCtx, queue, id) // the job may have been archived since its record was read
+		state, err := g.finishedState(storeCtx, ref) // the job may have been archived since its record was read
 		if fault.Is(err, fault.NotFound) {
 			return workflow.Pending, nil
 		}
@@ -233,26 +258,31 @@
 	return progress.State, err
 }
 
-// finishedState reads the state of an archived job from the store. It fails with NotFound if the queue has no such job.
-func (g *Gateway) finishedState(ctx context.Context, queue route.Queue, id workflow.ID) (workflow.State, error) {
-	entry, err := g.store.Get(ctx, port.FinishedPrefix+string(id))
+func errNoSuchJob(ref port.JobRef) error {
+	return fault.New(fault.NotFound, "job %s not found in queue %s", ref.ID, ref.Queue.Name)
+}
+
+// finishedState reads the state of an archived job from the store. It fails with NotFound if there is none that the caller can reach.
+func (g *Gateway) finishedState(ctx context.Context, ref port.JobRef) (workflow.State, error) {
+	entry, err := g.store.Get(ctx, port.FinishedPrefix+string(ref.ID))
 	if err != nil {
 		return 0, err
 	}
 	job, err := g.codec.DecodeFinished(entry.Value)
-	if err == nil && !job.Queue.Matches(queue.Ref()) {
-		err = fault.New(fault.NotFound, "job %s not found in queue %s", id, queue.Name)
+	if err == nil && !ref.Reaches(job.Queue, job.Account) {
+		err = errNoSuchJob(ref)
 	}
 	return job.State, err
 }
 
-// Cancel returns when the cancellation is stored. It retries while there is no leader.
+// Cancel returns when the cancellation is stored. It retries while there is no leader. It fails with NotFound if there is no such job, or
+// if it belongs to another account.
 func (g *Gateway) Cancel(ctx context.Context, caller Caller, id workflow.ID) error {
 	queue := caller.Queue
 	for {
-		err := g.leader.Cancel(ctx, queue.Ref(), id)
+		err := g.leader.Cancel(ctx, caller.jobRef(id))
 		if err == nil || fault.Is(err, fault.NotFound) {
-			g.log.Info("job cancelled by its caller", "job", id, "queue", queue.Name, "kind", outcomeLabel(err))
+			g.log.Info("job cancelled by its caller", "job", id, "queue", queue.Name, "account", caller.Account, "kind", outcomeLabel(err))
 			return err
 		}
 		if !hasTimeToRetry(ctx) || !pause.For(ctx, 2*retryInterval) {
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"skylarkstall/internal/app/gateway"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -87,3 +88,66 @@
 		}
 	})
 }
+
+// storedJobs is a store whose records of a job all belong to account "a". It has no leader.
+type storedJobs struct {
+	port.TxnStore
+	archived bool
+}
+
+func (s storedJobs) Get(_ context.Context, key string) (port.Entry, error) {
+	if strings.HasPrefix(key, port.FinishedPrefix) != s.archived {
+		return port.Entry{}, fault.New(fault.NotFound, "no key %s", key)
+	}
+	return port.Entry{Key: key}, nil
+}
+
+func (s storedJobs) Commit(_ context.Context, txn port.Txn) (port.CommitResult, error) {
+	key := txn.If[0].Key
+	if s.archived {
+		key = txn.If[1].Key
+	}
+	return port.CommitResult{Current: []port.Entry{{Key: key}}}, fault.New(fault.Conflict, "the key exists")
+}
+
+type ownedCodec struct{ jobCodec }
+
+func (ownedCodec) DecodeJob([]byte) (port.AcceptedJob, error) {
+	return port.AcceptedJob{Queue: route.Queue{Name: "q"}, Account: "a"}, nil
+}
+
+func (ownedCodec) DecodeProgress([]byte) (workflow.Progress, error) {
+	return workflow.Progress{State: workflow.Running}, nil
+}
+
+func (ownedCodec) DecodeFinished([]byte) (port.FinishedJob, error) {
+	return port.FinishedJob{Queue: route.QueueRef{Name: "q"}, Account: "a", State: workflow.Completed}, nil
+}
+
+type noLeader struct{ port.Scheduler }
+
+func (noLeader) State(context.Context, port.JobRef) (workflow.State, error) {
+	return 0, fault.New(fault.NotReady, "no leader")
+}
+
+func (noLeader) Notify(context.Context, port.AcceptedJob) error { return nil }
+
+// TestStoredJobOfOtherAccount guards against a process without a leader that reads another account's job from the store, or takes it for the
+// one that its caller submits.
+func TestStoredJobOfOtherAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, archived := range []bool{false, true} {
+			g := gateway.New(storedJobs{archived: archived}, ownedCodec{}, noLeader{}, &route.Table{}, slog.New(slog.DiscardHandler))
+			for _, id := range []account.ID{"a", "b"} {
+				caller := gateway.Caller{Queue: route.Queue{Name: "q"}, Account: id}
+				if _, err := g.State(t.Context(), caller, "j"); fault.Is(err, fault.NotFound) != (id == "b") {
+					t.Errorf("archived %v: state for account %q: error %v", archived, id, err)
+				}
+				err := g.Submit(t.Context(), caller, workflow.Spec{ID: "j", Steps: []workflow.Step{{Count: 1}}})
+				if fault.Is(err, fault.Conflict) != (id == "b") || id == "a" && err != nil {
+					t.Errorf("archived %v: submission by account %q: error %v", archived, id, err)
+				}
+			}
+		}
+	})
+}
--- a/internal/app/routing/replica.go
+++ b/internal/app/routing/replica.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -18,18 +19,22 @@
 type Replica struct {
 	table  *route.Table
 	decode DecodeFunc
+	clock  port.Clock
 	log    *slog.Logger
 }
 
-// NewReplica returns a replica that updates the table.
-func NewReplica(table *route.Table, decode DecodeFunc, log *slog.Logger) *Replica {
-	return &Replica{table: table, decode: decode, log: log}
+// NewReplica returns a replica that updates the table and dates evidence by the clock.
+func NewReplica(table *route.Table, decode DecodeFunc, clock port.Clock, log *slog.Logger) *Replica {
+	return &Replica{table: table, decode: decode, clock: clock, log: log}
 }
 
+// Now implements port.ConfigReplica.
+func (r *Replica) Now() time.Time { return r.clock() }
+
 // Current implements port.ConfigReplica.
 func (r *Replica) Current() (port.ConfigStatus, []byte) {
-	config := r.table.Config()
-	return port.ConfigStatus{Version: config.Version, Confirmed: r.table.Confirmed().At}, config.Source
+	config, confirmed := r.table.Active()
+	return port.ConfigStatus{Version: config.Version, Confirmed: confirmed.At}, config.Source
 }
 
 // Apply implements port.ConfigReplica.
@@ -46,7 +51,7 @@
 	confirmed := r.table.Confirmed()
 	if r.table.Apply(config) {
 		r.log.Info("configuration in force", "version", config.Version, "queues", len(config.Queues), "from", from,
-			"confirmed_ms", ageMs(confirmed))
+			"accounts", config.Accounts.Len(), "confirmed_ms", ageMs(confirmed, r.clock()))
 	}
 	return config.Version
 }
@@ -62,11 +67,9 @@
 }
 
 // ageMs returns how long ago the configuration was confirmed, or 0 if it never was.
-func ageMs(c route.Confirmation) int64 {
-	if c.At.IsZero() {
-		return 0
-	}
-	return time.Since(c.At).Milliseconds()
+func ageMs(e account.Evidence, now time.Time) int64 {
+	age, _ := e.Age(now)
+	return age.Milliseconds()
 }
 
 // Confirm implements port.ConfigReplica.
--- a/internal/app/routing/routing.go
+++ b/internal/app/routing/routing.go
@@ -42,7 +42,7 @@
 func (w *ConfigWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		asOf, err := w.read(ctx)
-		w.reportAge(time.Now())
+		w.reportAge(w.replica.Now())
 		if err != nil {
 			status, _ := w.replica.Current()
 			w.log.Warn("configuration not read", "error", err, "in_force", status.Version)
@@ -57,7 +57,7 @@
 func (w *ConfigWatcher) read(ctx context.Context) (ident.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := w.replica.Now()
 	entries, asOf, err := w.store.List(ctx, w.key)
 	if err != nil {
 		return 0, err
--- a/internal/app/routing/routing_test.go
+++ b/internal/app/routing/routing_test.go
@@ -64,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, table, log := &fakeStore{version: 7}, &route.Table{}, &bytes.Buffer{}
 		logger := slog.New(slog.NewTextHandler(log, nil))
-		watcher := routing.New(configKey, store, routing.NewReplica(table, decode, logger), logger)
+		watcher := routing.New(configKey, store, routing.NewReplica(table, decode, time.Now, logger), logger)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() { defer close(ended); watcher.Run(ctx) }()
@@ -98,7 +98,7 @@
 			panic("malformed")
 		}
 		return decode(source)
-	}, slog.New(slog.DiscardHandler))
+	}, time.Now, slog.New(slog.DiscardHandler))
 	for _, source := range []string{"7", "8"} {
 		replica.Apply([]byte(source), "peer")
 	}
--- a/internal/app/scheduler/archive.go
+++ b/internal/app/scheduler/archive.go
@@ -83,7 +83,7 @@
 		txn.If = append(txn.If, port.Condition{Key: key, Revision: e.revision})
 		txn.Writes = append(txn.Writes, port.Write{
 			Key:   port.FinishedPrefix + string(id),
-			Value: s.ports.RecordCodec.EncodeFinished(port.FinishedJob{Queue: e.queue.Ref(), State: e.storedState}),
+			Value: s.ports.RecordCodec.EncodeFinished(e.finishedRecord()),
 		})
 		txn.Deletes = append(txn.Deletes, port.JobPrefix+string(id), key)
 	}
@@ -95,11 +95,16 @@
 	return e.storedState.Final() && !e.committing && e.storedVersion >= e.version && len(e.workflow.Active()) == 0
 }
 
+// finishedRecord returns what the archive holds of a finished job.
+func (e *jobEntry) finishedRecord() port.FinishedJob {
+	return port.FinishedJob{Queue: e.queue.Ref(), Account: e.account, State: e.storedState}
+}
+
 // markArchived replaces a job by what the archive holds of it. The lock is held.
 func (s *Scheduler) markArchived(e *jobEntry) {
 	id := e.workflow.Spec().ID
 	delete(s.jobs, id)
-	s.finished[id] = finishedJob{port.FinishedJob{Queue: e.queue.Ref(), State: e.storedState}, e.finished}
+	s.finished[id] = finishedJob{e.finishedRecord(), e.finished}
 }
 
 // resolveArchive handles a conflict: another process leads, an earlier attempt took effect, or a record of progress has another
--- a/internal/app/scheduler/archive_test.go
+++ b/internal/app/scheduler/archive_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
@@ -219,8 +220,50 @@
 		{Name: "renamed", Host: "h", Prefix: "/q/"}:   true,
 		{Name: "other", Host: "h", Prefix: "/other/"}: false,
 	} {
-		if state, err := s.State(t.Context(), ref, "job"); (err == nil && state == workflow.Cancelled) != want {
+		if state, err := s.State(t.Context(), port.JobRef{Queue: ref, ID: "job"}); (err == nil && state == workflow.Cancelled) != want {
 			t.Errorf("state of the job in queue %v: %v, error %v; found: want %v", ref, state, err, want)
 		}
 	}
 }
+
+// TestArchivedJobOfOtherAccount guards against a job that loses its account in the archive, and is shown to other accounts or confirmed as
+// cancelled to them.
+func TestArchivedJobOfOtherAccount(t *testing.T) {
+	s := newLeader(t)
+	e := finishedEntry(s, "job", time.Now())
+	e.account = "a"
+	s.mu.Lock()
+	s.markArchived(e)
+	s.mu.Unlock()
+	s.ports.Store, s.ports.RecordCodec = takenStore{}, ownedCodec{}
+	for _, caller := range []account.ID{"a", "b"} {
+		ref := port.JobRef{Queue: route.QueueRef{Name: "q"}, Account: caller, ID: "job"}
+		_, err := s.State(t.Context(), ref)
+		if fault.Is(err, fault.NotFound) != (caller == "b") {
+			t.Errorf("state of the job for account %q: error %v", caller, err)
+		}
+		if err := s.Cancel(t.Context(), ref); fault.Is(err, fault.NotFound) != (caller == "b") {
+			t.Errorf("account %q cancels the job: error %v", caller, err)
+		}
+		job := port.AcceptedJob{Spec: workflow.Spec{ID: "job", Steps: []workflow.Step{{Count: 1}}}, Account: caller}
+		if err := s.StoreJob(t.Context(), job); fault.Is(err, fault.Conflict) != (caller == "b") {
+			t.Errorf("account %q submits the id of the job: error %v", caller, err)
+		}
+	}
+}
+
+// ownedCodec decodes every record of a finished job as one of account "a".
+type ownedCodec struct{ finishedCodec }
+
+func (ownedCodec) EncodeJob(port.AcceptedJob) []byte { return nil }
+
+func (ownedCodec) DecodeFinished([]byte) (port.FinishedJob, error) {
+	return port.FinishedJob{Queue: route.QueueRef{Name: "q"}, Account: "a", State: workflow.Completed}, nil
+}
+
+// takenStore holds the record of an archived job under every id.
+type takenStore struct{ port.TxnStore }
+
+func (takenStore) Commit(_ context.Context, txn port.Txn) (port.CommitResult, error) {
+	return port.CommitResult{Current: []port.Entry{{Key: txn.If[1].Key}}}, fault.New(fault.Conflict, "the condition is false")
+}
--- a/internal/app/scheduler/cancel.go
+++ b/internal/app/scheduler/cancel.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -12,18 +11,18 @@
 
 // Cancel implements port.Scheduler. A write that would store the job may still be on its way, so NotFound is returned only after a
 // tombstone has taken its place. A job that has finished remains as it is.
-func (s *Scheduler) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
+func (s *Scheduler) Cancel(ctx context.Context, ref port.JobRef) error {
 	defer s.guardCall()
-	e, err := s.lookUpJob(ctx, queue, id)
-	if fault.Is(err, fault.NotFound) && id.Validate() == nil {
-		e, err = s.preventJob(ctx, queue, id)
+	e, err := s.lookUpJob(ctx, ref)
+	if fault.Is(err, fault.NotFound) && ref.ID.Validate() == nil {
+		e, err = s.preventJob(ctx, ref)
 	}
 	if e == nil || err != nil {
 		return err
 	}
 	s.mu.Lock()
 	if e.workflow.Cancel() {
-		s.log.Info("job cancelled", "job", id, "runs", len(e.workflow.Active()))
+		s.log.Info("job cancelled", "job", ref.ID, "runs", len(e.workflow.Active()))
 		s.markDirty(e)
 		s.stopRuns(e.workflow.Active())
 	}
@@ -33,10 +32,10 @@
 }
 
 // lookUpJob returns a job, or nil if the job is archived. It reads the store for a job that is not known yet.
-func (s *Scheduler) lookUpJob(ctx context.Context, queue route.QueueRef, id workflow.ID) (*jobEntry, error) {
+func (s *Scheduler) lookUpJob(ctx context.Context, ref port.JobRef) (*jobEntry, error) {
 	s.mu.Lock()
-	ready, e := s.ready, s.findJob(queue, id)
-	finished, isFinished := s.finished[id]
+	ready, e := s.ready, s.findJob(ref)
+	finished, isFinished := s.finished[ref.ID]
 	s.mu.Unlock()
 	if !ready {
 		return nil, s.errNotReady()
@@ -45,9 +44,9 @@
 		return e, nil
 	}
 	if isFinished {
-		return nil, checkQueue(queue, id, finished.FinishedJob)
+		return nil, checkFinished(ref, finished.FinishedJob)
 	}
-	item, err := s.ports.Store.Get(ctx, port.JobPrefix+string(id))
+	item, err := s.ports.Store.Get(ctx, port.JobPrefix+string(ref.ID))
 	if err != nil {
 		return nil, err
 	}
@@ -55,44 +54,44 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.acceptStored(queue, port.StoredJob{AcceptedJob: job, Revision: item.Revision})
+	return s.acceptStored(ref, port.StoredJob{AcceptedJob: job, Revision: item.Revision})
 }
 
-// checkQueue fails with NotFound if a finished job belongs to another queue.
-func checkQueue(queue route.QueueRef, id workflow.ID, job port.FinishedJob) error {
-	if !job.Queue.Matches(queue) {
-		return fault.New(fault.NotFound, "job %s belongs to another queue", id)
+// checkFinished fails with NotFound if a finished job belongs to another queue or account.
+func checkFinished(ref port.JobRef, job port.FinishedJob) error {
+	if !ref.Reaches(job.Queue, job.Account) {
+		return fault.New(fault.NotFound, "job %s belongs to another queue or account", ref.ID)
 	}
 	return nil
 }
 
 // acceptStored takes in a job of the store and returns it. It fails with NotFound if it is a tombstone or belongs to another
-// queue.
-func (s *Scheduler) acceptStored(queue route.QueueRef, job port.StoredJob) (*jobEntry, error) {
+// queue or account.
+func (s *Scheduler) acceptStored(ref port.JobRef, job port.StoredJob) (*jobEntry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acceptJob(job.AcceptedJob, job.Revision)
-	if e := s.findJob(queue, job.Spec.ID); e != nil {
+	if e := s.findJob(ref); e != nil {
 		return e, nil
 	}
-	return nil, fault.New(fault.NotFound, "job %s was cancelled or belongs to another queue", job.Spec.ID)
+	return nil, fault.New(fault.NotFound, "job %s was cancelled, or belongs to another queue or account", ref.ID)
 }
 
 // preventJob stores a tombstone, so that the job is not stored later. It fails with NotFound once that is certain, and returns the job if
 // it was stored meanwhile, or nil if it is archived.
-func (s *Scheduler) preventJob(ctx context.Context, queue route.QueueRef, id workflow.ID) (*jobEntry, error) {
-	if s.hasTombstone(id) {
-		return nil, fault.New(fault.NotFound, "job %s was cancelled before", id)
+func (s *Scheduler) preventJob(ctx context.Context, ref port.JobRef) (*jobEntry, error) {
+	if s.hasTombstone(ref.ID) {
+		return nil, fault.New(fault.NotFound, "job %s was cancelled before", ref.ID)
 	}
-	stored, err := port.CreateJob(ctx, s.ports.Store, s.ports.RecordCodec, port.NewTombstone(id, time.Now()))
+	stored, err := port.CreateJob(ctx, s.ports.Store, s.ports.RecordCodec, port.NewTombstone(ref.ID, time.Now()))
 	if err != nil {
 		return nil, err
 	}
 	if stored.Finished != nil {
-		return nil, checkQueue(queue, id, *stored.Finished)
+		return nil, checkFinished(ref, *stored.Finished)
 	}
-	s.log.Info("unknown job cancelled", "job", id, "queue", queue.Name, "stored_meanwhile", !stored.Tombstone)
-	return s.acceptStored(queue, stored)
+	s.log.Info("unknown job cancelled", "job", ref.ID, "queue", ref.Queue.Name, "stored_meanwhile", !stored.Tombstone)
+	return s.acceptStored(ref, stored)
 }
 
 func (s *Scheduler) hasTombstone(id workflow.ID) bool {
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -84,11 +84,8 @@
 	if err != nil {
 		return err
 	}
-	if stored.Finished != nil {
-		return nil
-	}
-	if stored.Tombstone {
-		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
+	if err := stored.CheckSubmission(job); err != nil || stored.Finished != nil {
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,9 +95,9 @@
 	return nil
 }
 
-// findJob returns a job of a queue, or nil if it is not known. The lock is held.
-func (s *Scheduler) findJob(queue route.QueueRef, id workflow.ID) *jobEntry {
-	if e := s.jobs[id]; e != nil && e.queue.Ref().Matches(queue) {
+// findJob returns a job that its caller can reach, or nil if it is not known. The lock is held.
+func (s *Scheduler) findJob(ref port.JobRef) *jobEntry {
+	if e := s.jobs[ref.ID]; e != nil && ref.Reaches(e.queue.Ref(), e.account) {
 		return e
 	}
 	return nil
@@ -113,19 +110,19 @@
 
 // State implements port.Scheduler. A final state is returned only after it has been recorded; until then the job counts
 // as running.
-func (s *Scheduler) State(_ context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
+func (s *Scheduler) State(_ context.Context, ref port.JobRef) (workflow.State, error) {
 	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ready {
 		return 0, s.errNotReady()
 	}
-	e := s.findJob(queue, id)
+	e := s.findJob(ref)
 	if e == nil {
-		if job, ok := s.finished[id]; ok && job.Queue.Matches(queue) {
+		if job, ok := s.finished[ref.ID]; ok && ref.Reaches(job.Queue, job.Account) {
 			return job.State, nil
 		}
-		return 0, fault.New(fault.NotFound, "job %s is not known", id)
+		return 0, fault.New(fault.NotFound, "job %s is not known", ref.ID)
 	}
 	if state := e.workflow.State(); !state.Final() || e.storedState.Final() {
 		return state, nil
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
@@ -114,6 +115,7 @@
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
 	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
+	account         account.ID     // to which the job belongs; empty if it belongs to none
 	accepted        time.Time
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
@@ -249,7 +251,7 @@
 // addJob adds a job that the store holds. The lock is held.
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
-		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
+		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, account: job.Account, accepted: job.AcceptedAt,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -17,6 +17,8 @@
 	"skylarkstall/internal/app/routing"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/app/storeguard"
+	"skylarkstall/internal/bootclock"
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
@@ -33,6 +35,7 @@
 	PeerAddress       string   // host:port that other processes connect to
 	Seeds             []string // host:port of other processes; may be outdated
 	ConfigKey         string   // key of the configuration in the store
+	Withdrawal        account.WithdrawalPolicy
 	Scheduler         scheduler.Settings
 	StopGracePeriod   time.Duration // from the signal to stop until the process is killed
 	ElectionDelay     time.Duration // how long the process waits before it takes a vacant leader key
@@ -47,6 +50,7 @@
 	PermitClient port.PermitClient
 	ObservePass  func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
 	Decode       routing.DecodeFunc
+	Clock        port.Clock // by which evidence is dated; nil: that of the kernel
 	// NewCallerHandler and NewReadinessHandler return the HTTP handlers for callers and for the readiness probe.
 	NewCallerHandler    func(*gateway.Gateway) http.Handler
 	NewReadinessHandler func(func() bool) http.Handler
@@ -94,7 +98,10 @@
 		ElectionDelay: settings.ElectionDelay,
 	}
 	handler.self = self
-	replica := routing.NewReplica(n.table, platform.Decode, log)
+	if n.platform.Clock == nil {
+		n.platform.Clock = bootclock.Now
+	}
+	replica := routing.NewReplica(n.table, platform.Decode, n.platform.Clock, log)
 	n.transport = cellwire.New(self, listener, settings.Seeds, handler, replica, log)
 	n.leader.remote = n.transport
 	n.store = storeguard.New(platform.Store, log)
@@ -102,7 +109,7 @@
 		self, n.store, cellwire.RecordCodec{}, n.transport, n.leadFunc(handler), log,
 	)
 	n.configWatcher = routing.New(settings.ConfigKey, n.store, replica, log)
-	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log)
+	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log).WithWithdrawal(settings.Withdrawal, n.platform.Clock)
 	n.callerServer = &http.Server{
 		Handler: logPanics(platform.NewCallerHandler(g), log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -132,10 +139,9 @@
 
 // State returns the state of the process for its metrics.
 func (n *Node) State() port.ProcessState {
-	state := port.ProcessState{ConfigVersion: n.table.Config().Version}
-	if confirmed := n.table.Confirmed(); !confirmed.At.IsZero() {
-		state.ConfigAge = time.Since(confirmed.At)
-	}
+	config, confirmed := n.table.Active()
+	state := port.ProcessState{ConfigVersion: config.Version}
+	state.ConfigAge, _ = confirmed.Age(n.platform.Clock())
 	if local := n.leader.local.Load(); local != nil {
 		local.FillState(&state)
 	}
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -35,12 +35,12 @@
 	return c.target().Notify(ctx, job)
 }
 
-func (c *leaderClient) State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
-	return c.target().State(ctx, queue, id)
+func (c *leaderClient) State(ctx context.Context, job port.JobRef) (workflow.State, error) {
+	return c.target().State(ctx, job)
 }
 
-func (c *leaderClient) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
-	return c.target().Cancel(ctx, queue, id)
+func (c *leaderClient) Cancel(ctx context.Context, job port.JobRef) error {
+	return c.target().Cancel(ctx, job)
 }
 
 func (c *leaderClient) PendingJobs(ctx context.Context, queue route.QueueRef) (int, error) {
@@ -74,11 +74,9 @@
 
 func (n notLeader) Notify(context.Context, port.AcceptedJob) error { return n.err() }
 
-func (n notLeader) State(context.Context, route.QueueRef, workflow.ID) (workflow.State, error) {
-	return 0, n.err()
-}
+func (n notLeader) State(context.Context, port.JobRef) (workflow.State, error) { return 0, n.err() }
 
-func (n notLeader) Cancel(context.Context, route.QueueRef, workflow.ID) error { return n.err() }
+func (n notLeader) Cancel(context.Context, port.JobRef) error { return n.err() }
 
 func (n notLeader) PendingJobs(context.Context, route.QueueRef) (int, error) { return 0, n.err() }
 
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -148,6 +148,7 @@
 	return cellnode.Settings{
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), CallerAddress: s.CallerAddress,
 		ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress, Seeds: s.Seeds, ConfigKey: platform.ConfigKey,
+		Withdrawal:      s.Withdrawal,
 		Scheduler:       scheduler.Settings{MaxLease: s.MaxLease, StatusRetention: s.StatusRetention, CPUShare: s.CPUShare},
 		StopGracePeriod: s.StopGracePeriod, DrainAcceptPeriod: platform.UnreadyPropagationDelay, ElectionDelay: electionDelay(s.CPUShare),
 	}
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -67,20 +67,14 @@
 	Queues       []Queue
 	Accounts     *account.Set // nil if the configuration names none
 	MaxBodyBytes int64        // largest request body, in bytes
-	Source       []byte       // as the operator wrote it
-}
-
-// Confirmation is the latest evidence that the active configuration is the newest one.
-type Confirmation struct {
-	At     time.Time // no newer version existed at this time; zero if there is no evidence yet
-	Source string    // who stated it
+	Source       []byte       // as the operator wrote it, with digests in place of keys; it decodes to the same configuration
 }
 
 // Table holds the active configuration, indexed by queue name, host and address. It is safe for concurrent use.
 type Table struct {
 	mu        sync.RWMutex
 	config    Config
-	confirmed Confirmation
+	confirmed account.Evidence
 	byName    map[string]*Queue
 	byHost    map[string][]*Queue
 	byAddress map[address]*Queue
@@ -109,21 +103,28 @@
 	return true
 }
 
-// Confirm records that the version was the newest one at the given time. Evidence about another version than the active
+// Confirm records that the version was the newest one at the given time, by a clock that counts suspensions. Evidence about another version than the active
 // one, or older evidence, changes nothing.
 func (t *Table) Confirm(version uint64, at time.Time, source string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if version == t.config.Version && at.After(t.confirmed.At) {
-		t.confirmed = Confirmation{At: at, Source: source}
+		t.confirmed = account.Evidence{At: at, Source: source}
 	}
 }
 
 // Confirmed returns the latest evidence that the active configuration is the newest one.
-func (t *Table) Confirmed() Confirmation {
+func (t *Table) Confirmed() account.Evidence {
+	_, confirmed := t.Active()
+	return confirmed
+}
+
+// Active returns the active configuration together with the latest evidence that no newer one existed. Evidence about an earlier version
+// holds for a later one too.
+func (t *Table) Active() (Config, account.Evidence) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.confirmed
+	return t.config, t.confirmed
 }
 
 // Config returns the active configuration. Its version is 0 if there is none yet.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -213,6 +213,18 @@
 	DecodeWorkers(raw []byte, revision ident.Revision) ([]WorkerRecord, error)
 }
 
+// JobRef is a job as its caller names it.
+type JobRef struct {
+	Queue   route.QueueRef
+	Account account.ID // of the caller; empty if the queue is public or the configuration has no accounts
+	ID      workflow.ID
+}
+
+// Reaches reports whether the reference is to the stored job with its id: the job is in the queue, and its owner lets the caller reach it.
+func (r JobRef) Reaches(queue route.QueueRef, owner account.ID) bool {
+	return queue.Matches(r.Queue) && r.Account.CanReach(owner)
+}
+
 // CreateJob stores a job if its id is not stored yet. It returns what the store holds, which differs from the job if the id was
 // stored before.
 func CreateJob(ctx context.Context, store TxnStore, codec RecordCodec, job AcceptedJob) (StoredJob, error) {
@@ -223,9 +235,12 @@
 	if err == nil {
 		return StoredJob{AcceptedJob: job, Revision: result.Revision}, nil
 	}
-	if !fault.Is(err, fault.Conflict) || len(result.Current) == 0 {
+	if !fault.Is(err, fault.Conflict) {
 		return StoredJob{}, err
 	}
+	if len(result.Current) == 0 {
+		return StoredJob{}, fault.WrapAs(fault.StoreUnavailable, err, "the store names no entry in conflict")
+	}
 	for _, entry := range result.Current {
 		if entry.Key == finishedKey {
 			finished, err := codec.DecodeFinished(entry.Value)
@@ -244,6 +259,23 @@
 	Finished *FinishedJob // set if only this remains of the job; the other fields are not set then
 }
 
+// CheckSubmission returns the outcome for a caller who submitted the job and finds this in the store. It fails with Conflict if the id is
+// taken by a job of another account, and with Canceled if the job was cancelled before it was stored.
+func (s StoredJob) CheckSubmission(job AcceptedJob) error {
+	owner := s.Account
+	if s.Finished != nil {
+		owner = s.Finished.Account
+	}
+	switch {
+	case !job.Account.CanReach(owner):
+		return fault.New(fault.Conflict, "the id %s is taken by another job", job.Spec.ID)
+	case s.Finished == nil && s.Tombstone:
+		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
+	default:
+		return nil
+	}
+}
+
 // Keys and key prefixes of a cell's records in the store.
 const (
 	JobPrefix      = "job/"              // followed by the job's id: the accepted job
@@ -294,14 +326,15 @@
 
 // Scheduler is the leader's interface for jobs. Calls fail with NotReady if there is no leader.
 type Scheduler interface {
-	// StoreJob stores a job on behalf of a process that cannot reach the store.
+	// StoreJob stores a job on behalf of a process that cannot reach the store. It fails with Conflict if the id is taken by a job of
+	// another account, and with Canceled if the job was cancelled before.
 	StoreJob(ctx context.Context, job AcceptedJob) error
 	// Notify announces a stored job, so that it can start before the leader next reads the store.
 	Notify(ctx context.Context, job AcceptedJob) error
 	// State fails with NotFound if the leader does not know the job.
-	State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error)
+	State(ctx context.Context, job JobRef) (workflow.State, error)
 	// Cancel returns when the cancellation is stored. It fails with NotFound if the job does not exist.
-	Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error
+	Cancel(ctx context.Context, job JobRef) error
 	// PendingJobs returns the number of jobs in the queue of which no task has started.
 	PendingJobs(ctx context.Context, queue route.QueueRef) (int, error)
 }
@@ -309,12 +342,18 @@
 // ConfigStatus describes the active configuration of a process.
 type ConfigStatus struct {
 	Version   uint64    // 0 if there is none
-	Confirmed time.Time // when it was last confirmed as the newest; zero if it never was
+	Confirmed time.Time // when it was last confirmed as the newest, by the clock of the replica; zero if it never was
 }
 
+// Clock returns the present time. Values of one clock are comparable: it counts the time for which the machine is suspended, and does not
+// follow steps of the time of day.
+type Clock func() time.Time
+
 // ConfigReplica is the copy of the configuration that a process exchanges with its peers.
 type ConfigReplica interface {
-	// Current returns the status of the active configuration, and its source as the operator wrote it.
+	// Now returns the time of the clock by which evidence is dated.
+	Now() time.Time
+	// Current returns the status of the active configuration, and its source, which holds no keys.
 	Current() (ConfigStatus, []byte)
 	// Apply activates the configuration if it is newer than the active one.
 	Apply(source []byte, from string)
