--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -114,10 +114,10 @@
 // jobEntry is a job with the scheduler's own data on it.
 type jobEntry struct {
 	workflow        *workflow.Workflow
-	account         account.ID     // empty if the job belongs to none
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
 	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
+	account         account.ID     // to which the job belongs; empty if it belongs to none
 	accepted        time.Time
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
