Keep waiting steps as small as before

Change: what a step may start under its limit is held by the pass, and where it is set aside by the entry of the step. A test that places a step outside a pass gives it one.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -4,6 +4,7 @@
 	"iter"
 	"time"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
@@ -23,13 +24,11 @@
 	held    bool          // tasks of the step may still run on a worker of an earlier leader
 	room    int           // number of starts after which the limit of starts in progress is reached; a gang may exceed it
 	partial bool          // workers holds only those on which capacity was released
-	under   int           // number of tasks that may start under the limit of the account
 	pass    *placementPass
 
 	step     *stepEntry
 	position placement.Position
-	aside    *asideSteps // nil while the step is in the queue
-	round    uint64      // of the queue, in which the step was last found to be ready
+	round    uint64 // of the queue, in which the step was last found to be ready
 }
 
 // placementPass caches what all steps that are tried in one pass have in common.
@@ -40,10 +39,11 @@
 	retriesLeft    int               // number of them that are due and were left to the next pass
 	peerNames      []ident.ProcessID // nil if not needed yet
 	lowestPriority int               // of the queues of open jobs; -1 if not known yet
+	underLimit     int               // number of tasks of the step that is tried that may start under the limit of its account
 }
 
 func (s *Scheduler) newPass(now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, lowestPriority: -1}
+	return &placementPass{scheduler: s, now: now, lowestPriority: -1, underLimit: account.Unlimited}
 }
 
 // idleCheckInterval is the interval at which the use of a service's workers is added up.
--- a/internal/app/scheduler/crash_test.go
+++ b/internal/app/scheduler/crash_test.go
@@ -73,8 +73,9 @@
 	for number := range workflow.RunNumber(workflow.MaxCrashes) {
 		e.workflow.Doubt(workflow.RunRef{Task: run.Task, Run: number + 1})
 	}
-	c := candidate{entry: e, ref: run.Task.StepRef, queue: e.queue}
-	launches, unplaced := s.placeStep(c, time.Now())
+	now := time.Now()
+	c := candidate{entry: e, ref: run.Task.StepRef, queue: e.queue, pass: s.newPass(now)}
+	launches, unplaced := s.placeStep(c, now)
 	s.mu.Unlock()
 	if len(launches) != 0 || unplaced != 0 {
 		t.Errorf("%d starts and %d tasks without a worker; a task that must not start needs none", len(launches), unplaced)
--- a/internal/app/scheduler/limits.go
+++ b/internal/app/scheduler/limits.go
@@ -193,7 +193,7 @@
 	}
 	a.batch = releaseBatch
 	a.steps.Add(c)
-	c.aside = a
+	c.step.aside = a
 	c.step.waiting.Placed()
 	c.dropHolds()
 	l.report(id, a.steps.Len(), now)
@@ -229,13 +229,13 @@
 
 // dequeue removes a step from where enqueue or setAside has put it. The lock is held.
 func (s *Scheduler) dequeue(c *candidate) {
-	a := c.aside
+	a := c.step.aside
 	if a == nil {
 		s.queue.steps.Remove(&c.position)
 		return
 	}
 	a.steps.Remove(&c.position)
-	c.aside = nil
+	c.step.aside = nil
 	if a.first == &c.position {
 		a.first = nil
 		s.limits.free(a)
@@ -263,7 +263,7 @@
 	}
 	for _, c := range released {
 		a.steps.Remove(&c.position)
-		c.aside = nil
+		c.step.aside = nil
 		s.queue.steps.Add(c)
 		s.queue.settled = false
 	}
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -146,7 +146,8 @@
 	tried, reached := 0, 0 // reached counts steps that had changed
 	settled, nextTry := true, pass.now.Add(placeInterval)
 	for c := range inOrder(list, mostOverdue(list, pass.now)) {
-		if c.under = s.underLimit(c); c.under == 0 {
+		pass.underLimit = s.underLimit(c)
+		if pass.underLimit == 0 {
 			s.limits.reached = append(s.limits.reached, c)
 			tried++
 			continue
@@ -171,7 +172,7 @@
 		tried++
 		if s.needsTry(c, pass.now) {
 			attempt := *c
-			attempt.room, attempt.pass = min(room, c.under), pass
+			attempt.room, attempt.pass = min(room, pass.underLimit), pass
 			placed, asked := s.tryStep(attempt, pass.now)
 			launches, calls = append(launches, placed...), append(calls, asked...)
 		} else {
@@ -309,7 +310,7 @@
 		run := workflow.RunRef{Task: task, Run: c.entry.workflow.NextRun(task, s.runNumberFloor())}
 		l, ok := s.reserve(c, run, "", now)
 		if !ok && len(c.entry.avoidWorkers[task]) == 0 {
-			return launches, min(len(waiting)-i, c.under-len(launches)) // the remaining tasks have the same requirements
+			return launches, min(len(waiting)-i, c.pass.underLimit-len(launches)) // the remaining tasks have the same requirements
 		}
 		if ok {
 			launches = append(launches, l)
@@ -318,7 +319,7 @@
 			break
 		}
 	}
-	return launches, min(len(waiting), c.under) - len(launches)
+	return launches, min(len(waiting), c.pass.underLimit) - len(launches)
 }
 
 // placeGang places all tasks of a gang or none.
--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -164,7 +164,7 @@
 
 func (e *jobEntry) leaveQueue() {
 	for _, c := range e.queued {
-		c.step.queued = nil
+		c.step.queued, c.step.aside = nil, nil
 	}
 	clear(e.queued)
 	e.queued, e.isScheduled = e.queued[:0], false
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -144,6 +144,7 @@
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
 	queued   *candidate            // nil if the step is not in the queue
+	aside    *asideSteps           // nil unless the step is set aside from the queue
 	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
 }
 
