Show the use and the limit of accounts

Cause: an operator could see from "tasks wait" alone that an account is at its limit, not how close the others are.

--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/eventlog"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -27,10 +28,11 @@
 	passSeconds      tally.Histogram
 	stepsTried       tally.Histogram
 	mu               sync.Mutex
-	scopes           map[[3]string]tally.Scope // scopes by label name, label value and outcome
-	seenPriorities   map[int]bool              // priorities that were exported before; their gauge is set to 0 without tasks
-	queues           map[string]queueGauges    // queues that were exported before
-	lastDroppedLines int64                     // total at the last update
+	scopes           map[[3]string]tally.Scope    // scopes by label name, label value and outcome
+	seenPriorities   map[int]bool                 // priorities that were exported before; their gauge is set to 0 without tasks
+	queues           map[string]queueGauges       // queues that were exported before
+	accounts         map[account.ID]accountGauges // accounts that were exported before
+	lastDroppedLines int64                        // total at the last update
 }
 
 // NewCellMetrics registers the metrics of a process. Close must be called to report the last values.
@@ -41,7 +43,7 @@
 	}, cellInterval)
 	c := &CellMetrics{
 		exporter: e, scope: scope, close: closer.Close, scopes: map[[3]string]tally.Scope{}, seenPriorities: map[int]bool{},
-		queues: map[string]queueGauges{}, passes: map[string]tally.Counter{},
+		queues: map[string]queueGauges{}, accounts: map[account.ID]accountGauges{}, passes: map[string]tally.Counter{},
 		passSeconds: scope.Histogram("placement_pass_seconds", passBuckets),
 		stepsTried:  scope.Histogram("placement_steps_tried", stepBuckets),
 	}
@@ -112,6 +114,7 @@
 			Update(float64(s.WaitingTasks[priority]))
 	}
 	c.updateQueues(s.Queues)
+	c.updateAccounts(s.Accounts)
 }
 
 func boolValue(b bool) float64 {
--- a/internal/app/scheduler/limits.go
+++ b/internal/app/scheduler/limits.go
@@ -10,6 +10,7 @@
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
 )
 
 const (
@@ -288,3 +289,17 @@
 		slog.String("limit", limit.String()), slog.String("unknown", unknown.String()), slog.Bool("unbounded", unbounded),
 	}
 }
+
+// states returns what each account with a limit runs.
+func (l *accountLimits) states() map[account.ID]port.AccountState {
+	states := map[account.ID]port.AccountState{}
+	for a := range l.usage.Limited() {
+		used, _ := l.usage.Used(a.ID)
+		state := port.AccountState{Used: used, Limit: a.Limit}
+		if aside := l.aside[a.ID]; aside != nil {
+			state.Aside = aside.steps.Len()
+		}
+		states[a.ID] = state
+	}
+	return states
+}
--- a/internal/domain/account/usage.go
+++ b/internal/domain/account/usage.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"iter"
 	"math"
 
 	"skylarkstall/internal/domain/resource"
@@ -81,6 +82,17 @@
 	return a.Limit, hasLimit(a.Limit)
 }
 
+// Limited returns the accounts with a limit.
+func (u *Usage) Limited() iter.Seq[Account] {
+	return func(yield func(Account) bool) {
+		for _, a := range u.limits.All() {
+			if hasLimit(a.Limit) && !yield(a) {
+				return
+			}
+		}
+	}
+}
+
 // Room returns how many tasks of a size an account may start now. An account of which certainly nothing runs may start one task that
 // exceeds its limit by itself, which could never start otherwise.
 func (u *Usage) Room(id ID, size resource.Vector) int {
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -8,6 +8,7 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -270,13 +271,21 @@
 	ConfigVersion     uint64
 	ConfigAge         time.Duration // since the configuration was last confirmed as the newest; 0 if it never was
 	DroppedLogLines   int64
-	Workers           int                   // workers that the leader controls
-	Runs              int                   // runs on these workers
-	UnconfirmedStarts int                   // starts that the worker has not confirmed
-	UnrecordedJobs    int                   // jobs with progress that is not stored yet
-	WaitingTasks      map[int]int           // tasks that are ready to start, by priority
-	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
-	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
+	Workers           int                         // workers that the leader controls
+	Runs              int                         // runs on these workers
+	UnconfirmedStarts int                         // starts that the worker has not confirmed
+	UnrecordedJobs    int                         // jobs with progress that is not stored yet
+	WaitingTasks      map[int]int                 // tasks that are ready to start, by priority
+	Queues            map[string]QueueState       // queues with tasks that are ready to start, by name
+	PlacementBehind   bool                        // passes of placement leave waiting steps untried, or do not run
+	Accounts          map[account.ID]AccountState // accounts with a limit of what they may run at once
+}
+
+// AccountState is what an account with a limit runs.
+type AccountState struct {
+	Used  resource.Vector // of all its runs, also of those that may have ended unnoticed
+	Limit resource.Vector // a component of 0 is no limit
+	Aside int             // steps that wait until something of the account ends
 }
 
 // QueueState is what waits in a queue.
