Let work of an account wait for a larger one only if that will start

Cause: a step that had waited for 2 s kept all steps behind it from the room under the limit of their account, also when runs that last never left it enough room, and while the account used less than half of its limit.

Change: account.Usage knows which runs last, and tells whether a step is worth waiting for.

Result: TestLastingRunsAtLimit fails without the check.

--- a/internal/app/scheduler/limits.go
+++ b/internal/app/scheduler/limits.go
@@ -72,14 +72,14 @@
 		l.isPartial = true
 		return
 	}
-	l.usage.Add(owner.Account, run.Step.Size)
+	l.usage.Add(owner.Account, countedAs(run))
 }
 
 // RunRemoved implements pool.RunObserver.
 func (l *accountLimits) RunRemoved(worker ident.WorkerID, run *pool.Run) {
 	owner := run.Owner()
 	if owner.Known {
-		l.usage.Remove(owner.Account, run.Step.Size)
+		l.usage.Remove(owner.Account, countedAs(run))
 		l.free(l.aside[owner.Account])
 		return
 	}
@@ -88,6 +88,11 @@
 	}
 }
 
+// countedAs returns what a run counts with: its full size, also the processors of best-effort runs.
+func countedAs(run *pool.Run) account.Run {
+	return account.Run{Size: run.Step.Size, Lasts: run.Step.LongRunning}
+}
+
 // free lets the next pass look through the steps of an account that are set aside.
 func (l *accountLimits) free(a *asideSteps) {
 	if a != nil && !a.freed {
@@ -257,7 +262,7 @@
 		}
 		if s.underLimit(c) > 0 {
 			released = append(released, c)
-		} else if now.Sub(c.step.wait.since) >= yieldAfter && s.everUnderLimit(c) {
+		} else if now.Sub(c.step.wait.since) >= yieldAfter && s.isWorthWaiting(c) {
 			a.first = &c.position
 			break
 		}
@@ -270,13 +275,13 @@
 	}
 }
 
-// everUnderLimit reports whether a step could start if nothing of its account ran. The lock is held.
-func (s *Scheduler) everUnderLimit(c *candidate) bool {
+// isWorthWaiting reports whether the steps behind one that is set aside should leave it the room under the limit. The lock is held.
+func (s *Scheduler) isWorthWaiting(c *candidate) bool {
 	step, members := c.entry.workflow.Step(c.ref), 1
 	if step.Gang {
 		members = step.Count
 	}
-	return s.limits.usage.EverHasRoom(c.entry.account, step.Size, members)
+	return s.limits.usage.IsWorthWaiting(c.entry.account, step.Size, members)
 }
 
 // attrs states what an account runs and may run.
--- a/internal/app/scheduler/limits_test.go
+++ b/internal/app/scheduler/limits_test.go
@@ -174,6 +174,21 @@
 	}
 }
 
+// TestLastingRunsAtLimit guards against small tasks that wait for good for a large one of their account, because runs that last never
+// leave it the room.
+func TestLastingRunsAtLimit(t *testing.T) {
+	s, now := newLimitedLeader(t, 2, map[account.ID]int64{"a": 5000})
+	acceptFor(s, "a1", "a", workflow.Step{Count: 3, LongRunning: true})
+	acceptFor(s, "a2", "a", workflow.Step{Count: 2})
+	running := placeTwice(s, now)
+	acceptFor(s, "large", "a", workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 4000}})
+	small := acceptFor(s, "small", "a", workflow.Step{Count: 1})
+	end(s, running[4])
+	if placeTwice(s, now.Add(yieldAfter)); len(small.workflow.Active()) != 1 {
+		t.Error("a task waits behind a large one of its account for room that runs which last do not leave")
+	}
+}
+
 // TestTaskAboveLimit guards against an account that waits for good because each of its tasks exceeds the limit by itself.
 func TestTaskAboveLimit(t *testing.T) {
 	s, now := newLimitedLeader(t, 2, map[account.ID]int64{"a": 500})
--- a/internal/app/scheduler/waits_test.go
+++ b/internal/app/scheduler/waits_test.go
@@ -92,7 +92,7 @@
 		"account at its limit": {
 			change: func(t *testing.T, s *Scheduler, e *jobEntry) {
 				e.account = "a"
-				s.limits.usage.Add("a", resource.Vector{MilliCores: 500})
+				s.limits.usage.Add("a", account.Run{Size: resource.Vector{MilliCores: 500}})
 				setLimits(t, s, map[account.ID]int64{"a": 2000})
 			},
 			want: waitAccountLimit, detail: "account=a used=500m cores",
--- a/internal/domain/account/usage.go
+++ b/internal/domain/account/usage.go
@@ -22,8 +22,15 @@
 
 // use is what an account has running.
 type use struct {
-	size resource.Vector
-	runs int
+	size, lasting resource.Vector // of all runs, and of those that do not end by themselves
+	runs          int
+	lastingRuns   int
+}
+
+// Run is what a run counts with.
+type Run struct {
+	Size  resource.Vector
+	Lasts bool // it does not end by itself
 }
 
 // NewUsage returns a usage in which nothing runs and no account has a limit.
@@ -49,17 +56,21 @@
 }
 
 // Add counts a run of an account. Runs without an account are not counted.
-func (u *Usage) Add(id ID, size resource.Vector) { u.change(id, size, 1) }
+func (u *Usage) Add(id ID, run Run) { u.change(id, run, 1) }
 
 // Remove ends the count of a run that was added.
-func (u *Usage) Remove(id ID, size resource.Vector) { u.change(id, size, -1) }
+func (u *Usage) Remove(id ID, run Run) { u.change(id, run, -1) }
 
-func (u *Usage) change(id ID, size resource.Vector, sign int) {
+func (u *Usage) change(id ID, run Run, sign int) {
 	if id == "" {
 		return
 	}
 	next := u.used[id]
-	next.size, next.runs = next.size.Add(size.Scale(int64(sign))), next.runs+sign
+	size := run.Size.Scale(int64(sign))
+	next.size, next.runs = next.size.Add(size), next.runs+sign
+	if run.Lasts {
+		next.lasting, next.lastingRuns = next.lasting.Add(size), next.lastingRuns+sign
+	}
 	if next.runs == 0 {
 		delete(u.used, id)
 		return
@@ -121,10 +132,18 @@
 	return u.runsNothing(id) && tasksWithin(limit, resource.Vector{}, size) >= members-1
 }
 
-// EverHasRoom reports whether an account that runs nothing may start a task, or a gang if there are more members than one, of a size.
-func (u *Usage) EverHasRoom(id ID, size resource.Vector, members int) bool {
+// IsWorthWaiting reports whether smaller work of an account should wait for a task, or a gang if there are more members than one, of a size:
+// the account uses at least half of its limit, and there will be room once what ends by itself has ended.
+func (u *Usage) IsWorthWaiting(id ID, size resource.Vector, members int) bool {
 	limit, ok := u.Limit(id)
-	return !ok || tasksWithin(limit, resource.Vector{}, size) >= members-1
+	used := u.used[id]
+	if !ok || used.size.Scale(2).DominantShare(limit) < 1 {
+		return false
+	}
+	if used.lastingRuns == 0 {
+		members-- // the last one may exceed the limit
+	}
+	return tasksWithin(limit, used.lasting, size) >= members
 }
 
 func (u *Usage) runsNothing(id ID) bool {
--- a/internal/domain/account/usage_test.go
+++ b/internal/domain/account/usage_test.go
@@ -46,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			usage := newUsage(t, account.Account{ID: "a", Limit: test.limit}, account.Account{ID: "b", Limit: task})
 			for range test.runs {
-				usage.Add("a", task)
+				usage.Add("a", account.Run{Size: task})
 			}
 			usage.SetUnknown(test.unknown, test.unbounded)
 			if got := usage.Room("a", task); got != test.want {
@@ -65,31 +65,62 @@
 	usage := newUsage(t, account.Account{ID: "a", Limit: resource.Vector{MilliCores: 4500}})
 	for _, test := range []struct {
 		runs, members int
-		now, ever     bool
+		want          bool
 	}{
-		{0, 4, true, true}, {0, 5, true, true}, {0, 6, false, false}, {1, 3, true, true}, {1, 4, false, true}, {5, 1, false, true},
+		{0, 4, true}, {0, 5, true}, {0, 6, false}, {1, 3, true}, {1, 4, false}, {5, 1, false},
 	} {
 		for range test.runs {
-			usage.Add("a", task)
+			usage.Add("a", account.Run{Size: task})
 		}
-		if got := usage.HasRoomForGang("a", task, test.members); got != test.now {
-			t.Errorf("%d members beside %d runs: room %v, want %v", test.members, test.runs, got, test.now)
-		}
-		if got := usage.EverHasRoom("a", task, test.members); got != test.ever {
-			t.Errorf("%d members: room when nothing runs %v, want %v", test.members, got, test.ever)
+		if got := usage.HasRoomForGang("a", task, test.members); got != test.want {
+			t.Errorf("%d members beside %d runs: room %v, want %v", test.members, test.runs, got, test.want)
 		}
 		for range test.runs {
-			usage.Remove("a", task)
+			usage.Remove("a", account.Run{Size: task})
 		}
 	}
 }
 
+// TestWorthWaiting guards against work that waits for a larger one which will not start, or while its account uses less than half of its
+// limit.
+func TestWorthWaiting(t *testing.T) {
+	task := resource.Vector{MilliCores: 1000}
+	for name, test := range map[string]struct {
+		runs, lasting, members int
+		want                   bool
+	}{
+		"room once the others end":         {runs: 4, members: 4, want: true},
+		"one member above the limit":       {runs: 4, members: 5, want: true},
+		"two members above the limit":      {runs: 4, members: 6},
+		"beside one that lasts":            {runs: 3, lasting: 1, members: 3, want: true},
+		"not beside one that lasts":        {runs: 3, lasting: 1, members: 4},
+		"less than half of the limit":      {runs: 1, members: 4},
+		"more than the limit, all lasting": {lasting: 5, members: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			usage := newUsage(t, account.Account{ID: "a", Limit: resource.Vector{MilliCores: 4000}})
+			for range test.runs {
+				usage.Add("a", account.Run{Size: task})
+			}
+			for range test.lasting {
+				usage.Add("a", account.Run{Size: task, Lasts: true})
+			}
+			if got := usage.IsWorthWaiting("a", task, test.members); got != test.want {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+		})
+	}
+	if newUsage(t).IsWorthWaiting("a", task, 1) {
+		t.Error("work of an account without a limit waits")
+	}
+}
+
 // TestUsageRecounted guards against a count that differs from what runs, or a limit that starts pass, after any sequence of starts, ends
 // and changes of the limits.
 func TestUsageRecounted(t *testing.T) {
 	type run struct {
-		id   account.ID
-		size resource.Vector
+		account.Run
+		id account.ID
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Custom(func(t *rapid.T) resource.Vector {
@@ -102,7 +133,7 @@
 		recount := func(id account.ID) (total resource.Vector, runs int) {
 			for _, r := range running {
 				if r.id == id {
-					total, runs = total.Add(r.size), runs+1
+					total, runs = total.Add(r.Size), runs+1
 				}
 			}
 			return total, runs
@@ -117,18 +148,18 @@
 			case 1:
 				if len(running) > 0 {
 					i := rapid.IntRange(0, len(running)-1).Draw(t, "run")
-					usage.Remove(running[i].id, running[i].size)
+					usage.Remove(running[i].id, running[i].Run)
 					running = append(running[:i], running[i+1:]...)
 				}
 			default:
-				r := run{id, limit.Draw(t, "size")}
-				if room := usage.Room(id, r.size); room == 0 {
+				r := run{account.Run{Size: limit.Draw(t, "size"), Lasts: rapid.Bool().Draw(t, "lasts")}, id}
+				if room := usage.Room(id, r.Size); room == 0 {
 					continue
 				}
 				before, runs := recount(id)
-				usage.Add(id, r.size)
+				usage.Add(id, r.Run)
 				running = append(running, r)
-				after, bound := before.Add(r.size), limits[id]
+				after, bound := before.Add(r.Size), limits[id]
 				if over := bound.MilliCores > 0 && after.MilliCores > bound.MilliCores || bound.MemoryBytes > 0 && after.MemoryBytes > bound.MemoryBytes; over && runs > 0 {
 					t.Fatalf("account %q may run %s and has %s after a start", id, bound, after)
 				}
