Let TestLastingRunsAtLimit replay the wait

Change: a pass notices the waiting tasks first.

Result: without the check the test now fails; with it, it passes.

--- a/internal/app/scheduler/limits_test.go
+++ b/internal/app/scheduler/limits_test.go
@@ -183,6 +183,7 @@
 	running := placeTwice(s, now)
 	acceptFor(s, "large", "a", workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 4000}})
 	small := acceptFor(s, "small", "a", workflow.Step{Count: 1})
+	placeTwice(s, now)
 	end(s, running[4])
 	if placeTwice(s, now.Add(yieldAfter)); len(small.workflow.Active()) != 1 {
 		t.Error("a task waits behind a large one of its account for room that runs which last do not leave")
