Order steps by whether their jobs can still be in time

Cause: within a priority the oldest job goes first. Under a burst that is always one that is late already, so that each job behind it becomes late as well. What an account sends beyond its share goes between what others are owed.

Change: domain/objective predicts when a job ends, from its longest remaining chain, estimates corrected by what the queue's and the step's own tasks took, and a call for permits before each step; it judges that against the objective. placement.Rank orders what is in time, late, of no use, and the excess behind all of that, for 10 s at most; priorities and overdue steps stay first. A rank changes with time through the schedule of changes that the queue has. Jobs that are late or beyond a share preempt nothing.

--- a/internal/adapter/metrics/placement.go
+++ b/internal/adapter/metrics/placement.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/port"
 )
 
@@ -36,7 +37,10 @@
 }
 
 // queueGauges are the gauges of one queue.
-type queueGauges struct{ waitingTasks, oldestWait tally.Gauge }
+type queueGauges struct {
+	waitingTasks, oldestWait, excessSteps tally.Gauge
+	waitingJobs                           [objective.Count]tally.Gauge // by standing
+}
 
 const (
 	// maxQueueLabels bounds the series of queues. Names of queues come and go with the configuration.
@@ -55,12 +59,20 @@
 		total := labeled[name]
 		total.WaitingTasks += state.WaitingTasks
 		total.OldestWait = max(total.OldestWait, state.OldestWait)
+		total.ExcessSteps += state.ExcessSteps
+		for i, jobs := range state.Standings {
+			total.Standings[i] += jobs
+		}
 		labeled[name] = total
 		c.registerQueue(name)
 	}
 	for name, gauges := range c.queues {
 		gauges.waitingTasks.Update(float64(labeled[name].WaitingTasks))
 		gauges.oldestWait.Update(labeled[name].OldestWait.Seconds())
+		gauges.excessSteps.Update(float64(labeled[name].ExcessSteps))
+		for i, gauge := range gauges.waitingJobs {
+			gauge.Update(float64(labeled[name].Standings[i]))
+		}
 	}
 }
 
@@ -69,5 +81,13 @@
 		return
 	}
 	scope := c.scope.Tagged(map[string]string{"queue": name})
-	c.queues[name] = queueGauges{scope.Gauge("queue_waiting_tasks"), scope.Gauge("queue_oldest_wait_seconds")}
+	gauges := queueGauges{
+		waitingTasks: scope.Gauge("queue_waiting_tasks"), oldestWait: scope.Gauge("queue_oldest_wait_seconds"),
+		excessSteps: scope.Gauge("queue_excess_steps"),
+	}
+	for i := range gauges.waitingJobs {
+		standing := map[string]string{"standing": objective.Standing(i).String()}
+		gauges.waitingJobs[i] = scope.Tagged(standing).Gauge("queue_waiting_jobs")
+	}
+	c.queues[name] = gauges
 }
--- a/internal/adapter/metrics/placement_test.go
+++ b/internal/adapter/metrics/placement_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/port"
 )
 
@@ -60,12 +61,14 @@
 	}
 	c.update(port.ProcessState{Queues: map[string]port.QueueState{
 		"q3": {WaitingTasks: 30, OldestWait: 1500 * time.Millisecond}, "late": {WaitingTasks: 2, OldestWait: time.Second},
-		"later": {WaitingTasks: 3, OldestWait: 2 * time.Second},
+		"later": {WaitingTasks: 3, OldestWait: 2 * time.Second, Standings: [objective.Count]int{1, 2, 0}, ExcessSteps: 4},
 	}})
 	text := scrape(t, c)
 	for _, line := range []string{
 		`skylarkstall_queue_waiting_tasks{queue="q3"} 30`, `skylarkstall_queue_oldest_wait_seconds{queue="q3"} 1.5`,
 		`skylarkstall_queue_waiting_tasks{queue="q4"} 0`, `skylarkstall_queue_oldest_wait_seconds{queue="q4"} 0`,
+		`skylarkstall_queue_waiting_jobs{queue="(other)",standing="in_time"} 1`, `skylarkstall_queue_waiting_jobs{queue="(other)",standing="late"} 2`,
+		`skylarkstall_queue_waiting_jobs{queue="q4",standing="hopeless"} 0`, `skylarkstall_queue_excess_steps{queue="(other)"} 4`,
 		`skylarkstall_queue_waiting_tasks{queue="(other)"} 5`, `skylarkstall_queue_oldest_wait_seconds{queue="(other)"} 2`,
 	} {
 		if !strings.Contains(text, line+"\n") {
--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -27,6 +27,7 @@
 
 	step     *stepEntry
 	position placement.Position
+	outlook  outlook
 	round    uint64 // of the queue, in which the step was last found to be ready
 }
 
--- a/internal/app/scheduler/pass_test.go
+++ b/internal/app/scheduler/pass_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -38,6 +41,26 @@
 	}
 }
 
+// TestStateTellsStandings guards against jobs that are late, or set behind because of their accounts' shares, without a sign of it.
+func TestStateTellsStandings(t *testing.T) {
+	s, now := newLeader(t), time.Now()
+	for i, age := range []time.Duration{0, 4 * time.Second, time.Minute} {
+		job := port.AcceptedJob{AcceptedAt: now.Add(-age), Excess: i == 1}
+		job.Spec.ID = workflow.ID(fmt.Sprintf("j%d", i))
+		job.Spec.Steps = []workflow.Step{{Count: 1, Estimate: time.Second, Size: resource.Vector{MilliCores: 1 << 20}}}
+		job.Queue = route.Queue{Name: "q", Service: "desk", MaxAttempts: 2, Objective: route.Objective{Stretch: 2, Slack: time.Second}}
+		s.mu.Lock()
+		s.acceptJob(job, 0)
+		s.mu.Unlock()
+	}
+	placeAt(s, now)
+	var state port.ProcessState
+	s.FillState(&state)
+	if q := state.Queues["q"]; q.Standings != [objective.Count]int{1, 1, 1} || q.ExcessSteps != 1 {
+		t.Errorf("state of the queue %+v, want one job of each standing and one excess step", q)
+	}
+}
+
 // TestPlacementBehindIsLogged guards against a leader that leaves steps out for seconds without a line, and against more than one line
 // for each of the two changes.
 func TestPlacementBehindIsLogged(t *testing.T) {
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -191,7 +191,7 @@
 		}
 		add(recorded.monitor, false)
 	}
-	if expected < missing && c.waited >= askForPreemptionAfter && !c.pass.hasLowestPriority(c.queue.Priority) {
+	if expected < missing && c.waited >= askForPreemptionAfter && c.mayPreempt() && !c.pass.hasLowestPriority(c.queue.Priority) {
 		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
 	slices.SortFunc(options, func(a, b permitCandidate) int {
--- a/internal/app/scheduler/place_cost_test.go
+++ b/internal/app/scheduler/place_cost_test.go
@@ -81,7 +81,7 @@
 	defer s.mu.Unlock()
 	s.acceptJob(job, 0)
 	ref := workflow.StepRef{Job: job.Spec.ID}
-	permits := s.permitsOf(*s.jobs[ref.Job].newCandidate(ref, job.Queue, now))
+	permits := s.permitsOf(*s.newCandidate(s.jobs[ref.Job], ref, job.Queue, now))
 	var asked []permit.Worker
 	tickets := map[ident.WorkerID]permit.Ticket{}
 	for id, m := range s.monitors {
--- a/internal/app/scheduler/place_test.go
+++ b/internal/app/scheduler/place_test.go
@@ -113,7 +113,7 @@
 	step := workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 3000}}
 	acceptNamed(s, "a", step)
 	acceptNamed(s, "b", step)
-	c := s.jobs["b"].newCandidate(workflow.StepRef{Job: "b"}, s.jobs["b"].queue, now)
+	c := s.newCandidate(s.jobs["b"], workflow.StepRef{Job: "b"}, s.jobs["b"].queue, now)
 	c.pass = testPass(s, now)
 	c.workers, c.waited = s.allowedWorkers(*c, now), time.Second
 	s.mu.Lock()
--- a/internal/app/scheduler/preempt.go
+++ b/internal/app/scheduler/preempt.go
@@ -20,7 +20,7 @@
 
 // preempt stops runs of lower priorities so that waiting tasks of a step can start. The lock is held.
 func (s *Scheduler) preempt(c candidate, unplaced int, now time.Time) {
-	if c.waited < pool.PreemptDelay(c.queue.Priority) {
+	if c.waited < pool.PreemptDelay(c.queue.Priority) || !c.mayPreempt() {
 		return
 	}
 	request := c.request(now)
--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -49,7 +49,9 @@
 func (s *Scheduler) candidates(now time.Time) []*candidate {
 	q := &s.queue
 	for e, ok := q.due.TakeDue(now); ok; e, ok = q.due.TakeDue(now) {
-		s.jobChanged(e)
+		if e.isScheduled && !e.nextChange.After(now) { // otherwise the change was put off
+			s.jobChanged(e)
+		}
 	}
 	if config := s.table.Config().Version; q.needsRebuild(config) {
 		s.rebuildQueue(now)
@@ -82,7 +84,7 @@
 		}
 		queue := s.queueOf(e)
 		for _, ref := range e.workflow.Ready(now) {
-			c := e.newCandidate(ref, queue, now)
+			c := s.newCandidate(e, ref, queue, now)
 			c.held = held
 			e.enterQueue(c)
 			list = append(list, c)
@@ -100,11 +102,11 @@
 	for _, ref := range e.workflow.Ready(now) {
 		step := e.step(ref)
 		step.wait.observe(now)
-		if c := step.queued; c != nil && c.position.Overdue == e.isOverdue(ref, now) {
+		if c := step.queued; c != nil && c.keepsPosition(now) {
 			c.round = q.round
 			continue
 		}
-		c := e.newCandidate(ref, s.queueOf(e), now)
+		c := s.newCandidate(e, ref, s.queueOf(e), now)
 		c.round = q.round
 		added = append(added, c)
 	}
@@ -130,8 +132,8 @@
 func (s *Scheduler) scheduleChange(e *jobEntry, now time.Time) {
 	next, ok := e.workflow.NextDue(now)
 	for _, c := range e.queued {
-		if overdueAt := c.step.wait.since.Add(overdueAfter); e.mayBeOverdue(c.ref) && overdueAt.After(now) && (!ok || overdueAt.Before(next)) {
-			next, ok = overdueAt, true
+		if at := c.outlook.changesAt; !at.IsZero() && (!ok || at.Before(next)) {
+			next, ok = at, true
 		}
 	}
 	if ok && (!e.isScheduled || !next.Equal(e.nextChange)) {
@@ -140,13 +142,19 @@
 	e.nextChange, e.isScheduled = next, ok
 }
 
-// newCandidate returns a step with tasks to start.
-func (e *jobEntry) newCandidate(ref workflow.StepRef, queue route.Queue, now time.Time) *candidate {
+// newCandidate returns a step with tasks to start. The lock is held.
+func (s *Scheduler) newCandidate(e *jobEntry, ref workflow.StepRef, queue route.Queue, now time.Time) *candidate {
 	step := e.step(ref)
 	step.wait.observe(now)
+	if e.plan == nil && queue.Objective.IsSet() {
+		e.plan = s.planJob(e, queue)
+	}
+	outlook := e.outlook(ref, &queue, now)
 	return &candidate{
-		entry: e, ref: ref, queue: queue, step: step,
-		position: placement.Position{Ref: ref, Overdue: e.isOverdue(ref, now), Priority: queue.Priority, Accepted: e.accepted},
+		entry: e, ref: ref, queue: queue, step: step, outlook: outlook,
+		position: placement.Position{
+			Ref: ref, Overdue: outlook.overdue, Priority: queue.Priority, Rank: outlook.rank, Accepted: e.accepted,
+		},
 	}
 }
 
@@ -162,16 +170,3 @@
 	clear(e.queued)
 	e.queued, e.isScheduled = e.queued[:0], false
 }
-
-// overdueAfter is how long tasks of a long-running step that has run may wait before it goes first: what it served is away
-// meanwhile. A step that has not run yet keeps its place in the queue.
-const overdueAfter = 2 * time.Second
-
-func (e *jobEntry) mayBeOverdue(ref workflow.StepRef) bool {
-	return e.workflow.Step(ref).LongRunning && e.workflow.HasRun(ref)
-}
-
-// isOverdue reports whether a step with tasks to start goes first.
-func (e *jobEntry) isOverdue(ref workflow.StepRef, now time.Time) bool {
-	return e.mayBeOverdue(ref) && now.Sub(e.step(ref).wait.since) >= overdueAfter
-}
--- a/internal/app/scheduler/queue_test.go
+++ b/internal/app/scheduler/queue_test.go
@@ -19,7 +19,7 @@
 func describeSteps(steps []*candidate) []string {
 	var list []string
 	for _, c := range steps {
-		list = append(list, fmt.Sprint(c.ref, " priority ", c.queue.Priority, " overdue ", c.position.Overdue))
+		list = append(list, fmt.Sprint(c.ref, " priority ", c.queue.Priority, " overdue ", c.position.Overdue, " rank ", c.position.Rank))
 	}
 	return list
 }
@@ -30,7 +30,7 @@
 	var list []*candidate
 	for _, e := range s.openJobs {
 		for _, ref := range e.workflow.Ready(now) {
-			list = append(list, e.newCandidate(ref, s.queueOf(e), now))
+			list = append(list, s.newCandidate(e, ref, s.queueOf(e), now))
 		}
 	}
 	slices.SortFunc(list, func(a, b *candidate) int { return a.position.Compare(&b.position) })
@@ -49,7 +49,7 @@
 func (h *queueHistory) accept() {
 	step := func(dependsOn ...int) workflow.Step {
 		return workflow.Step{
-			Count: rapid.IntRange(1, 3).Draw(h.T, "tasks"), DependsOn: dependsOn, LongRunning: rapid.Bool().Draw(h.T, "long-running"),
+			Count: rapid.IntRange(1, 3).Draw(h.T, "tasks"), Estimate: time.Second, DependsOn: dependsOn, LongRunning: rapid.Bool().Draw(h.T, "long-running"),
 			Size: resource.Vector{MilliCores: 1000 * rapid.Int64Range(1, 5).Draw(h.T, "cores")},
 		}
 	}
@@ -61,6 +61,10 @@
 		job.Spec.Occurrences, job.Spec.FirstAt, job.Spec.Period = 3, h.now.Add(time.Second), 700*time.Millisecond
 	}
 	job.Queue = route.Queue{Name: "q", Service: "desk", MaxAttempts: 2, Priority: rapid.IntRange(0, 2).Draw(h.T, "priority")}
+	if rapid.Bool().Draw(h.T, "objective") {
+		job.Queue.Objective = route.Objective{Stretch: 1.5, Slack: 250 * time.Millisecond}
+	}
+	job.Excess = rapid.Bool().Draw(h.T, "excess")
 	h.jobs++
 	h.s.acceptJob(job, 0)
 }
@@ -74,6 +78,10 @@
 	l := h.running[i]
 	h.running = slices.Delete(h.running, i, i+1)
 	outcome := rapid.SampledFrom([]workflow.Outcome{workflow.Done, workflow.Failed, workflow.Stopped, workflow.Lost}).Draw(h.T, "outcome")
+	if run := l.monitor.worker.Run(l.request.RunRef); run != nil && outcome == workflow.Done {
+		run.Started = time.Now().Add(-time.Duration(rapid.IntRange(1, 3000).Draw(h.T, "took ms")) * time.Millisecond)
+		h.s.observeDuration(l.monitor, run)
+	}
 	l.monitor.worker.Release(l.request.RunRef)
 	h.s.applyEnd(l.monitor, workflow.End{Run: l.request.RunRef, Outcome: outcome})
 }
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -154,7 +154,12 @@
 	if e == nil || run.Started.IsZero() || run.Partial || step.Gang || step.LongRunning || step.BestEffort {
 		return
 	}
-	e.step(run.Task.StepRef).duration.Observe(m.worker, time.Since(run.Started))
+	took, learned := time.Since(run.Started), &e.step(run.Task.StepRef).duration
+	learned.Observe(m.worker, took)
+	s.history(e.queue.Name).Observe(took)
+	if e.plan != nil {
+		e.plan.Learn(run.Task.Step, learned.Mean())
+	}
 }
 
 // applyEnd applies the end of a run to its job. It returns the job and the version that its recorded progress must
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
@@ -106,6 +107,7 @@
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
+	histories        map[string]*objective.History   // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
@@ -115,6 +117,8 @@
 	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
 	accepted        time.Time
+	excess          bool            // accepted beyond the share of its account
+	plan            *objective.Plan // nil if the queue has no objective
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
@@ -168,7 +172,7 @@
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{},
+		allowedShares: map[string]*permit.AllowedShare{}, histories: map[string]*objective.History{},
 	}
 }
 
@@ -249,7 +253,7 @@
 // addJob adds a job that the store holds. The lock is held.
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
-		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
+		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt, excess: job.Excess,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
--- a/internal/app/scheduler/simulated_load_test.go
+++ b/internal/app/scheduler/simulated_load_test.go
@@ -26,7 +26,7 @@
 
 // simulatedWorker runs tasks for as long as they declare.
 type simulatedWorker struct {
-	running map[workflow.RunRef]bool
+	running map[workflow.RunRef]time.Time // when they started
 	ended   []port.EndedRun
 	numbers uint64
 	changed chan struct{}
@@ -50,6 +50,8 @@
 	duration  time.Duration // of each task
 	submitted time.Time
 	started   time.Time // zero before its first task starts
+	left      int       // tasks that are not done
+	ended     time.Time // zero before its last task is done
 }
 
 // simulatedLatency is the time of a message to a worker or back.
@@ -66,7 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
-	c.workers[to.Worker].running[request.RunRef] = true
+	c.workers[to.Worker].running[request.RunRef] = time.Now()
 	job := c.jobs[request.Task.Job]
 	if job.started.IsZero() {
 		job.started = time.Now()
@@ -79,10 +81,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.running[run] {
+	if _, running := w.running[run]; !running {
 		return
 	}
 	delete(w.running, run)
+	if job := c.jobs[run.Task.Job]; outcome == workflow.Done {
+		if job.left--; job.left == 0 {
+			job.ended = time.Now()
+		}
+	}
 	w.numbers++
 	w.ended = append(w.ended, port.EndedRun{Number: w.numbers, End: workflow.End{Run: run, Outcome: outcome}})
 	select {
@@ -122,8 +129,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply := port.SyncReply{WorkerClock: time.Since(c.began), Incarnation: 1}
-	for run := range w.running {
-		reply.Running = append(reply.Running, port.RunningRun{RunRef: run})
+	for run, started := range w.running {
+		percent := int(100 * time.Since(started) / c.jobs[run.Task.Job].duration)
+		reply.Running = append(reply.Running, port.RunningRun{RunRef: run, Progress: percent})
 	}
 	reply.Ended = append(reply.Ended, w.ended...)
 	return reply, nil
@@ -171,12 +179,12 @@
 
 func (noProgressCodec) EncodeProgress(workflow.Progress) []byte { return nil }
 
-func (c *simulatedCell) addWorkers(s *Scheduler, count int) {
+func (c *simulatedCell) addWorkers(s *Scheduler, count int, milliCores int64) {
 	for i := range count {
 		id := ident.WorkerID(fmt.Sprintf("w%04d", i))
-		c.workers[id] = &simulatedWorker{running: map[workflow.RunRef]bool{}, changed: make(chan struct{}, 1)}
+		c.workers[id] = &simulatedWorker{running: map[workflow.RunRef]time.Time{}, changed: make(chan struct{}, 1)}
 		s.addWorker(pool.WorkerInfo{
-			ID: id, Service: "desk", Incarnation: 1, Capacity: resource.Vector{MilliCores: 32000, MemoryBytes: 64 << 30},
+			ID: id, Service: "desk", Incarnation: 1, Capacity: resource.Vector{MilliCores: milliCores, MemoryBytes: 64 << 30},
 		})
 		s.setRecorded(id, true)
 	}
@@ -192,6 +200,7 @@
 	size      resource.Vector
 	duration  time.Duration // mean of its tasks
 	policy    route.PermitPolicy
+	objective route.Objective
 }
 
 var simulatedKinds = []simulatedKind{
@@ -215,34 +224,35 @@
 // submit announces a job of the kind to the leader.
 func (c *simulatedCell) submit(s *Scheduler, number int, k simulatedKind, random *rand.Rand) {
 	job := port.AcceptedJob{Spec: workflow.Spec{ID: workflow.ID(fmt.Sprintf("%s-%d", k.name, number))}, AcceptedAt: time.Now()}
+	submitted := &simulatedJob{
+		priority: k.priority, submitted: time.Now(), duration: time.Duration((0.5 + random.Float64()) * float64(k.duration)),
+	}
 	for i := range k.steps {
 		step := workflow.Step{Count: 1 + random.IntN(2*k.width), Checkpointing: k.priority > 0, Size: k.size}
+		step.Estimate = time.Duration((0.1 + 1.8*random.Float64()) * float64(submitted.duration)) // callers are off by up to 90%
+		submitted.left += step.Count
 		if i > 0 {
 			step.DependsOn = []int{i - 1}
 		}
 		job.Spec.Steps = append(job.Spec.Steps, step)
 	}
 	policy := k.policy
-	job.Queue = route.Queue{Name: k.name, Service: "desk", MaxAttempts: 3, Priority: k.priority, PermitPolicy: &policy}
+	job.Queue = route.Queue{Name: k.name, Service: "desk", MaxAttempts: 3, Priority: k.priority, PermitPolicy: &policy, Objective: k.objective}
 	c.mu.Lock()
-	c.jobs[job.Spec.ID] = &simulatedJob{
-		priority: k.priority, submitted: time.Now(), duration: time.Duration((0.5 + random.Float64()) * float64(k.duration)),
-	}
+	c.jobs[job.Spec.ID] = submitted
 	c.mu.Unlock()
 	_ = s.Notify(context.Background(), job)
 }
 
-// submitFor submits jobs of all kinds at a multiple of their usual rates.
-func (c *simulatedCell) submitFor(s *Scheduler, length time.Duration, load float64) {
+// submitFor submits jobs of the kinds at a multiple of their usual rates.
+func (c *simulatedCell) submitFor(s *Scheduler, kinds []simulatedKind, length time.Duration, load float64) {
 	const tick = 5 * time.Millisecond
 	random := rand.New(rand.NewPCG(1, 2))
-	due := make([]float64, len(simulatedKinds))
-	number := 0
+	due := make([]float64, len(kinds))
 	for range length / tick {
-		for i, k := range simulatedKinds {
+		for i, k := range kinds {
 			for due[i] += load * k.perSecond * tick.Seconds(); due[i] >= 1; due[i]-- {
-				number++
-				c.submit(s, number, k, random)
+				c.submit(s, len(c.jobs), k, random)
 			}
 		}
 		time.Sleep(tick)
@@ -283,7 +293,7 @@
 		}
 		s.historyRead = true
 		s.mu.Lock()
-		c.addWorkers(s, 1100)
+		c.addWorkers(s, 1100, 32000)
 		s.mu.Unlock()
 		s.goTask(func() { s.runPlacement(s.ctx) })
 		s.goTask(func() { s.reportWaits(s.ctx) })
@@ -294,7 +304,7 @@
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
 		cpu := processTime()
-		c.submitFor(s, time.Duration(seconds*float64(time.Second)), load)
+		c.submitFor(s, simulatedKinds, time.Duration(seconds*float64(time.Second)), load)
 		cpu = processTime() - cpu
 		runtime.ReadMemStats(&after)
 		waits := c.urgentWaits()
--- a/internal/app/scheduler/state.go
+++ b/internal/app/scheduler/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -25,14 +26,26 @@
 	state.WaitingTasks, state.Queues = map[int]int{}, map[string]port.QueueState{}
 	for _, e := range s.openJobs {
 		queue := s.queueOf(e)
-		for _, ref := range e.workflow.Ready(now) {
+		ready := e.workflow.Ready(now)
+		if len(ready) == 0 {
+			continue
+		}
+		known, standing := state.Queues[queue.Name], objective.InTime
+		for _, ref := range ready {
 			waiting := e.workflow.WaitingCount(ref)
 			state.WaitingTasks[queue.Priority] += waiting
-			known := state.Queues[queue.Name]
 			known.WaitingTasks += waiting
 			known.OldestWait = max(known.OldestWait, e.waitOf(ref, now))
-			state.Queues[queue.Name] = known
+			outlook := e.outlook(ref, &queue, now)
+			standing = max(standing, outlook.standing)
+			if outlook.rank.BehindForExcess() {
+				known.ExcessSteps++
+			}
+		}
+		if e.plan != nil {
+			known.Standings[standing]++
 		}
+		state.Queues[queue.Name] = known
 	}
 }
 
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -72,6 +72,8 @@
 type waitReport struct {
 	ref      workflow.StepRef
 	priority int
+	outlook  outlook
+	excess   bool          // the job was accepted beyond the share of its account
 	age      time.Duration // of the job
 	waited   time.Duration
 	unplaced int
@@ -85,6 +87,7 @@
 		slog.String("step", r.ref.String()), slog.String("kind", string(r.reason)),
 		slog.Int64("waited_ms", r.waited.Milliseconds()), slog.Int64("age_ms", r.age.Milliseconds()),
 		slog.Int("unplaced", r.unplaced), slog.Int("first", r.first), slog.Int("priority", r.priority),
+		slog.String("standing", r.outlook.standing.String()), slog.Bool("excess", r.excess), slog.Bool("behind", r.outlook.rank.IsBehind()),
 	}
 	for _, a := range r.attrs {
 		attrs = append(attrs, a)
@@ -141,7 +144,7 @@
 			wait := &e.step(ref).wait
 			wait.observe(now)
 			if !now.Before(wait.report) {
-				c := e.newCandidate(ref, s.queueOf(e), now)
+				c := s.newCandidate(e, ref, s.queueOf(e), now)
 				c.held = s.mayRunOnUnsynced(e)
 				due = append(due, *c)
 			}
@@ -167,7 +170,7 @@
 	waiting := c.entry.workflow.Waiting(c.ref)
 	report := waitReport{
 		ref: c.ref, priority: c.queue.Priority, age: now.Sub(c.entry.accepted), waited: now.Sub(step.wait.since),
-		unplaced: len(waiting), first: waiting[0],
+		unplaced: len(waiting), first: waiting[0], outlook: c.outlook, excess: c.entry.excess,
 	}
 	c.permits, c.waited = step.permits, step.waiting.For(now)
 	c.workers = s.allowedWorkers(c, now)
--- a/internal/domain/placement/queue.go
+++ b/internal/domain/placement/queue.go
@@ -8,10 +8,12 @@
 	"skylarkstall/internal/domain/workflow"
 )
 
-// Position is the place of a step with tasks to start: overdue ones first, then by the priority of the queue and the age of the job.
+// Position is the place of a step with tasks to start: overdue ones first, then by the priority of the queue, by rank and by the age of
+// the job.
 type Position struct {
 	Ref      workflow.StepRef
 	Overdue  bool
+	Rank     Rank
 	Priority int // 0 is the highest
 	Accepted time.Time
 }
@@ -27,6 +29,9 @@
 	if order := cmp.Compare(p.Priority, other.Priority); order != 0 {
 		return order
 	}
+	if p.Rank != other.Rank {
+		return cmp.Compare(p.Rank, other.Rank)
+	}
 	if order := p.Accepted.Compare(other.Accepted); order != 0 {
 		return order
 	}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -6,6 +6,7 @@
 
 	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
@@ -281,8 +282,10 @@
 
 // QueueState is what waits in a queue.
 type QueueState struct {
-	WaitingTasks int           // tasks that are ready to start
-	OldestWait   time.Duration // longest time for which tasks of a step have been ready to start
+	WaitingTasks int                  // tasks that are ready to start
+	OldestWait   time.Duration        // longest time for which tasks of a step have been ready to start
+	Standings    [objective.Count]int // jobs with such tasks by what can still be had of them; none if the queue has no objective
+	ExcessSteps  int                  // steps with such tasks that are behind others because their jobs are beyond the shares of their accounts
 }
 
 // PlacementPass describes one pass in which the leader tried to place waiting tasks.
