Keep more processes for urgent permit calls in a burst

Cause: the permit service handles the calls of a process one at a time. An eighth of the processes was kept for urgent calls; in a burst these are busy, and on every other one a call of 0.6 s and more comes first.

Change: the dispatcher measures how many processes the urgent calls of the last second keep busy, and keeps so many, up to three quarters, that they are busy for half of their time. Without a burst it is an eighth as before.

--- a/internal/domain/permit/dispatch.go
+++ b/internal/domain/permit/dispatch.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -19,9 +20,14 @@
 	maxCallsInProgress = 24
 	// failurePenalty is how long a process gets no calls after one failed there.
 	failurePenalty = time.Second
-	// urgentShare is the divisor of the number of processes that are reserved for urgent calls: a call for another queue may take
+	// urgentShare is the divisor of the number of processes that are always reserved for urgent calls: a call for another queue may take
 	// twenty times as long.
 	urgentShare = 8
+	// urgentUse is the share of their time for which urgent calls keep the reserved processes busy; more are reserved if they would
+	// exceed it. Calls come in groups, so that they wait for one another from about there on.
+	urgentUse = 0.5
+	// othersShare is the divisor of the number of processes that are left to other calls, however many urgent ones there are.
+	othersShare = 4
 	// lendingSize is the number of processes below which reserved ones are lent: one of them is a large part of what they can call then.
 	lendingSize = 4
 	// borrowAfter is the backlog of every other process from which on a reserved one makes calls that are not urgent.
@@ -37,16 +43,34 @@
 
 // Dispatcher decides through which process each call to the permit service is made. The service handles the calls of a process one at a
 // time, in turn, so a call waits for those before it. Some processes are reserved for urgent calls, which must not wait behind calls that
-// take long. If few processes are left and the others have a backlog, a reserved one makes such a call too, and is then free for urgent
+// take long; in a burst of urgent calls more of them are. If few processes are left and the others have a backlog, a reserved one makes such a call too, and is then free for urgent
 // ones for as long as the call took. Calls that are not urgent are made in the order of the steps that need them. It is not safe for
 // concurrent use.
 type Dispatcher struct {
 	self       ident.ProcessID
 	queues     map[ident.ProcessID]*callQueue
 	lastUrgent time.Time // when the last urgent call began
+	urgent     urgentLoad
 	waiter     waiter
 }
 
+// urgentLoad is how many processes the urgent calls of the last second keep busy.
+type urgentLoad struct {
+	busy float64
+	at   time.Time
+}
+
+// urgentLoadWindow is the time in which the weight of a call falls to a third.
+const urgentLoadWindow = time.Second
+
+func (l *urgentLoad) add(duration time.Duration, now time.Time) {
+	l.busy, l.at = l.current(now)+duration.Seconds()/urgentLoadWindow.Seconds(), now
+}
+
+func (l *urgentLoad) current(now time.Time) float64 {
+	return l.busy * math.Exp(-now.Sub(l.at).Seconds()/urgentLoadWindow.Seconds())
+}
+
 // waiter is the first in order of the steps that found no process for a call. The zero value is none.
 type waiter struct {
 	position placement.Position
@@ -106,7 +130,7 @@
 		process, ok := d.lendable([]ident.ProcessID{d.self}, now)
 		return Slot{process, d.backlog(process, now), true}, ok
 	}
-	reserved := (len(peers) + urgentShare - 1) / urgentShare
+	reserved := d.reserved(len(peers), now)
 	slot := d.leastBusy(peers[reserved:], now)
 	if slot.Wait > borrowAfter && len(peers)+1 < lendingSize {
 		if process, ok := d.lendable(peers[:reserved], now); ok {
@@ -116,6 +140,14 @@
 	return slot, slot.Wait <= maxBacklog
 }
 
+// reserved returns how many of a number of processes make urgent calls only: more than usual as far as the urgent calls of the last second
+// need them.
+func (d *Dispatcher) reserved(processes int, now time.Time) int {
+	usual := (processes + urgentShare - 1) / urgentShare
+	needed := int(math.Ceil(d.urgent.current(now) / urgentUse))
+	return max(usual, min(needed, processes-processes/othersShare))
+}
+
 // leastBusy returns the process with the shortest backlog. Among equals the leader comes last, because it has other work.
 func (d *Dispatcher) leastBusy(peers []ident.ProcessID, now time.Time) Slot {
 	best := Slot{Process: d.self, Wait: d.backlog(d.self, now)}
@@ -168,6 +200,7 @@
 	switch {
 	case urgent:
 		d.lastUrgent = now
+		d.urgent.add(duration, now)
 	case slot.borrowed && now.Sub(d.lastUrgent) < urgentMemory:
 		q.lentUntil = q.busyUntil.Add(duration)
 	}
--- a/internal/domain/permit/dispatch_test.go
+++ b/internal/domain/permit/dispatch_test.go
@@ -196,3 +196,20 @@
 		t.Error("a step waits for one that was not tried again")
 	}
 }
+
+// TestBurstOfUrgentCalls guards against urgent calls that wait behind others, which take fifteen times as long, because those reserved for
+// them don't suffice in a burst: 200 urgent calls a second through 37 processes that other calls never leave idle.
+func TestBurstOfUrgentCalls(t *testing.T) {
+	results := play(peerNames(36), 10*time.Second,
+		load{urgent: true, interval: 5 * time.Millisecond, duration: 40 * time.Millisecond},
+		load{interval: 10 * time.Millisecond, duration: 620 * time.Millisecond})
+	urgent, others := results[0], results[1]
+	mean := urgent.waits / time.Duration(max(urgent.called, 1))
+	t.Logf("urgent calls wait %v on average and %v at most, %d other calls are made", mean, urgent.longestWait, others.called)
+	if urgent.called < urgent.steps || mean > 100*time.Millisecond {
+		t.Errorf("%d of %d urgent calls are made, and wait %v on average", urgent.called, urgent.steps, mean)
+	}
+	if free := 36.0 / 4 * 10 / 0.62; float64(others.called) < free {
+		t.Errorf("%d other calls are made, want at least the %.0f of a quarter of the processes", others.called, free)
+	}
+}
