--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
@@ -109,6 +110,7 @@
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
+	histories        map[string]*objective.History   // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
@@ -119,6 +121,8 @@
 	queue           route.Queue    // as it was when the job was accepted
 	account         account.ID     // to which the job belongs; empty if it belongs to none
 	accepted        time.Time
+	excess          bool            // accepted beyond the share of its account
+	plan            *objective.Plan // nil if the queue has no objective
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
@@ -174,6 +178,7 @@
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
 		allowedShares: map[string]*permit.AllowedShare{}, starts: placement.NewStartLimit(settings.CPUShare),
+		histories: map[string]*objective.History{},
 	}
 	s.limits = newAccountLimits(s)
 	return s
@@ -257,6 +262,7 @@
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
 		workflow: workflow.New(job.Spec), account: job.Account, hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
+		excess: job.Excess,
 		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
