Name more workers in a call to the permit service while steps wait for it

Change: permit.CallTimes decides the size of a call. With an idle process, calls are as before.

Permit tests and those of app/scheduler pass.

--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -9,25 +9,17 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/route"
 )
 
 // Parameters of calls to the permit service.
 const (
-	// maxWorkersPerCall is the permit service's limit.
-	maxWorkersPerCall = 100
-	// maxWorkersPerSlowCall bounds the duration of calls that take long for each worker.
-	maxWorkersPerSlowCall = 30
-	// fastCallPerWorker is the longest time per worker for which a call counts as fast.
-	fastCallPerWorker = time.Millisecond
-	// The minimum leaves a choice of workers, also for runs that avoid workers after a failure.
-	minWorkersPerCall     = 16
-	minWorkersPerSlowCall = 8
 	// capacityFactor is the expected capacity of the allowed workers in calls, as a multiple of the waiting tasks: other
 	// steps use some of it before the response.
 	capacityFactor = 3
 	// A call is made for the best of enoughOptions workers, and of choiceFactor times as many as are needed. To compare all workers for each
 	// call would take most of the time of placement.
-	enoughOptions = 2 * minWorkersPerCall
+	enoughOptions = 32
 	choiceFactor  = 3
 	// A wide step leaves less of a choice.
 	wideCapacityFactor = 1.5
@@ -82,16 +74,19 @@
 		if !ok {
 			break
 		}
+		times := callTimes(c.queue.PermitPolicy)
+		size := times.Size(slot.Wait > 0)
 		if options == nil {
 			options = s.permitCandidates(c, unplaced, missing, now)
+			options = c.appendFullWorkers(options, size.Min, now)
 		}
 		if len(options) == 0 {
 			break
 		}
 		var call permit.Call
-		call, options = s.selectWorkers(c, options, missing)
+		call, options = s.selectWorkers(c, options, missing, size)
 		missing -= call.Expected
-		duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(call.Workers))*c.queue.PermitPolicy.WorkerLatency
+		duration := times.Duration(len(call.Workers))
 		s.dispatcher.Begin(slot, c.queue.HasTopPriority(), duration, now)
 		c.permits.BeginCall(call)
 		calls = append(calls, permitCall{c, call, slot.Process, slot.Wait + duration + callTimeoutSlack})
@@ -148,15 +143,13 @@
 
 // selectWorkers returns a call for the first of the options, until their capacity is expected to suffice at the share of
 // workers that the queue's policy usually allows, and the remaining options.
-func (s *Scheduler) selectWorkers(c candidate, options []permitCandidate, missing float64) (permit.Call, []permitCandidate) {
-	minimum, limit := minWorkersPerCall, maxWorkersPerCall
-	if c.queue.PermitPolicy.WorkerLatency > fastCallPerWorker {
-		minimum, limit = minWorkersPerSlowCall, maxWorkersPerSlowCall
-	}
+func (s *Scheduler) selectWorkers(
+	c candidate, options []permitCandidate, missing float64, size permit.CallSize,
+) (permit.Call, []permitCandidate) {
 	share := s.allowedShare(c.queue.Name).Estimate()
 	var call permit.Call
 	for i, o := range options {
-		if i == limit || i >= minimum && call.Expected >= missing {
+		if i == size.Max || i >= size.Min && call.Expected >= missing {
 			return call, options[i:]
 		}
 		call.Workers = append(call.Workers, o.worker)
@@ -223,6 +216,38 @@
 	return option, true
 }
 
+// appendFullWorkers appends workers that have no room for a task now until there are as many options as a call should name at least. Capacity
+// of theirs may be released while the ticket is valid.
+func (c *candidate) appendFullWorkers(options []permitCandidate, minimum int, now time.Time) []permitCandidate {
+	if len(options) >= minimum {
+		return options
+	}
+	listed := make(map[ident.WorkerID]bool, len(options))
+	for _, o := range options {
+		listed[o.worker.ID] = true
+	}
+	request := c.request(now)
+	for _, recorded := range c.pass.scheduler.recordedWorkers() {
+		m := recorded.monitor
+		if len(options) >= minimum {
+			break
+		}
+		option := permitCandidate{worker: permitWorker(m)}
+		var mayAsk bool
+		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || listed[m.worker.ID()] {
+			continue
+		}
+		if m.worker.Rejection(&request) == pool.NoCapacity {
+			options = append(options, option)
+		}
+	}
+	return options
+}
+
+func callTimes(policy *route.PermitPolicy) permit.CallTimes {
+	return permit.CallTimes{Fixed: policy.CallLatency, PerWorker: policy.WorkerLatency, TicketTTL: policy.TicketTTL}
+}
+
 // appendPreemptionOptions appends workers on which a task would fit if other runs were stopped, until they suffice for the missing tasks
 // and leave a choice.
 func (c *candidate) appendPreemptionOptions(
