--- a/internal/app/scheduler/outlook.go
+++ b/internal/app/scheduler/outlook.go
@@ -77,7 +77,8 @@
 func (s *Scheduler) planJob(e *jobEntry, queue route.Queue) *objective.Plan {
 	var overhead time.Duration
 	if policy := queue.PermitPolicy; policy != nil {
-		overhead = policy.CallLatency + minWorkersPerSlowCall*policy.WorkerLatency
+		times := callTimes(policy)
+		overhead = times.Duration(times.Size(false).Min)
 	}
 	return objective.NewPlan(e.workflow.Spec().Steps, s.history(queue.Name).Typical(), overhead)
 }
--- a/internal/app/scheduler/overload_order_test.go
+++ b/internal/app/scheduler/overload_order_test.go
@@ -46,7 +46,7 @@
 	return counts
 }
 
-// playBurst submits wide jobs at 2.6 times their rate for some seconds, then all at their usual rates until the backlog is over, and returns
+// playBurst submits wide jobs at four times their rate for some seconds, then all at their usual rates until the backlog is over, and returns
 // the outcomes of each kind.
 func playBurst(t *testing.T, withObjectives bool) (outcomes [][3]int) {
 	synctest.Test(t, func(t *testing.T) {
@@ -66,7 +66,7 @@
 			kinds[0].objective, kinds[1].objective = route.Objective{}, route.Objective{}
 		}
 		burst := kinds[1]
-		burst.perSecond *= 2.6
+		burst.perSecond *= 4
 		c.submitFor(s, []simulatedKind{kinds[0], burst}, 6*time.Second, overloadWorkers/350.0)
 		c.submitFor(s, kinds, 12*time.Second, overloadWorkers/350.0)
 		time.Sleep(30 * time.Second)
