Count the link in the share of a leader, and judge it by its fastest answers

One with a link of 200 Mbit/s starts more than 1,000 runs a second, answers in 5 ms; those with 10 Mbit/s start 300 and answer in 110 ms, from the first burst to the end of their term. They wait for their link, so no goroutine of the process runs late, and the first form of the limit never fell.

Change: the share that processes compare is what the link lets a leader use: at most a core for each 80 Mbit/s (limits.linkMbps). A process with less than 0.4 of that leaves the first election to others for up to 0.4 s, as before by its share. The limit of starts falls when even the fastest answer of a window takes 40 ms longer than the fastest of the term, or as many decisions are dropped as answered; slow or far workers do not lower it.

--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -72,7 +72,7 @@
 	}
 	var largest fitness.Share
 	for _, s := range t.inbound {
-		largest = max(largest, s.cpu)
+		largest = max(largest, s.share)
 	}
 	return largest
 }
--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -230,7 +230,7 @@
 func encodeLeader(l port.Leader) *cellpb.Leader {
 	return &cellpb.Leader{
 		Process: string(l.Process), Address: l.Address, Incarnation: l.Incarnation, Term: l.Term,
-		ElectionDelayMs: uint32(l.ElectionDelay.Milliseconds()), CpuMillicores: l.CPU.Millicores(),
+		ElectionDelayMs: uint32(l.ElectionDelay.Milliseconds()), CpuMillicores: l.Share.Millicores(),
 	}
 }
 
@@ -247,7 +247,7 @@
 	return port.Leader{
 		Process: ident.ProcessID(m.GetProcess()), Address: m.GetAddress(), Incarnation: m.GetIncarnation(),
 		Term: m.GetTerm(), ElectionDelay: time.Duration(m.GetElectionDelayMs()) * time.Millisecond,
-		CPU: fitness.ShareOf(m.GetCpuMillicores()),
+		Share: fitness.ShareOf(m.GetCpuMillicores()),
 	}
 }
 
--- a/internal/adapter/cellwire/session.go
+++ b/internal/adapter/cellwire/session.go
@@ -22,8 +22,8 @@
 type session struct {
 	peer        ident.ProcessID
 	incarnation uint64
-	address     string // listen address of the peer
-	cpu         fitness.Share
+	address     string        // listen address of the peer
+	share       fitness.Share // of a processor, as far as the peer can use it
 	conn        net.Conn
 	mux         *frame.Mux
 }
@@ -38,7 +38,7 @@
 	}
 	ownHello := &cellpb.Hello{
 		Version: protocolVersion, Process: string(t.self.Process), Incarnation: t.self.Incarnation,
-		Address: t.self.Address, CpuMillicores: t.self.CPU.Millicores(),
+		Address: t.self.Address, CpuMillicores: t.self.Share.Millicores(),
 	}
 	if err := frame.Write(conn, ownHello); err != nil {
 		return nil, fault.WrapAs(fault.Unavailable, err, "open a session")
@@ -61,7 +61,7 @@
 	}
 	return &session{
 		peer: ident.ProcessID(peerHello.GetProcess()), incarnation: peerHello.GetIncarnation(), address: peerHello.GetAddress(),
-		cpu: fitness.ShareOf(peerHello.GetCpuMillicores()), conn: conn, mux: mux,
+		share: fitness.ShareOf(peerHello.GetCpuMillicores()), conn: conn, mux: mux,
 	}, nil
 }
 
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -102,7 +102,7 @@
 ) *Election {
 	return &Election{
 		self: self, store: store, codec: codec, follower: follower, lead: lead, log: log,
-		resigned: make(chan struct{}), tenure: fitness.NewTenure(self.CPU),
+		resigned: make(chan struct{}), tenure: fitness.NewTenure(self.Share),
 	}
 }
 
@@ -168,8 +168,8 @@
 
 // electionDelay follows from the shares of a processor that the process has learnt of others, once it has learnt any.
 func (e *Election) electionDelay() time.Duration {
-	if largest := e.follower.LargestShare(); largest > 0 && e.self.CPU > 0 {
-		return fitness.ElectionDelay(e.self.CPU, largest)
+	if largest := e.follower.LargestShare(); largest > 0 && e.self.Share > 0 {
+		return fitness.ElectionDelay(e.self.Share, largest)
 	}
 	return e.self.ElectionDelay
 }
--- a/internal/app/leadership/succession.go
+++ b/internal/app/leadership/succession.go
@@ -46,8 +46,8 @@
 
 // outmatches reports whether this process is better placed to lead. A leader of an earlier version does not tell its share.
 func (e *Election) outmatches(leader port.Leader) bool {
-	if e.self.CPU > 0 && leader.CPU > 0 {
-		return e.self.CPU.Outmatches(leader.CPU)
+	if e.self.Share > 0 && leader.Share > 0 {
+		return e.self.Share.Outmatches(leader.Share)
 	}
 	return e.self.ElectionDelay < leader.ElectionDelay
 }
@@ -72,7 +72,7 @@
 
 // formatOffer returns the record of an offer: the process, and its share of a processor in millicores.
 func formatOffer(self port.Leader) string {
-	return string(self.Process) + " " + strconv.FormatUint(uint64(self.CPU.Millicores()), 10)
+	return string(self.Process) + " " + strconv.FormatUint(uint64(self.Share.Millicores()), 10)
 }
 
 // parseOffer returns the process and the share of an offer. The share is 0 if a process of an earlier version offers.
@@ -90,7 +90,7 @@
 func (e *Election) awaitSuccessor(ctx context.Context, term Term) bool {
 	e.tenure.Begin(time.Now())
 	for pause.For(ctx, renewInterval) {
-		if e.self.ElectionDelay == 0 && !e.follower.LargestShare().Outmatches(e.self.CPU) {
+		if e.self.ElectionDelay == 0 && !e.follower.LargestShare().Outmatches(e.self.Share) {
 			continue
 		}
 		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -104,7 +104,7 @@
 		lateFor := term.Lateness.For(now)
 		if reason := e.tenure.HandOver(share, lateFor, now); reason != fitness.Stays {
 			e.log.Info("leadership handed over to a process with a larger share of a processor", "offer", process, "reason", reason,
-				"own_millicores", e.self.CPU.Millicores(), "offered_millicores", share.Millicores(), "late_ms", lateFor.Milliseconds())
+				"own_millicores", e.self.Share.Millicores(), "offered_millicores", share.Millicores(), "late_ms", lateFor.Milliseconds())
 			return true
 		}
 	}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -25,6 +25,7 @@
 	MaxLease        time.Duration // longest lease that a worker grants
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	CPUShare        float64       // CPU limit of the process as a fraction of a core; 0 if it is not known
+	UsableShare     float64       // what the link of the process lets it use of that; 0 if it is not known
 }
 
 // maxRunLease is how long runs continue without a sync, unless the platform's limit is lower. It exceeds the duration
@@ -169,7 +170,7 @@
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{}, starts: placement.NewStartLimit(settings.CPUShare),
+		allowedShares: map[string]*permit.AllowedShare{}, starts: placement.NewStartLimit(settings.UsableShare),
 	}
 }
 
--- a/internal/app/scheduler/starts.go
+++ b/internal/app/scheduler/starts.go
@@ -29,7 +29,7 @@
 // startRun sends the request to start a run and handles the result.
 func (s *Scheduler) startRun(ctx context.Context, l launch) {
 	sent, clock, err := s.requestStart(ctx, l)
-	s.startEnded()
+	s.startEnded(sent)
 	if !sent.IsZero() {
 		s.logOrdered(l, sent, err)
 	}
@@ -52,10 +52,13 @@
 		"took_ms", time.Since(sent).Milliseconds(), "kind", resultKind(err))
 }
 
-// startEnded notes that the request of a start has ended.
-func (s *Scheduler) startEnded() {
+// startEnded notes that the request of a start has ended, and when it was sent; zero if it was not.
+func (s *Scheduler) startEnded(sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !sent.IsZero() {
+		s.starts.Answered(time.Since(sent))
+	}
 	s.startsInProgress--
 	if n := s.startsInProgress; n == s.starts.Max(false)-1 || n == s.starts.Max(true)-1 {
 		s.wakePlacement()
@@ -65,9 +68,8 @@
 // requestStart sends the request once earlier requests to the worker have ended, unless the decision is too old by then. The time at
 // which it was sent is zero if it was not.
 func (s *Scheduler) requestStart(ctx context.Context, l launch) (sent time.Time, clock time.Duration, err error) {
-	delay := time.Since(l.decided) // that the leader itself causes
 	if !l.monitor.acquireRequestBy(ctx, l.decided.Add(maxOrderAge)) {
-		s.startDropped(delay)
+		s.startDropped(l)
 		return time.Time{}, 0, cmp.Or(ctx.Err(), fault.New(fault.DeadlineExceeded, "start not requested within %v", maxOrderAge))
 	}
 	defer l.monitor.releaseRequest()
@@ -76,14 +78,14 @@
 		return time.Time{}, 0, err
 	}
 	if age := now.Sub(l.decided); age > maxOrderAge {
-		s.startDropped(delay)
+		s.startDropped(l)
 		return time.Time{}, 0, fault.New(fault.DeadlineExceeded, "start not requested %v after the decision", age)
 	}
 	if !s.hasValidTicket(l, now) {
-		s.startDropped(delay)
+		s.startDropped(l)
 		return time.Time{}, 0, fault.New(fault.Unauthorized, "the ticket is no longer valid")
 	}
-	if err := s.markRequested(l, delay, now); err != nil {
+	if err := s.markRequested(l); err != nil {
 		return time.Time{}, 0, err
 	}
 	sent = time.Now()
@@ -105,8 +107,8 @@
 }
 
 // markRequested notes that the request of a start is sent. It fails with Canceled if meanwhile the run has been given up, its job is over or
-// the worker has restarted. The leader took the given delay until the request could be sent to the worker at the given time.
-func (s *Scheduler) markRequested(l launch, delay time.Duration, free time.Time) error {
+// the worker has restarted.
+func (s *Scheduler) markRequested(l launch) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run := l.monitor.worker.Run(l.request.RunRef)
@@ -118,23 +120,22 @@
 		return fault.New(fault.Canceled, "the worker has restarted before the start was requested")
 	}
 	run.Requested = true
-	now := time.Now()
-	s.starts.Sent(delay+now.Sub(free), now)
+	s.starts.Sent(time.Since(l.decided))
 	return nil
 }
 
-// startDropped notes that a decision was too old to be sent, and how long the leader itself had taken.
-func (s *Scheduler) startDropped(delay time.Duration) {
+// startDropped notes that a decision was too old to be sent.
+func (s *Scheduler) startDropped(l launch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.starts.Drop(delay, time.Now())
+	s.starts.Drop(time.Since(l.decided))
 }
 
 // adaptStarts adapts the limit of starts in progress to the time that the leader takes to send them. The lock is held.
 func (s *Scheduler) adaptStarts(now time.Time) {
 	wasReduced := s.starts.Reduced()
 	if s.starts.Adapt(now) {
-		s.term.Lateness.Note(fitness.StaleDecision, now)
+		s.term.Lateness.Note(fitness.SlowRequests, now)
 	}
 	switch reduced := s.starts.Reduced(); {
 	case reduced && !wasReduced:
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -36,7 +36,7 @@
 	ConfigKey         string   // key of the configuration in the store
 	Scheduler         scheduler.Settings
 	StopGracePeriod   time.Duration // from the signal to stop until the process is killed
-	CPU               fitness.Share // 0 if it is not known
+	Share             fitness.Share // of a processor, as far as the process can use it; 0 if it is not known
 	DrainAcceptPeriod time.Duration // how long a draining process still accepts new connections
 }
 
@@ -92,7 +92,7 @@
 	handler.remote = notLeader{}
 	self := port.Leader{
 		Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
-		ElectionDelay: fitness.StartingDelay(settings.CPU), CPU: settings.CPU,
+		ElectionDelay: fitness.StartingDelay(settings.Share), Share: settings.Share,
 	}
 	handler.self = self
 	replica := routing.NewReplica(n.table, platform.Decode, log)
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -146,11 +146,12 @@
 }
 
 func nodeSettings(s platform.Settings) cellnode.Settings {
+	share := fitness.UsableShare(s.CPUShare, s.LinkMbps)
 	return cellnode.Settings{
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), CallerAddress: s.CallerAddress,
 		ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress, Seeds: s.Seeds, ConfigKey: platform.ConfigKey,
-		Scheduler:       scheduler.Settings{MaxLease: s.MaxLease, StatusRetention: s.StatusRetention, CPUShare: s.CPUShare},
-		StopGracePeriod: s.StopGracePeriod, DrainAcceptPeriod: platform.UnreadyPropagationDelay, CPU: fitness.Share(s.CPUShare),
+		Scheduler:       scheduler.Settings{MaxLease: s.MaxLease, StatusRetention: s.StatusRetention, CPUShare: s.CPUShare, UsableShare: float64(share)},
+		StopGracePeriod: s.StopGracePeriod, DrainAcceptPeriod: platform.UnreadyPropagationDelay, Share: share,
 	}
 }
 
--- a/internal/domain/fitness/fitness.go
+++ b/internal/domain/fitness/fitness.go
@@ -1,12 +1,25 @@
-// Package fitness decides which process of a cell is best placed to lead it: by the share of a processor that each has, and by
+// Package fitness decides which process of a cell is best placed to lead it: by the share of a processor that each can use, and by
 // whether the present leader keeps up.
 package fitness
 
 import "time"
 
-// Share is the part of a processor that a process may use, in cores. 0 means that it is not known.
+// Share is the part of a processor that a process can use as leader, in cores. 0 means that it is not known.
 type Share float64
 
+// mbpsPerCore is the bandwidth that a leader needs for each core that it uses. With 10 Mbit/s it sends some 300 starts a second, whatever
+// its processor; with 0.48 of a core and 200 Mbit/s it sends more than 1,000.
+const mbpsPerCore = 80
+
+// UsableShare returns the part of a processor that a leader can use, given its share in cores and the bandwidth of its link in Mbit/s.
+// A bandwidth of 0 is not known and counts as ample.
+func UsableShare(cores, mbps float64) Share {
+	if mbps <= 0 {
+		return Share(cores)
+	}
+	return Share(min(cores, mbps/mbpsPerCore))
+}
+
 // ShareOf returns the share of the given millicores.
 func ShareOf(millicores uint32) Share { return Share(millicores) / 1000 }
 
--- a/internal/domain/fitness/fitness_test.go
+++ b/internal/domain/fitness/fitness_test.go
@@ -32,6 +32,20 @@
 	}
 }
 
+// TestUsableShare guards against a leader with a processor of middle size behind a link that is as narrow as that of the smallest VM.
+func TestUsableShare(t *testing.T) {
+	large, middle, small := fitness.UsableShare(0.8, 200), fitness.UsableShare(0.48, 10), fitness.UsableShare(0.144, 10)
+	if large != 0.8 || fitness.UsableShare(0.4, 1000) != 0.4 || fitness.UsableShare(0.4, 0) != 0.4 {
+		t.Error("a wide or unknown link takes something of the share of a processor")
+	}
+	if !large.Outmatches(middle) || middle.Outmatches(small) {
+		t.Errorf("usable shares %v, %v and %v; want only the first to outmatch", large, middle, small)
+	}
+	if fitness.StartingDelay(middle) < 200*time.Millisecond {
+		t.Errorf("a process behind a narrow link waits for %v only", fitness.StartingDelay(middle))
+	}
+}
+
 // TestStartingDelay guards against a slower start of cells in which no process knows another yet.
 func TestStartingDelay(t *testing.T) {
 	for own, want := range map[fitness.Share]time.Duration{0: 0, 0.1: 300 * time.Millisecond, 0.4: 0, 0.8: 0} {
--- a/internal/domain/fitness/lateness.go
+++ b/internal/domain/fitness/lateness.go
@@ -7,15 +7,15 @@
 
 // Signs of lateness.
 const (
-	LateTimer     Sign = iota // a timer of the process fired late
-	PassesBehind              // passes of placement leave steps out, or do not run
-	StaleDecision             // decisions were too old when they could be carried out
+	LateTimer    Sign = iota // a timer of the process fired late
+	PassesBehind             // passes of placement leave steps out, or do not run
+	SlowRequests             // even the fastest requests to workers take long
 	signCount
 )
 
 // String returns the sign for log lines and metrics.
 func (s Sign) String() string {
-	return [...]string{"timer", "passes", "stale_decisions"}[s]
+	return [...]string{"timer", "passes", "slow_requests"}[s]
 }
 
 // LateTimerAfter is the delay of a timer from which on it is a sign of lateness. Processes with a share of a processor get none for
--- a/internal/domain/placement/start_limit.go
+++ b/internal/domain/placement/start_limit.go
@@ -17,33 +17,39 @@
 const (
 	// startWindow is the time over which the limit is judged, some passes of placement.
 	startWindow = 200 * time.Millisecond
-	// LateStart is the time that the leader itself takes from a decision to the sending of the request from which on the start is late:
-	// a fifth of the age at which a decision is dropped.
-	LateStart = 100 * time.Millisecond
-	// minWindowStarts is the number of starts in a window from which on the late ones tell something.
+	// standingDelay is how much longer than ever in the term the fastest request of a window has to take for the leader to be late. What
+	// delays even the fastest one is the leader itself: a slow worker, a far one or a few requests in a row to one worker do not.
+	standingDelay = 40 * time.Millisecond
+	// minWindowStarts is the number of answers in a window from which on the fastest tells something. As many decisions that were dropped
+	// tell the same if no more were answered.
 	minWindowStarts = 4
-	lateFraction    = 1.0 / 3 // late starts of a window from which on the limit falls
-	startDecrease   = 0.7     // factor for each such window
-	startIncrease   = 8       // starts for each other window: from minStarts to MaxStarts in 2.8 s
+	startDecrease   = 0.7      // factor for each window in which the leader is late
+	startIncrease   = 1.0 / 16 // of the limit of a leader that keeps up, for each other window: back from the least in 3 s
+	// reducedBelow is the part of the limit of a leader that keeps up below which the leader is reported to start less.
+	reducedBelow = 0.5
 )
 
-// StartLimit is the aggregate of the starts that a leader may have in progress. It follows the time that the leader itself takes from
-// deciding on a start to sending it; the time for which a worker is busy with other requests does not count.
+// StartLimit is the aggregate of the starts that a leader may have in progress. It follows the time that requests take at least: that is
+// short while the leader has the processor time to send them and to read the answers.
 type StartLimit struct {
-	limit   float64
-	most    float64   // the limit of a leader that keeps up
-	window  time.Time // start of the present window; zero before the first start
-	ended   int       // starts in the window that were sent or dropped
-	late    int       // those of them that were late
-	dropped int       // decisions that were too old to be sent, of all windows
-	delay   time.Duration
+	limit    float64
+	most     float64       // the limit of a leader that keeps up
+	window   time.Time     // start of the present window; zero before the first start
+	answered int           // requests that were answered in the window
+	fastest  time.Duration // of these
+	floor    time.Duration // the fastest of the term; 0 before the first
+	dropped  int           // decisions that were too old to be sent, of all windows
+	delay    time.Duration // from a decision to its sending, smoothed
+	stale    int           // decisions dropped in the window
+	sent     bool          // a start was sent or dropped in the window
+	reduced  bool
 }
 
-// NewStartLimit returns the limit of a leader with a share of a processor, in cores; 0 if it is not known.
-func NewStartLimit(cpuShare float64) *StartLimit {
+// NewStartLimit returns the limit of a leader with a usable share of a processor, in cores; 0 if it is not known.
+func NewStartLimit(share float64) *StartLimit {
 	limit := float64(MaxStarts)
-	if cpuShare > 0 {
-		limit = min(max(cpuShare*startsPerCore, minStarts), MaxStarts)
+	if share > 0 {
+		limit = min(max(share*startsPerCore, minStarts), MaxStarts)
 	}
 	return &StartLimit{limit: limit, most: limit}
 }
@@ -56,53 +62,58 @@
 	return int(l.limit)
 }
 
-// Reduced reports whether the limit is lower than that of a leader that keeps up.
-func (l *StartLimit) Reduced() bool { return l.limit < l.most }
+// Reduced reports whether the limit has fallen far below that of a leader that keeps up, and has not returned there since.
+func (l *StartLimit) Reduced() bool { return l.reduced }
 
-// Delay returns the time that the leader recently took from deciding on a start to sending it.
+// Delay returns the time that recently passed from a decision to its sending.
 func (l *StartLimit) Delay() time.Duration { return l.delay }
 
 // Dropped returns the number of decisions that were too old to be sent.
 func (l *StartLimit) Dropped() int { return l.dropped }
 
-// Sent records that the leader took some time from deciding on a start to sending it.
-func (l *StartLimit) Sent(delay time.Duration, now time.Time) {
+// Sent records that some time passed from a decision to its sending.
+func (l *StartLimit) Sent(delay time.Duration) {
 	l.delay += (delay - l.delay) / 8
-	l.ended++
-	if delay >= LateStart {
-		l.late++
-	}
-	l.begin(now)
+	l.sent = true
 }
 
-// Drop records that a decision was too old to be sent, after the leader took some time.
-func (l *StartLimit) Drop(delay time.Duration, now time.Time) {
+// Drop records that a decision was too old to be sent.
+func (l *StartLimit) Drop(age time.Duration) {
 	l.dropped++
-	l.Sent(delay, now)
+	l.stale++
+	l.Sent(age)
 }
 
-func (l *StartLimit) begin(now time.Time) {
-	if l.window.IsZero() {
-		l.window = now
+// Answered records how long a request to a worker took.
+func (l *StartLimit) Answered(took time.Duration) {
+	if l.answered == 0 || took < l.fastest {
+		l.fastest = took
 	}
+	if l.floor == 0 || took < l.floor {
+		l.floor = took
+	}
+	l.answered++
 }
 
-// Adapt ends the windows that are over, and reports whether starts were late in the last one.
+// Adapt ends the windows that are over, and reports whether the leader was late in them.
 func (l *StartLimit) Adapt(now time.Time) (late bool) {
-	l.begin(now)
+	if l.window.IsZero() {
+		l.window = now
+	}
 	passed := int(now.Sub(l.window) / startWindow)
 	if passed <= 0 {
 		return false
 	}
-	if l.ended == 0 {
-		l.delay /= 2 // what is expected to take longer than a ticket lasts is not decided, so nothing measures it
-	}
-	late = l.ended >= minWindowStarts && float64(l.late) >= lateFraction*float64(l.ended)
+	late = l.answered >= minWindowStarts && l.fastest-l.floor >= standingDelay || l.stale >= max(minWindowStarts, l.answered)
 	if late {
 		l.limit = max(l.limit*startDecrease, minStarts)
-		passed = 0 // nothing ran in the others
+	} else {
+		l.limit = min(l.limit+float64(passed)*startIncrease*l.most, l.most)
+	}
+	l.reduced = l.limit < l.most && (l.reduced || l.limit < reducedBelow*l.most)
+	if !l.sent {
+		l.delay /= 2 // nothing is decided for which a ticket would not last, so nothing measures it
 	}
-	l.limit = min(l.limit+float64(passed*startIncrease), l.most)
-	l.window, l.ended, l.late = now, 0, 0
+	l.window, l.answered, l.fastest, l.stale, l.sent = now, 0, 0, 0, false
 	return late
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -171,7 +171,7 @@
 	// ElectionDelay is how long the process waits before it takes the vacant key as long as it does not know the shares of the others.
 	// Processes that do not tell their share are compared by it.
 	ElectionDelay time.Duration
-	CPU           fitness.Share // of the process
+	Share         fitness.Share // of a processor, as far as the process can use it
 }
 
 // FollowResult is the reason why Follow returned.
