--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -264,7 +264,7 @@
 	e := &jobEntry{
 		workflow: workflow.New(job.Spec), account: job.Account, hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
 		excess: job.Excess,
-		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
+		steps:  map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
 	}
