Refuse jobs beyond an account's share while there is no room

When more is submitted than the workers can run, what some accounts submit beyond their share was accepted like everything else and delayed the others.

It admits what is within an account's share, refuses what is beyond it with the time at which room is expected, and marks what it admits beyond the share. A job whose first step fits on the workers now is never refused.

A refusal is recorded in the store, and writes of jobs depend on the record, so that an earlier submission whose answer was lost cannot be stored afterwards.

--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -26,7 +26,7 @@
 
 // StoreJob implements port.Scheduler. It and the methods below forward the call to the leader.
 func (t *Transport) StoreJob(ctx context.Context, job port.AcceptedJob) error {
-	_, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Record{Record: encodeJob(job)}})
+	_, err := t.callLeader(ctx, &cellpb.Call{Body: &cellpb.Call_Record{Record: encodeJob(job)}, KnownRefusal: uint64(job.KnownRefusal)})
 	return err
 }
 
@@ -116,11 +116,19 @@
 	case *cellpb.Call_Ping:
 		_, leads := handler.OwnTerm()
 		status, config := t.answerConfigStatus(s.peer, call.GetConfigStatus())
-		return &cellpb.Reply{Leads: leads, Peers: t.knownAddresses(), ConfigStatus: status, Config: config}, nil
+		return &cellpb.Reply{
+			Leads: leads, Peers: t.knownAddresses(), ConfigStatus: status, Config: config, Room: encodeRoom(handler.Room()),
+		}, nil
 	case *cellpb.Call_Leader:
 		return &cellpb.Reply{Leader: encodeLeader(t.knownLeader())}, nil
 	case *cellpb.Call_Record:
-		return withJob(body.Record, func(job port.AcceptedJob) error { return handler.StoreJob(ctx, job) })
+		return withJob(body.Record, func(job port.AcceptedJob) error {
+			job.KnownRefusal = ident.Revision(call.GetKnownRefusal())
+			return handler.StoreJob(ctx, job)
+		})
+	case *cellpb.Call_Admit:
+		verdict, err := handler.Admit(ctx, decodeAdmit(body.Admit))
+		return &cellpb.Reply{Verdict: encodeVerdict(verdict)}, err
 	case *cellpb.Call_Notify:
 		return withJob(body.Notify, func(job port.AcceptedJob) error { return handler.Notify(ctx, job) })
 	case *cellpb.Call_State:
--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -121,10 +121,12 @@
 func (t *Transport) monitorLeader(ctx context.Context, s *session) error {
 	graceEnd := time.Now().Add(notLeadingGrace)
 	for ctx.Err() == nil {
+		sent := time.Now()
 		reply, err := t.ping(ctx, s)
 		if err != nil {
 			return err
 		}
+		t.observeRoom(reply, sent)
 		if err := t.exchangeConfig(ctx, s, reply); err != nil {
 			return err
 		}
--- a/internal/adapter/cellwire/session_fuzz_test.go
+++ b/internal/adapter/cellwire/session_fuzz_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/yamux"
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
@@ -26,6 +27,10 @@
 func (idleScheduler) Notify(context.Context, port.AcceptedJob) error            { return nil }
 func (idleScheduler) Cancel(context.Context, route.QueueRef, workflow.ID) error { return nil }
 func (idleScheduler) PendingJobs(context.Context, route.QueueRef) (int, error)  { return 1, nil }
+func (idleScheduler) Admit(context.Context, admission.Request) (admission.Verdict, error) {
+	return admission.Verdict{}, nil
+}
+
 func (idleScheduler) State(context.Context, route.QueueRef, workflow.ID) (workflow.State, error) {
 	return workflow.Running, nil
 }
--- a/internal/adapter/cellwire/transport.go
+++ b/internal/adapter/cellwire/transport.go
@@ -16,6 +16,7 @@
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/adapter/frame"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
@@ -48,6 +49,10 @@
 	port.PermitClient
 	// OwnTerm returns this process as leader with its term, or false if it is not the leader.
 	OwnTerm() (port.Leader, bool)
+	// Room returns what this process states about room as leader; the zero value if it is not the leader.
+	Room() admission.Statement
+	// ObserveRoom receives what the leader has stated in reply to a ping that was sent at the given time.
+	ObserveRoom(s admission.Statement, sent time.Time)
 }
 
 // Transport manages the session to the leader and the sessions that other processes opened to this one.
--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -16,6 +16,7 @@
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/frame/frametest"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/workflow"
@@ -31,6 +32,9 @@
 
 func (h leadingHandler) OwnTerm() (port.Leader, bool) { return h.leader, true }
 
+func (leadingHandler) Room() admission.Statement                  { return admission.Statement{} }
+func (leadingHandler) ObserveRoom(admission.Statement, time.Time) {}
+
 func (leadingHandler) RequestPermits(
 	context.Context, workflow.StepRef, []ident.WorkerID,
 ) (map[ident.WorkerID]permit.Ticket, error) {
--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -31,6 +31,8 @@
 	seenPriorities   map[int]bool              // priorities that were exported before; their gauge is set to 0 without tasks
 	queues           map[string]queueGauges    // queues that were exported before
 	lastDroppedLines int64                     // total at the last update
+	refusingAccounts map[string]bool           // accounts of which refusals are counted
+	roomPriorities   map[int]bool              // priorities of which the room was exported before
 }
 
 // NewCellMetrics registers the metrics of a process. Close must be called to report the last values.
@@ -41,7 +43,7 @@
 	}, cellInterval)
 	c := &CellMetrics{
 		exporter: e, scope: scope, close: closer.Close, scopes: map[[3]string]tally.Scope{}, seenPriorities: map[int]bool{},
-		queues: map[string]queueGauges{}, passes: map[string]tally.Counter{},
+		queues: map[string]queueGauges{}, refusingAccounts: map[string]bool{}, roomPriorities: map[int]bool{}, passes: map[string]tally.Counter{},
 		passSeconds: scope.Histogram("placement_pass_seconds", passBuckets),
 		stepsTried:  scope.Histogram("placement_steps_tried", stepBuckets),
 	}
@@ -112,6 +114,7 @@
 			Update(float64(s.WaitingTasks[priority]))
 	}
 	c.updateQueues(s.Queues)
+	c.updateRoom(s.RoomWaits)
 }
 
 func boolValue(b bool) float64 {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -36,6 +36,8 @@
 	leader port.Scheduler
 	table  *route.Table
 	log    *slog.Logger
+
+	refusals refusals
 }
 
 // New returns a Gateway that stores jobs with the codec and reaches the leader through the scheduler.
@@ -65,6 +67,8 @@
 type Caller struct {
 	Queue   route.Queue
 	Account account.ID // empty if the queue is public, or the configuration has no accounts
+	// ArrivedAt is when the call arrived.
+	ArrivedAt time.Time
 }
 
 // Authenticate returns the caller who presents a key. It fails with Unauthorized if the queue needs a key and no account of the
@@ -72,27 +76,31 @@
 func (g *Gateway) Authenticate(queue route.Queue, key string) (Caller, error) {
 	config := g.table.Config()
 	if queue.Public || config.Accounts.Len() == 0 {
-		return Caller{Queue: queue}, nil
+		return Caller{Queue: queue, ArrivedAt: time.Now()}, nil
 	}
 	id, ok := config.Accounts.ByKey(key)
 	if !ok {
 		return Caller{}, fault.New(fault.Unauthorized, "no account of configuration %d has the key", config.Version)
 	}
-	return Caller{Queue: queue, Account: id}, nil
+	return Caller{Queue: queue, Account: id, ArrivedAt: time.Now()}, nil
 }
 
 // MaxBodyBytes returns the limit of a request body in the active configuration, or 0 if it sets none.
 func (g *Gateway) MaxBodyBytes() int64 { return g.table.Config().MaxBodyBytes }
 
 // Submit returns when the job is stored. Submitting the same id again is idempotent. StoreUnavailable means that the job
-// was not stored and never runs, Canceled that it was cancelled and never runs, and Interrupted that it is unknown whether it was
-// stored.
+// was not stored and never runs, and so do QuotaExceeded and Overloaded, for want of room. Canceled means that it was cancelled and never
+// runs, and Interrupted that it is unknown whether it was stored.
 func (g *Gateway) Submit(ctx context.Context, caller Caller, spec workflow.Spec) error {
 	if err := spec.Validate(); err != nil {
 		return err
 	}
 	job := port.AcceptedJob{Spec: spec, Queue: caller.Queue, Account: caller.Account, AcceptedAt: time.Now()}
-	err := g.storeJob(ctx, job)
+	err := g.admit(ctx, caller, &job)
+	if err == nil {
+		err = g.storeJob(ctx, job)
+		g.noteRefusal(job, err)
+	}
 	g.log.Info("job submitted", "job", spec.ID, "queue", caller.Queue.Name, "account", caller.Account, "steps", len(spec.Steps), "version", g.table.Config().Version,
 		"took_ms", time.Since(job.AcceptedAt).Milliseconds(), "kind", outcomeLabel(err), "error", err)
 	return err
@@ -115,12 +123,12 @@
 			go g.notifyLeader(job)
 			return nil
 		}
-		if fault.Is(err, fault.Canceled) {
+		if isFinal(err) {
 			return err
 		}
 		maybeStored = maybeStored || fault.Is(err, fault.Interrupted)
 		err = g.storeThroughLeader(ctx, job)
-		if err == nil || fault.Is(err, fault.Canceled) {
+		if err == nil || isFinal(err) {
 			return err
 		}
 		maybeStored = maybeStored || fault.Is(err, fault.Interrupted)
@@ -133,6 +141,11 @@
 	}
 }
 
+// isFinal reports whether the job is certainly not stored, however often the write is repeated.
+func isFinal(err error) bool {
+	return fault.Is(err, fault.Canceled) || fault.Is(err, fault.QuotaExceeded)
+}
+
 func hasTimeToRetry(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
 	return !ok || time.Until(deadline) > storeTimeout
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -154,7 +154,9 @@
 	if e == nil || run.Started.IsZero() || run.Partial || step.Gang || step.LongRunning || step.BestEffort {
 		return
 	}
-	e.step(run.Task.StepRef).duration.Observe(m.worker, time.Since(run.Started))
+	took := time.Since(run.Started)
+	e.step(run.Task.StepRef).duration.Observe(m.worker, took)
+	s.learnDuration(e, step.Estimate, took)
 }
 
 // applyEnd applies the end of a run to its job. It returns the job and the version that its recorded progress must
--- /dev/null
+++ b/internal/app/scheduler/room_test.go
@@ -0,0 +1,165 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
+	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/route"
+	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
+)
+
+var wholeWorker = resource.Vector{MilliCores: 4000, MemoryBytes: 1 << 30}
+
+// newSharedLeader returns a leader with two workers and an account that is entitled to one job per second.
+func newSharedLeader(t *testing.T) *Scheduler {
+	t.Helper()
+	s := newLeader(t)
+	accounts, err := account.NewSet([]account.Account{{ID: "a", Share: 1}, {ID: "b", Share: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	objective := route.Objective{Stretch: 2, Slack: time.Second}
+	s.table.Apply(route.Config{Version: 1, Accounts: accounts, Queues: []route.Queue{
+		{Name: "q", Service: "desk", MaxAttempts: 3, Objective: objective},
+		{Name: "low", Service: "desk", MaxAttempts: 3, Priority: 2, Objective: objective},
+	}})
+	s.accounted = true
+	return s
+}
+
+// acceptOf accepts a job of an account in the queue of the lowest priority, whose tasks need a whole worker for 10 s each.
+func acceptOf(s *Scheduler, id workflow.ID, account account.ID, tasks int) *jobEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	step := workflow.Step{Count: tasks, Size: wholeWorker, Estimate: 10 * time.Second}
+	s.acceptJob(port.AcceptedJob{
+		Spec: workflow.Spec{ID: id, Steps: []workflow.Step{step}}, AcceptedAt: time.Now(), Account: account,
+		Queue: route.Queue{Name: "low", Service: "desk", MaxAttempts: 3, Priority: 2},
+	}, 0)
+	return s.jobs[id]
+}
+
+func observeRoomAt(s *Scheduler, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observeRoom(now)
+}
+
+func heavyRequest(id workflow.ID, account account.ID) admission.Request {
+	return admission.Request{
+		Job: id, Account: account, Queue: "low", Level: admission.Level{Service: "desk", Priority: 2}, Size: wholeWorker, Count: 1,
+	}
+}
+
+func admitAt(t *testing.T, s *Scheduler, r admission.Request) admission.Verdict {
+	t.Helper()
+	v, err := s.Admit(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// TestExcessIsRefusedWithoutRoom replays an account that has filled the workers and goes on beyond its share. It guards against excess that is
+// taken in, against another account that pays for it, and against refusals that begin while workers are free.
+func TestExcessIsRefusedWithoutRoom(t *testing.T) {
+	s, now := newSharedLeader(t), time.Now()
+	out := logged(s)
+	if observeRoomAt(s, now); !s.room.stated.IsZero() {
+		t.Fatalf("statement %+v with free workers", s.room.stated)
+	}
+	for i := range 3 {
+		acceptOf(s, workflow.ID(fmt.Sprint("j", i)), "a", 2)
+	}
+	placeAt(s, now)
+	observeRoomAt(s, now)
+	if levels := s.room.stated.Levels; len(levels) != 1 || levels[0].Priority != 2 || !levels[0].RefusesExcess || levels[0].Wait != 20*time.Second {
+		t.Errorf("levels %+v, want a wait of 20 s at priority 2: four tasks of 10 s wait for two workers", levels)
+	}
+	if v := admitAt(t, s, heavyRequest("new", "a")); v.Reason != admission.BeyondShare {
+		t.Errorf("verdict %+v on a job beyond the share", v)
+	}
+	if v := admitAt(t, s, heavyRequest("other", "b")); v.Refused() {
+		t.Errorf("the job of another account is refused: %+v", v)
+	}
+	if v := admitAt(t, s, heavyRequest("j2", "a")); v.Refused() {
+		t.Errorf("a known job is refused: %+v", v)
+	}
+	if !strings.Contains(out.String(), `msg="no room for jobs beyond shares" service=desk priority=2 wait_ms=20000 used=1 waiting=2`) {
+		t.Errorf("the lack of room is not logged:\n%s", out)
+	}
+	var state port.ProcessState
+	if s.FillState(&state); state.RoomWaits[2] != 20*time.Second {
+		t.Errorf("waits for room %v, want 20 s at priority 2", state.RoomWaits)
+	}
+}
+
+// TestExcessIsMarked guards against jobs beyond a share that wait like the others, whether the leader was asked about them or not.
+func TestExcessIsMarked(t *testing.T) {
+	s := newSharedLeader(t)
+	marked := 0
+	for i := range 4 {
+		job := port.AcceptedJob{Account: "a"}
+		job.Spec.ID = workflow.ID(fmt.Sprint("j", i))
+		s.countJob(&job)
+		if s.countJob(&job); job.Excess { // announced twice
+			marked++
+		}
+	}
+	if marked != 2 {
+		t.Errorf("%d of 4 jobs at once marked, want 2: the account may submit 2 at once", marked)
+	}
+}
+
+// TestRoomIsNotStatedBeforeRunsAreKnown replays a new leader, whose workers run tasks that they have not reported yet. It guards against
+// refusals by a leader that does not know what is free, and against an answer to a process that goes by its predecessor's statement.
+func TestRoomIsNotStatedBeforeRunsAreKnown(t *testing.T) {
+	s, now := newSharedLeader(t), time.Now()
+	for i := range 3 {
+		acceptOf(s, workflow.ID(fmt.Sprint("j", i)), "a", 2)
+	}
+	placeAt(s, now)
+	s.accounted = false
+	if observeRoomAt(s, now); !s.room.stated.IsZero() {
+		t.Errorf("statement %+v", s.room.stated)
+	}
+	if v, err := s.Admit(t.Context(), heavyRequest("new", "a")); err == nil {
+		t.Errorf("verdict %+v, want an error", v)
+	}
+}
+
+// TestRoomWithoutAccountsAndObjectives guards against a deployment that asks for nothing of this and pays for it.
+func TestRoomWithoutAccountsAndObjectives(t *testing.T) {
+	s, now := newLeader(t), time.Now()
+	s.table.Apply(route.Config{Version: 1, Queues: []route.Queue{{Name: "low", Service: "desk", Priority: 2}}})
+	s.accounted = true
+	for i := range 9 {
+		acceptOf(s, workflow.ID(fmt.Sprint("j", i)), "", 4)
+	}
+	placeAt(s, now)
+	if observeRoomAt(s, now); !s.room.stated.IsZero() {
+		t.Errorf("statement %+v", s.room.stated)
+	}
+}
+
+// TestLearnedDurations guards against an expected wait that goes by estimates that have turned out wrong.
+func TestLearnedDurations(t *testing.T) {
+	s, now := newSharedLeader(t), time.Now()
+	e := acceptOf(s, "j0", "a", 6)
+	placeAt(s, now)
+	s.mu.Lock()
+	for range 100 {
+		s.learnDuration(e, 10*time.Second, 20*time.Second)
+	}
+	s.mu.Unlock()
+	observeRoomAt(s, now)
+	if wait := s.room.stated.Levels[0].Wait; wait < 39*time.Second || wait > 41*time.Second {
+		t.Errorf("expected wait %v, want 40 s: four tasks wait for two workers, and take twice their estimate", wait)
+	}
+}
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
@@ -57,6 +58,8 @@
 	PermitClient      port.PermitClient        // used by this process
 	PeerPermitClients PeerPermitClients        // calls through other processes
 	ObservePass       func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
+	// ObserveRoom receives each statement about room and its time; nil if nobody observes them.
+	ObserveRoom func(admission.Statement, time.Time)
 }
 
 // Scheduler does the leader's work for one term. It implements port.Scheduler.
@@ -106,6 +109,7 @@
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
+	room             roomKeeper
 }
 
 // jobEntry is a job with the scheduler's own data on it.
@@ -168,7 +172,7 @@
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{},
+		allowedShares: map[string]*permit.AllowedShare{}, room: newRoomKeeper(ports.Store),
 	}
 }
 
@@ -195,6 +199,7 @@
 		}
 	})
 	s.goTask(func() { s.reportWaits(s.ctx) })
+	s.goTask(func() { s.watchRoom(s.ctx) })
 	s.goTask(func() { s.readHistory(s.ctx) })
 	s.goTask(func() { s.archiveFinished(s.ctx) })
 	s.goTask(func() { s.deleteFinished(s.ctx) })
--- a/internal/app/scheduler/state.go
+++ b/internal/app/scheduler/state.go
@@ -22,6 +22,7 @@
 		}
 	}
 	state.PlacementBehind = s.progress.Behind()
+	state.RoomWaits = s.roomByPriority()
 	state.WaitingTasks, state.Queues = map[int]int{}, map[string]port.QueueState{}
 	for _, e := range s.openJobs {
 		queue := s.queueOf(e)
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -17,6 +17,8 @@
 	"skylarkstall/internal/app/routing"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/app/storeguard"
+	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
@@ -46,7 +48,9 @@
 	Workers      scheduler.WorkerList
 	PermitClient port.PermitClient
 	ObservePass  func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
-	Decode       routing.DecodeFunc
+	// ObserveRefusal is called for each job that was refused for want of room; nil if nobody observes them.
+	ObserveRefusal func(account account.ID, reason admission.Reason)
+	Decode         routing.DecodeFunc
 	// NewCallerHandler and NewReadinessHandler return the HTTP handlers for callers and for the readiness probe.
 	NewCallerHandler    func(*gateway.Gateway) http.Handler
 	NewReadinessHandler func(func() bool) http.Handler
@@ -87,7 +91,8 @@
 		settings: settings, platform: platform, log: log, table: &route.Table{}, leader: &leaderClient{},
 		draining: make(chan struct{}),
 	}
-	handler := &peerHandler{permits: platform.PermitClient}
+	gate := &admission.Gate{}
+	handler := &peerHandler{permits: platform.PermitClient, gate: gate}
 	handler.remote = notLeader{}
 	self := port.Leader{
 		Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
@@ -103,6 +108,7 @@
 	)
 	n.configWatcher = routing.New(settings.ConfigKey, n.store, replica, log)
 	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log)
+	g.RefuseBy(gate, platform.ObserveRefusal)
 	n.callerServer = &http.Server{
 		Handler: logPanics(platform.NewCallerHandler(g), log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -117,7 +123,7 @@
 		ports := scheduler.Ports{
 			Store: n.store, RecordCodec: cellwire.RecordCodec{}, RunClient: n.platform.RunClient,
 			Workers: n.platform.Workers, PermitClient: n.platform.PermitClient, PeerPermitClients: n.transport,
-			ObservePass: n.platform.ObservePass,
+			ObservePass: n.platform.ObservePass, ObserveRoom: handler.ObserveRoom,
 		}
 		s := scheduler.New(n.settings.Process, n.settings.Scheduler, ports, n.table, term, n.log)
 		handler.term.Store(term.Number)
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"skylarkstall/internal/app/scheduler"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/route"
@@ -47,14 +49,30 @@
 	return c.target().PendingJobs(ctx, queue)
 }
 
+func (c *leaderClient) Admit(ctx context.Context, request admission.Request) (admission.Verdict, error) {
+	return c.target().Admit(ctx, request)
+}
+
 // peerHandler serves calls from other processes. It never forwards them.
 type peerHandler struct {
 	leaderClient
 	permits port.PermitClient
 	self    port.Leader // Term is not set
 	term    atomic.Uint64
+	gate    *admission.Gate
+}
+
+// Room implements cellwire.Handler.
+func (h *peerHandler) Room() admission.Statement {
+	if local := h.local.Load(); local != nil {
+		return local.Room()
+	}
+	return admission.Statement{}
 }
 
+// ObserveRoom implements cellwire.Handler.
+func (h *peerHandler) ObserveRoom(s admission.Statement, sent time.Time) { h.gate.Observe(s, sent) }
+
 // OwnTerm implements cellwire.Handler.
 func (h *peerHandler) OwnTerm() (port.Leader, bool) {
 	if h.local.Load() == nil {
@@ -82,6 +100,10 @@
 
 func (n notLeader) PendingJobs(context.Context, route.QueueRef) (int, error) { return 0, n.err() }
 
+func (n notLeader) Admit(context.Context, admission.Request) (admission.Verdict, error) {
+	return admission.Verdict{}, n.err()
+}
+
 // RequestPermits implements port.PermitClient on behalf of the leader.
 func (h *peerHandler) RequestPermits(
 	ctx context.Context, step workflow.StepRef, workers []ident.WorkerID,
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -75,7 +75,7 @@
 	events := eventlog.New(a.out, l, cellMetrics.RecordEvent)
 	log := events.Logger("process", settings.Process)
 	nodePorts := nodePlatform(settings, cellMetrics.RecordCall, log)
-	nodePorts.ObservePass = cellMetrics.RecordPass
+	nodePorts.ObservePass, nodePorts.ObserveRefusal = cellMetrics.RecordPass, cellMetrics.RecordRefusal
 	node, err := cellnode.New(nodeSettings(settings), nodePorts, log)
 	if err != nil {
 		return err
--- a/internal/domain/pool/speed.go
+++ b/internal/domain/pool/speed.go
@@ -35,6 +35,9 @@
 	e.mean += (seconds - e.mean) / float64(e.runs)
 }
 
+// Mean returns the mean duration, or 0 if no run has been observed.
+func (e *DurationEstimate) Mean() time.Duration { return time.Duration(e.mean * float64(time.Second)) }
+
 // Speed returns the speed of the worker relative to others; 1 is ordinary.
 func (w *Worker) Speed() float64 { return w.speed }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -120,8 +121,9 @@
 }
 
 type kindError struct {
-	kind Kind
-	msg  string
+	kind       Kind
+	msg        string
+	retryAfter time.Duration // 0 if the error does not say
 }
 
 func (e *kindError) Error() string { return e.msg }
@@ -131,6 +133,23 @@
 	return &kindError{kind: k, msg: fmt.Sprintf(format, args...)}
 }
 
+// WithRetryAfter adds to err when the caller should try again. It keeps the kind and the message. It returns nil for a nil err.
+func WithRetryAfter(err error, after time.Duration) error {
+	if err == nil {
+		return nil
+	}
+	return &kindError{kind: KindOf(err), msg: err.Error(), retryAfter: after}
+}
+
+// RetryAfterOf returns when the caller should try again, and false if err does not say.
+func RetryAfterOf(err error) (time.Duration, bool) {
+	var ke *kindError
+	if !errors.As(err, &ke) {
+		return 0, false
+	}
+	return ke.retryAfter, ke.retryAfter > 0
+}
+
 // Wrap adds a message to err and keeps its kind. It returns nil for a nil err.
 func Wrap(err error, format string, args ...any) error {
 	return eris.Wrapf(err, format, args...)
@@ -141,7 +160,8 @@
 	if err == nil {
 		return nil
 	}
-	return &kindError{kind: k, msg: msg + ": " + err.Error()}
+	after, _ := RetryAfterOf(err)
+	return &kindError{kind: k, msg: msg + ": " + err.Error(), retryAfter: after}
 }
 
 // KindOf returns the kind of err, or Internal if it has none.
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 
@@ -49,3 +50,21 @@
 		}
 	}
 }
+
+// TestRetryAfter guards against a time that is lost when an error is wrapped, and against one that nobody stated.
+func TestRetryAfter(t *testing.T) {
+	err := fault.WithRetryAfter(fault.New(fault.QuotaExceeded, "too many"), 3*time.Second)
+	for _, wrapped := range []error{err, fault.Wrap(err, "submit"), fault.WrapAs(fault.Overloaded, err, "submit")} {
+		if after, ok := fault.RetryAfterOf(wrapped); !ok || after != 3*time.Second {
+			t.Errorf("%v: retry after %v, %v; want 3 s", wrapped, after, ok)
+		}
+	}
+	if !fault.Is(err, fault.QuotaExceeded) || err.Error() != "too many" {
+		t.Errorf("error %v of kind %v; want the original ones", err, fault.KindOf(err))
+	}
+	for _, other := range []error{nil, fault.New(fault.QuotaExceeded, "too many"), fault.WithRetryAfter(nil, time.Second)} {
+		if after, ok := fault.RetryAfterOf(other); ok {
+			t.Errorf("%v: retry after %v", other, after)
+		}
+	}
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
-	"skylarkstall/internal/fault"
 )
 
 // Condition is true if the key has the revision. Revision 0 means that the key does not exist.
@@ -154,8 +154,14 @@
 	// Tombstone marks an id that was cancelled before a job was stored under it. A write of the job that is still on its way
 	// must not take effect. A tombstone has no steps.
 	Tombstone bool
+	// KnownRefusal is the revision of the latest refusal of the id that was known when the caller's request arrived, or 0. The job is not
+	// stored if the id was refused since. It is not part of the record.
+	KnownRefusal ident.Revision
 }
 
+// MayBeRefused reports whether jobs like this one are refused when there is no room.
+func (j *AcceptedJob) MayBeRefused() bool { return j.Account != "" || j.Queue.Objective.IsSet() }
+
 // NewTombstone returns the tombstone of an id.
 func NewTombstone(id workflow.ID, now time.Time) AcceptedJob {
 	return AcceptedJob{Spec: workflow.Spec{ID: id}, AcceptedAt: now, Tombstone: true}
@@ -213,30 +219,6 @@
 	DecodeWorkers(raw []byte, revision ident.Revision) ([]WorkerRecord, error)
 }
 
-// CreateJob stores a job if its id is not stored yet. It returns what the store holds, which differs from the job if the id was
-// stored before.
-func CreateJob(ctx context.Context, store TxnStore, codec RecordCodec, job AcceptedJob) (StoredJob, error) {
-	key, finishedKey := JobPrefix+string(job.Spec.ID), FinishedPrefix+string(job.Spec.ID)
-	result, err := store.Commit(ctx, Txn{
-		If: []Condition{{Key: key}, {Key: finishedKey}}, Writes: []Write{{Key: key, Value: codec.EncodeJob(job)}},
-	})
-	if err == nil {
-		return StoredJob{AcceptedJob: job, Revision: result.Revision}, nil
-	}
-	if !fault.Is(err, fault.Conflict) || len(result.Current) == 0 {
-		return StoredJob{}, err
-	}
-	for _, entry := range result.Current {
-		if entry.Key == finishedKey {
-			finished, err := codec.DecodeFinished(entry.Value)
-			return StoredJob{Finished: &finished}, err
-		}
-	}
-	entry := result.Current[0]
-	stored, err := codec.DecodeJob(entry.Value)
-	return StoredJob{AcceptedJob: stored, Revision: entry.Revision}, err
-}
-
 // StoredJob is what the store holds of a job.
 type StoredJob struct {
 	AcceptedJob
@@ -248,6 +230,7 @@
 const (
 	JobPrefix      = "job/"              // followed by the job's id: the accepted job
 	ProgressPrefix = "run/"              // followed by the job's id: the progress of the job
+	RefusedPrefix  = "refused/"          // followed by a job's id: the id was refused, bound to a lease
 	FinishedPrefix = "done/"             // followed by the job's id: what remains of a finished job, in place of both
 	LeaderKey      = "cell/leader"       // the leader, bound to a lease
 	SuccessorKey   = "cell/successor"    // a process that is better suited to lead, bound to a lease
@@ -276,6 +259,7 @@
 	UnrecordedJobs    int                   // jobs with progress that is not stored yet
 	WaitingTasks      map[int]int           // tasks that are ready to start, by priority
 	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
+	RoomWaits         map[int]time.Duration // expected waits for room of new jobs, by priority; priorities with room may be missing
 	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
 }
 
@@ -304,6 +288,8 @@
 	Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error
 	// PendingJobs returns the number of jobs in the queue of which no task has started.
 	PendingJobs(ctx context.Context, queue route.QueueRef) (int, error)
+	// Admit decides whether a job may be stored. A job that is known is not refused.
+	Admit(ctx context.Context, request admission.Request) (admission.Verdict, error)
 }
 
 // ConfigStatus describes the active configuration of a process.
