--- a/internal/adapter/cellwire/calls.go
+++ b/internal/adapter/cellwire/calls.go
@@ -118,6 +118,7 @@
 		status, config := t.answerConfigStatus(s.peer, call.GetConfigStatus())
 		return &cellpb.Reply{
 			Leads: leads, Peers: t.knownAddresses(), ConfigStatus: status, Config: config, Room: encodeRoom(handler.Room()),
+			LargestCpuMillicores: t.LargestShare().Millicores(),
 		}, nil
 	case *cellpb.Call_Leader:
 		return &cellpb.Reply{Leader: encodeLeader(t.knownLeader())}, nil
--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -23,17 +23,20 @@
 	held    bool          // tasks of the step may still run on a worker of an earlier leader
 	room    int           // number of starts after which the limit of starts in progress is reached; a gang may exceed it
 	partial bool          // workers holds only those on which capacity was released
+	under   int           // number of tasks that may start under the limit of the account
 	pass    *placementPass
 
 	step     *stepEntry
 	position placement.Position
-	round    uint64 // of the queue, in which the step was last found to be ready
+	aside    *asideSteps // nil while the step is in the queue
+	round    uint64      // of the queue, in which the step was last found to be ready
 }
 
 // placementPass caches what all steps that are tried in one pass have in common.
 type placementPass struct {
 	scheduler      *Scheduler
 	now            time.Time
+	ticketTime     time.Time         // until when tickets have to be valid: starts that are decided now are then sent
 	retryTime      time.Duration     // left for steps for which nothing but the time has changed
 	retriesLeft    int               // number of them that are due and were left to the next pass
 	peerNames      []ident.ProcessID // nil if not needed yet
@@ -41,7 +44,7 @@
 }
 
 func (s *Scheduler) newPass(now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, lowestPriority: -1}
+	return &placementPass{scheduler: s, now: now, ticketTime: now.Add(s.starts.Delay()), lowestPriority: -1}
 }
 
 // idleCheckInterval is the interval at which the use of a service's workers is added up.
@@ -74,12 +77,12 @@
 
 // allowedWorkers returns the workers on which the queue's policy allows the step, and which are recorded and not
 // cordoned. The lock is held.
-func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
+func (s *Scheduler) allowedWorkers(c candidate) []allowedWorker {
 	var workers []allowedWorker
 	if c.permits == nil {
 		return s.recordedWorkers()
 	}
-	for worker, ticket := range c.permits.Tickets(now) {
+	for worker, ticket := range c.permits.Tickets(c.pass.ticketTime) {
 		m := s.monitors[worker.ID]
 		if m != nil && s.mayGetRuns(m) && m.worker.Incarnation() == worker.Incarnation {
 			workers = append(workers, allowedWorker{m, ticket.Value})
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -6,6 +6,7 @@
 
 	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/admission"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
@@ -173,9 +174,10 @@
 	Address     string // host:port for other processes
 	Incarnation uint64
 	Term        uint64
-	// ElectionDelay is how long the process waits before it takes the vacant key. It is longer for a process with a smaller
-	// share of a processor.
+	// ElectionDelay is how long the process waits before it takes the vacant key as long as it does not know the shares of the others.
+	// Processes that do not tell their share are compared by it.
 	ElectionDelay time.Duration
+	CPU           fitness.Share // of the process
 }
 
 // FollowResult is the reason why Follow returned.
@@ -193,6 +195,9 @@
 type Follower interface {
 	// Follow keeps a session to the leader until it breaks or the context ends.
 	Follow(ctx context.Context, leader Leader) FollowResult
+	// LargestShare returns the largest share of a processor among the processes that follow the leader, as this process last learned
+	// it, and 0 if it knows of none.
+	LargestShare() fitness.Share
 	// DiscoverLeader queries other processes for the current leader, and returns false if none knows it.
 	DiscoverLeader(ctx context.Context) (Leader, bool)
 }
@@ -261,6 +266,10 @@
 	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
 	RoomWaits         map[int]time.Duration // expected waits for room of new jobs, by priority; priorities with room may be missing
 	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
+	LateFor           time.Duration         // for how long the leader has been late; 0 if it keeps up
+	StartLimit        int                   // starts that may be in progress
+	StartsInProgress  int                   // starts that were decided and whose request has not ended
+	DroppedStarts     int                   // decisions of the term that were too old to be sent
 }
 
 // QueueState is what waits in a queue.
