Take the arrival of a call from its context

A caller may be authenticated only after its whole call has been read. A refusal that was recorded while the body arrived would then have counted as older than the call. The context of a call is made when it arrives, and now carries that time. Log lines about room for jobs beyond shares are left out where no account has a share.

--- a/internal/app/gateway/admission.go
+++ b/internal/app/gateway/admission.go
@@ -33,13 +33,13 @@
 
 // admit decides whether to store a job, and completes it with what is known of its admission. It fails with QuotaExceeded or Overloaded if
 // the job is refused: it is not stored then, and no earlier submission of it takes effect any more.
-func (g *Gateway) admit(ctx context.Context, caller Caller, job *port.AcceptedJob) error {
+func (g *Gateway) admit(ctx context.Context, job *port.AcceptedJob) error {
 	gate := g.refusals.gate
 	if gate == nil || !job.MayBeRefused() {
 		return nil
 	}
 	if gate.MayHaveRefused(job.Account, time.Now()) {
-		if err := g.readRefusal(ctx, caller, job); err != nil {
+		if err := g.readRefusal(ctx, job); err != nil {
 			return err
 		}
 	}
@@ -75,7 +75,7 @@
 
 // readRefusal reads whether the id was refused before. A caller that returns after a refusal is served; one whose job was refused while
 // an earlier request for it was in progress must not be.
-func (g *Gateway) readRefusal(ctx context.Context, caller Caller, job *port.AcceptedJob) error {
+func (g *Gateway) readRefusal(ctx context.Context, job *port.AcceptedJob) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	revision, err := port.KnownRefusal(ctx, g.store, job.Spec.ID)
@@ -83,7 +83,7 @@
 		g.log.Info("refusals of a job not read; it is stored if there is none", "job", job.Spec.ID, "error", err)
 		return nil
 	}
-	if age := time.Since(caller.ArrivedAt); revision > 0 && age > staleAfter {
+	if age := time.Since(arrivalOf(ctx, job.AcceptedAt)); revision > 0 && age > staleAfter {
 		return fault.WithRetryAfter(fault.New(fault.QuotaExceeded, "the id may have been refused since its request arrived %v ago", age), time.Second)
 	}
 	job.KnownRefusal = revision
--- a/internal/app/gateway/admission_test.go
+++ b/internal/app/gateway/admission_test.go
@@ -118,7 +118,7 @@
 }
 
 func overloadedCaller() gateway.Caller {
-	return gateway.Caller{Queue: route.Queue{Name: "q", Service: "desk", Priority: 2}, Account: "a", ArrivedAt: time.Now()}
+	return gateway.Caller{Queue: route.Queue{Name: "q", Service: "desk", Priority: 2}, Account: "a"}
 }
 
 // TestRefusalBeforeStoring replays a submission beyond its account's share while there is no room. It guards against a refused job that is
@@ -197,11 +197,12 @@
 func TestPausedProcessDoesNotStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOverloadedGateway()
-		early := overloadedCaller()
+		early, cancel := gateway.WithResponseMargin(t.Context(), time.Minute)
+		defer cancel()
 		_ = o.Submit(t.Context(), overloadedCaller(), testSpec()) // refused
 		time.Sleep(3 * time.Second)
 		o.leader.verdict = admission.Verdict{}
-		if err := o.Submit(t.Context(), early, testSpec()); !fault.Is(err, fault.QuotaExceeded) {
+		if err := o.Submit(early, overloadedCaller(), testSpec()); !fault.Is(err, fault.QuotaExceeded) {
 			t.Errorf("the paused request ends with %v, want a refusal", err)
 		}
 		if o.store.keys[port.JobPrefix+"j"] != 0 {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -67,8 +67,6 @@
 type Caller struct {
 	Queue   route.Queue
 	Account account.ID // empty if the queue is public, or the configuration has no accounts
-	// ArrivedAt is when the call arrived.
-	ArrivedAt time.Time
 }
 
 // Authenticate returns the caller who presents a key. It fails with Unauthorized if the queue needs a key and no account of the
@@ -76,13 +74,13 @@
 func (g *Gateway) Authenticate(queue route.Queue, key string) (Caller, error) {
 	config := g.table.Config()
 	if queue.Public || config.Accounts.Len() == 0 {
-		return Caller{Queue: queue, ArrivedAt: time.Now()}, nil
+		return Caller{Queue: queue}, nil
 	}
 	id, ok := config.Accounts.ByKey(key)
 	if !ok {
 		return Caller{}, fault.New(fault.Unauthorized, "no account of configuration %d has the key", config.Version)
 	}
-	return Caller{Queue: queue, Account: id, ArrivedAt: time.Now()}, nil
+	return Caller{Queue: queue, Account: id}, nil
 }
 
 // MaxBodyBytes returns the limit of a request body in the active configuration, or 0 if it sets none.
@@ -96,7 +94,7 @@
 		return err
 	}
 	job := port.AcceptedJob{Spec: spec, Queue: caller.Queue, Account: caller.Account, AcceptedAt: time.Now()}
-	err := g.admit(ctx, caller, &job)
+	err := g.admit(ctx, &job)
 	if err == nil {
 		err = g.storeJob(ctx, job)
 		g.noteRefusal(job, err)
@@ -287,7 +285,19 @@
 	}
 }
 
-// WithResponseMargin returns a context that ends before the caller's timeout, early enough to send the response.
+// arrivalKey is the key of a context's value: when the call arrived.
+type arrivalKey struct{}
+
+// arrivalOf returns when the call of a context arrived, or the given time if the context does not tell.
+func arrivalOf(ctx context.Context, otherwise time.Time) time.Time {
+	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
+		return at
+	}
+	return otherwise
+}
+
+// WithResponseMargin returns a context for a call that arrives now. It ends before the caller's timeout, early enough to send the response.
 func WithResponseMargin(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx = context.WithValue(ctx, arrivalKey{}, time.Now())
 	return context.WithTimeout(ctx, max(timeout-responseMargin, timeout/2))
 }
--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -70,20 +70,23 @@
 		for _, load := range service.loads {
 			loads = append(loads, *load)
 		}
-		for _, level := range s.room.room.Observe(name, loads) {
-			s.logRoom(level)
+		changed := s.room.room.Observe(name, loads)
+		if config.Accounts.Len() > 0 { // without them there are no shares
+			s.logRoom(changed)
 		}
 	}
 	s.room.stated = s.room.room.Statement(now)
 }
 
-func (s *Scheduler) logRoom(level admission.LevelState) {
-	log := s.log.With("service", level.Service, "priority", level.Priority, "wait_ms", level.Wait.Milliseconds(), "used", level.Used,
-		"waiting", level.Waiting)
-	if level.RefusesExcess {
-		log.Info("no room for jobs beyond shares")
-	} else {
-		log.Info("room for jobs again")
+func (s *Scheduler) logRoom(changed []admission.LevelState) {
+	for _, level := range changed {
+		log := s.log.With("service", level.Service, "priority", level.Priority, "wait_ms", level.Wait.Milliseconds(), "used", level.Used,
+			"waiting", level.Waiting)
+		if level.RefusesExcess {
+			log.Info("no room for jobs beyond shares")
+		} else {
+			log.Info("room for jobs again")
+		}
 	}
 }
 
