--- a/internal/adapter/cellwire/admission.go
+++ b/internal/adapter/cellwire/admission.go
@@ -84,7 +84,7 @@
 }
 
 // observeRoom passes on what the leader has stated in the reply to a ping that was sent at the given time.
-func (t *Transport) observeRoom(reply *cellpb.Reply, sent time.Time) {
+func (t *Transport) observeRoom(reply pingReply, sent time.Time) {
 	if reply.GetLeads() {
 		t.handler.ObserveRoom(decodeRoom(reply.GetRoom()), sent)
 	}
--- a/internal/adapter/metrics/admission.go
+++ b/internal/adapter/metrics/admission.go
@@ -8,13 +8,6 @@
 	"skylarkstall/internal/domain/admission"
 )
 
-const (
-	// maxAccountLabels bounds the series of accounts. Names of accounts come and go with the configuration.
-	maxAccountLabels = 1000
-	// otherAccounts is the label of the accounts beyond that.
-	otherAccounts = "(other)"
-)
-
 // RecordRefusal counts a job that was refused for want of room.
 func (c *CellMetrics) RecordRefusal(id account.ID, reason admission.Reason) {
 	name := string(id)
@@ -23,7 +16,7 @@
 		if len(c.refusingAccounts) < maxAccountLabels {
 			c.refusingAccounts[name] = true
 		} else {
-			name = otherAccounts
+			name = string(otherAccounts)
 		}
 	}
 	c.mu.Unlock()
--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/eventlog"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -27,12 +28,13 @@
 	passSeconds      tally.Histogram
 	stepsTried       tally.Histogram
 	mu               sync.Mutex
-	scopes           map[[3]string]tally.Scope // scopes by label name, label value and outcome
-	seenPriorities   map[int]bool              // priorities that were exported before; their gauge is set to 0 without tasks
-	queues           map[string]queueGauges    // queues that were exported before
-	lastDroppedLines int64                     // total at the last update
-	refusingAccounts map[string]bool           // accounts of which refusals are counted
-	roomPriorities   map[int]bool              // priorities of which the room was exported before
+	scopes           map[[3]string]tally.Scope    // scopes by label name, label value and outcome
+	seenPriorities   map[int]bool                 // priorities that were exported before; their gauge is set to 0 without tasks
+	queues           map[string]queueGauges       // queues that were exported before
+	accounts         map[account.ID]accountGauges // accounts that were exported before
+	lastDroppedLines int64                        // total at the last update
+	refusingAccounts map[string]bool              // accounts of which refusals are counted
+	roomPriorities   map[int]bool                 // priorities of which the room was exported before
 
 	lastDroppedStarts int // of the term, at the last update
 }
@@ -45,7 +47,7 @@
 	}, cellInterval)
 	c := &CellMetrics{
 		exporter: e, scope: scope, close: closer.Close, scopes: map[[3]string]tally.Scope{}, seenPriorities: map[int]bool{},
-		queues: map[string]queueGauges{}, refusingAccounts: map[string]bool{}, roomPriorities: map[int]bool{}, passes: map[string]tally.Counter{},
+		queues: map[string]queueGauges{}, accounts: map[account.ID]accountGauges{}, refusingAccounts: map[string]bool{}, roomPriorities: map[int]bool{}, passes: map[string]tally.Counter{},
 		passSeconds: scope.Histogram("placement_pass_seconds", passBuckets),
 		stepsTried:  scope.Histogram("placement_steps_tried", stepBuckets),
 	}
@@ -120,6 +122,7 @@
 	}
 	c.updateQueues(s.Queues)
 	c.updateRoom(s.RoomWaits)
+	c.updateAccounts(s.Accounts)
 }
 
 func boolValue(b bool) float64 {
--- a/internal/app/scheduler/limits.go
+++ b/internal/app/scheduler/limits.go
@@ -10,6 +10,7 @@
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
 )
 
 const (
@@ -71,14 +72,14 @@
 		l.isPartial = true
 		return
 	}
-	l.usage.Add(owner.Account, run.Step.Size)
+	l.usage.Add(owner.Account, countedAs(run))
 }
 
 // RunRemoved implements pool.RunObserver.
 func (l *accountLimits) RunRemoved(worker ident.WorkerID, run *pool.Run) {
 	owner := run.Owner()
 	if owner.Known {
-		l.usage.Remove(owner.Account, run.Step.Size)
+		l.usage.Remove(owner.Account, countedAs(run))
 		l.free(l.aside[owner.Account])
 		return
 	}
@@ -87,6 +88,11 @@
 	}
 }
 
+// countedAs returns what a run counts with: its full size, also the processors of best-effort runs.
+func countedAs(run *pool.Run) account.Run {
+	return account.Run{Size: run.Step.Size, Lasts: run.Step.LongRunning}
+}
+
 // free lets the next pass look through the steps of an account that are set aside.
 func (l *accountLimits) free(a *asideSteps) {
 	if a != nil && !a.freed {
@@ -193,7 +199,7 @@
 	}
 	a.batch = releaseBatch
 	a.steps.Add(c)
-	c.aside = a
+	c.step.aside = a
 	c.step.waiting.Placed()
 	c.dropHolds()
 	l.report(id, a.steps.Len(), now)
@@ -229,13 +235,13 @@
 
 // dequeue removes a step from where enqueue or setAside has put it. The lock is held.
 func (s *Scheduler) dequeue(c *candidate) {
-	a := c.aside
+	a := c.step.aside
 	if a == nil {
 		s.queue.steps.Remove(&c.position)
 		return
 	}
 	a.steps.Remove(&c.position)
-	c.aside = nil
+	c.step.aside = nil
 	if a.first == &c.position {
 		a.first = nil
 		s.limits.free(a)
@@ -256,26 +262,26 @@
 		}
 		if s.underLimit(c) > 0 {
 			released = append(released, c)
-		} else if now.Sub(c.step.wait.since) >= yieldAfter && s.everUnderLimit(c) {
+		} else if now.Sub(c.step.wait.since) >= yieldAfter && s.isWorthWaiting(c) {
 			a.first = &c.position
 			break
 		}
 	}
 	for _, c := range released {
 		a.steps.Remove(&c.position)
-		c.aside = nil
+		c.step.aside = nil
 		s.queue.steps.Add(c)
 		s.queue.settled = false
 	}
 }
 
-// everUnderLimit reports whether a step could start if nothing of its account ran. The lock is held.
-func (s *Scheduler) everUnderLimit(c *candidate) bool {
+// isWorthWaiting reports whether the steps behind one that is set aside should leave it the room under the limit. The lock is held.
+func (s *Scheduler) isWorthWaiting(c *candidate) bool {
 	step, members := c.entry.workflow.Step(c.ref), 1
 	if step.Gang {
 		members = step.Count
 	}
-	return s.limits.usage.EverHasRoom(c.entry.account, step.Size, members)
+	return s.limits.usage.IsWorthWaiting(c.entry.account, step.Size, members)
 }
 
 // attrs states what an account runs and may run.
@@ -288,3 +294,17 @@
 		slog.String("limit", limit.String()), slog.String("unknown", unknown.String()), slog.Bool("unbounded", unbounded),
 	}
 }
+
+// states returns what each account with a limit runs.
+func (l *accountLimits) states() map[account.ID]port.AccountState {
+	states := map[account.ID]port.AccountState{}
+	for a := range l.usage.Limited() {
+		used, _ := l.usage.Used(a.ID)
+		state := port.AccountState{Used: used, Limit: a.Limit}
+		if aside := l.aside[a.ID]; aside != nil {
+			state.Aside = aside.steps.Len()
+		}
+		states[a.ID] = state
+	}
+	return states
+}
--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/admission"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
@@ -19,17 +20,16 @@
 
 // roomKeeper holds what the leader knows of room and of the shares of accounts.
 type roomKeeper struct {
-	room      *admission.Room
-	shares    *admission.Shares
-	durations map[string]*admission.QueueDuration // by queue
-	stated    admission.Statement
-	records   *port.RefusalRecorder
+	room    *admission.Room
+	shares  *admission.Shares
+	stated  admission.Statement
+	records *port.RefusalRecorder
 }
 
 func newRoomKeeper(store port.TxnStore) roomKeeper {
 	return roomKeeper{
 		records: port.NewRefusalRecorder(store),
-		room:    admission.NewRoom(), shares: admission.NewShares(), durations: map[string]*admission.QueueDuration{},
+		room:    admission.NewRoom(), shares: admission.NewShares(),
 	}
 }
 
@@ -155,23 +155,13 @@
 	}
 }
 
-// expectedDuration returns how long tasks of a step take, from those that are done, or else from the estimate and how the estimates
-// of the queue have turned out. The lock is held.
+// expectedDuration returns how long tasks of a step take, from those that are done, or else from the estimate and what tasks of the queue
+// took. The lock is held.
 func (s *Scheduler) expectedDuration(c *candidate) time.Duration {
 	if mean := c.step.duration.Mean(); mean > 0 {
 		return mean
 	}
-	return s.room.durations[c.queue.Name].Expect(c.entry.workflow.Step(c.ref).Estimate)
-}
-
-// learnDuration records how long a task of a queue took. The lock is held.
-func (s *Scheduler) learnDuration(e *jobEntry, estimate, took time.Duration) {
-	known := s.room.durations[e.queue.Name]
-	if known == nil {
-		known = &admission.QueueDuration{}
-		s.room.durations[e.queue.Name] = known
-	}
-	known.Observe(estimate, took)
+	return objective.ExpectedDuration(c.entry.workflow.Step(c.ref).Estimate, s.history(c.queue.Name).Typical())
 }
 
 // maxAnnouncementAge is the age of a job from which on it says nothing about the present rate of its account: it was read from the store
@@ -216,7 +206,7 @@
 	config := s.table.Config()
 	for i := range config.Queues {
 		if q := &config.Queues[i]; q.Name == request.Queue {
-			request.LatestStart = request.Chain.LatestStart(q.Objective, s.room.durations[q.Name].Mean())
+			request.LatestStart = request.Chain.LatestStart(q.Objective, s.history(q.Name).Typical())
 		}
 	}
 	known, _ := config.Accounts.Get(request.Account)
--- a/internal/app/scheduler/room_test.go
+++ b/internal/app/scheduler/room_test.go
@@ -185,15 +185,15 @@
 // TestLearnedDurations guards against an expected wait that goes by estimates that have turned out wrong.
 func TestLearnedDurations(t *testing.T) {
 	s, now := newSharedLeader(t), time.Now()
-	e := acceptOf(s, "j0", "a", 6)
+	acceptOf(s, "j0", "a", 6)
 	placeAt(s, now)
 	s.mu.Lock()
 	for range 100 {
-		s.learnDuration(e, 10*time.Second, 20*time.Second)
+		s.history("low").Observe(40 * time.Second)
 	}
 	s.mu.Unlock()
 	observeRoomAt(s, now)
-	if wait := s.room.stated.Levels[0].Wait; wait < 39*time.Second || wait > 41*time.Second {
-		t.Errorf("expected wait %v, want 40 s: four tasks wait for two workers, and take twice their estimate", wait)
+	if wait := s.room.stated.Levels[0].Wait; wait != 40*time.Second {
+		t.Errorf("expected wait %v, want 40 s: four tasks wait for two workers, and take half of what is typical", wait)
 	}
 }
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
@@ -113,16 +114,19 @@
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
 	room             roomKeeper
+	histories        map[string]*objective.History // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
 type jobEntry struct {
 	workflow        *workflow.Workflow
-	account         account.ID     // empty if the job belongs to none
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
 	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
+	account         account.ID     // to which the job belongs; empty if it belongs to none
 	accepted        time.Time
+	excess          bool            // accepted beyond the share of its account
+	plan            *objective.Plan // nil if the queue has no objective
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
@@ -149,6 +153,7 @@
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
 	queued   *candidate            // nil if the step is not in the queue
+	aside    *asideSteps           // nil unless the step is set aside from the queue
 	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
 }
 
@@ -177,6 +182,7 @@
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
 		allowedShares: map[string]*permit.AllowedShare{}, room: newRoomKeeper(ports.Store), starts: placement.NewStartLimit(settings.CPUShare),
+		histories: map[string]*objective.History{},
 	}
 	s.limits = newAccountLimits(s)
 	return s
@@ -261,7 +267,8 @@
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
 		workflow: workflow.New(job.Spec), account: job.Account, hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
-		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
+		excess: job.Excess,
+		steps:  map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
 	}
--- a/internal/domain/admission/objective.go
+++ b/internal/domain/admission/objective.go
@@ -3,16 +3,13 @@
 import (
 	"time"
 
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 )
 
-const (
-	// usefulFactor is how many times the duration of its objective a job may take and still be of use to its caller.
-	usefulFactor = 3
-	// durationMargin is how many times longer than expected the tasks of a job may take.
-	durationMargin = 2
-)
+// durationMargin is how many times longer than expected the tasks of a job may take.
+const durationMargin = 2
 
 // Chain is the longest chain of tasks of a job that follow one another.
 type Chain struct {
@@ -48,11 +45,11 @@
 // LatestStart returns how long a job may wait for room and still be completed while that is of use to its caller. It errs on the long
 // side. It is 0, for any time, without an objective or a chain. The mean is the duration of tasks of the queue, or 0 if it is not known:
 // it counts if it is longer than the estimates, which are rough.
-func (c Chain) LatestStart(objective route.Objective, mean time.Duration) time.Duration {
-	if !objective.IsSet() || c.Tasks == 0 {
+func (c Chain) LatestStart(target route.Objective, mean time.Duration) time.Duration {
+	if !target.IsSet() || c.Tasks == 0 {
 		return 0
 	}
 	longest := durationMargin * max(c.Estimate, time.Duration(c.Tasks)*mean)
-	useful := usefulFactor * (time.Duration(objective.Stretch*float64(longest)) + objective.Slack)
-	return max(useful-longest, minReturn)
+	var now time.Time
+	return max(objective.LimitsOf(target, now, longest).Useful.Sub(now)-longest, minReturn)
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -8,10 +8,13 @@
 	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/fault"
 )
 
 // Condition is true if the key has the revision. Revision 0 means that the key does not exist.
@@ -224,6 +227,18 @@
 	DecodeWorkers(raw []byte, revision ident.Revision) ([]WorkerRecord, error)
 }
 
+// JobRef is a job as its caller names it.
+type JobRef struct {
+	Queue   route.QueueRef
+	Account account.ID // of the caller; empty if the queue is public or the configuration has no accounts
+	ID      workflow.ID
+}
+
+// Reaches reports whether the reference is to the stored job with its id: the job is in the queue, and its owner lets the caller reach it.
+func (r JobRef) Reaches(queue route.QueueRef, owner account.ID) bool {
+	return queue.Matches(r.Queue) && r.Account.CanReach(owner)
+}
+
 // StoredJob is what the store holds of a job.
 type StoredJob struct {
 	AcceptedJob
@@ -231,6 +246,23 @@
 	Finished *FinishedJob // set if only this remains of the job; the other fields are not set then
 }
 
+// CheckSubmission returns the outcome for a caller who submitted the job and finds this in the store. It fails with Conflict if the id is
+// taken by a job of another account, and with Canceled if the job was cancelled before it was stored.
+func (s StoredJob) CheckSubmission(job AcceptedJob) error {
+	owner := s.Account
+	if s.Finished != nil {
+		owner = s.Finished.Account
+	}
+	switch {
+	case !job.Account.CanReach(owner):
+		return fault.New(fault.Conflict, "the id %s is taken by another job", job.Spec.ID)
+	case s.Finished == nil && s.Tombstone:
+		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
+	default:
+		return nil
+	}
+}
+
 // Keys and key prefixes of a cell's records in the store.
 const (
 	JobPrefix      = "job/"              // followed by the job's id: the accepted job
@@ -258,24 +290,34 @@
 	ConfigVersion     uint64
 	ConfigAge         time.Duration // since the configuration was last confirmed as the newest; 0 if it never was
 	DroppedLogLines   int64
-	Workers           int                   // workers that the leader controls
-	Runs              int                   // runs on these workers
-	UnconfirmedStarts int                   // starts that the worker has not confirmed
-	UnrecordedJobs    int                   // jobs with progress that is not stored yet
-	WaitingTasks      map[int]int           // tasks that are ready to start, by priority
-	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
-	RoomWaits         map[int]time.Duration // expected waits for room of new jobs, by priority; priorities with room may be missing
-	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
-	LateFor           time.Duration         // for how long the leader has been late; 0 if it keeps up
-	StartLimit        int                   // starts that may be in progress
-	StartsInProgress  int                   // starts that were decided and whose request has not ended
-	DroppedStarts     int                   // decisions of the term that were too old to be sent
+	Workers           int                         // workers that the leader controls
+	Runs              int                         // runs on these workers
+	UnconfirmedStarts int                         // starts that the worker has not confirmed
+	UnrecordedJobs    int                         // jobs with progress that is not stored yet
+	WaitingTasks      map[int]int                 // tasks that are ready to start, by priority
+	Queues            map[string]QueueState       // queues with tasks that are ready to start, by name
+	PlacementBehind   bool                        // passes of placement leave waiting steps untried, or do not run
+	LateFor           time.Duration               // for how long the leader has been late; 0 if it keeps up
+	StartLimit        int                         // starts that may be in progress
+	StartsInProgress  int                         // starts that were decided and whose request has not ended
+	DroppedStarts     int                         // decisions of the term that were too old to be sent
+	RoomWaits         map[int]time.Duration       // expected waits for room of new jobs, by priority; priorities with room may be missing
+	Accounts          map[account.ID]AccountState // accounts with a limit of what they may run at once
+}
+
+// AccountState is what an account with a limit runs.
+type AccountState struct {
+	Used  resource.Vector // of all its runs, also of those that may have ended unnoticed
+	Limit resource.Vector // a component of 0 is no limit
+	Aside int             // steps that wait until something of the account ends
 }
 
 // QueueState is what waits in a queue.
 type QueueState struct {
-	WaitingTasks int           // tasks that are ready to start
-	OldestWait   time.Duration // longest time for which tasks of a step have been ready to start
+	WaitingTasks int                  // tasks that are ready to start
+	OldestWait   time.Duration        // longest time for which tasks of a step have been ready to start
+	Standings    [objective.Count]int // jobs with such tasks by what can still be had of them; none if the queue has no objective
+	ExcessSteps  int                  // steps with such tasks that are behind others because their jobs are beyond the shares of their accounts
 }
 
 // PlacementPass describes one pass in which the leader tried to place waiting tasks.
@@ -287,14 +329,15 @@
 
 // Scheduler is the leader's interface for jobs. Calls fail with NotReady if there is no leader.
 type Scheduler interface {
-	// StoreJob stores a job on behalf of a process that cannot reach the store.
+	// StoreJob stores a job on behalf of a process that cannot reach the store. It fails with Conflict if the id is taken by a job of
+	// another account, and with Canceled if the job was cancelled before.
 	StoreJob(ctx context.Context, job AcceptedJob) error
 	// Notify announces a stored job, so that it can start before the leader next reads the store.
 	Notify(ctx context.Context, job AcceptedJob) error
 	// State fails with NotFound if the leader does not know the job.
-	State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error)
+	State(ctx context.Context, job JobRef) (workflow.State, error)
 	// Cancel returns when the cancellation is stored. It fails with NotFound if the job does not exist.
-	Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error
+	Cancel(ctx context.Context, job JobRef) error
 	// PendingJobs returns the number of jobs in the queue of which no task has started.
 	PendingJobs(ctx context.Context, queue route.QueueRef) (int, error)
 	// Admit decides whether a job may be stored. A job that is known is not refused.
@@ -304,12 +347,18 @@
 // ConfigStatus describes the active configuration of a process.
 type ConfigStatus struct {
 	Version   uint64    // 0 if there is none
-	Confirmed time.Time // when it was last confirmed as the newest; zero if it never was
+	Confirmed time.Time // when it was last confirmed as the newest, by the clock of the replica; zero if it never was
 }
 
+// Clock returns the present time. Values of one clock are comparable: it counts the time for which the machine is suspended, and does not
+// follow steps of the time of day.
+type Clock func() time.Time
+
 // ConfigReplica is the copy of the configuration that a process exchanges with its peers.
 type ConfigReplica interface {
-	// Current returns the status of the active configuration, and its source as the operator wrote it.
+	// Now returns the time of the clock by which evidence is dated.
+	Now() time.Time
+	// Current returns the status of the active configuration, and its source, which holds no keys.
 	Current() (ConfigStatus, []byte)
 	// Apply activates the configuration if it is newer than the active one.
 	Apply(source []byte, from string)
--- a/internal/port/create.go
+++ b/internal/port/create.go
@@ -42,6 +42,9 @@
 			return StoredJob{AcceptedJob: stored, Revision: entry.Revision}, err
 		}
 	}
+	if len(result.Current) == 0 && job.KnownRefusal == 0 {
+		return StoredJob{}, fault.WrapAs(fault.StoreUnavailable, err, "the store names no entry in conflict")
+	}
 	if job.MayBeRefused() {
 		err = fault.WithRetryAfter(fault.WrapAs(fault.QuotaExceeded, err, "the id was refused meanwhile"), refusedMeanwhile)
 	}
