--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -146,11 +146,13 @@
 	graceEnd := time.Now().Add(notLeadingGrace)
 	var peerClock int64 // of the latest reply
 	for ctx.Err() == nil {
+		sent := time.Now()
 		reply, err := t.ping(ctx, s, peerClock)
 		if err != nil {
 			return err
 		}
 		peerClock = reply.GetConfigStatus().GetClockNs()
+		t.observeRoom(reply, sent)
 		if err := t.exchangeConfig(ctx, s, reply); err != nil {
 			return err
 		}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -37,6 +37,7 @@
 	table  *route.Table
 	log    *slog.Logger
 
+	refusals   refusals
 	withdrawal account.WithdrawalPolicy
 	clock      port.Clock // by which the evidence of the table is dated
 }
@@ -110,14 +111,18 @@
 func (g *Gateway) MaxBodyBytes() int64 { return g.table.Config().MaxBodyBytes }
 
 // Submit returns when the job is stored. Submitting the same id again is idempotent. StoreUnavailable means that the job
-// was not stored and never runs, Canceled that it was cancelled and never runs, and Interrupted that it is unknown whether it was
-// stored. Conflict means that the id is taken by a job of another account.
+// was not stored and never runs, and so do QuotaExceeded and Overloaded, for want of room. Canceled means that it was cancelled and never
+// runs, Interrupted that it is unknown whether it was stored, and Conflict that the id is taken by a job of another account.
 func (g *Gateway) Submit(ctx context.Context, caller Caller, spec workflow.Spec) error {
 	if err := spec.Validate(); err != nil {
 		return err
 	}
 	job := port.AcceptedJob{Spec: spec, Queue: caller.Queue, Account: caller.Account, AcceptedAt: time.Now()}
-	err := g.storeJob(ctx, job)
+	err := g.admit(ctx, &job)
+	if err == nil {
+		err = g.storeJob(ctx, job)
+		g.noteRefusal(job, err)
+	}
 	g.log.Info("job submitted", "job", spec.ID, "queue", caller.Queue.Name, "account", caller.Account, "steps", len(spec.Steps), "version", g.table.Config().Version,
 		"took_ms", time.Since(job.AcceptedAt).Milliseconds(), "kind", outcomeLabel(err), "error", err)
 	return err
@@ -158,8 +163,11 @@
 	}
 }
 
-// isFinal reports whether another attempt to store the job cannot end differently: it was cancelled, or its id is another account's.
-func isFinal(err error) bool { return fault.Is(err, fault.Canceled) || fault.Is(err, fault.Conflict) }
+// isFinal reports whether another attempt to store the job cannot end differently: it was cancelled, its id was refused, or its id is
+// another account's.
+func isFinal(err error) bool {
+	return fault.Is(err, fault.Canceled) || fault.Is(err, fault.QuotaExceeded) || fault.Is(err, fault.Conflict)
+}
 
 func hasTimeToRetry(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
@@ -304,7 +312,19 @@
 	}
 }
 
-// WithResponseMargin returns a context that ends before the caller's timeout, early enough to send the response.
+// arrivalKey is the key of a context's value: when the call arrived.
+type arrivalKey struct{}
+
+// arrivalOf returns when the call of a context arrived, or the given time if the context does not tell.
+func arrivalOf(ctx context.Context, otherwise time.Time) time.Time {
+	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
+		return at
+	}
+	return otherwise
+}
+
+// WithResponseMargin returns a context for a call that arrives now. It ends before the caller's timeout, early enough to send the response.
 func WithResponseMargin(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx = context.WithValue(ctx, arrivalKey{}, time.Now())
 	return context.WithTimeout(ctx, max(timeout-responseMargin, timeout/2))
 }
--- a/internal/domain/objective/plan.go
+++ b/internal/domain/objective/plan.go
@@ -31,14 +31,15 @@
 		chains: make([]time.Duration, len(steps)), tails: make([]time.Duration, len(steps)),
 	}
 	for i := range steps {
-		p.durations[i] = corrected(steps[i].Estimate, typical)
+		p.durations[i] = ExpectedDuration(steps[i].Estimate, typical)
 	}
 	p.update()
 	return p
 }
 
-// corrected returns the duration to expect of a task.
-func corrected(stated, typical time.Duration) time.Duration {
+// ExpectedDuration returns the duration to expect of a task, given what its caller states and what is typical of its queue; 0 if neither is
+// known.
+func ExpectedDuration(stated, typical time.Duration) time.Duration {
 	switch {
 	case typical <= 0:
 		return stated
