--- a/internal/app/leadership/fitness_test.go
+++ b/internal/app/leadership/fitness_test.go
@@ -134,3 +134,24 @@
 		c.expectTerms("after a minute", "a")
 	})
 }
+
+// TestOfferOfOtherVersions guards against an offer that is misread: of a process of an earlier version, which tells no share, or one that
+// something else has written.
+func TestOfferOfOtherVersions(t *testing.T) {
+	for offer, want := range map[string]int{"old": 2, "odd x": 2, "odd 800 x": 2, "odd 99999999999": 2, "new 800": 2, "equal 144": 1} {
+		testUnevenCell(t, 0, func(c *unevenCell) {
+			c.start("small", 1, 0.144)
+			time.Sleep(time.Second)
+			_, err := c.store.Commit(c.ctx, port.Txn{Writes: []port.Write{{Key: port.SuccessorKey, Value: []byte(offer)}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(5 * time.Second)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if len(c.terms) != want {
+				t.Errorf("offer %q: %d terms, want %d", offer, len(c.terms), want)
+			}
+		})
+	}
+}
