Renew an offer to lead instead of repeating it

All processes that could offer checked every 5 s, at the same time, and found an offer that expired a second later.

Change: the process that made the offer renews its lease. TestOfferStands fails without it.

--- a/internal/app/leadership/fitness_test.go
+++ b/internal/app/leadership/fitness_test.go
@@ -13,13 +13,14 @@
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/fault"
 	"skylarkstall/internal/port"
 )
 
 // unevenCell is a cell of processes with different shares of a processor, all of which know the largest one.
 type unevenCell struct {
 	t       *testing.T
-	store   *keyStore
+	store   port.TxnStore
 	ctx     context.Context
 	wg      sync.WaitGroup
 	largest fitness.Share
@@ -135,6 +136,65 @@
 	})
 }
 
+// expiringStore is a keyStore of which the leases expire.
+type expiringStore struct {
+	*keyStore
+	mu      sync.Mutex
+	expires map[port.LeaseID]time.Time
+	ttl     map[port.LeaseID]time.Duration
+}
+
+func (s *expiringStore) Grant(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
+	lease, err := s.keyStore.Grant(ctx, ttl)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ttl[lease], s.expires[lease] = ttl, time.Now().Add(ttl)
+	return lease, err
+}
+
+func (s *expiringStore) KeepAlive(ctx context.Context, lease port.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !time.Now().Before(s.expires[lease]) {
+		return fault.New(fault.NotFound, "lease %d has expired", lease)
+	}
+	s.expires[lease] = time.Now().Add(s.ttl[lease])
+	return s.keyStore.KeepAlive(ctx, lease)
+}
+
+func (s *expiringStore) Get(ctx context.Context, key string) (port.Entry, error) {
+	entry, err := s.keyStore.Get(ctx, key)
+	s.mu.Lock()
+	expired := err == nil && entry.Lease != 0 && !time.Now().Before(s.expires[entry.Lease])
+	s.mu.Unlock()
+	if expired {
+		_ = s.EndLease(ctx, entry.Lease)
+		return port.Entry{}, fault.New(fault.NotFound, "no key %s", key)
+	}
+	return entry, err
+}
+
+// TestOfferStands guards against a leader that finds no offer when it falls behind, because the processes that could make one all wait
+// for the next time.
+func TestOfferStands(t *testing.T) {
+	testUnevenCell(t, 0.8, func(c *unevenCell) {
+		c.store = &expiringStore{keyStore: newKeyStore(), expires: map[port.LeaseID]time.Time{}, ttl: map[port.LeaseID]time.Duration{}}
+		c.start("middle", 1, 0.48)
+		time.Sleep(20 * time.Second)
+		for i, id := range []ident.ProcessID{"a", "b", "c"} {
+			c.start(id, uint64(i+2), 0.8)
+		}
+		time.Sleep(time.Second)
+		for range 100 {
+			time.Sleep(300 * time.Millisecond)
+			if _, err := c.store.Get(c.ctx, port.SuccessorKey); err != nil {
+				t.Fatalf("no offer: %v", err)
+			}
+		}
+		c.expectTerms("while the leader keeps up", "middle")
+	})
+}
+
 // TestOfferOfOtherVersions guards against an offer that is misread: of a process of an earlier version, which tells no share, or one that
 // something else has written.
 func TestOfferOfOtherVersions(t *testing.T) {
--- a/internal/app/leadership/succession.go
+++ b/internal/app/leadership/succession.go
@@ -17,9 +17,9 @@
 const (
 	// offerDelay leaves the leader time to read the store, which the successor then finds up to date.
 	offerDelay = 500 * time.Millisecond
-	// offerTTL is how long an offer stands. It exceeds offerInterval, so that a leader that falls behind finds one.
+	// offerTTL is how long an offer stands unless it is renewed. It exceeds offerInterval, so that a leader that falls behind finds one.
 	offerTTL = 6 * time.Second
-	// offerInterval is the interval at which an offer is repeated while the leader stays.
+	// offerInterval is the interval at which an offer is renewed while the leader stays.
 	offerInterval = 5 * time.Second
 	// unableTime is how long a process that gave way does not offer to lead.
 	unableTime = 30 * time.Second
@@ -31,6 +31,7 @@
 	if !e.outmatches(leader) || e.hasResigned() {
 		return
 	}
+	var offered port.LeaseID // of the offer of this process; 0 if there is none
 	for wait := offerDelay; pause.For(ctx, wait); wait = offerInterval {
 		if e.hasResigned() {
 			return
@@ -38,7 +39,8 @@
 		if time.Since(e.gaveWayAt) < unableTime {
 			continue
 		}
-		if err := e.offerOnce(ctx); err != nil && !fault.Is(err, fault.Conflict) {
+		var err error
+		if offered, err = e.offerOnce(ctx, offered); err != nil && !fault.Is(err, fault.Conflict) {
 			e.log.Info("succession not offered", "leader", leader.Process, "error", err)
 		}
 	}
@@ -52,22 +54,31 @@
 	return e.self.ElectionDelay < leader.ElectionDelay
 }
 
-// offerOnce writes the offer unless there is one. It fails with Conflict if there is.
-func (e *Election) offerOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+// offerOnce renews the offer that this process has made, or makes one unless another process has. It returns the lease of its offer, and
+// fails with Conflict if another process was faster.
+func (e *Election) offerOnce(ctx context.Context, offered port.LeaseID) (port.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
+	if offered != 0 {
+		if err := e.store.KeepAlive(ctx, offered); !fault.Is(err, fault.NotFound) {
+			return offered, err
+		}
+	}
 	if _, err := e.store.Get(ctx, port.SuccessorKey); !fault.Is(err, fault.NotFound) {
-		return err
+		return 0, err
 	}
 	lease, err := e.store.Grant(ctx, offerTTL)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	_, err = e.store.Commit(ctx, port.Txn{
 		If:     []port.Condition{{Key: port.SuccessorKey}},
 		Writes: []port.Write{{Key: port.SuccessorKey, Value: []byte(formatOffer(e.self)), Lease: lease}},
 	})
-	return err
+	if err != nil {
+		return 0, err
+	}
+	return lease, nil
 }
 
 // formatOffer returns the record of an offer: the process, and its share of a processor in millicores.
