Keep what the leader told of shares while others ask for it

While the store is away the processes ask each other for the leader, and a follower took those that asked it for the followers of the leader.

Change: only the leader counts its sessions; others keep what it told them.

--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -63,18 +63,18 @@
 }
 
 // LargestShare returns the largest share of a processor among the processes that follow the leader: on the leader itself those in
-// touch, elsewhere what the leader last told.
+// touch, elsewhere what the leader last told. Sessions to other processes are those of queries.
 func (t *Transport) LargestShare() fitness.Share {
+	_, leads := t.handler.OwnTerm()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.inbound) == 0 {
-		return t.largestShare
-	}
-	var largest fitness.Share
-	for _, s := range t.inbound {
-		largest = max(largest, s.share)
+	if leads && len(t.inbound) > 0 {
+		t.largestShare = 0
+		for _, s := range t.inbound {
+			t.largestShare = max(t.largestShare, s.share)
+		}
 	}
-	return largest
+	return t.largestShare
 }
 
 func (t *Transport) learnLargestShare(share fitness.Share) {
