--- a/internal/adapter/cellwire/leader.go
+++ b/internal/adapter/cellwire/leader.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 
 	"skylarkstall/internal/adapter/cellwire/cellpb"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/fault"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -61,6 +62,29 @@
 	t.leaderSession, t.followedLeader = s, leader
 }
 
+// LargestShare returns the largest share of a processor among the processes that follow the leader: on the leader itself those in
+// touch, elsewhere what the leader last told. Sessions to other processes are those of queries.
+func (t *Transport) LargestShare() fitness.Share {
+	_, leads := t.handler.OwnTerm()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if leads && len(t.inbound) > 0 {
+		t.largestShare = 0
+		for _, s := range t.inbound {
+			t.largestShare = max(t.largestShare, s.share)
+		}
+	}
+	return t.largestShare
+}
+
+func (t *Transport) learnLargestShare(share fitness.Share) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if share > 0 {
+		t.largestShare = share
+	}
+}
+
 // DiscoverLeader queries all known processes for the leader. It returns the one with the highest term, or false if no process
 // knows a leader.
 func (t *Transport) DiscoverLeader(ctx context.Context) (port.Leader, bool) {
@@ -122,15 +146,18 @@
 	graceEnd := time.Now().Add(notLeadingGrace)
 	var peerClock int64 // of the latest reply
 	for ctx.Err() == nil {
+		sent := time.Now()
 		reply, err := t.ping(ctx, s, peerClock)
 		if err != nil {
 			return err
 		}
 		peerClock = reply.GetConfigStatus().GetClockNs()
+		t.observeRoom(reply, sent)
 		if err := t.exchangeConfig(ctx, s, reply); err != nil {
 			return err
 		}
 		t.addAddresses(reply.GetPeers()...)
+		t.learnLargestShare(fitness.ShareOf(reply.GetLargestCpuMillicores()))
 		leads := reply.GetLeads()
 		if !leads && !time.Now().Before(graceEnd) {
 			return fault.New(fault.NotReady, "%s is no longer the leader", s.peer)
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -10,7 +10,9 @@
 
 	"skylarkstall/internal/app/leadership"
 	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
@@ -26,6 +28,7 @@
 	MaxLease        time.Duration // longest lease that a worker grants
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	CPUShare        float64       // CPU limit of the process as a fraction of a core; 0 if it is not known
+	UsableShare     float64       // what the link of the process lets it use of that; 0 if it is not known
 }
 
 // maxRunLease is how long runs continue without a sync, unless the platform's limit is lower. It exceeds the duration
@@ -58,6 +61,8 @@
 	PermitClient      port.PermitClient        // used by this process
 	PeerPermitClients PeerPermitClients        // calls through other processes
 	ObservePass       func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
+	// ObserveRoom receives each statement about room and its time; nil if nobody observes them.
+	ObserveRoom func(admission.Statement, time.Time)
 }
 
 // Scheduler does the leader's work for one term. It implements port.Scheduler.
@@ -99,14 +104,18 @@
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
 	queue            waitQueue
-	idle             map[string]idleCheck            // by service
-	openGangs        map[workflow.ID]*jobEntry       // open jobs with a gang
-	roster           *workerRoster                   // nil if it has to be made again
-	releases         releaseLog                      // capacity that placement has not used yet
+	idle             map[string]idleCheck      // by service
+	openGangs        map[workflow.ID]*jobEntry // open jobs with a gang
+	roster           *workerRoster             // nil if it has to be made again
+	releases         releaseLog                // capacity that placement has not used yet
+	limits           accountLimits
 	startsInProgress int                             // placed, and the request of the start has not ended
+	starts           *placement.StartLimit           // of startsInProgress
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
+	room             roomKeeper
+	histories        map[string]*objective.History // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
@@ -117,6 +126,8 @@
 	queue           route.Queue    // as it was when the job was accepted
 	account         account.ID     // to which the job belongs; empty if it belongs to none
 	accepted        time.Time
+	excess          bool            // accepted beyond the share of its account
+	plan            *objective.Plan // nil if the queue has no objective
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
@@ -143,6 +154,7 @@
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
 	queued   *candidate            // nil if the step is not in the queue
+	aside    *asideSteps           // nil unless the step is set aside from the queue
 	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
 }
 
@@ -159,7 +171,7 @@
 func New(
 	self ident.ProcessID, settings Settings, ports Ports, table *route.Table, term leadership.Term, log *slog.Logger,
 ) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
@@ -170,8 +182,11 @@
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{},
+		allowedShares: map[string]*permit.AllowedShare{}, room: newRoomKeeper(ports.Store), starts: placement.NewStartLimit(settings.UsableShare),
+		histories: map[string]*objective.History{},
 	}
+	s.limits = newAccountLimits(s)
+	return s
 }
 
 // Run runs the scheduler until the context ends or the process finds that it is no longer the leader. It reports whether the
@@ -197,6 +212,7 @@
 		}
 	})
 	s.goTask(func() { s.reportWaits(s.ctx) })
+	s.goTask(func() { s.watchRoom(s.ctx) })
 	s.goTask(func() { s.readHistory(s.ctx) })
 	s.goTask(func() { s.archiveFinished(s.ctx) })
 	s.goTask(func() { s.deleteFinished(s.ctx) })
@@ -251,8 +267,9 @@
 // addJob adds a job that the store holds. The lock is held.
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
-		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, account: job.Account, accepted: job.AcceptedAt,
-		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
+		workflow: workflow.New(job.Spec), account: job.Account, hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
+		excess: job.Excess,
+		steps:  map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
 	}
--- a/internal/app/scheduler/waits.go
+++ b/internal/app/scheduler/waits.go
@@ -37,6 +37,7 @@
 	waitUntried       waitReason = "pass_out_of_time"   // the passes of placement did not reach the step
 	waitCrashRecord   waitReason = "crash_unrecorded"   // a crash or a run in doubt is not recorded yet
 	waitDoubts        waitReason = "runs_in_doubt"      // too many workers have crashed, or may have, under the task
+	waitAccountLimit  waitReason = "account_limit"      // the account may not run more at once
 	waitNoAttempts    waitReason = "no_attempts"
 	waitGangMember    waitReason = "gang_member_active" // a member of an earlier run of the gang is active
 	waitNoPermit      waitReason = "no_permit"          // no worker has a valid ticket
@@ -72,6 +73,8 @@
 type waitReport struct {
 	ref      workflow.StepRef
 	priority int
+	outlook  outlook
+	excess   bool          // the job was accepted beyond the share of its account
 	age      time.Duration // of the job
 	waited   time.Duration
 	unplaced int
@@ -85,6 +88,7 @@
 		slog.String("step", r.ref.String()), slog.String("kind", string(r.reason)),
 		slog.Int64("waited_ms", r.waited.Milliseconds()), slog.Int64("age_ms", r.age.Milliseconds()),
 		slog.Int("unplaced", r.unplaced), slog.Int("first", r.first), slog.Int("priority", r.priority),
+		slog.String("standing", r.outlook.standing.String()), slog.Bool("excess", r.excess), slog.Bool("behind", r.outlook.rank.IsBehind()),
 	}
 	for _, a := range r.attrs {
 		attrs = append(attrs, a)
@@ -141,7 +145,7 @@
 			wait := &e.step(ref).wait
 			wait.observe(now)
 			if !now.Before(wait.report) {
-				c := e.newCandidate(ref, s.queueOf(e), now)
+				c := s.newCandidate(e, ref, s.queueOf(e), now)
 				c.held = s.mayRunOnUnsynced(e)
 				due = append(due, *c)
 			}
@@ -167,16 +171,18 @@
 	waiting := c.entry.workflow.Waiting(c.ref)
 	report := waitReport{
 		ref: c.ref, priority: c.queue.Priority, age: now.Sub(c.entry.accepted), waited: now.Sub(step.wait.since),
-		unplaced: len(waiting), first: waiting[0],
+		unplaced: len(waiting), first: waiting[0], outlook: c.outlook, excess: c.entry.excess,
 	}
 	c.permits, c.waited = step.permits, step.waiting.For(now)
-	c.workers = s.allowedWorkers(c, now)
+	c.workers = s.allowedWorkers(c)
 	task := workflow.TaskRef{StepRef: c.ref, Index: report.first}
 	switch {
 	case c.held:
 		report.reason, report.attrs = waitUnsynced, s.unsyncedAttrs(c.entry)
 	case s.authority.doubtful:
 		report.reason = waitUnconfirmed
+	case s.underLimit(&c) == 0:
+		report.reason, report.attrs = waitAccountLimit, s.limits.attrs(c.entry.account)
 	case step.wait.untriedFor(now) > untriedLimit:
 		report.reason = waitUntried
 		report.attrs = []slog.Attr{slog.Int64("untried_ms", step.wait.untriedFor(now).Milliseconds())}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -5,9 +5,13 @@
 	"time"
 
 	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -154,8 +158,14 @@
 	// Tombstone marks an id that was cancelled before a job was stored under it. A write of the job that is still on its way
 	// must not take effect. A tombstone has no steps.
 	Tombstone bool
+	// KnownRefusal is the revision of the latest refusal of the id that was known when the caller's request arrived, or 0. The job is not
+	// stored if the id was refused since. It is not part of the record.
+	KnownRefusal ident.Revision
 }
 
+// MayBeRefused reports whether jobs like this one are refused when there is no room.
+func (j *AcceptedJob) MayBeRefused() bool { return j.Account != "" || j.Queue.Objective.IsSet() }
+
 // NewTombstone returns the tombstone of an id.
 func NewTombstone(id workflow.ID, now time.Time) AcceptedJob {
 	return AcceptedJob{Spec: workflow.Spec{ID: id}, AcceptedAt: now, Tombstone: true}
@@ -167,9 +177,10 @@
 	Address     string // host:port for other processes
 	Incarnation uint64
 	Term        uint64
-	// ElectionDelay is how long the process waits before it takes the vacant key. It is longer for a process with a smaller
-	// share of a processor.
+	// ElectionDelay is how long the process waits before it takes the vacant key as long as it does not know the shares of the others.
+	// Processes that do not tell their share are compared by it.
 	ElectionDelay time.Duration
+	Share         fitness.Share // of a processor, as far as the process can use it
 }
 
 // FollowResult is the reason why Follow returned.
@@ -187,6 +198,9 @@
 type Follower interface {
 	// Follow keeps a session to the leader until it breaks or the context ends.
 	Follow(ctx context.Context, leader Leader) FollowResult
+	// LargestShare returns the largest share of a processor among the processes that follow the leader, as this process last learned
+	// it, and 0 if it knows of none.
+	LargestShare() fitness.Share
 	// DiscoverLeader queries other processes for the current leader, and returns false if none knows it.
 	DiscoverLeader(ctx context.Context) (Leader, bool)
 }
@@ -225,33 +239,6 @@
 	return queue.Matches(r.Queue) && r.Account.CanReach(owner)
 }
 
-// CreateJob stores a job if its id is not stored yet. It returns what the store holds, which differs from the job if the id was
-// stored before.
-func CreateJob(ctx context.Context, store TxnStore, codec RecordCodec, job AcceptedJob) (StoredJob, error) {
-	key, finishedKey := JobPrefix+string(job.Spec.ID), FinishedPrefix+string(job.Spec.ID)
-	result, err := store.Commit(ctx, Txn{
-		If: []Condition{{Key: key}, {Key: finishedKey}}, Writes: []Write{{Key: key, Value: codec.EncodeJob(job)}},
-	})
-	if err == nil {
-		return StoredJob{AcceptedJob: job, Revision: result.Revision}, nil
-	}
-	if !fault.Is(err, fault.Conflict) {
-		return StoredJob{}, err
-	}
-	if len(result.Current) == 0 {
-		return StoredJob{}, fault.WrapAs(fault.StoreUnavailable, err, "the store names no entry in conflict")
-	}
-	for _, entry := range result.Current {
-		if entry.Key == finishedKey {
-			finished, err := codec.DecodeFinished(entry.Value)
-			return StoredJob{Finished: &finished}, err
-		}
-	}
-	entry := result.Current[0]
-	stored, err := codec.DecodeJob(entry.Value)
-	return StoredJob{AcceptedJob: stored, Revision: entry.Revision}, err
-}
-
 // StoredJob is what the store holds of a job.
 type StoredJob struct {
 	AcceptedJob
@@ -280,6 +267,7 @@
 const (
 	JobPrefix      = "job/"              // followed by the job's id: the accepted job
 	ProgressPrefix = "run/"              // followed by the job's id: the progress of the job
+	RefusedPrefix  = "refused/"          // followed by a job's id: the id was refused, bound to a lease
 	FinishedPrefix = "done/"             // followed by the job's id: what remains of a finished job, in place of both
 	LeaderKey      = "cell/leader"       // the leader, bound to a lease
 	SuccessorKey   = "cell/successor"    // a process that is better suited to lead, bound to a lease
@@ -302,19 +290,34 @@
 	ConfigVersion     uint64
 	ConfigAge         time.Duration // since the configuration was last confirmed as the newest; 0 if it never was
 	DroppedLogLines   int64
-	Workers           int                   // workers that the leader controls
-	Runs              int                   // runs on these workers
-	UnconfirmedStarts int                   // starts that the worker has not confirmed
-	UnrecordedJobs    int                   // jobs with progress that is not stored yet
-	WaitingTasks      map[int]int           // tasks that are ready to start, by priority
-	Queues            map[string]QueueState // queues with tasks that are ready to start, by name
-	PlacementBehind   bool                  // passes of placement leave waiting steps untried, or do not run
+	Workers           int                         // workers that the leader controls
+	Runs              int                         // runs on these workers
+	UnconfirmedStarts int                         // starts that the worker has not confirmed
+	UnrecordedJobs    int                         // jobs with progress that is not stored yet
+	WaitingTasks      map[int]int                 // tasks that are ready to start, by priority
+	Queues            map[string]QueueState       // queues with tasks that are ready to start, by name
+	PlacementBehind   bool                        // passes of placement leave waiting steps untried, or do not run
+	LateFor           time.Duration               // for how long the leader has been late; 0 if it keeps up
+	StartLimit        int                         // starts that may be in progress
+	StartsInProgress  int                         // starts that were decided and whose request has not ended
+	DroppedStarts     int                         // decisions of the term that were too old to be sent
+	RoomWaits         map[int]time.Duration       // expected waits for room of new jobs, by priority; priorities with room may be missing
+	Accounts          map[account.ID]AccountState // accounts with a limit of what they may run at once
+}
+
+// AccountState is what an account with a limit runs.
+type AccountState struct {
+	Used  resource.Vector // of all its runs, also of those that may have ended unnoticed
+	Limit resource.Vector // a component of 0 is no limit
+	Aside int             // steps that wait until something of the account ends
 }
 
 // QueueState is what waits in a queue.
 type QueueState struct {
-	WaitingTasks int           // tasks that are ready to start
-	OldestWait   time.Duration // longest time for which tasks of a step have been ready to start
+	WaitingTasks int                  // tasks that are ready to start
+	OldestWait   time.Duration        // longest time for which tasks of a step have been ready to start
+	Standings    [objective.Count]int // jobs with such tasks by what can still be had of them; none if the queue has no objective
+	ExcessSteps  int                  // steps with such tasks that are behind others because their jobs are beyond the shares of their accounts
 }
 
 // PlacementPass describes one pass in which the leader tried to place waiting tasks.
@@ -337,6 +340,8 @@
 	Cancel(ctx context.Context, job JobRef) error
 	// PendingJobs returns the number of jobs in the queue of which no task has started.
 	PendingJobs(ctx context.Context, queue route.QueueRef) (int, error)
+	// Admit decides whether a job may be stored. A job that is known is not refused.
+	Admit(ctx context.Context, request admission.Request) (admission.Verdict, error)
 }
 
 // ConfigStatus describes the active configuration of a process.
