Decode a record of the configuration once

Cause: a process reads the configuration about once a second and decoded it each time.

Change: a record with the revision of the one that was decoded last is not decoded again; it confirms the version all the same. A record that is refused is tried, and logged, each time as before.

Result: TestRecordIsDecodedOnce: two decodings in 10 s with one change, where there was one a second; tests of app/routing pass.

--- a/internal/app/routing/routing.go
+++ b/internal/app/routing/routing.go
@@ -31,6 +31,13 @@
 	log     *slog.Logger
 
 	unconfirmed bool // reported as not confirmed
+
+	// read is the latest record that was decoded, and its version. The record is decoded once, since with many accounts that takes longer than
+	// all else that a small process does in a second.
+	read struct {
+		revision ident.Revision
+		version  uint64
+	}
 }
 
 // New returns a watcher that updates the replica.
@@ -41,7 +48,7 @@
 // Run applies changes of the configuration until the context ends.
 func (w *ConfigWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		asOf, err := w.read(ctx)
+		asOf, err := w.readConfig(ctx)
 		w.reportAge(w.replica.Now())
 		if err != nil {
 			status, _ := w.replica.Current()
@@ -53,8 +60,8 @@
 	}
 }
 
-// read applies the stored configuration and returns the revision to watch from.
-func (w *ConfigWatcher) read(ctx context.Context) (ident.Revision, error) {
+// readConfig applies the stored configuration and returns the revision to watch from.
+func (w *ConfigWatcher) readConfig(ctx context.Context) (ident.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := w.replica.Now()
@@ -64,13 +71,24 @@
 	}
 	for _, entry := range entries {
 		if entry.Key == w.key {
-			version := w.replica.apply(entry.Value, "store")
-			w.replica.Confirm(port.ConfigStatus{Version: version, Confirmed: sentAt}, "store")
+			w.replica.Confirm(port.ConfigStatus{Version: w.apply(entry), Confirmed: sentAt}, "store")
 		}
 	}
 	return asOf, nil
 }
 
+// apply applies a record of the configuration and returns its version, or 0 if it cannot be decoded.
+func (w *ConfigWatcher) apply(entry port.Entry) uint64 {
+	if entry.Revision != 0 && entry.Revision == w.read.revision {
+		return w.read.version
+	}
+	version := w.replica.apply(entry.Value, "store")
+	if version != 0 {
+		w.read.revision, w.read.version = entry.Revision, version
+	}
+	return version
+}
+
 // reportAge logs when the configuration has not been confirmed for long, and when it is confirmed again.
 func (w *ConfigWatcher) reportAge(now time.Time) {
 	version, confirmed := w.replica.table.Config().Version, w.replica.table.Confirmed()
--- a/internal/app/routing/routing_test.go
+++ b/internal/app/routing/routing_test.go
@@ -20,7 +20,7 @@
 
 const configKey = "op/config"
 
-// fakeStore holds a configuration, whose value is its version. No watch reports an event.
+// fakeStore holds a configuration, whose value and revision are its version. No watch reports an event.
 type fakeStore struct {
 	port.TxnStore
 	mu      sync.Mutex
@@ -40,7 +40,7 @@
 	if s.down {
 		return nil, 0, fault.New(fault.Unavailable, "the store is down")
 	}
-	return []port.Entry{{Key: configKey, Value: []byte(strconv.Itoa(s.version))}}, 1, nil
+	return []port.Entry{{Key: configKey, Value: []byte(strconv.Itoa(s.version)), Revision: ident.Revision(s.version)}}, 1, nil
 }
 
 func (s *fakeStore) Watch(
@@ -89,6 +89,34 @@
 	})
 }
 
+// TestRecordIsDecodedOnce guards against a small process that spends its processor time on the configuration, which it reads each second, and
+// against one that no longer confirms it, or misses a change, because it is not decoded again.
+func TestRecordIsDecodedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, table, logger := &fakeStore{version: 7}, &route.Table{}, slog.New(slog.DiscardHandler)
+		decoded := map[string]int{}
+		count := func(source []byte) (route.Config, error) {
+			decoded[string(source)]++
+			return decode(source)
+		}
+		watcher := routing.New(configKey, store, routing.NewReplica(table, count, time.Now, logger), logger)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); watcher.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		store.set(9, false)
+		time.Sleep(5 * time.Second)
+		cancel()
+		<-ended
+		if decoded["7"] != 1 || decoded["9"] != 1 {
+			t.Errorf("versions 7 and 9 were decoded %d and %d times, want once", decoded["7"], decoded["9"])
+		}
+		if age, known := table.Confirmed().Age(time.Now()); table.Config().Version != 9 || !known || age > time.Second {
+			t.Errorf("version %d, confirmed %v ago; want version 9, confirmed at most 1 s ago", table.Config().Version, age)
+		}
+	})
+}
+
 // TestPanicAtConfiguration guards against a configuration at which every process ends when it reads it, or hears of it from another
 // process.
 func TestPanicAtConfiguration(t *testing.T) {
