Bound what may run on silent workers by the jobs too

Cause: after a change of the leader the whole capacity of each worker that has not reported counted as used by every account with a limit, without any bound if the list of workers did not name one of them any more.

Change: the tasks without a known run of those jobs of an account that may run on a silent worker are a second bound, as soon as every job is known that the former leader may have started there. The least of both counts.

Result: TestTakeoverAfterLossOfRack fails before; random states of a takeover keep the limits, also with unlisted workers and jobs that the new leader does not know yet, and fail if the tasks are left out.

--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -35,10 +35,18 @@
 		case ctx.Err() == nil:
 			s.log.Warn("jobs not watched", "error", err)
 		}
+		s.noteJobsRead(after)
 		pause.For(ctx, watchPause)
 	}
 }
 
+// noteJobsRead notes that every job that was stored up to a revision has been read.
+func (s *Scheduler) noteJobsRead(through ident.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobsReadTo = max(s.jobsReadTo, through)
+}
+
 // readJobs reads the jobs that are not archived after the store has compacted its history, and returns the revision to watch
 // from.
 func (s *Scheduler) readJobs(ctx context.Context, after ident.Revision) ident.Revision {
--- a/internal/app/scheduler/limits.go
+++ b/internal/app/scheduler/limits.go
@@ -8,7 +8,6 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
-	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
 )
@@ -30,9 +29,10 @@
 type accountLimits struct {
 	scheduler    *Scheduler
 	usage        *account.Usage
-	config       uint64                     // version of the configuration with the limits in force
-	unattributed map[ident.WorkerID]int     // number of runs of which neither the account nor the size is known
-	isPartial    bool                       // more may run than usage counts
+	config       uint64                 // version of the configuration with the limits in force
+	unattributed map[ident.WorkerID]int // number of runs of which neither the account nor the size is known
+	isPartial    bool                   // more may run than usage counts
+	reckoned     unknownUse
 	aside        map[account.ID]*asideSteps // steps that are not in the queue
 	freed        []*asideSteps              // those to look through in the next pass
 	reached      []*candidate               // steps that the present pass found at the limit
@@ -110,7 +110,7 @@
 		l.usage.SetLimits(accounts) // the queue is made again for the version
 	}
 	if l.usage.HasLimits() {
-		s.reckonUnknown()
+		s.reckonUnknown(now)
 		s.releaseFreed(now)
 	}
 }
@@ -125,40 +125,6 @@
 	}
 }
 
-// reckonUnknown reckons what may run on workers that have not reported their runs to this leader, or that run something of an unknown
-// job: their whole capacity. The lock is held.
-func (s *Scheduler) reckonUnknown() {
-	l := &s.limits
-	if s.accounted && !l.isPartial {
-		return
-	}
-	var most resource.Vector
-	unbounded := false
-	add := func(id ident.WorkerID) {
-		var capacity resource.Vector
-		if m := s.monitors[id]; m != nil {
-			capacity = m.worker.Info().Capacity
-		}
-		most, unbounded = most.Add(capacity), unbounded || capacity.IsZero()
-	}
-	for id := range s.unsynced {
-		add(id)
-	}
-	for id := range l.unattributed {
-		if _, counted := s.unsynced[id]; !counted {
-			add(id)
-		}
-	}
-	l.isPartial = len(s.unsynced)+len(l.unattributed) > 0
-	if known, wasUnbounded := l.usage.Unknown(); known == most && wasUnbounded == unbounded {
-		return
-	}
-	l.usage.SetUnknown(most, unbounded)
-	for _, a := range l.aside {
-		l.free(a)
-	}
-}
-
 // underLimit returns how many tasks of a step may start under the limit of its account. For a gang it is 0 unless all members may. The
 // lock is held.
 func (s *Scheduler) underLimit(c *candidate) int {
@@ -288,10 +254,10 @@
 func (l *accountLimits) attrs(id account.ID) []slog.Attr {
 	used, runs := l.usage.Used(id)
 	limit, _ := l.usage.Limit(id)
-	unknown, unbounded := l.usage.Unknown()
+	unknown, bounded := l.usage.Unknown().Of(id)
 	return []slog.Attr{
 		slog.String("account", string(id)), slog.String("used", used.String()), slog.Int("runs", runs),
-		slog.String("limit", limit.String()), slog.String("unknown", unknown.String()), slog.Bool("unbounded", unbounded),
+		slog.String("limit", limit.String()), slog.String("unknown", unknown.String()), slog.Bool("bounded", bounded),
 	}
 }
 
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -35,7 +35,7 @@
 		s.monitors[w.ID].worker.MarkNeverListed()
 		s.setRecorded(w.ID, !w.Cordoned)
 	}
-	s.ready = true
+	s.ready, s.jobsReadTo = true, asOf
 	s.log.Info("store read", "jobs", len(s.jobs), "open", len(s.openJobs), "workers", len(workers), "as_of", asOf,
 		"took_ms", time.Since(s.startedAt).Milliseconds())
 	return asOf, true
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -85,6 +85,7 @@
 	finished         map[workflow.ID]finishedJob // jobs that are archived
 	historyRead      bool                        // finished holds what earlier terms archived
 	openJobs         map[workflow.ID]*jobEntry   // jobs whose state is not final
+	jobsReadTo       ident.Revision              // every job that was stored up to this revision is known, or was
 	dirty            map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
 	monitors         map[ident.WorkerID]*workerMonitor
 	crashes          map[string]*pool.CrashHistory // by address of the workers
--- a/internal/domain/account/usage.go
+++ b/internal/domain/account/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"math"
 
 	"skylarkstall/internal/domain/resource"
@@ -13,11 +14,39 @@
 // Usage counts what each account has running over all endpoints, against the limits of a configuration. What may run besides, of any
 // account, counts as used by each account with a limit. It is not safe for concurrent use.
 type Usage struct {
-	limits    *Set
-	limited   int // number of accounts with a limit
-	used      map[ID]use
-	unknown   resource.Vector
-	unbounded bool
+	limits  *Set
+	limited int // number of accounts with a limit
+	used    map[ID]use
+	unknown Unknown
+}
+
+// Unknown bounds what may run besides what is counted.
+type Unknown struct {
+	Silent    resource.Vector        // the most that runs on endpoints that have not reported their runs
+	Unbounded bool                   // Silent is no bound, as the capacity of such an endpoint is not known
+	ByAccount map[ID]resource.Vector // the most that each account runs on these endpoints; nil if that is not known
+	Other     resource.Vector        // the most that runs elsewhere, of any account
+	// OtherUnbounded tells that Other is no bound.
+	OtherUnbounded bool
+}
+
+// Of returns the most that an account runs besides what is counted, and false if there is no bound.
+func (k *Unknown) Of(id ID) (resource.Vector, bool) {
+	most, bounded := k.Silent, !k.Unbounded
+	if k.ByAccount != nil {
+		own := k.ByAccount[id]
+		if bounded {
+			own = own.Min(most)
+		}
+		most, bounded = own, true
+	}
+	return most.Add(k.Other), bounded && !k.OtherUnbounded
+}
+
+// Equal reports whether both are the same bounds.
+func (k *Unknown) Equal(o *Unknown) bool {
+	return k.Silent == o.Silent && k.Unbounded == o.Unbounded && k.Other == o.Other && k.OtherUnbounded == o.OtherUnbounded &&
+		(k.ByAccount == nil) == (o.ByAccount == nil) && maps.Equal(k.ByAccount, o.ByAccount)
 }
 
 // use is what an account has running.
@@ -49,11 +78,9 @@
 // HasLimits reports whether an account has a limit.
 func (u *Usage) HasLimits() bool { return u.limited > 0 }
 
-// SetUnknown sets the most that may run besides what is counted. If unbounded is set, no bound of it is known, and no account with a
-// limit may start anything.
-func (u *Usage) SetUnknown(most resource.Vector, unbounded bool) {
-	u.unknown, u.unbounded = most, unbounded
-}
+// SetUnknown sets the bounds of what may run besides what is counted. It counts as used; an account with a limit and without a bound may
+// start nothing.
+func (u *Usage) SetUnknown(unknown Unknown) { u.unknown = unknown }
 
 // Add counts a run of an account. Runs without an account are not counted.
 func (u *Usage) Add(id ID, run Run) { u.change(id, run, 1) }
@@ -81,8 +108,8 @@
 // Used returns what an account has running, and the number of its runs.
 func (u *Usage) Used(id ID) (resource.Vector, int) { return u.used[id].size, u.used[id].runs }
 
-// Unknown returns what may run besides, and whether no bound of it is known.
-func (u *Usage) Unknown() (resource.Vector, bool) { return u.unknown, u.unbounded }
+// Unknown returns the bounds of what may run besides what is counted.
+func (u *Usage) Unknown() *Unknown { return &u.unknown }
 
 // Limit returns the limit of an account, and false if it has none.
 func (u *Usage) Limit(id ID) (resource.Vector, bool) {
@@ -111,10 +138,11 @@
 	if !ok {
 		return Unlimited
 	}
-	if u.unbounded {
+	unknown, bounded := u.unknown.Of(id)
+	if !bounded {
 		return 0
 	}
-	room := tasksWithin(limit, u.used[id].size.Add(u.unknown), size)
+	room := tasksWithin(limit, u.used[id].size.Add(unknown), size)
 	if u.runsNothing(id) {
 		return max(room, 1)
 	}
@@ -147,7 +175,8 @@
 }
 
 func (u *Usage) runsNothing(id ID) bool {
-	return u.used[id].runs == 0 && u.unknown.IsZero() && !u.unbounded
+	unknown, bounded := u.unknown.Of(id)
+	return u.used[id].runs == 0 && unknown.IsZero() && bounded
 }
 
 func hasLimit(limit resource.Vector) bool {
--- a/internal/domain/account/usage_test.go
+++ b/internal/domain/account/usage_test.go
@@ -23,11 +23,14 @@
 func TestRoom(t *testing.T) {
 	task := resource.Vector{MilliCores: 2000, MemoryBytes: 100}
 	for name, test := range map[string]struct {
-		limit     resource.Vector
-		runs      int
-		unknown   resource.Vector
-		unbounded bool
-		want      int
+		limit          resource.Vector
+		runs           int
+		unknown        resource.Vector
+		unbounded      bool
+		byAccount      map[account.ID]resource.Vector
+		other          resource.Vector
+		otherUnbounded bool
+		want           int
 	}{
 		"no limit":                      {want: account.Unlimited, runs: 9, unbounded: true},
 		"nothing runs":                  {limit: resource.Vector{MilliCores: 10_000}, want: 5},
@@ -41,14 +44,32 @@
 		"task above the limit, unknown": {limit: resource.Vector{MilliCores: 1000}, unknown: resource.Vector{Slots: 1}, want: 0},
 		"unknown takes room":            {limit: resource.Vector{MilliCores: 10_000}, unknown: resource.Vector{MilliCores: 5000}, runs: 1, want: 1},
 		"unknown exceeds the limit":     {limit: resource.Vector{MilliCores: 10_000}, unknown: resource.Vector{MilliCores: 16_000}, want: 0},
-		"unknown without a bound":       {limit: resource.Vector{MilliCores: 10_000}, unbounded: true, want: 0},
+		"unknown of the account": {
+			limit: resource.Vector{MilliCores: 10_000}, unknown: resource.Vector{MilliCores: 16_000},
+			byAccount: map[account.ID]resource.Vector{"a": {MilliCores: 4000}, "b": {MilliCores: 9000}}, want: 3,
+		},
+		"nothing unknown of the account": {
+			limit: resource.Vector{MilliCores: 1000}, unbounded: true, byAccount: map[account.ID]resource.Vector{}, want: 1,
+		},
+		"unknown elsewhere": {
+			limit: resource.Vector{MilliCores: 10_000}, unbounded: true, byAccount: map[account.ID]resource.Vector{},
+			other: resource.Vector{MilliCores: 5000}, want: 2,
+		},
+		"elsewhere without a bound": {
+			limit: resource.Vector{MilliCores: 10_000}, byAccount: map[account.ID]resource.Vector{}, otherUnbounded: true,
+		},
+		"less capacity than jobs": {
+			limit: resource.Vector{MilliCores: 10_000}, unknown: resource.Vector{MilliCores: 2000},
+			byAccount: map[account.ID]resource.Vector{"a": {MilliCores: 40_000}}, want: 4,
+		},
+		"unknown without a bound": {limit: resource.Vector{MilliCores: 10_000}, unbounded: true, want: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			usage := newUsage(t, account.Account{ID: "a", Limit: test.limit}, account.Account{ID: "b", Limit: task})
 			for range test.runs {
 				usage.Add("a", account.Run{Size: task})
 			}
-			usage.SetUnknown(test.unknown, test.unbounded)
+			usage.SetUnknown(account.Unknown{Silent: test.unknown, Unbounded: test.unbounded, ByAccount: test.byAccount, Other: test.other, OtherUnbounded: test.otherUnbounded})
 			if got := usage.Room("a", task); got != test.want {
 				t.Errorf("%d tasks may start, want %d", got, test.want)
 			}
--- a/internal/domain/workflow/workflow.go
+++ b/internal/domain/workflow/workflow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/resource"
 )
 
 // Workflow is the state of one job. It is not safe for concurrent use.
@@ -155,6 +156,28 @@
 // WaitingCount returns the number of tasks of a step that are neither active nor done.
 func (w *Workflow) WaitingCount(ref StepRef) int { return w.step(ref).waiting }
 
+// dueSlack is how much earlier than by the clock of this process an occurrence may have started under another one.
+const dueSlack = 5 * time.Second
+
+// MostUnknown returns the most that runs of the job which are not known may take. A task without a known run has one of them at most, and a
+// task of a gang or one that may have copies also beside a run that is known or has ended.
+func (w *Workflow) MostUnknown(now time.Time) resource.Vector {
+	var most resource.Vector
+	for k := range w.occurrences {
+		if w.spec.Due(k).After(now.Add(dueSlack)) {
+			continue
+		}
+		for i := range w.spec.Steps {
+			step, tasks := &w.spec.Steps[i], w.occurrences[k].steps[i].waiting
+			if step.Gang || step.AllowsCopies() {
+				tasks = step.Count
+			}
+			most = most.Add(step.Size.Scale(int64(tasks)))
+		}
+	}
+	return most
+}
+
 // HasRun reports whether a run of any task of the step is known.
 func (w *Workflow) HasRun(ref StepRef) bool {
 	return slices.ContainsFunc(w.step(ref).tasks, func(t task) bool { return t.lastRun > 0 })
