--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -168,14 +168,15 @@
 // late, or announced after a change of leaders together with all that were accepted meanwhile.
 const maxAnnouncementAge = time.Second
 
-// countJob counts an accepted job against the share of its account, and marks it if it is beyond it. The lock is held.
+// countJob counts an accepted job against the share of its account, and marks it if it is beyond it while there is no room. The lock is held.
 func (s *Scheduler) countJob(job *port.AcceptedJob, now time.Time) {
 	if job.Account == "" || now.Sub(job.AcceptedAt) > maxAnnouncementAge {
 		return
 	}
 	if known, ok := s.table.Config().Accounts.Get(job.Account); ok && known.Share > 0 {
-		within := s.room.shares.Take(job.Spec.ID, job.Account, known.Share, now)
-		job.Excess = job.Excess || !within
+		level := admission.Level{Service: job.Queue.Service, Priority: job.Queue.Priority}
+		excess := admission.IsExcess(job.Spec.ID, job.Account, level, known.Share, s.room.shares, s.room.room, now)
+		job.Excess = job.Excess || excess
 	}
 }
 
--- a/internal/domain/admission/admission.go
+++ b/internal/domain/admission/admission.go
@@ -50,7 +50,7 @@
 type Verdict struct {
 	Reason     Reason
 	RetryAfter time.Duration // when room is expected for the job; set if it is refused
-	Excess     bool          // the job is beyond the share of its account
+	Excess     bool          // the job is beyond the share of its account, and there is no room for all
 	Rate       float64       // submissions per second of the account
 	Share      float64       // submissions per second that the account is entitled to
 	Wait       time.Duration // expected until a new job of the level starts
@@ -64,14 +64,13 @@
 func Decide(r Request, share float64, shares *Shares, room *Room, fits func() bool, now time.Time) Verdict {
 	v := Verdict{Share: share, Wait: room.Wait(r.Level)}
 	if r.Account != "" && share > 0 {
-		v.Excess = !shares.Take(r.Job, r.Account, share, now)
+		v.Excess = IsExcess(r.Job, r.Account, r.Level, share, shares, room, now)
 		v.Rate = shares.Rate(r.Account, now)
 	}
-	beyondShare := v.Excess && room.RefusesExcess(r.Level)
 	tooLate := r.LatestStart > 0 && v.Wait > r.LatestStart
 	switch {
-	case !beyondShare && !tooLate || fits():
-	case beyondShare:
+	case !v.Excess && !tooLate || fits():
+	case v.Excess:
 		v.Reason = BeyondShare
 		v.RetryAfter = shares.NextReturn(r.Account, share, v.Wait, now)
 	default:
@@ -81,6 +80,13 @@
 	return v
 }
 
+// IsExcess counts a job of an account against its share, and reports whether it is beyond it while there is no room at its level. With room
+// everybody is served alike.
+func IsExcess(job workflow.ID, id account.ID, level Level, share float64, shares *Shares, room *Room, now time.Time) bool {
+	within := shares.Take(job, id, share, now)
+	return !within && room.RefusesExcess(level)
+}
+
 // Bounds of Retry-After.
 const (
 	minReturn = time.Second      // the unit in which callers are told
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -153,7 +153,7 @@
 	Spec       workflow.Spec
 	Queue      route.Queue // the queue's policy when the job was accepted
 	Account    account.ID  // to which the job belongs; empty if it belongs to none
-	Excess     bool        // the account had used up its share when the job was accepted
+	Excess     bool        // the account had used up its share when the job was accepted, and there was no room for all
 	AcceptedAt time.Time   // time of acceptance
 	// Tombstone marks an id that was cancelled before a job was stored under it. A write of the job that is still on its way
 	// must not take effect. A tombstone has no steps.
