--- a/internal/app/leadership/succession.go
+++ b/internal/app/leadership/succession.go
@@ -17,9 +17,9 @@
 const (
 	// offerDelay leaves the leader time to read the store, which the successor then finds up to date.
 	offerDelay = 500 * time.Millisecond
-	// offerTTL is how long an offer stands. It exceeds offerInterval, so that a leader that falls behind finds one.
+	// offerTTL is how long an offer stands unless it is renewed. It exceeds offerInterval, so that a leader that falls behind finds one.
 	offerTTL = 6 * time.Second
-	// offerInterval is the interval at which an offer is repeated while the leader stays.
+	// offerInterval is the interval at which an offer is renewed while the leader stays.
 	offerInterval = 5 * time.Second
 	// unableTime is how long a process that gave way does not offer to lead.
 	unableTime = 30 * time.Second
@@ -31,6 +31,7 @@
 	if !e.outmatches(leader) || e.hasResigned() {
 		return
 	}
+	var offered port.LeaseID // of the offer of this process; 0 if there is none
 	for wait := offerDelay; pause.For(ctx, wait); wait = offerInterval {
 		if e.hasResigned() {
 			return
@@ -38,7 +39,8 @@
 		if time.Since(e.gaveWayAt) < unableTime {
 			continue
 		}
-		if err := e.offerOnce(ctx); err != nil && !fault.Is(err, fault.Conflict) {
+		var err error
+		if offered, err = e.offerOnce(ctx, offered); err != nil && !fault.Is(err, fault.Conflict) {
 			e.log.Info("succession not offered", "leader", leader.Process, "error", err)
 		}
 	}
@@ -46,33 +48,42 @@
 
 // outmatches reports whether this process is better placed to lead. A leader of an earlier version does not tell its share.
 func (e *Election) outmatches(leader port.Leader) bool {
-	if e.self.CPU > 0 && leader.CPU > 0 {
-		return e.self.CPU.Outmatches(leader.CPU)
+	if e.self.Share > 0 && leader.Share > 0 {
+		return e.self.Share.Outmatches(leader.Share)
 	}
 	return e.self.ElectionDelay < leader.ElectionDelay
 }
 
-// offerOnce writes the offer unless there is one. It fails with Conflict if there is.
-func (e *Election) offerOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+// offerOnce renews the offer that this process has made, or makes one unless another process has. It returns the lease of its offer, and
+// fails with Conflict if another process was faster.
+func (e *Election) offerOnce(ctx context.Context, offered port.LeaseID) (port.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
+	if offered != 0 {
+		if err := e.store.KeepAlive(ctx, offered); !fault.Is(err, fault.NotFound) {
+			return offered, err
+		}
+	}
 	if _, err := e.store.Get(ctx, port.SuccessorKey); !fault.Is(err, fault.NotFound) {
-		return err
+		return 0, err
 	}
 	lease, err := e.store.Grant(ctx, offerTTL)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	_, err = e.store.Commit(ctx, port.Txn{
 		If:     []port.Condition{{Key: port.SuccessorKey}},
 		Writes: []port.Write{{Key: port.SuccessorKey, Value: []byte(formatOffer(e.self)), Lease: lease}},
 	})
-	return err
+	if err != nil {
+		return 0, err
+	}
+	return lease, nil
 }
 
 // formatOffer returns the record of an offer: the process, and its share of a processor in millicores.
 func formatOffer(self port.Leader) string {
-	return string(self.Process) + " " + strconv.FormatUint(uint64(self.CPU.Millicores()), 10)
+	return string(self.Process) + " " + strconv.FormatUint(uint64(self.Share.Millicores()), 10)
 }
 
 // parseOffer returns the process and the share of an offer. The share is 0 if a process of an earlier version offers.
@@ -90,7 +101,7 @@
 func (e *Election) awaitSuccessor(ctx context.Context, term Term) bool {
 	e.tenure.Begin(time.Now())
 	for pause.For(ctx, renewInterval) {
-		if e.self.ElectionDelay == 0 && !e.follower.LargestShare().Outmatches(e.self.CPU) {
+		if e.self.ElectionDelay == 0 && !e.follower.LargestShare().Outmatches(e.self.Share) {
 			continue
 		}
 		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -104,7 +115,7 @@
 		lateFor := term.Lateness.For(now)
 		if reason := e.tenure.HandOver(share, lateFor, now); reason != fitness.Stays {
 			e.log.Info("leadership handed over to a process with a larger share of a processor", "offer", process, "reason", reason,
-				"own_millicores", e.self.CPU.Millicores(), "offered_millicores", share.Millicores(), "late_ms", lateFor.Milliseconds())
+				"own_millicores", e.self.Share.Millicores(), "offered_millicores", share.Millicores(), "late_ms", lateFor.Milliseconds())
 			return true
 		}
 	}
