--- a/internal/app/scheduler/room_test.go
+++ b/internal/app/scheduler/room_test.go
@@ -35,7 +35,7 @@
 }
 
 // acceptOf accepts a job of an account in the queue of the lowest priority, whose tasks need a whole worker for 10 s each.
-func acceptOf(s *Scheduler, id workflow.ID, account account.ID, tasks int) *jobEntry {
+func acceptOf(s *Scheduler, id workflow.ID, account account.ID, tasks int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	step := workflow.Step{Count: tasks, Size: wholeWorker, Estimate: 10 * time.Second}
@@ -43,7 +43,6 @@
 		Spec: workflow.Spec{ID: id, Steps: []workflow.Step{step}}, AcceptedAt: time.Now(), Account: account,
 		Queue: route.Queue{Name: "low", Service: "desk", MaxAttempts: 3, Priority: 2},
 	}, 0)
-	return s.jobs[id]
 }
 
 func observeRoomAt(s *Scheduler, now time.Time) {
