--- a/internal/domain/placement/start_limit.go
+++ b/internal/domain/placement/start_limit.go
@@ -20,6 +20,9 @@
 	// standingDelay is how much longer than ever in the term the fastest request of a window has to take for the leader to be late. What
 	// delays even the fastest one is the leader itself: a slow worker, a far one or a few requests in a row to one worker do not.
 	standingDelay = 40 * time.Millisecond
+	// maxFloor bounds what counts as the fastest of the term. The nearest worker of a cell answers sooner; a leader that is late from its
+	// first request on must not take that for usual.
+	maxFloor = 20 * time.Millisecond
 	// minWindowStarts is the number of answers in a window from which on the fastest tells something. As many decisions that were dropped
 	// tell the same if no more were answered.
 	minWindowStarts = 4
@@ -37,7 +40,7 @@
 	window   time.Time     // start of the present window; zero before the first start
 	answered int           // requests that were answered in the window
 	fastest  time.Duration // of these
-	floor    time.Duration // the fastest of the term; 0 before the first
+	floor    time.Duration // the fastest of the term, at most maxFloor
 	dropped  int           // decisions that were too old to be sent, of all windows
 	delay    time.Duration // from a decision to its sending, smoothed
 	stale    int           // decisions dropped in the window
@@ -51,7 +54,7 @@
 	if share > 0 {
 		limit = min(max(share*startsPerCore, minStarts), MaxStarts)
 	}
-	return &StartLimit{limit: limit, most: limit}
+	return &StartLimit{limit: limit, most: limit, floor: maxFloor}
 }
 
 // Max returns how many starts may be in progress, for the highest priority half as many more: it must not wait for others.
@@ -89,9 +92,7 @@
 	if l.answered == 0 || took < l.fastest {
 		l.fastest = took
 	}
-	if l.floor == 0 || took < l.floor {
-		l.floor = took
-	}
+	l.floor = min(l.floor, took)
 	l.answered++
 }
 
--- a/internal/domain/placement/start_limit_test.go
+++ b/internal/domain/placement/start_limit_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// TestLateFromTheFirstStart guards against a leader that takes over under full load, behind a narrow link, and learns the delay as usual.
+func TestLateFromTheFirstStart(t *testing.T) {
+	now := time.Unix(0, 0)
+	limit := placement.NewStartLimit(0.48)
+	late := 0
+	for range 50 {
+		now = now.Add(tick)
+		limit.Answered(110 * time.Millisecond)
+		if limit.Adapt(now) {
+			late++
+		}
+	}
+	if late == 0 || limit.Max(false) >= placement.MaxStarts {
+		t.Errorf("late in %d windows, limit %d; want the limit to fall", late, limit.Max(false))
+	}
+}
+
 // TestSlowWorkers guards against a limit that falls because most of the workers are slow or far, or because of a pause of the process.
 func TestSlowWorkers(t *testing.T) {
 	now := time.Unix(0, 0)
