Run urgent tasks on fast workers

Change: for urgent tasks speed weighs more than load. Calls for permits of urgent steps name workers by score rather than by room, and look on until enough of them aren't slow. A worker without a run of its own counts as fast as the others with its labels (pool.KindSpeed), so that a leader knows most of them within seconds.

--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -166,18 +166,23 @@
 }
 
 // permitCandidates returns workers that could take tasks of the step, have no valid ticket and were not refused, in order of preference:
-// those known to be allowed first, for a wide step those with the most free capacity, then those with the best score. There are enough
-// for the missing tasks, and a choice, rather than all. Workers on which other runs would have to be stopped are included if the
+// those known to be allowed first, for a wide step that isn't urgent those with the most free capacity, then those with the best score. There are
+// enough for the missing tasks, and a choice, rather than all; for urgent steps enough that aren't slow. Workers on which other runs would have to be stopped are included if the
 // others do not suffice.
 func (s *Scheduler) permitCandidates(c candidate, unplaced int, missing float64, now time.Time) []permitCandidate {
 	request := c.request(now)
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	share, expected := s.allowedShare(c.queue.Name).Estimate(), 0.0
+	byRoom := unplaced >= wideStep && !c.queue.HasTopPriority() // urgent tasks need fast workers, and calls for them take little time
 	var options []permitCandidate
+	choice := 0
 	add := func(m *workerMonitor, known bool) {
 		if option, ok := c.permitOption(m, &request, unplaced); ok && option.allowed == known {
-			expected += option.expected(share)
 			options = append(options, option)
+			if !c.queue.HasTopPriority() || !m.worker.IsSlow() {
+				expected += option.expected(share)
+				choice++
+			}
 		}
 	}
 	for worker := range c.permits.Lapsed(now) {
@@ -186,7 +191,7 @@
 		}
 	}
 	for recorded := range s.withRoom(request.Step) {
-		if expected >= choiceFactor*missing && len(options) >= enoughOptions && request.Step.DataRack == "" {
+		if expected >= choiceFactor*missing && choice >= enoughOptions && request.Step.DataRack == "" {
 			break
 		}
 		add(recorded.monitor, false)
@@ -194,21 +199,24 @@
 	if expected < missing && c.waited >= askForPreemptionAfter && c.mayPreempt() && !c.pass.hasLowestPriority(c.queue.Priority) {
 		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
-	slices.SortFunc(options, func(a, b permitCandidate) int {
-		if a.allowed != b.allowed {
-			if a.allowed {
-				return -1
-			}
-			return 1
-		}
-		if unplaced >= wideStep && a.fitCount != b.fitCount {
-			return cmp.Compare(b.fitCount, a.fitCount)
-		}
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
+	slices.SortFunc(options, func(a, b permitCandidate) int { return a.compare(&b, byRoom) })
 	return options
 }
 
+// compare orders candidates by preference: those known to be allowed first, then those with the most room if that counts, then by score.
+func (o *permitCandidate) compare(other *permitCandidate, byRoom bool) int {
+	if o.allowed != other.allowed {
+		if o.allowed {
+			return -1
+		}
+		return 1
+	}
+	if byRoom && o.fitCount != other.fitCount {
+		return cmp.Compare(other.fitCount, o.fitCount)
+	}
+	return cmp.Or(cmp.Compare(o.score, other.score), cmp.Compare(o.worker.ID, other.worker.ID))
+}
+
 // permitOption returns the worker as an option for a call, and false if it cannot take a task now or must not be asked about.
 func (c *candidate) permitOption(m *workerMonitor, request *pool.Request, unplaced int) (permitCandidate, bool) {
 	if !m.worker.Eligible(request) {
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -20,6 +20,7 @@
 // putMonitor adds the monitor of a worker, or replaces it. The lock is held.
 func (s *Scheduler) putMonitor(id ident.WorkerID, m *workerMonitor) {
 	m.worker.SetToken(s.term.Token)
+	s.assignKind(m.worker)
 	s.monitors[id], s.roster = m, nil
 }
 
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -99,7 +99,8 @@
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
 	queue            waitQueue
-	idle             map[string]idleCheck            // by service
+	idle             map[string]idleCheck // by service
+	kinds            map[workerKind]*pool.KindSpeed
 	openGangs        map[workflow.ID]*jobEntry       // open jobs with a gang
 	roster           *workerRoster                   // nil if it has to be made again
 	releases         releaseLog                      // capacity that placement has not used yet
@@ -166,7 +167,7 @@
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
 		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
-		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{},
+		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{}, kinds: map[workerKind]*pool.KindSpeed{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
--- a/internal/app/scheduler/simulated_load_test.go
+++ b/internal/app/scheduler/simulated_load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"runtime"
@@ -27,6 +28,7 @@
 // simulatedWorker runs tasks for as long as they declare.
 type simulatedWorker struct {
 	running map[workflow.RunRef]time.Time // when they started
+	slow    bool                          // takes slowFactor times as long
 	ended   []port.EndedRun
 	numbers uint64
 	changed chan struct{}
@@ -54,6 +56,17 @@
 	ended     time.Time // zero before its last task is done
 }
 
+// slowFactor is how much longer tasks take on a slow worker.
+const slowFactor = 2.2
+
+// taking returns how long the worker takes for what takes others a time.
+func (w *simulatedWorker) taking(usual time.Duration) time.Duration {
+	if w.slow {
+		return time.Duration(slowFactor * float64(usual))
+	}
+	return usual
+}
+
 // simulatedLatency is the time of a message to a worker or back.
 const simulatedLatency = time.Millisecond
 
@@ -73,7 +86,7 @@
 	if job.started.IsZero() {
 		job.started = time.Now()
 	}
-	time.AfterFunc(job.duration, func() { c.end(to.Worker, request.RunRef, workflow.Done) })
+	time.AfterFunc(c.workers[to.Worker].taking(job.duration), func() { c.end(to.Worker, request.RunRef, workflow.Done) })
 	return time.Since(c.began), nil
 }
 
@@ -130,7 +143,7 @@
 	defer c.mu.Unlock()
 	reply := port.SyncReply{WorkerClock: time.Since(c.began), Incarnation: 1}
 	for run, started := range w.running {
-		percent := int(100 * time.Since(started) / c.jobs[run.Task.Job].duration)
+		percent := int(100 * time.Since(started) / w.taking(c.jobs[run.Task.Job].duration))
 		reply.Running = append(reply.Running, port.RunningRun{RunRef: run, Progress: percent})
 	}
 	reply.Ended = append(reply.Ended, w.ended...)
@@ -190,6 +203,19 @@
 	}
 }
 
+// makeSlow makes each third worker one of a slow kind.
+func (c *simulatedCell) makeSlow(s *Scheduler) {
+	for i, id := range slices.Sorted(maps.Keys(c.workers)) {
+		info := s.monitors[id].worker.Info()
+		info.Labels = []string{"quick"}
+		if i%3 == 2 {
+			info.Labels, c.workers[id].slow = []string{"slow"}, true
+		}
+		s.monitors[id].worker.UpdateInfo(info)
+		s.assignKind(s.monitors[id].worker)
+	}
+}
+
 // simulatedKind is a kind of jobs as on the large cell of the users.
 type simulatedKind struct {
 	name      string
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -121,8 +122,12 @@
 			s.log.Info("worker drains", "worker", w.ID, "remaining_ms", w.RemainingTime.Milliseconds())
 			s.evacuate(m, w.RemainingTime, now)
 		}
-		incarnation := m.worker.Info().Incarnation
+		former := m.worker.Info()
+		incarnation := former.Incarnation
 		m.worker.UpdateInfo(w)
+		if !slices.Equal(former.Labels, w.Labels) {
+			s.assignKind(m.worker)
+		}
 		if m.worker.Synced() && incarnation != 0 {
 			m.worker.KeepIncarnation(incarnation) // sync replies report a restart earlier than the list
 		}
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -134,8 +134,9 @@
 	weightDataRack     = 0.6 // the worker is not on the rack that holds the task's data
 	weightInterference = 0.5 // best-effort runs share the worker with runs that have a latency target
 	weightSpeed        = 0.1 // per unit of slowdown: 1 means twice the ordinary duration
-	// weightUrgentSpeed prefers fast workers for urgent tasks, even if they are more loaded.
-	weightUrgentSpeed = 0.5
+	// weightUrgentSpeed prefers fast workers for urgent tasks, whatever their load: one task on a worker that takes twice as long makes its
+	// whole job late.
+	weightUrgentSpeed = 2.0
 	weightFailures    = 1000.0 // runs have failed on the worker: the last choice
 	weightSuspicion   = 100.0  // a crash of the worker would not show its cause
 )
--- a/internal/domain/pool/speed.go
+++ b/internal/domain/pool/speed.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Parameters of the speed estimate. The estimates that callers submit are rough, so a run is compared with other runs
 // of the same step.
@@ -25,7 +29,11 @@
 	}
 	if e.runs > 0 {
 		rate := min(max(e.mean/duration.Seconds(), minRate), maxRate)
-		w.speed += speedGain * (rate - w.speed)
+		w.speed = w.Speed() + speedGain*(rate-w.Speed())
+		w.speedShown = true
+		if w.kind != nil {
+			w.kind.observe(rate)
+		}
 	}
 	e.runs = min(e.runs+1, maxSamples)
 	seconds := duration.Seconds()
@@ -38,9 +46,61 @@
 // Mean returns the mean duration of the tasks, and 0 if none was completed yet.
 func (e *DurationEstimate) Mean() time.Duration { return time.Duration(e.mean * float64(time.Second)) }
 
-// Speed returns the speed of the worker relative to others; 1 is ordinary.
-func (w *Worker) Speed() float64 { return w.speed }
+// Speed returns the speed of the worker relative to others; 1 is ordinary. Before a run on it shows its own speed, it is that of its kind.
+func (w *Worker) Speed() float64 {
+	if !w.speedShown && w.kind != nil {
+		return w.kind.speed()
+	}
+	return w.speed
+}
+
+// slowBelow is the speed below which a worker is slow: tasks take a quarter longer on it than on others, which is beyond what tasks of one
+// step differ by.
+const slowBelow = 0.8
+
+// IsSlow reports whether tasks take clearly longer on the worker than on others.
+func (w *Worker) IsSlow() bool { return w.Speed() < slowBelow }
+
+// KindSpeed learns how fast the workers of one kind are. The zero value has seen none.
+type KindSpeed struct {
+	mean float64 // of the rates of runs
+	runs int
+}
+
+const (
+	// minKindRuns is the number of runs from which on a kind's speed is known.
+	minKindRuns = 10
+	// maxKindRuns bounds the weight of earlier runs, so that the speed follows recent ones.
+	maxKindRuns = 200
+)
+
+func (k *KindSpeed) observe(rate float64) {
+	k.runs = min(k.runs+1, maxKindRuns)
+	k.mean += (rate - k.mean) / float64(k.runs)
+}
+
+func (k *KindSpeed) speed() float64 {
+	if k.runs < minKindRuns {
+		return 1
+	}
+	return k.mean
+}
+
+// Kind returns the labels that the worker has in common with others of its kind: all but that of its rack.
+func (info *WorkerInfo) Kind() string {
+	var kind []string
+	for _, label := range info.Labels {
+		if label != info.Rack {
+			kind = append(kind, label)
+		}
+	}
+	slices.Sort(kind)
+	return strings.Join(kind, " ")
+}
+
+// SetKind lets the worker share what is learned of the speed of its kind.
+func (w *Worker) SetKind(kind *KindSpeed) { w.kind = kind }
 
 // slowdown returns the fraction by which a task takes longer on the worker than on an ordinary one; it is negative for
 // a fast worker.
-func slowdown(w *Worker, _ *Request) float64 { return 1/max(w.speed, minRate) - 1 }
+func slowdown(w *Worker, _ *Request) float64 { return 1/max(w.Speed(), minRate) - 1 }
--- a/internal/domain/pool/speed_test.go
+++ b/internal/domain/pool/speed_test.go
@@ -60,3 +60,32 @@
 		t.Errorf("speed %.2f after 10 runs of ordinary duration", worker.Speed())
 	}
 }
+
+// TestSpeedOfKind guards against a worker that gets urgent tasks until it has shown that it is as slow as all others of its kind.
+func TestSpeedOfKind(t *testing.T) {
+	var slowKind, quickKind KindSpeed
+	info := WorkerInfo{Labels: []string{"r1-2", "b"}, Rack: "r1-2"}
+	if got := info.Kind(); got != "b" {
+		t.Fatalf("kind %q of a worker with the labels %q on the rack %q", got, info.Labels, info.Rack)
+	}
+	var estimate DurationEstimate
+	for range 2 * minKindRuns {
+		slow, quick := NewWorker(info), NewWorker(WorkerInfo{})
+		slow.SetKind(&slowKind)
+		quick.SetKind(&quickKind)
+		estimate.Observe(quick, time.Second)
+		estimate.Observe(slow, 2*time.Second)
+	}
+	fresh, exception := NewWorker(info), NewWorker(info)
+	fresh.SetKind(&slowKind)
+	exception.SetKind(&slowKind)
+	if fresh.Speed() > 0.8 {
+		t.Errorf("speed %.2f of a worker before its first run, of a kind that takes twice as long", fresh.Speed())
+	}
+	for range 10 {
+		estimate.Observe(exception, estimate.Mean()/2)
+	}
+	if exception.Speed() < 1.2 {
+		t.Errorf("speed %.2f of a worker that is quicker than its kind", exception.Speed())
+	}
+}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -73,6 +73,8 @@
 	upSince              time.Time // when it first answered in its present life
 	crashHistory         *CrashHistory
 	speed                float64 // relative to other workers; 1 is ordinary
+	speedShown           bool    // by a run in its present life
+	kind                 *KindSpeed
 	roster               *Roster // nil if the worker is in none
 	position             int     // in the roster
 }
@@ -178,7 +180,7 @@
 // ResetAfterRestart resets the worker to a new incarnation. Requests to the former one may have extended the lease up to
 // leaseExpiry on the new clock. The caller releases the runs that ended with the previous incarnation.
 func (w *Worker) ResetAfterRestart(incarnation int64, leaseExpiry time.Duration) {
-	w.info.Incarnation, w.speed = incarnation, 1
+	w.info.Incarnation, w.speed, w.speedShown = incarnation, 1, false
 	w.RestartClock(leaseExpiry)
 }
 
