--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -4,6 +4,7 @@
 	"iter"
 	"time"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
@@ -35,14 +36,18 @@
 type placementPass struct {
 	scheduler      *Scheduler
 	now            time.Time
+	ticketTime     time.Time         // until when tickets have to be valid: starts that are decided now are then sent
 	retryTime      time.Duration     // left for steps for which nothing but the time has changed
 	retriesLeft    int               // number of them that are due and were left to the next pass
 	peerNames      []ident.ProcessID // nil if not needed yet
 	lowestPriority int               // of the queues of open jobs; -1 if not known yet
+	underLimit     int               // number of tasks of the step that is tried that may start under the limit of its account
 }
 
 func (s *Scheduler) newPass(now time.Time) *placementPass {
-	return &placementPass{scheduler: s, now: now, lowestPriority: -1}
+	return &placementPass{
+		scheduler: s, now: now, ticketTime: now.Add(s.starts.Delay()), lowestPriority: -1, underLimit: account.Unlimited,
+	}
 }
 
 // idleCheckInterval is the interval at which the use of a service's workers is added up.
@@ -75,12 +80,12 @@
 
 // allowedWorkers returns the workers on which the queue's policy allows the step, and which are recorded and not
 // cordoned. The lock is held.
-func (s *Scheduler) allowedWorkers(c candidate, now time.Time) []allowedWorker {
+func (s *Scheduler) allowedWorkers(c candidate) []allowedWorker {
 	var workers []allowedWorker
 	if c.permits == nil {
 		return s.recordedWorkers()
 	}
-	for worker, ticket := range c.permits.Tickets(now) {
+	for worker, ticket := range c.permits.Tickets(c.pass.ticketTime) {
 		m := s.monitors[worker.ID]
 		if m != nil && s.mayGetRuns(m) && m.worker.Incarnation() == worker.Incarnation {
 			workers = append(workers, allowedWorker{m, ticket.Value})
--- a/internal/app/scheduler/overload_order_test.go
+++ b/internal/app/scheduler/overload_order_test.go
@@ -77,14 +77,14 @@
 	return outcomes
 }
 
-// playBurst submits wide jobs at 2.6 times their rate for some seconds, then all at their usual rates, and returns the outcomes.
+// playBurst submits wide jobs at four times their rate for some seconds, then all at their usual rates, and returns the outcomes.
 func playBurst(t *testing.T, withObjectives bool) [][3]int {
 	kinds := []simulatedKind{overloadKinds[0], overloadKinds[1]}
 	if !withObjectives {
 		kinds[0].objective, kinds[1].objective = route.Objective{}, route.Objective{}
 	}
 	burst := kinds[1]
-	burst.perSecond *= 2.6
+	burst.perSecond *= 4
 	return playOverload(t, 0, func(*Scheduler, *simulatedCell) {}, func(s *Scheduler, c *simulatedCell) {
 		c.submitFor(s, []simulatedKind{kinds[0], burst}, 6*time.Second, 1)
 		c.submitFor(s, kinds, 12*time.Second, 1)
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"skylarkstall/internal/domain/pool"
-	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -71,11 +70,6 @@
 	maxPlaceTime = 5 * time.Millisecond
 	// minChangedSteps is the number of changed steps that a pass reaches however little time it has.
 	minChangedSteps = 16
-	// maxStartsInProgress keeps the leader from placing more than it has the processor time to start: leases, ends and stops would be late.
-	// No step is tried while as many starts are in progress.
-	maxStartsInProgress = 128
-	// urgentStarts is how many more may be in progress for the highest priority, which must not wait for starts on slow workers.
-	urgentStarts = 64
 	// minTryTime is left for trying steps, however long it took to collect them and the workers.
 	minTryTime = 2 * time.Millisecond
 )
@@ -88,6 +82,7 @@
 	if !s.mayLetRun(now) {
 		return nil, nil
 	}
+	s.adaptStarts(now)
 	s.breakUpGangs()
 	s.releases.notice(s, now)
 	pass := s.newPass(now)
@@ -101,6 +96,7 @@
 	limit := max(maxPlaceTime, collected+minTryTime)
 	pass.retryTime = (limit - collected) / 2
 	launches, calls, tried := s.tryInOrder(pass, list, started.Add(limit))
+	s.setAside(now)
 	s.observePass(now, started, tried, len(list))
 	return launches, calls
 }
@@ -145,7 +141,13 @@
 	tried, reached := 0, 0 // reached counts steps that had changed
 	settled, nextTry := true, pass.now.Add(placeInterval)
 	for c := range inOrder(list, mostOverdue(list, pass.now)) {
-		room := maxStarts(c.queue) - s.startsInProgress - len(launches)
+		pass.underLimit = s.underLimit(c)
+		if pass.underLimit == 0 {
+			s.limits.reached = append(s.limits.reached, c)
+			tried++
+			continue
+		}
+		room := s.starts.Max(c.queue.HasTopPriority()) - s.startsInProgress - len(launches)
 		if room <= 0 {
 			settled = false
 			continue // the end of a start wakes placement
@@ -165,7 +167,7 @@
 		tried++
 		if s.needsTry(c, pass.now) {
 			attempt := *c
-			attempt.room, attempt.pass = room, pass
+			attempt.room, attempt.pass = min(room, pass.underLimit), pass
 			placed, asked := s.tryStep(attempt, pass.now)
 			launches, calls = append(launches, placed...), append(calls, asked...)
 		} else {
@@ -194,21 +196,13 @@
 	return c.held || waiting.Due(now, c.queue.Priority) || len(s.releases.since(c.step.triedIn)) > 0
 }
 
-// maxStarts returns the number of starts in progress from which on no step of the queue is tried.
-func maxStarts(queue route.Queue) int {
-	if queue.HasTopPriority() {
-		return maxStartsInProgress + urgentStarts
-	}
-	return maxStartsInProgress
-}
-
 // tryStep places the waiting tasks of a step if something has changed since the last try. The lock is held.
 func (s *Scheduler) tryStep(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.step
 	c.permits = s.permitsOf(c)
 	if c.held {
 		step.wait.triedAt = now
-		c.workers = s.allowedWorkers(c, now)
+		c.workers = s.allowedWorkers(c)
 		return nil, s.prefetchPermits(c, now)
 	}
 	c.waited = step.waiting.For(now)
@@ -221,7 +215,7 @@
 		defer func() { c.pass.retryTime -= time.Since(started) }()
 		return s.tryAll(c, now)
 	}
-	c.workers, c.partial = s.releasedWorkers(c, now), true
+	c.workers, c.partial = s.releasedWorkers(c), true
 	if len(c.workers) > 0 && c.entry.workflow.Step(c.ref).Gang {
 		return s.tryAll(c, now) // its members need several workers
 	}
@@ -256,7 +250,7 @@
 func (s *Scheduler) tryAll(c candidate, now time.Time) ([]launch, []permitCall) {
 	step := c.step
 	step.wait.triedAt = now
-	c.workers, c.partial = s.allowedWorkers(c, now), false
+	c.workers, c.partial = s.allowedWorkers(c), false
 	launches, unplaced := s.placeStep(c, now)
 	step.waiting.Tried(now, unplaced)
 	step.triedIn = s.releases.pass
@@ -303,7 +297,7 @@
 		run := workflow.RunRef{Task: task, Run: c.entry.workflow.NextRun(task, s.runNumberFloor())}
 		l, ok := s.reserve(c, run, "", now)
 		if !ok && len(c.entry.avoidWorkers[task]) == 0 {
-			return launches, len(waiting) - i // the remaining tasks have the same requirements
+			return launches, min(len(waiting)-i, c.pass.underLimit-len(launches)) // the remaining tasks have the same requirements
 		}
 		if ok {
 			launches = append(launches, l)
@@ -312,7 +306,7 @@
 			break
 		}
 	}
-	return launches, len(waiting) - len(launches)
+	return launches, min(len(waiting), c.pass.underLimit) - len(launches)
 }
 
 // placeGang places all tasks of a gang or none.
--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -53,9 +53,11 @@
 			s.jobChanged(e)
 		}
 	}
-	if config := s.table.Config().Version; q.needsRebuild(config) {
+	config := s.table.Config()
+	s.refreshLimits(config.Version, config.Accounts, now)
+	if q.needsRebuild(config.Version) {
 		s.rebuildQueue(now)
-		q.config = config
+		q.config = config.Version
 	} else {
 		for _, e := range q.changed {
 			s.requeueSteps(e, now)
@@ -74,6 +76,7 @@
 func (s *Scheduler) rebuildQueue(now time.Time) {
 	q := &s.queue
 	q.isKept, q.settled, q.due = s.accounted, false, placement.Schedule[*jobEntry]{}
+	s.limits.dropAside()
 	list := make([]*candidate, 0, q.steps.Len())
 	prefetch := s.prefetchDue(now)
 	for _, e := range s.openJobs {
@@ -87,6 +90,10 @@
 			c := s.newCandidate(e, ref, queue, now)
 			c.held = held
 			e.enterQueue(c)
+			if s.underLimit(c) == 0 {
+				s.limits.add(c, now)
+				continue
+			}
 			list = append(list, c)
 		}
 		s.scheduleChange(e, now)
@@ -116,13 +123,13 @@
 			kept = append(kept, c)
 			continue
 		}
-		q.steps.Remove(&c.position)
+		s.dequeue(c)
 		c.step.queued = nil
 	}
 	clear(e.queued[len(kept):])
 	e.queued = kept
 	for _, c := range added {
-		q.steps.Add(c)
+		s.enqueue(c, now)
 		e.enterQueue(c)
 	}
 	s.scheduleChange(e, now)
@@ -165,7 +172,7 @@
 
 func (e *jobEntry) leaveQueue() {
 	for _, c := range e.queued {
-		c.step.queued = nil
+		c.step.queued, c.step.aside = nil, nil
 	}
 	clear(e.queued)
 	e.queued, e.isScheduled = e.queued[:0], false
--- a/internal/cellnode/leader.go
+++ b/internal/cellnode/leader.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"skylarkstall/internal/app/scheduler"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/route"
@@ -35,26 +37,42 @@
 	return c.target().Notify(ctx, job)
 }
 
-func (c *leaderClient) State(ctx context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
-	return c.target().State(ctx, queue, id)
+func (c *leaderClient) State(ctx context.Context, job port.JobRef) (workflow.State, error) {
+	return c.target().State(ctx, job)
 }
 
-func (c *leaderClient) Cancel(ctx context.Context, queue route.QueueRef, id workflow.ID) error {
-	return c.target().Cancel(ctx, queue, id)
+func (c *leaderClient) Cancel(ctx context.Context, job port.JobRef) error {
+	return c.target().Cancel(ctx, job)
 }
 
 func (c *leaderClient) PendingJobs(ctx context.Context, queue route.QueueRef) (int, error) {
 	return c.target().PendingJobs(ctx, queue)
 }
 
+func (c *leaderClient) Admit(ctx context.Context, request admission.Request) (admission.Verdict, error) {
+	return c.target().Admit(ctx, request)
+}
+
 // peerHandler serves calls from other processes. It never forwards them.
 type peerHandler struct {
 	leaderClient
 	permits port.PermitClient
 	self    port.Leader // Term is not set
 	term    atomic.Uint64
+	gate    *admission.Gate
+}
+
+// Room implements cellwire.Handler.
+func (h *peerHandler) Room() admission.Statement {
+	if local := h.local.Load(); local != nil {
+		return local.Room()
+	}
+	return admission.Statement{}
 }
 
+// ObserveRoom implements cellwire.Handler.
+func (h *peerHandler) ObserveRoom(s admission.Statement, sent time.Time) { h.gate.Observe(s, sent) }
+
 // OwnTerm implements cellwire.Handler.
 func (h *peerHandler) OwnTerm() (port.Leader, bool) {
 	if h.local.Load() == nil {
@@ -74,14 +92,16 @@
 
 func (n notLeader) Notify(context.Context, port.AcceptedJob) error { return n.err() }
 
-func (n notLeader) State(context.Context, route.QueueRef, workflow.ID) (workflow.State, error) {
-	return 0, n.err()
-}
+func (n notLeader) State(context.Context, port.JobRef) (workflow.State, error) { return 0, n.err() }
 
-func (n notLeader) Cancel(context.Context, route.QueueRef, workflow.ID) error { return n.err() }
+func (n notLeader) Cancel(context.Context, port.JobRef) error { return n.err() }
 
 func (n notLeader) PendingJobs(context.Context, route.QueueRef) (int, error) { return 0, n.err() }
 
+func (n notLeader) Admit(context.Context, admission.Request) (admission.Verdict, error) {
+	return admission.Verdict{}, n.err()
+}
+
 // RequestPermits implements port.PermitClient on behalf of the leader.
 func (h *peerHandler) RequestPermits(
 	ctx context.Context, step workflow.StepRef, workers []ident.WorkerID,
