Order workers in urgent permit calls by room again

Beside that, with the padding by full workers, an urgent step that waits for room asked about all workers, 16 at a time, every 100 ms: some 18 to 21 calls in 4 s.

Change: slow workers come last in urgent calls; the others come by room as in other wide calls. Full workers are added only while no call of the urgent step is in progress.

Conclusion: urgent calls no longer multiply when there is no room.

--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -78,7 +78,9 @@
 		size := times.Size(slot.Wait > 0)
 		if options == nil {
 			options = s.permitCandidates(c, unplaced, missing, now)
-			options = c.appendFullWorkers(options, size.Min, now)
+			if !c.queue.HasTopPriority() || !c.permits.CallInProgress() { // an urgent step always finds a process, and would ask about all
+				options = c.appendFullWorkers(options, size.Min, now)
+			}
 		}
 		if len(options) == 0 {
 			break
@@ -129,6 +131,7 @@
 type permitCandidate struct {
 	worker   permit.Worker
 	allowed  bool
+	tooSlow  bool // for an urgent task
 	score    float64
 	fitCount int // further tasks of the step that fit
 }
@@ -159,20 +162,19 @@
 }
 
 // permitCandidates returns workers that could take tasks of the step, have no valid ticket and were not refused, in order of preference:
-// those known to be allowed first, for a wide step that isn't urgent those with the most free capacity, then those with the best score. There are
-// enough for the missing tasks, and a choice, rather than all; for urgent steps enough that aren't slow. Workers on which other runs would have to be stopped are included if the
+// for an urgent step those that are not slow first, then those known to be allowed, for a wide step those with the most free capacity, then
+// those with the best score. There are enough for the missing tasks, and a choice, rather than all, without those that are too slow. Workers on which other runs would have to be stopped are included if the
 // others do not suffice.
 func (s *Scheduler) permitCandidates(c candidate, unplaced int, missing float64, now time.Time) []permitCandidate {
 	request := c.request(now)
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	share, expected := s.allowedShare(c.queue.Name).Estimate(), 0.0
-	byRoom := unplaced >= wideStep && !c.queue.HasTopPriority() // urgent tasks need fast workers, and calls for them take little time
 	var options []permitCandidate
 	choice := 0
 	add := func(m *workerMonitor, known bool) {
 		if option, ok := c.permitOption(m, &request, unplaced); ok && option.allowed == known {
 			options = append(options, option)
-			if !c.queue.HasTopPriority() || !m.worker.IsSlow() {
+			if !option.tooSlow {
 				expected += option.expected(share)
 				choice++
 			}
@@ -192,13 +194,20 @@
 	if expected < missing && c.waited >= askForPreemptionAfter && c.mayPreempt() && !c.pass.hasLowestPriority(c.queue.Priority) {
 		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
-	slices.SortFunc(options, func(a, b permitCandidate) int { return a.compare(&b, byRoom) })
+	slices.SortFunc(options, func(a, b permitCandidate) int { return a.compare(&b, unplaced >= wideStep) })
 	return options
 }
 
-// compare orders candidates by preference: those known to be allowed first, then those with the most room if that counts, then by score.
+// compare orders candidates by preference: those that are not too slow first, then those known to be allowed, then those with the most room if
+// that counts, then by score.
 func (o *permitCandidate) compare(other *permitCandidate, byRoom bool) int {
-	if o.allowed != other.allowed {
+	switch {
+	case o.tooSlow != other.tooSlow:
+		if other.tooSlow {
+			return -1
+		}
+		return 1
+	case o.allowed != other.allowed:
 		if o.allowed {
 			return -1
 		}
@@ -215,7 +224,7 @@
 	if !m.worker.Eligible(request) {
 		return permitCandidate{}, false
 	}
-	option := permitCandidate{worker: permitWorker(m)}
+	option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
 	var mayAsk bool
 	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk {
 		return permitCandidate{}, false
@@ -240,7 +249,7 @@
 		if len(options) >= minimum {
 			break
 		}
-		option := permitCandidate{worker: permitWorker(m)}
+		option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
 		var mayAsk bool
 		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || listed[m.worker.ID()] {
 			continue
