Record the capacity of workers, which bounds what may run there after a change of the leader

Change: the record of workers holds their capacity. Records of earlier versions have none, and the careful rule stays for these.

Codec and scheduler tests pass.

--- a/internal/adapter/cellwire/records.go
+++ b/internal/adapter/cellwire/records.go
@@ -257,7 +257,8 @@
 	for _, w := range workers {
 		m.Workers = append(m.Workers, &cellpb.Worker{
 			Id: string(w.ID), Address: w.Address, Service: w.Service, Born: w.Incarnation, Closed: w.Cordoned,
-			ClosedAt: uint64(w.CordonedAt), Fenced: w.Fenced,
+			ClosedAt: uint64(w.CordonedAt), Fenced: w.Fenced, MilliCores: w.Capacity.MilliCores,
+			MemoryBytes: w.Capacity.MemoryBytes, Accelerators: w.Capacity.Accelerators,
 		})
 	}
 	return marshal(m)
@@ -274,6 +275,9 @@
 		record := port.WorkerRecord{
 			WorkerInfo: pool.WorkerInfo{
 				ID: ident.WorkerID(w.GetId()), Address: w.GetAddress(), Service: w.GetService(), Incarnation: w.GetBorn(),
+				Capacity: resource.Vector{
+					MilliCores: w.GetMilliCores(), MemoryBytes: w.GetMemoryBytes(), Accelerators: w.GetAccelerators(),
+				},
 			},
 			Cordoned: w.GetClosed(), CordonedAt: ident.Revision(w.GetClosedAt()), Fenced: w.GetFenced(),
 		}
--- a/internal/adapter/cellwire/records_test.go
+++ b/internal/adapter/cellwire/records_test.go
@@ -64,10 +64,10 @@
 }
 
 // TestWorkersRecord guards against a cordoned worker that the next leader reads as schedulable or with a wrong revision. A
-// worker without a revision was cordoned at the revision of the record itself.
+// worker without a revision was cordoned at the revision of the record itself. Without its capacity, what it may run of an account has no bound.
 func TestWorkersRecord(t *testing.T) {
 	workers := []port.WorkerRecord{
-		{WorkerInfo: pool.WorkerInfo{ID: "a", Address: "h:1", Service: "desk", Incarnation: 7}, Fenced: true},
+		{WorkerInfo: pool.WorkerInfo{ID: "a", Address: "h:1", Service: "desk", Incarnation: 7, Capacity: resource.Vector{MilliCores: 16000, MemoryBytes: 32 << 30, Accelerators: 2}}, Fenced: true},
 		{WorkerInfo: pool.WorkerInfo{ID: "b", Address: "h:2", Service: "desk", Incarnation: 8}, Cordoned: true},
 		{WorkerInfo: pool.WorkerInfo{ID: "c", Address: "h:3", Service: "desk", Incarnation: 9}, Cordoned: true, CordonedAt: 40},
 	}
