Accept a stored job again although its request is slow

Such a request now tries to write the job as if it knew of no refusal. That fails either way, and tells whether the job is stored. TestStoredJobOfSlowRequest fails without the change.

--- a/internal/app/gateway/admission.go
+++ b/internal/app/gateway/admission.go
@@ -39,9 +39,7 @@
 		return nil
 	}
 	if gate.MayHaveRefused(job.Account, time.Now()) {
-		if err := g.readRefusal(ctx, job); err != nil {
-			return err
-		}
+		g.readRefusal(ctx, job)
 	}
 	chain := admission.LongestChain(&job.Spec)
 	request := admission.Request{
@@ -73,21 +71,20 @@
 	return g.leader.Admit(ctx, request)
 }
 
-// readRefusal reads whether the id was refused before. A caller that returns after a refusal is served; one whose job was refused while
-// an earlier request for it was in progress must not be.
-func (g *Gateway) readRefusal(ctx context.Context, job *port.AcceptedJob) error {
+// readRefusal reads whether the id was refused before, so that a caller that returns after a refusal is served. One whose job was refused while
+// an earlier request for it was in progress must not be: for a stale request the refusal counts as one that nobody knew of, and only a job
+// that is stored already is accepted.
+func (g *Gateway) readRefusal(ctx context.Context, job *port.AcceptedJob) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	revision, err := port.KnownRefusal(ctx, g.store, job.Spec.ID)
 	if err != nil {
 		g.log.Info("refusals of a job not read; it is stored if there is none", "job", job.Spec.ID, "error", err)
-		return nil
+		return
 	}
-	if age := time.Since(arrivalOf(ctx, job.AcceptedAt)); revision > 0 && age > staleAfter {
-		return fault.WithRetryAfter(fault.New(fault.QuotaExceeded, "the id may have been refused since its request arrived %v ago", age), time.Second)
+	if time.Since(arrivalOf(ctx, job.AcceptedAt)) <= staleAfter {
+		job.KnownRefusal = revision
 	}
-	job.KnownRefusal = revision
-	return nil
 }
 
 // recordRefusal records a refusal, directly or through the leader. It returns false if the refusal may not be true, so that the job has to
--- a/internal/app/gateway/admission_test.go
+++ b/internal/app/gateway/admission_test.go
@@ -211,6 +211,22 @@
 	})
 }
 
+// TestStoredJobOfSlowRequest replays a caller that returned after a refusal, was accepted, and whose request arrives once more while the store is
+// slow. It guards against a refusal of a job that runs.
+func TestStoredJobOfSlowRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOverloadedGateway()
+		_ = o.Submit(t.Context(), overloadedCaller(), testSpec()) // refused
+		o.store.keys[port.JobPrefix+"j"] = 9
+		slow, cancel := gateway.WithResponseMargin(t.Context(), time.Minute)
+		defer cancel()
+		time.Sleep(time.Second)
+		if err := o.Submit(slow, overloadedCaller(), testSpec()); err != nil {
+			t.Errorf("a stored job is refused: %v", err)
+		}
+	})
+}
+
 // TestUnheardOfRefusal replays a caller that returns to a process that has not heard of refusals. It guards against a write that is repeated in
 // vain until the caller's time is over, and against a caller that is never served.
 func TestUnheardOfRefusal(t *testing.T) {
