--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -78,7 +78,9 @@
 		size := times.Size(slot.Wait > 0)
 		if options == nil {
 			options = s.permitCandidates(c, unplaced, missing, now)
-			options = c.appendFullWorkers(options, size.Min, now)
+			if !c.queue.HasTopPriority() || !c.permits.CallInProgress() { // an urgent step always finds a process, and would ask about all
+				options = c.appendFullWorkers(options, size.Min, now)
+			}
 		}
 		if len(options) == 0 {
 			break
@@ -129,6 +131,7 @@
 type permitCandidate struct {
 	worker   permit.Worker
 	allowed  bool
+	tooSlow  bool // for an urgent task
 	score    float64
 	fitCount int // further tasks of the step that fit
 }
@@ -159,18 +162,22 @@
 }
 
 // permitCandidates returns workers that could take tasks of the step, have no valid ticket and were not refused, in order of preference:
-// those known to be allowed first, for a wide step those with the most free capacity, then those with the best score. There are enough
-// for the missing tasks, and a choice, rather than all. Workers on which other runs would have to be stopped are included if the
+// for an urgent step those that are not slow first, then those known to be allowed, for a wide step those with the most free capacity, then
+// those with the best score. There are enough for the missing tasks, and a choice, rather than all, without those that are too slow. Workers on which other runs would have to be stopped are included if the
 // others do not suffice.
 func (s *Scheduler) permitCandidates(c candidate, unplaced int, missing float64, now time.Time) []permitCandidate {
 	request := c.request(now)
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	share, expected := s.allowedShare(c.queue.Name).Estimate(), 0.0
 	var options []permitCandidate
+	choice := 0
 	add := func(m *workerMonitor, known bool) {
 		if option, ok := c.permitOption(m, &request, unplaced); ok && option.allowed == known {
-			expected += option.expected(share)
 			options = append(options, option)
+			if !option.tooSlow {
+				expected += option.expected(share)
+				choice++
+			}
 		}
 	}
 	for worker := range c.permits.Lapsed(c.pass.ticketTime) {
@@ -179,7 +186,7 @@
 		}
 	}
 	for recorded := range s.withRoom(request.Step) {
-		if expected >= choiceFactor*missing && len(options) >= enoughOptions && request.Step.DataRack == "" {
+		if expected >= choiceFactor*missing && choice >= enoughOptions && request.Step.DataRack == "" {
 			break
 		}
 		add(recorded.monitor, false)
@@ -187,19 +194,29 @@
 	if expected < missing && c.waited >= askForPreemptionAfter && c.mayPreempt() && !c.pass.hasLowestPriority(c.queue.Priority) {
 		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
-	slices.SortFunc(options, func(a, b permitCandidate) int {
-		if a.allowed != b.allowed {
-			if a.allowed {
-				return -1
-			}
-			return 1
+	slices.SortFunc(options, func(a, b permitCandidate) int { return a.compare(&b, unplaced >= wideStep) })
+	return options
+}
+
+// compare orders candidates by preference: those that are not too slow first, then those known to be allowed, then those with the most room if
+// that counts, then by score.
+func (o *permitCandidate) compare(other *permitCandidate, byRoom bool) int {
+	switch {
+	case o.tooSlow != other.tooSlow:
+		if other.tooSlow {
+			return -1
 		}
-		if unplaced >= wideStep && a.fitCount != b.fitCount {
-			return cmp.Compare(b.fitCount, a.fitCount)
+		return 1
+	case o.allowed != other.allowed:
+		if o.allowed {
+			return -1
 		}
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
-	return options
+		return 1
+	}
+	if byRoom && o.fitCount != other.fitCount {
+		return cmp.Compare(other.fitCount, o.fitCount)
+	}
+	return cmp.Or(cmp.Compare(o.score, other.score), cmp.Compare(o.worker.ID, other.worker.ID))
 }
 
 // permitOption returns the worker as an option for a call, and false if it cannot take a task now or must not be asked about.
@@ -207,7 +224,7 @@
 	if !m.worker.Eligible(request) {
 		return permitCandidate{}, false
 	}
-	option := permitCandidate{worker: permitWorker(m)}
+	option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
 	var mayAsk bool
 	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk {
 		return permitCandidate{}, false
@@ -232,7 +249,7 @@
 		if len(options) >= minimum {
 			break
 		}
-		option := permitCandidate{worker: permitWorker(m)}
+		option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
 		var mayAsk bool
 		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || listed[m.worker.ID()] {
 			continue
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -90,6 +90,7 @@
 	finished         map[workflow.ID]finishedJob // jobs that are archived
 	historyRead      bool                        // finished holds what earlier terms archived
 	openJobs         map[workflow.ID]*jobEntry   // jobs whose state is not final
+	jobsReadTo       ident.Revision              // every job that was stored up to this revision is known, or was
 	dirty            map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
 	monitors         map[ident.WorkerID]*workerMonitor
 	crashes          map[string]*pool.CrashHistory // by address of the workers
@@ -109,6 +110,7 @@
 	roster           *workerRoster             // nil if it has to be made again
 	releases         releaseLog                // capacity that placement has not used yet
 	limits           accountLimits
+	kinds            map[workerKind]*pool.KindSpeed
 	startsInProgress int                             // placed, and the request of the start has not ended
 	starts           *placement.StartLimit           // of startsInProgress
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
@@ -176,7 +178,7 @@
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
 		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
-		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{},
+		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{}, kinds: map[workerKind]*pool.KindSpeed{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
