Preempt runs of late jobs first

Change: a run notes whether its job was behind others when it started: late, or beyond the share of its account. Among the runs of one priority these are stopped first, and stopping one counts half in the choice of the worker.

Result: two unit tests.

--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -378,7 +378,7 @@
 	}
 	checkpoint := c.entry.workflow.Checkpoint(ref.Task)
 	run := worker.Run(ref)
-	run.Partial, run.Priority = checkpoint != "", c.queue.Priority
+	run.Partial, run.Priority, run.Behind = checkpoint != "", c.queue.Priority, !c.mayPreempt()
 	worker.Suspect(ref, c.entry.workflow.Crashes(ref.Task))
 	c.entry.workflow.Start(workflow.Placement{RunRef: ref, Worker: worker.Info().ID})
 	leaseUntil, _ := worker.ExtendLease(s.settings.leaseDuration(), now)
--- a/internal/domain/pool/preempt.go
+++ b/internal/domain/pool/preempt.go
@@ -9,9 +9,14 @@
 	"skylarkstall/internal/domain/workflow"
 )
 
-// Cost of preempting a run, in addition to its share of the worker: its task is delayed, and the work since its last
-// checkpoint may be lost.
-const runCost = 0.1
+const (
+	// runCost is the cost of preempting a run, in addition to its share of the worker: its task is delayed, and the work since its last
+	// checkpoint may be lost.
+	runCost = 0.1
+	// behindFactor lowers the cost for a run of a job that was behind others when the run started: it is late already, or its account has no
+	// share left, so that the delay takes less from its caller.
+	behindFactor = 0.5
+)
 
 const (
 	// urgentPreemptDelay is how long a task of the highest priority waits for a run to end by itself before it preempts one.
@@ -82,11 +87,32 @@
 		missing = missing.Sub(size)
 		runs[chosen] = run
 		chosen++
-		cost += runCost + size.DominantShare(w.info.Capacity)
+		cost += w.preemptionCost(run, size)
 	}
 	return runs[:chosen], cost, missing.Fits(none)
 }
 
+// preemptionCost returns the cost of preempting a run of the given size.
+func (w *Worker) preemptionCost(run *Run, size resource.Vector) float64 {
+	cost := runCost + size.DominantShare(w.info.Capacity)
+	if run.Behind {
+		cost *= behindFactor
+	}
+	return cost
+}
+
+// compareBehind orders runs of jobs that are behind others before the rest.
+func compareBehind(a, b *Run) int {
+	switch {
+	case a.Behind == b.Behind:
+		return 0
+	case a.Behind:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // plannedFree returns the capacity that the task could use once all preempted runs have ended.
 func (w *Worker) plannedFree(r *Request) resource.Vector {
 	free := w.Free().Sub(w.heldFromOthers(r)).Sub(w.heldFor(r))
@@ -134,7 +160,8 @@
 	return size
 }
 
-// preemptible appends the runs that may be stopped for the task. The lowest priority comes first, then the largest run.
+// preemptible appends the runs that may be stopped for the task. The lowest priority comes first, then jobs that are behind others,
+// then the largest run.
 func (w *Worker) preemptible(r *Request, runs []*Run) []*Run {
 	for _, run := range w.runs {
 		if run.isPreemptible(r) {
@@ -143,7 +170,7 @@
 	}
 	slices.SortFunc(runs, func(a, b *Run) int {
 		return cmp.Or(
-			cmp.Compare(b.Priority, a.Priority), cmp.Compare(b.Step.Size.MilliCores, a.Step.Size.MilliCores),
+			cmp.Compare(b.Priority, a.Priority), compareBehind(a, b), cmp.Compare(b.Step.Size.MilliCores, a.Step.Size.MilliCores),
 			cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
 	})
 	return runs
--- a/internal/domain/pool/preempt_test.go
+++ b/internal/domain/pool/preempt_test.go
@@ -139,3 +139,48 @@
 		t.Error("the freed capacity is kept for longer than asked")
 	}
 }
+
+// TestLateJobsArePreemptedFirst guards against a burst of urgent tasks that stops work of jobs which could be in time, beside work of jobs
+// that are late already: on full workers, every other run is of a late job, and is the smaller one.
+func TestLateJobsArePreemptedFirst(t *testing.T) {
+	workers := gpuWorkers(4)
+	late, inTime := gpuStep(2), gpuStep(6)
+	for i, w := range workers {
+		for job, step := range map[workflow.ID]*workflow.Step{"late": &late, "in-time": &inTime} {
+			ref := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: job}, Index: i}, Run: 1}
+			if err := w.Reserve(ref, step); err != nil {
+				t.Fatal(err)
+			}
+			w.Run(ref).Priority, w.Run(ref).Behind = 2, job == "late"
+			w.UpdateRun(ref, 1, 0, now)
+		}
+	}
+	urgent := gpuStep(2)
+	r := request("urgent", 0, &urgent)
+	for _, w := range workers {
+		plan, ok := w.PlanPreemption(&r)
+		if !ok || len(plan.Runs) != 1 || plan.Runs[0].Task.Job != "late" {
+			t.Errorf("stops %v on worker %s, want the run of the late job", plan.Runs, w.ID())
+		}
+	}
+}
+
+// TestLateRunsCostLess guards against a choice of workers that does not look at whose work is stopped there.
+func TestLateRunsCostLess(t *testing.T) {
+	workers := gpuWorkers(2)
+	step, urgent := gpuStep(8), gpuStep(1)
+	var costs [2]float64
+	for i, w := range workers {
+		ref := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: "wide"}, Index: i}, Run: 1}
+		if err := w.Reserve(ref, &step); err != nil {
+			t.Fatal(err)
+		}
+		w.Run(ref).Priority, w.Run(ref).Behind = 2, i == 1
+		w.UpdateRun(ref, 1, 0, now)
+		r := request("urgent", 0, &urgent)
+		costs[i], _ = w.PreemptionCost(&r)
+	}
+	if costs[1] >= costs[0] {
+		t.Errorf("stopping a run of a late job costs %.2f, of another %.2f", costs[1], costs[0])
+	}
+}
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -29,6 +29,7 @@
 	workflow.RunRef
 	Step            workflow.Step
 	Priority        int       // of its queue; 0 is the highest
+	Behind          bool      // its job was behind others of its priority when it started: late, or beyond the share of its account
 	Requested       bool      // the request to start it may have been sent
 	Reported        bool      // the worker has reported it as running
 	Started         time.Time // when the worker acknowledged the start or first reported the run; zero before
