Delete the offers of the former term when the lead is taken

Cause: an offer to lead stands for 6 s in the store. If the process that made it is lost, or its work has failed, each leader that follows within that time reads it, counts its cell as starting and hands over to nobody. Only its own hand-over is kept from following within 20 s, so the lead goes through one small VM after the other: in the test five hand-overs among five processes of 0.48 of a core.

Change: the transaction that takes the key of the leader deletes the offer. Followers of the new leader offer again after 0.5 s, as they do after each change.

Result: TestOfferOfLostProcess, which saw terms of first, d, b, e, c, b before, sees two. The race detector finds nothing in the package.

Conclusion: a lost successor costs one hand-over.

--- a/internal/app/leadership/fitness_test.go
+++ b/internal/app/leadership/fitness_test.go
@@ -215,3 +215,30 @@
 		})
 	}
 }
+
+// TestOfferOfLostProcess guards against a lead that travels through the small VMs, each of which hands over to a process that was lost
+// after its offer: a leader heeds only what was offered in its own term.
+func TestOfferOfLostProcess(t *testing.T) {
+	testUnevenCell(t, 0.8, func(c *unevenCell) {
+		c.store = &expiringStore{keyStore: newKeyStore(), expires: map[port.LeaseID]time.Time{}, ttl: map[port.LeaseID]time.Duration{}}
+		c.start("first", 1, 0.48)
+		time.Sleep(200 * time.Millisecond)
+		for i, id := range []ident.ProcessID{"b", "c", "d", "e"} {
+			c.start(id, uint64(i+2), 0.48)
+		}
+		lease, err := c.store.Grant(c.ctx, 6*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		offer := port.Write{Key: port.SuccessorKey, Value: []byte("lost 800"), Lease: lease}
+		if _, err := c.store.Commit(c.ctx, port.Txn{Writes: []port.Write{offer}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if len(c.terms) != 2 {
+			t.Errorf("terms of %v, want the one that handed over and another one", c.terms)
+		}
+	})
+}
--- a/internal/app/leadership/leadership.go
+++ b/internal/app/leadership/leadership.go
@@ -361,6 +361,7 @@
 		Writes: append(term.writes(), port.Write{
 			Key: port.LeaderKey, Value: e.codec.EncodeLeader(self), Lease: lease,
 		}),
+		Deletes: []string{port.SuccessorKey}, // offers to an earlier leader; who made them may be lost
 	})
 	if err != nil {
 		return Term{}, 0, err
