Forget the waiting steps of a job that is over when all steps are queued again

Cause: a new configuration, or many changes at once, queues the steps of the open jobs again. A job that was over by then kept the steps that it had in the queue before. At its next change, such as the end of a cancelled run, they were taken from where they had been set aside under the former configuration; if one of them was the step that others leave the room to, those others were queued again as they were then, with the former settings and position, in place of or beside the present ones.

Change: all jobs that have changed leave the queue before it is made again, not just the open ones.

Result: TestEndAfterRebuild, which found a step queued by the former version of the configuration, passes, and so do the other tests of the package.

Conclusion: what was set aside before a change of the configuration has no effect after it.

--- a/internal/app/scheduler/queue.go
+++ b/internal/app/scheduler/queue.go
@@ -77,6 +77,9 @@
 	q := &s.queue
 	q.isKept, q.settled, q.due = s.accounted, false, placement.Schedule[*jobEntry]{}
 	s.limits.dropAside()
+	for _, e := range q.changed {
+		e.leaveQueue() // also one that is over, whose steps would be taken from where they were set aside before
+	}
 	list := make([]*candidate, 0, q.steps.Len())
 	prefetch := s.prefetchDue(now)
 	for _, e := range s.openJobs {
