Count only passes that do not catch up as a sign of a late leader

Cause: placement counts as behind for 2 s after its last late pass, so that the log does not flap. Each pass in that time was a sign that the leader is late, so one gap of 1.2 s without a pass, after which every pass reached all steps, made it late for 2.8 s. From 1.5 s on it hands over, which is meant for a leader that does not recover by itself; single bursts are shorter, as the reason for the 1.5 s says.

Change: the sign is a pass that began longer than 0.3 s after the last one that reached all steps, while placement is behind.

Result: TestSinglePauseIsNotLateness, late for 2.8 s before, passes; steps left out for 3 s still make the leader late. The tests of the packages scheduler, placement, fitness, leadership and cellnode pass.

Conclusion: a leader that has caught up keeps the lead.

--- a/internal/app/scheduler/pass.go
+++ b/internal/app/scheduler/pass.go
@@ -15,9 +15,6 @@
 	if s.ports.ObservePass != nil {
 		s.ports.ObservePass(pass)
 	}
-	if s.progress.Behind() {
-		s.term.Lateness.Note(fitness.PassesBehind, now)
-	}
 	behindFor := s.progress.BehindFor(now)
 	switch s.progress.Observe(now, pass.Left) {
 	case placement.FellBehind:
@@ -27,4 +24,7 @@
 		s.log.Info("placement has caught up", "took_ms", behindFor.Milliseconds(), "ready_steps", ready)
 	case placement.NoChange:
 	}
+	if s.progress.Lags() {
+		s.term.Lateness.Note(fitness.PassesBehind, now)
+	}
 }
--- a/internal/app/scheduler/pass_test.go
+++ b/internal/app/scheduler/pass_test.go
@@ -123,3 +123,35 @@
 		}
 	}
 }
+
+// TestSinglePauseIsNotLateness guards against a leader that hands over for one pause although it keeps up afterwards, and against one that
+// is not late although its passes leave steps out again and again.
+func TestSinglePauseIsNotLateness(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		left  int // steps that each pass but every tenth leaves out
+		limit time.Duration
+		late  bool
+	}{
+		{"one pause of 1.2 s", 0, 1500 * time.Millisecond, false},
+		{"steps left out for 3 s", 5, 1500 * time.Millisecond, true},
+	} {
+		s, now := newLeader(t), time.Now()
+		s.term.Lateness = &leadership.Lateness{}
+		s.observePass(now, now, 8, 8)
+		now = now.Add(1200 * time.Millisecond)
+		longest := time.Duration(0)
+		for i := range 30 {
+			left := test.left
+			if i%10 == 9 {
+				left = 0
+			}
+			s.observePass(now, now, 8-left, 8)
+			longest = max(longest, s.term.Lateness.For(now))
+			now = now.Add(100 * time.Millisecond)
+		}
+		if late := longest >= test.limit; late != test.late {
+			t.Errorf("%s: late for %v", test.name, longest)
+		}
+	}
+}
--- a/internal/domain/placement/progress.go
+++ b/internal/domain/placement/progress.go
@@ -28,6 +28,7 @@
 type Progress struct {
 	complete time.Time // start of the last pass that reached all steps, or the time from which passes count
 	lagged   time.Time // start of the last pass that began longer than KeepsUpWithin after complete
+	last     time.Time // start of the last pass
 	since    time.Time // from when on steps were left out; zero while placement is not behind
 }
 
@@ -36,6 +37,7 @@
 	if p.complete.IsZero() {
 		p.complete = start
 	}
+	p.last = start
 	lag := start.Sub(p.complete)
 	if lag > KeepsUpWithin {
 		p.lagged = start
@@ -63,6 +65,10 @@
 // Behind reports whether placement is behind.
 func (p *Progress) Behind() bool { return !p.since.IsZero() }
 
+// Lags reports whether placement is behind and does not catch up: the last pass began longer than KeepsUpWithin after one that reached
+// all steps.
+func (p *Progress) Lags() bool { return p.Behind() && p.last.Equal(p.lagged) }
+
 // BehindFor returns for how long steps have been left out or passes have not run, and 0 while placement is not behind.
 func (p *Progress) BehindFor(now time.Time) time.Duration {
 	if p.since.IsZero() {
