Take no evidence before the first configuration

Cause: a process that has no configuration yet and reads a record that it cannot decode confirmed version 0 as the newest one. When a peer then passed on the version before that record, the evidence of the read counted for it, so keys that the record withdraws were accepted for nine tenths of the bound. Change: Table.Confirm takes no evidence about version 0. Result: TestNoEvidenceBeforeConfiguration failed before (version 5 counted as the newest one) and passes; the tests of route, routing and cellwire pass.

--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -104,11 +104,11 @@
 }
 
 // Confirm records that the version was the newest one at the given time, by a clock that counts suspensions. Evidence about another version than the active
-// one, or older evidence, changes nothing.
+// one, or older evidence, changes nothing, and so does any before the first version: 0 may stand for one that could not be decoded.
 func (t *Table) Confirm(version uint64, at time.Time, source string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version == t.config.Version && at.After(t.confirmed.At) {
+	if version != 0 && version == t.config.Version && at.After(t.confirmed.At) {
 		t.confirmed = account.Evidence{At: at, Source: source}
 	}
 }
--- a/internal/domain/route/route_test.go
+++ b/internal/domain/route/route_test.go
@@ -110,3 +110,14 @@
 		}
 	}
 }
+
+// TestNoEvidenceBeforeConfiguration guards against a process that has read a record which it cannot decode, and takes an older
+// configuration of a peer for the newest one as of that read.
+func TestNoEvidenceBeforeConfiguration(t *testing.T) {
+	var table route.Table
+	table.Confirm(0, time.Unix(1_700_000_000, 0), "store") // 0: the record could not be decoded
+	table.Apply(route.Config{Version: 5})
+	if _, evidence := table.Active(); !evidence.At.IsZero() {
+		t.Errorf("version 5 counts as the newest one at %v", evidence.At)
+	}
+}
