Renew a refusal that a write has come upon before it is passed on

Cause: a caller that returned after a refusal was written on the condition of that refusal. If the answer was lost and the caller came once more to a process that had not heard of refusals, or whose request was stale, that process found the record, told the caller 429 and recorded nothing: the former write, still on its way, then took effect, so a job ran of which the caller had been told that it never does. Change: the process (or the leader that writes for it) records the refusal anew before it passes it on. Conclusion: each 429 rests on a record that is younger than all writes before it. It costs one more write for each such refusal.

--- a/internal/app/gateway/admission.go
+++ b/internal/app/gateway/admission.go
@@ -28,7 +28,7 @@
 // RefuseBy makes the gateway refuse jobs as the leader decides, and ask it as the gate says. It must be called before the first request.
 // Observe is called for each refused job unless it is nil.
 func (g *Gateway) RefuseBy(gate *admission.Gate, observe func(account.ID, admission.Reason)) {
-	g.refusals = refusals{gate, observe, port.NewRefusalRecorder(g.store)}
+	g.refusals.gate, g.refusals.observe = gate, observe
 }
 
 // admit decides whether to store a job, and completes it with what is known of its admission. It fails with QuotaExceeded or Overloaded if
--- a/internal/app/gateway/admission_test.go
+++ b/internal/app/gateway/admission_test.go
@@ -306,3 +306,43 @@
 		t.Errorf("the leader was asked about %+v", o.leader.asked)
 	}
 }
+
+// TestUnheardOfRefusalStopsEarlierWrite replays a caller that returns after a refusal, whose write loses its answer and is still on its way
+// when the caller returns once more, to a process that has not heard of refusals. It guards against a refusal of a job that runs later.
+func TestUnheardOfRefusalStopsEarlierWrite(t *testing.T) {
+	o := newOverloadedGateway()
+	_ = o.Submit(t.Context(), overloadedCaller(), testSpec()) // refused
+	var late port.Txn
+	returned := gateway.New(delayingStore{o.store, &late}, specCodec{}, o.leader, &route.Table{}, slog.New(slog.DiscardHandler))
+	heard := &admission.Gate{}
+	heard.NoteRefusal("a", time.Now())
+	returned.RefuseBy(heard, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if err := returned.Submit(ctx, overloadedCaller(), testSpec()); !fault.Is(err, fault.Interrupted) {
+		t.Fatalf("the second submission ends with %v, want an unknown outcome", err)
+	}
+	other := gateway.New(o.store, specCodec{}, o.leader, &route.Table{}, slog.New(slog.DiscardHandler))
+	other.RefuseBy(&admission.Gate{}, nil)
+	if err := other.Submit(t.Context(), overloadedCaller(), testSpec()); !fault.Is(err, fault.QuotaExceeded) {
+		t.Fatalf("the third submission ends with %v, want a refusal", err)
+	}
+	if _, err := o.store.commit(late); !fault.Is(err, fault.Conflict) || o.store.keys[port.JobPrefix+"j"] != 0 {
+		t.Errorf("the late write ends with %v; want it to have no effect", err)
+	}
+}
+
+// TestUnheardOfRefusalThatCannotBeRenewed replays the same while the store does not record refusals. It guards against a refusal that may
+// not be true.
+func TestUnheardOfRefusalThatCannotBeRenewed(t *testing.T) {
+	o := newOverloadedGateway()
+	_ = o.Submit(t.Context(), overloadedCaller(), testSpec()) // refused
+	o.store.fails[port.RefusedPrefix] = fault.Unavailable
+	other := gateway.New(o.store, specCodec{}, o.leader, &route.Table{}, slog.New(slog.DiscardHandler))
+	other.RefuseBy(&admission.Gate{}, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if err := other.Submit(ctx, overloadedCaller(), testSpec()); !fault.Is(err, fault.Interrupted) {
+		t.Errorf("the submission ends with %v, want an unknown outcome", err)
+	}
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -46,7 +46,10 @@
 func New(
 	store port.TxnStore, codec port.RecordCodec, leader port.Scheduler, table *route.Table, log *slog.Logger,
 ) *Gateway {
-	return &Gateway{store: store, codec: codec, leader: leader, table: table, log: log, clock: time.Now}
+	return &Gateway{
+		store: store, codec: codec, leader: leader, table: table, log: log, clock: time.Now,
+		refusals: refusals{records: port.NewRefusalRecorder(store)},
+	}
 }
 
 // WithWithdrawal sets the bounds for withdrawn keys, and the clock by which the evidence of the table is dated. It is called before the
@@ -179,7 +182,7 @@
 	defer cancel()
 	stored, err := port.CreateJob(ctx, g.store, g.codec, job)
 	if err != nil {
-		return err
+		return g.refusals.records.Renew(ctx, job.Spec.ID, time.Now(), err)
 	}
 	return stored.CheckSubmission(job)
 }
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -90,7 +90,7 @@
 	defer s.guardCall()
 	stored, err := port.CreateJob(ctx, s.ports.Store, s.ports.RecordCodec, job)
 	if err != nil {
-		return err
+		return s.room.records.Renew(ctx, job.Spec.ID, time.Now(), err)
 	}
 	if err := stored.CheckSubmission(job); err != nil || stored.Finished != nil {
 		return err
--- a/internal/port/create.go
+++ b/internal/port/create.go
@@ -14,7 +14,8 @@
 const refusedMeanwhile = time.Second
 
 // CreateJob stores a job if its id is not stored yet. It returns what the store holds, which differs from the job if the id was
-// stored before. It fails with QuotaExceeded if the id was refused since the caller's request arrived; the job is not stored then.
+// stored before. It fails with QuotaExceeded if the id was refused since the caller's request arrived; the job is not stored then, but see
+// RefusalRecorder.Renew.
 func CreateJob(ctx context.Context, store TxnStore, codec RecordCodec, job AcceptedJob) (StoredJob, error) {
 	key, finishedKey := JobPrefix+string(job.Spec.ID), FinishedPrefix+string(job.Spec.ID)
 	txn := Txn{
@@ -86,6 +87,24 @@
 	return err == nil, err
 }
 
+// Renew completes the error with which the write of a job has ended. If it states that the id was refused meanwhile, another write may be on
+// its way that knew of that refusal: the refusal is recorded anew, so that it has no effect. Renew fails with Interrupted if it may have
+// taken effect.
+func (r *RefusalRecorder) Renew(ctx context.Context, id workflow.ID, now time.Time, err error) error {
+	if !fault.Is(err, fault.QuotaExceeded) {
+		return err
+	}
+	recorded, recordErr := r.Record(ctx, id, now)
+	switch {
+	case recordErr != nil:
+		return fault.WrapAs(fault.Interrupted, recordErr, "renew the refusal of the id")
+	case !recorded:
+		return fault.New(fault.Interrupted, "the id was refused and then stored")
+	default:
+		return err
+	}
+}
+
 // currentLease returns a lease that lasts for refusalTTL or longer.
 func (r *RefusalRecorder) currentLease(ctx context.Context, now time.Time) (LeaseID, error) {
 	r.mu.Lock()
