Forget levels of room that the configuration has no more

Cause: the leader observes only the levels of the queues in force and of what runs. A level without room whose priority or service then went out of the configuration kept its last state: it was stated with each ping and in the metric for good, and a process with the former configuration was refused by it. Change: Room.Observe forgets the levels of a service that it is given no load of, Room.Retain those of services without queues. Result: TestRemovedLevelIsForgotten failed before for the removed priority (Retain did nothing for it and did not exist) and passes; the tests of admission and those of room in the scheduler pass. Conclusion: a lack of room ends with its level.

--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -64,6 +64,7 @@
 	}
 	s.room.shares.Prune(now)
 	services := s.serviceLoads(&config, now)
+	s.room.room.Retain(func(service string) bool { return services[service] != nil })
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		service := services[name]
 		loads := make([]admission.Load, 0, len(service.loads))
--- a/internal/domain/admission/admission_test.go
+++ b/internal/domain/admission/admission_test.go
@@ -264,3 +264,22 @@
 		t.Errorf("expected wait %v, want 4 s: half of the capacity is left", wait)
 	}
 }
+
+// TestRemovedLevelIsForgotten replays a change of the configuration after which no queue has a priority, or no queue a service, that had no
+// room. It guards against a lack of room that is stated for good, since nothing observes the level any more.
+func TestRemovedLevelIsForgotten(t *testing.T) {
+	for name, change := range map[string]func(*admission.Room){
+		"priority": func(r *admission.Room) { r.Observe("desk", []admission.Load{{Priority: urgent}}) },
+		"service":  func(r *admission.Room) { r.Retain(func(service string) bool { return service != "desk" }) },
+	} {
+		l := newLeader()
+		l.overload(time.Minute)
+		if stated := l.room.Statement(l.now); stated.IsZero() {
+			t.Fatal("the level has room")
+		}
+		change(l.room)
+		if stated := l.room.Statement(l.now); !stated.IsZero() || l.room.RefusesExcess(heavyLevel) {
+			t.Errorf("%s removed: still stated: %+v", name, stated)
+		}
+	}
+}
--- a/internal/domain/admission/room.go
+++ b/internal/domain/admission/room.go
@@ -54,10 +54,19 @@
 	return &Room{levels: map[Level]*levelRoom{}, refused: map[account.ID]time.Time{}}
 }
 
-// Observe updates the state of a service. The loads are those of all priorities of its queues, also where nothing waits. What runs at a
+// Retain forgets the services for which keep returns false.
+func (r *Room) Retain(keep func(service string) bool) {
+	maps.DeleteFunc(r.levels, func(l Level, _ *levelRoom) bool { return !keep(l.Service) })
+}
+
+// Observe updates the state of a service. The loads are those of all priorities of its queues, also where nothing waits; other levels of the service are forgotten. What runs at a
 // lower priority than a job takes no room from it, because it can be preempted. Observe returns the levels that have begun or ended to refuse jobs beyond shares.
 func (r *Room) Observe(service string, loads []Load) []LevelState {
 	var changed []LevelState
+	maps.DeleteFunc(r.levels, func(l Level, _ *levelRoom) bool {
+		isObserved := func(load Load) bool { return load.Priority == l.Priority }
+		return l.Service == service && !slices.ContainsFunc(loads, isObserved)
+	})
 	loads = slices.Clone(loads)
 	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Priority, b.Priority) })
 	var before Load // all that runs or waits at the priority and the higher ones
