Count no tasks larger than any worker as waiting for room

Cause: the expected wait for room added up all waiting tasks, also those that no worker can ever hold. Such a job waits until it is cancelled, so one of them made the wait of its level long for good: whenever the workers were full, jobs of all accounts beyond their share or with an objective were refused at that priority and the lower ones, however short the true wait. Change: pool.Usage also states the largest amounts that a worker has, and tasks beyond these do not count. Conclusion: a job that cannot run takes no room from others.

--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -100,6 +100,7 @@
 // serviceLoad is what uses the workers of a service and waits for them.
 type serviceLoad struct {
 	capacity resource.Vector
+	largest  resource.Vector // no worker has more of any resource
 	loads    map[int]*admission.Load // by priority
 }
 
@@ -126,9 +127,9 @@
 	for i := range config.Queues {
 		queue := &config.Queues[i]
 		if services[queue.Service] == nil {
-			capacity, uses := pool.Usage(queue.Service, s.workers(), now)
-			services[queue.Service] = &serviceLoad{capacity, map[int]*admission.Load{}}
-			services[queue.Service].addRuns(uses)
+			usage := pool.Usage(queue.Service, s.workers(), now)
+			services[queue.Service] = &serviceLoad{usage.Capacity, usage.Largest, map[int]*admission.Load{}}
+			services[queue.Service].addRuns(usage.Uses)
 		}
 		load := services[queue.Service].at(queue.Priority)
 		if slack := queue.Objective.Slack; slack > 0 && (load.MaxWait == 0 || slack < load.MaxWait) {
@@ -143,10 +144,14 @@
 	return services
 }
 
-// addWaiting adds the tasks of a step that wait. The lock is held.
+// addWaiting adds the tasks of a step that wait. Those that are larger than any worker take no room from others. The lock is held.
 func (s *Scheduler) addWaiting(service *serviceLoad, c *candidate) {
 	step := c.entry.workflow.Step(c.ref)
-	size := pool.ReservedSize(step).DominantShare(service.capacity) * float64(c.entry.workflow.WaitingCount(c.ref))
+	reserved := pool.ReservedSize(step)
+	if !reserved.Fits(service.largest) {
+		return
+	}
+	size := reserved.DominantShare(service.capacity) * float64(c.entry.workflow.WaitingCount(c.ref))
 	load := service.at(c.queue.Priority)
 	load.Waiting += size
 	if step.LongRunning {
--- a/internal/domain/pool/usage.go
+++ b/internal/domain/pool/usage.go
@@ -13,26 +13,32 @@
 	Lasting resource.Vector // of long-running tasks
 }
 
-// Usage returns the capacity of the workers of a service that may get starts, and what uses it, by priority.
-func Usage(service string, workers iter.Seq[*Worker], now time.Time) (resource.Vector, map[int]Use) {
+// ServiceUsage is what the workers of a service that may get starts have, and what uses it.
+type ServiceUsage struct {
+	Capacity resource.Vector
+	Largest  resource.Vector // no worker has more of any resource
+	Uses     map[int]Use     // by priority
+}
+
+// Usage returns the usage of a service.
+func Usage(service string, workers iter.Seq[*Worker], now time.Time) ServiceUsage {
 	r := Request{Service: service, Now: now}
-	var capacity resource.Vector
-	uses := map[int]Use{}
+	usage := ServiceUsage{Uses: map[int]Use{}}
 	for w := range workers {
 		if !sameService(w, &r) || !responsive(w, &r) || !notDraining(w, &r) {
 			continue
 		}
-		capacity = capacity.Add(w.info.Capacity)
+		usage.Capacity, usage.Largest = usage.Capacity.Add(w.info.Capacity), usage.Largest.Max(w.info.Capacity)
 		for _, run := range w.runs {
-			use, size := uses[run.Priority], ReservedSize(&run.Step)
+			use, size := usage.Uses[run.Priority], ReservedSize(&run.Step)
 			use.All = use.All.Add(size)
 			if run.Step.LongRunning {
 				use.Lasting = use.Lasting.Add(size)
 			}
-			uses[run.Priority] = use
+			usage.Uses[run.Priority] = use
 		}
 	}
-	return capacity, uses
+	return usage
 }
 
 // Fits reports whether the given number of tasks of a size fits on the workers of a service now, as far as their capacity goes.
