Count no tasks that need a label which no worker has as waiting for room

Cause: as for tasks larger than any worker: they wait until their job is cancelled, and lengthened the wait by which jobs of others are refused. Change: pool.ServiceUsage.MayHold also compares the required label with those of the workers that may get starts. Result: TestTasksBeyondAllWorkersTakeNoRoom with an unknown label failed before (a wait of 8m20s) and passes, with the tests of pool and scheduler. Conclusion: only work that can start counts as work before a new job.

--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -9,7 +9,6 @@
 	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/pool"
-	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -99,9 +98,8 @@
 
 // serviceLoad is what uses the workers of a service and waits for them.
 type serviceLoad struct {
-	capacity resource.Vector
-	largest  resource.Vector // no worker has more of any resource
-	loads    map[int]*admission.Load // by priority
+	pool.ServiceUsage
+	loads map[int]*admission.Load // by priority
 }
 
 func (l *serviceLoad) at(priority int) *admission.Load {
@@ -114,10 +112,10 @@
 }
 
 // addRuns adds what runs on the workers.
-func (l *serviceLoad) addRuns(uses map[int]pool.Use) {
-	for priority, use := range uses {
+func (l *serviceLoad) addRuns() {
+	for priority, use := range l.Uses {
 		load := l.at(priority)
-		load.Used, load.Lasting = use.All.DominantShare(l.capacity), use.Lasting.DominantShare(l.capacity)
+		load.Used, load.Lasting = use.All.DominantShare(l.Capacity), use.Lasting.DominantShare(l.Capacity)
 	}
 }
 
@@ -128,8 +126,8 @@
 		queue := &config.Queues[i]
 		if services[queue.Service] == nil {
 			usage := pool.Usage(queue.Service, s.workers(), now)
-			services[queue.Service] = &serviceLoad{usage.Capacity, usage.Largest, map[int]*admission.Load{}}
-			services[queue.Service].addRuns(usage.Uses)
+			services[queue.Service] = &serviceLoad{usage, map[int]*admission.Load{}}
+			services[queue.Service].addRuns()
 		}
 		load := services[queue.Service].at(queue.Priority)
 		if slack := queue.Objective.Slack; slack > 0 && (load.MaxWait == 0 || slack < load.MaxWait) {
@@ -144,14 +142,13 @@
 	return services
 }
 
-// addWaiting adds the tasks of a step that wait. Those that are larger than any worker take no room from others. The lock is held.
+// addWaiting adds the tasks of a step that wait. Those that no worker can run take no room from others. The lock is held.
 func (s *Scheduler) addWaiting(service *serviceLoad, c *candidate) {
 	step := c.entry.workflow.Step(c.ref)
-	reserved := pool.ReservedSize(step)
-	if !reserved.Fits(service.largest) {
+	if !service.MayHold(step) {
 		return
 	}
-	size := reserved.DominantShare(service.capacity) * float64(c.entry.workflow.WaitingCount(c.ref))
+	size := pool.ReservedSize(step).DominantShare(service.Capacity) * float64(c.entry.workflow.WaitingCount(c.ref))
 	load := service.at(c.queue.Priority)
 	load.Waiting += size
 	if step.LongRunning {
--- a/internal/app/scheduler/room_test.go
+++ b/internal/app/scheduler/room_test.go
@@ -207,21 +207,27 @@
 	}
 }
 
-// TestTasksBeyondAllWorkersTakeNoRoom replays an account whose tasks are larger than any worker beside one that uses all of them. It guards
-// against jobs of others that are refused for good because of work that never starts.
+// TestTasksBeyondAllWorkersTakeNoRoom replays an account whose tasks no worker can run beside one that uses all workers. It guards against
+// jobs of others that are refused for good because of work that never starts.
 func TestTasksBeyondAllWorkersTakeNoRoom(t *testing.T) {
-	s, now := newSharedLeader(t), time.Now()
-	acceptOf(s, "j0", "a", 2) // fills the workers
-	s.mu.Lock()
-	step := workflow.Step{Count: 100, Size: wholeWorker.Add(wholeWorker), Estimate: 10 * time.Second}
-	s.acceptJob(port.AcceptedJob{
-		Spec: workflow.Spec{ID: "huge", Steps: []workflow.Step{step}}, AcceptedAt: time.Now(), Account: "b",
-		Queue: route.Queue{Name: "low", Service: "desk", MaxAttempts: 3, Priority: 2},
-	}, 0)
-	s.mu.Unlock()
-	placeAt(s, now)
-	observeRoomAt(s, now)
-	if !s.room.stated.IsZero() {
-		t.Errorf("no room is stated: %+v", s.room.stated.Levels)
+	for name, step := range map[string]workflow.Step{
+		"too large":     {Count: 100, Size: wholeWorker.Add(wholeWorker), Estimate: 10 * time.Second},
+		"unknown label": {Count: 100, Size: wholeWorker, Estimate: 10 * time.Second, RequiredLabel: "none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := newSharedLeader(t), time.Now()
+			acceptOf(s, "j0", "a", 2) // fills the workers
+			s.mu.Lock()
+			s.acceptJob(port.AcceptedJob{
+				Spec: workflow.Spec{ID: "never", Steps: []workflow.Step{step}}, AcceptedAt: time.Now(), Account: "b",
+				Queue: route.Queue{Name: "low", Service: "desk", MaxAttempts: 3, Priority: 2},
+			}, 0)
+			s.mu.Unlock()
+			placeAt(s, now)
+			observeRoomAt(s, now)
+			if !s.room.stated.IsZero() {
+				t.Errorf("no room is stated: %+v", s.room.stated.Levels)
+			}
+		})
 	}
 }
--- a/internal/domain/pool/usage.go
+++ b/internal/domain/pool/usage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/resource"
+	"skylarkstall/internal/domain/workflow"
 )
 
 // Use is what runs of one priority use of a service's workers.
@@ -17,18 +18,27 @@
 type ServiceUsage struct {
 	Capacity resource.Vector
 	Largest  resource.Vector // no worker has more of any resource
+	Labels   map[string]bool // that a worker has
 	Uses     map[int]Use     // by priority
 }
 
+// MayHold reports whether a worker may be able to run a task of the step once it is free. False is certain.
+func (u *ServiceUsage) MayHold(step *workflow.Step) bool {
+	return ReservedSize(step).Fits(u.Largest) && (step.RequiredLabel == "" || u.Labels[step.RequiredLabel])
+}
+
 // Usage returns the usage of a service.
 func Usage(service string, workers iter.Seq[*Worker], now time.Time) ServiceUsage {
 	r := Request{Service: service, Now: now}
-	usage := ServiceUsage{Uses: map[int]Use{}}
+	usage := ServiceUsage{Labels: map[string]bool{}, Uses: map[int]Use{}}
 	for w := range workers {
 		if !sameService(w, &r) || !responsive(w, &r) || !notDraining(w, &r) {
 			continue
 		}
 		usage.Capacity, usage.Largest = usage.Capacity.Add(w.info.Capacity), usage.Largest.Max(w.info.Capacity)
+		for _, label := range w.info.Labels {
+			usage.Labels[label] = true
+		}
 		for _, run := range w.runs {
 			use, size := usage.Uses[run.Priority], ReservedSize(&run.Step)
 			use.All = use.All.Add(size)
