Bound objectives to what a duration can hold

Cause: a configuration with a very large stretch, or a negative targetDurationMs, made the limits of its jobs lie before their beginning (the sum wrapped around, or was negative as written), so each of them was hopeless at once and refused as too late under load. Change: LimitsOf takes an objective from 0 to one year.

--- a/internal/domain/objective/objective_test.go
+++ b/internal/domain/objective/objective_test.go
@@ -88,3 +88,17 @@
 		t.Errorf("the job is %v until %v", got, next)
 	}
 }
+
+// TestOddObjectives guards against a configuration whose numbers are negative or beyond what a duration can hold, and by which every job is
+// hopeless when it begins.
+func TestOddObjectives(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	for _, odd := range []route.Objective{
+		{Stretch: 1e300}, {Stretch: 2, Slack: -time.Hour}, {Stretch: 2, Slack: 1 << 62}, {Stretch: 1e-300, Slack: -1 << 62},
+	} {
+		l := objective.LimitsOf(odd, began, time.Second)
+		if l.InTime.Before(began) || l.Useful.Before(l.InTime) {
+			t.Errorf("%+v: in time until %v, useful until %v", odd, l.InTime.Sub(began), l.Useful.Sub(began))
+		}
+	}
+}
--- a/internal/domain/objective/standing.go
+++ b/internal/domain/objective/standing.go
@@ -31,6 +31,9 @@
 // usefulMultiple is the multiple of the objective after which the result of a job is of no use to its caller any more.
 const usefulMultiple = 3
 
+// longest bounds objectives, so that a multiple of one is a duration too.
+const longest = 365 * 24 * time.Hour
+
 // Limits are the times by which a job has to be completed. The zero value states none.
 type Limits struct {
 	InTime time.Time // within its objective
@@ -42,7 +45,7 @@
 	if !objective.IsSet() {
 		return Limits{}
 	}
-	length := time.Duration(objective.Stretch*float64(chain)) + objective.Slack
+	length := time.Duration(min(max(objective.Stretch*float64(chain)+float64(objective.Slack), 0), float64(longest)))
 	return Limits{InTime: began.Add(length), Useful: began.Add(usefulMultiple * length)}
 }
 
