--- a/internal/adapter/cellwire/transport_test.go
+++ b/internal/adapter/cellwire/transport_test.go
@@ -16,6 +16,7 @@
 	"skylarkstall/internal/adapter/cellwire/cellpb"
 	"skylarkstall/internal/adapter/frame"
 	"skylarkstall/internal/adapter/frame/frametest"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/workflow"
@@ -31,6 +32,9 @@
 
 func (h leadingHandler) OwnTerm() (port.Leader, bool) { return h.leader, true }
 
+func (leadingHandler) Room() admission.Statement                  { return admission.Statement{} }
+func (leadingHandler) ObserveRoom(admission.Statement, time.Time) {}
+
 func (leadingHandler) RequestPermits(
 	context.Context, workflow.StepRef, []ident.WorkerID,
 ) (map[ident.WorkerID]permit.Ticket, error) {
@@ -40,6 +44,7 @@
 // noConfig is a replica without a configuration.
 type noConfig struct{}
 
+func (noConfig) Now() time.Time                       { return time.Time{} }
 func (noConfig) Current() (port.ConfigStatus, []byte) { return port.ConfigStatus{}, nil }
 func (noConfig) Apply([]byte, string)                 {}
 func (noConfig) Confirm(port.ConfigStatus, string)    {}
--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/eventlog"
 	"skylarkstall/internal/pause"
 	"skylarkstall/internal/port"
@@ -27,10 +28,15 @@
 	passSeconds      tally.Histogram
 	stepsTried       tally.Histogram
 	mu               sync.Mutex
-	scopes           map[[3]string]tally.Scope // scopes by label name, label value and outcome
-	seenPriorities   map[int]bool              // priorities that were exported before; their gauge is set to 0 without tasks
-	queues           map[string]queueGauges    // queues that were exported before
-	lastDroppedLines int64                     // total at the last update
+	scopes           map[[3]string]tally.Scope    // scopes by label name, label value and outcome
+	seenPriorities   map[int]bool                 // priorities that were exported before; their gauge is set to 0 without tasks
+	queues           map[string]queueGauges       // queues that were exported before
+	accounts         map[account.ID]accountGauges // accounts that were exported before
+	lastDroppedLines int64                        // total at the last update
+	refusingAccounts map[string]bool              // accounts of which refusals are counted
+	roomPriorities   map[int]bool                 // priorities of which the room was exported before
+
+	lastDroppedStarts int // of the term, at the last update
 }
 
 // NewCellMetrics registers the metrics of a process. Close must be called to report the last values.
@@ -41,7 +47,7 @@
 	}, cellInterval)
 	c := &CellMetrics{
 		exporter: e, scope: scope, close: closer.Close, scopes: map[[3]string]tally.Scope{}, seenPriorities: map[int]bool{},
-		queues: map[string]queueGauges{}, passes: map[string]tally.Counter{},
+		queues: map[string]queueGauges{}, accounts: map[account.ID]accountGauges{}, refusingAccounts: map[string]bool{}, roomPriorities: map[int]bool{}, passes: map[string]tally.Counter{},
 		passSeconds: scope.Histogram("placement_pass_seconds", passBuckets),
 		stepsTried:  scope.Histogram("placement_steps_tried", stepBuckets),
 	}
@@ -99,11 +105,14 @@
 		"leads": boolValue(s.IsLeader), "placement_behind": boolValue(s.PlacementBehind),
 		"config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
 		"workers": float64(s.Workers), "runs": float64(s.Runs), "doubtful_starts": float64(s.UnconfirmedStarts), "unrecorded_jobs": float64(s.UnrecordedJobs),
+		"leader_late_seconds": s.LateFor.Seconds(), "start_limit": float64(s.StartLimit), "starts_in_progress": float64(s.StartsInProgress),
 	} {
 		c.scope.Gauge(name).Update(value)
 	}
 	c.scope.Counter("log_lines_dropped").Inc(s.DroppedLogLines - c.lastDroppedLines)
 	c.lastDroppedLines = s.DroppedLogLines
+	c.scope.Counter("starts_dropped").Inc(int64(max(s.DroppedStarts-c.lastDroppedStarts, 0))) // each term counts anew
+	c.lastDroppedStarts = s.DroppedStarts
 	for priority := range s.WaitingTasks {
 		c.seenPriorities[priority] = true
 	}
@@ -112,6 +121,8 @@
 			Update(float64(s.WaitingTasks[priority]))
 	}
 	c.updateQueues(s.Queues)
+	c.updateRoom(s.RoomWaits)
+	c.updateAccounts(s.Accounts)
 }
 
 func boolValue(b bool) float64 {
--- a/internal/app/scheduler/intake.go
+++ b/internal/app/scheduler/intake.go
@@ -35,10 +35,18 @@
 		case ctx.Err() == nil:
 			s.log.Warn("jobs not watched", "error", err)
 		}
+		s.noteJobsRead(after)
 		pause.For(ctx, watchPause)
 	}
 }
 
+// noteJobsRead notes that every job that was stored up to a revision has been read.
+func (s *Scheduler) noteJobsRead(through ident.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobsReadTo = max(s.jobsReadTo, through)
+}
+
 // readJobs reads the jobs that are not archived after the store has compacted its history, and returns the revision to watch
 // from.
 func (s *Scheduler) readJobs(ctx context.Context, after ident.Revision) ident.Revision {
@@ -84,11 +92,8 @@
 	if err != nil {
 		return err
 	}
-	if stored.Finished != nil {
-		return nil
-	}
-	if stored.Tombstone {
-		return fault.New(fault.Canceled, "job %s was cancelled before it was stored", job.Spec.ID)
+	if err := stored.CheckSubmission(job); err != nil || stored.Finished != nil {
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,9 +103,9 @@
 	return nil
 }
 
-// findJob returns a job of a queue, or nil if it is not known. The lock is held.
-func (s *Scheduler) findJob(queue route.QueueRef, id workflow.ID) *jobEntry {
-	if e := s.jobs[id]; e != nil && e.queue.Ref().Matches(queue) {
+// findJob returns a job that its caller can reach, or nil if it is not known. The lock is held.
+func (s *Scheduler) findJob(ref port.JobRef) *jobEntry {
+	if e := s.jobs[ref.ID]; e != nil && ref.Reaches(e.queue.Ref(), e.account) {
 		return e
 	}
 	return nil
@@ -113,19 +118,19 @@
 
 // State implements port.Scheduler. A final state is returned only after it has been recorded; until then the job counts
 // as running.
-func (s *Scheduler) State(_ context.Context, queue route.QueueRef, id workflow.ID) (workflow.State, error) {
+func (s *Scheduler) State(_ context.Context, ref port.JobRef) (workflow.State, error) {
 	defer s.guardCall()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ready {
 		return 0, s.errNotReady()
 	}
-	e := s.findJob(queue, id)
+	e := s.findJob(ref)
 	if e == nil {
-		if job, ok := s.finished[id]; ok && job.Queue.Matches(queue) {
+		if job, ok := s.finished[ref.ID]; ok && ref.Reaches(job.Queue, job.Account) {
 			return job.State, nil
 		}
-		return 0, fault.New(fault.NotFound, "job %s is not known", id)
+		return 0, fault.New(fault.NotFound, "job %s is not known", ref.ID)
 	}
 	if state := e.workflow.State(); !state.Final() || e.storedState.Final() {
 		return state, nil
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -9,25 +9,17 @@
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/pool"
+	"skylarkstall/internal/domain/route"
 )
 
 // Parameters of calls to the permit service.
 const (
-	// maxWorkersPerCall is the permit service's limit.
-	maxWorkersPerCall = 100
-	// maxWorkersPerSlowCall bounds the duration of calls that take long for each worker.
-	maxWorkersPerSlowCall = 30
-	// fastCallPerWorker is the longest time per worker for which a call counts as fast.
-	fastCallPerWorker = time.Millisecond
-	// The minimum leaves a choice of workers, also for runs that avoid workers after a failure.
-	minWorkersPerCall     = 16
-	minWorkersPerSlowCall = 8
 	// capacityFactor is the expected capacity of the allowed workers in calls, as a multiple of the waiting tasks: other
 	// steps use some of it before the response.
 	capacityFactor = 3
 	// A call is made for the best of enoughOptions workers, and of choiceFactor times as many as are needed. To compare all workers for each
 	// call would take most of the time of placement.
-	enoughOptions = 2 * minWorkersPerCall
+	enoughOptions = 32
 	choiceFactor  = 3
 	// A wide step leaves less of a choice.
 	wideCapacityFactor = 1.5
@@ -82,16 +74,21 @@
 		if !ok {
 			break
 		}
+		times := callTimes(c.queue.PermitPolicy)
+		size := times.Size(slot.Wait > 0)
 		if options == nil {
 			options = s.permitCandidates(c, unplaced, missing, now)
+			if !c.queue.HasTopPriority() || !c.permits.CallInProgress() { // an urgent step always finds a process, and would ask about all
+				options = c.appendFullWorkers(options, size.Min, now)
+			}
 		}
 		if len(options) == 0 {
 			break
 		}
 		var call permit.Call
-		call, options = s.selectWorkers(c, options, missing)
+		call, options = s.selectWorkers(c, options, missing, size)
 		missing -= call.Expected
-		duration := c.queue.PermitPolicy.CallLatency + time.Duration(len(call.Workers))*c.queue.PermitPolicy.WorkerLatency
+		duration := times.Duration(len(call.Workers))
 		s.dispatcher.Begin(slot, c.queue.HasTopPriority(), duration, now)
 		c.permits.BeginCall(call)
 		calls = append(calls, permitCall{c, call, slot.Process, slot.Wait + duration + callTimeoutSlack})
@@ -134,6 +131,7 @@
 type permitCandidate struct {
 	worker   permit.Worker
 	allowed  bool
+	tooSlow  bool // for an urgent task
 	score    float64
 	fitCount int // further tasks of the step that fit
 }
@@ -148,15 +146,13 @@
 
 // selectWorkers returns a call for the first of the options, until their capacity is expected to suffice at the share of
 // workers that the queue's policy usually allows, and the remaining options.
-func (s *Scheduler) selectWorkers(c candidate, options []permitCandidate, missing float64) (permit.Call, []permitCandidate) {
-	minimum, limit := minWorkersPerCall, maxWorkersPerCall
-	if c.queue.PermitPolicy.WorkerLatency > fastCallPerWorker {
-		minimum, limit = minWorkersPerSlowCall, maxWorkersPerSlowCall
-	}
+func (s *Scheduler) selectWorkers(
+	c candidate, options []permitCandidate, missing float64, size permit.CallSize,
+) (permit.Call, []permitCandidate) {
 	share := s.allowedShare(c.queue.Name).Estimate()
 	var call permit.Call
 	for i, o := range options {
-		if i == limit || i >= minimum && call.Expected >= missing {
+		if i == size.Max || i >= size.Min && call.Expected >= missing {
 			return call, options[i:]
 		}
 		call.Workers = append(call.Workers, o.worker)
@@ -166,47 +162,61 @@
 }
 
 // permitCandidates returns workers that could take tasks of the step, have no valid ticket and were not refused, in order of preference:
-// those known to be allowed first, for a wide step those with the most free capacity, then those with the best score. There are enough
-// for the missing tasks, and a choice, rather than all. Workers on which other runs would have to be stopped are included if the
+// for an urgent step those that are not slow first, then those known to be allowed, for a wide step those with the most free capacity, then
+// those with the best score. There are enough for the missing tasks, and a choice, rather than all, without those that are too slow. Workers on which other runs would have to be stopped are included if the
 // others do not suffice.
 func (s *Scheduler) permitCandidates(c candidate, unplaced int, missing float64, now time.Time) []permitCandidate {
 	request := c.request(now)
 	request.LastChoice = request.WaitedLong() // workers on which runs have failed come last
 	share, expected := s.allowedShare(c.queue.Name).Estimate(), 0.0
 	var options []permitCandidate
+	choice := 0
 	add := func(m *workerMonitor, known bool) {
 		if option, ok := c.permitOption(m, &request, unplaced); ok && option.allowed == known {
-			expected += option.expected(share)
 			options = append(options, option)
+			if !option.tooSlow {
+				expected += option.expected(share)
+				choice++
+			}
 		}
 	}
-	for worker := range c.permits.Lapsed(now) {
+	for worker := range c.permits.Lapsed(c.pass.ticketTime) {
 		if m := s.monitors[worker.ID]; m != nil && s.mayGetRuns(m) {
 			add(m, true)
 		}
 	}
 	for recorded := range s.withRoom(request.Step) {
-		if expected >= choiceFactor*missing && len(options) >= enoughOptions && request.Step.DataRack == "" {
+		if expected >= choiceFactor*missing && choice >= enoughOptions && request.Step.DataRack == "" {
 			break
 		}
 		add(recorded.monitor, false)
 	}
-	if expected < missing && c.waited >= askForPreemptionAfter && !c.pass.hasLowestPriority(c.queue.Priority) {
+	if expected < missing && c.waited >= askForPreemptionAfter && c.mayPreempt() && !c.pass.hasLowestPriority(c.queue.Priority) {
 		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
-	slices.SortFunc(options, func(a, b permitCandidate) int {
-		if a.allowed != b.allowed {
-			if a.allowed {
-				return -1
-			}
-			return 1
+	slices.SortFunc(options, func(a, b permitCandidate) int { return a.compare(&b, unplaced >= wideStep) })
+	return options
+}
+
+// compare orders candidates by preference: those that are not too slow first, then those known to be allowed, then those with the most room if
+// that counts, then by score.
+func (o *permitCandidate) compare(other *permitCandidate, byRoom bool) int {
+	switch {
+	case o.tooSlow != other.tooSlow:
+		if other.tooSlow {
+			return -1
 		}
-		if unplaced >= wideStep && a.fitCount != b.fitCount {
-			return cmp.Compare(b.fitCount, a.fitCount)
+		return 1
+	case o.allowed != other.allowed:
+		if o.allowed {
+			return -1
 		}
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
-	return options
+		return 1
+	}
+	if byRoom && o.fitCount != other.fitCount {
+		return cmp.Compare(other.fitCount, o.fitCount)
+	}
+	return cmp.Or(cmp.Compare(o.score, other.score), cmp.Compare(o.worker.ID, other.worker.ID))
 }
 
 // permitOption returns the worker as an option for a call, and false if it cannot take a task now or must not be asked about.
@@ -214,15 +224,47 @@
 	if !m.worker.Eligible(request) {
 		return permitCandidate{}, false
 	}
-	option := permitCandidate{worker: permitWorker(m)}
+	option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
 	var mayAsk bool
-	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, request.Now); !mayAsk {
+	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk {
 		return permitCandidate{}, false
 	}
 	option.score, option.fitCount = m.worker.Score(request), min(m.worker.FitCount(request.Step), unplaced)
 	return option, true
 }
 
+// appendFullWorkers appends workers that have no room for a task now until there are as many options as a call should name at least. Capacity
+// of theirs may be released while the ticket is valid.
+func (c *candidate) appendFullWorkers(options []permitCandidate, minimum int, now time.Time) []permitCandidate {
+	if len(options) >= minimum {
+		return options
+	}
+	listed := make(map[ident.WorkerID]bool, len(options))
+	for _, o := range options {
+		listed[o.worker.ID] = true
+	}
+	request := c.request(now)
+	for _, recorded := range c.pass.scheduler.recordedWorkers() {
+		m := recorded.monitor
+		if len(options) >= minimum {
+			break
+		}
+		option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
+		var mayAsk bool
+		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || listed[m.worker.ID()] {
+			continue
+		}
+		if m.worker.Rejection(&request) == pool.NoCapacity {
+			options = append(options, option)
+		}
+	}
+	return options
+}
+
+func callTimes(policy *route.PermitPolicy) permit.CallTimes {
+	return permit.CallTimes{Fixed: policy.CallLatency, PerWorker: policy.WorkerLatency, TicketTTL: policy.TicketTTL}
+}
+
 // appendPreemptionOptions appends workers on which a task would fit if other runs were stopped, until they suffice for the missing tasks
 // and leave a choice.
 func (c *candidate) appendPreemptionOptions(
@@ -235,7 +277,7 @@
 		m := recorded.monitor
 		option := permitCandidate{worker: permitWorker(m), fitCount: 1}
 		var mayAsk bool
-		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, request.Now); !mayAsk || m.worker.Eligible(request) {
+		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || m.worker.Eligible(request) {
 			continue
 		}
 		if cost, ok := m.worker.PreemptionCost(request); ok {
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -9,7 +9,10 @@
 	"time"
 
 	"skylarkstall/internal/app/leadership"
+	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/objective"
 	"skylarkstall/internal/domain/permit"
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
@@ -25,6 +28,7 @@
 	MaxLease        time.Duration // longest lease that a worker grants
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	CPUShare        float64       // CPU limit of the process as a fraction of a core; 0 if it is not known
+	UsableShare     float64       // what the link of the process lets it use of that; 0 if it is not known
 }
 
 // maxRunLease is how long runs continue without a sync, unless the platform's limit is lower. It exceeds the duration
@@ -57,6 +61,8 @@
 	PermitClient      port.PermitClient        // used by this process
 	PeerPermitClients PeerPermitClients        // calls through other processes
 	ObservePass       func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
+	// ObserveRoom receives each statement about room and its time; nil if nobody observes them.
+	ObserveRoom func(admission.Statement, time.Time)
 }
 
 // Scheduler does the leader's work for one term. It implements port.Scheduler.
@@ -84,6 +90,7 @@
 	finished         map[workflow.ID]finishedJob // jobs that are archived
 	historyRead      bool                        // finished holds what earlier terms archived
 	openJobs         map[workflow.ID]*jobEntry   // jobs whose state is not final
+	jobsReadTo       ident.Revision              // every job that was stored up to this revision is known, or was
 	dirty            map[workflow.ID]*jobEntry   // jobs with changed progress that is not being committed
 	monitors         map[ident.WorkerID]*workerMonitor
 	crashes          map[string]*pool.CrashHistory // by address of the workers
@@ -98,14 +105,19 @@
 	recorded         map[ident.WorkerID]bool              // workers of the record; false if cordoned
 	recordOutdated   bool                                 // the record differs from the workers to record
 	queue            waitQueue
-	idle             map[string]idleCheck            // by service
-	openGangs        map[workflow.ID]*jobEntry       // open jobs with a gang
-	roster           *workerRoster                   // nil if it has to be made again
-	releases         releaseLog                      // capacity that placement has not used yet
+	idle             map[string]idleCheck      // by service
+	openGangs        map[workflow.ID]*jobEntry // open jobs with a gang
+	roster           *workerRoster             // nil if it has to be made again
+	releases         releaseLog                // capacity that placement has not used yet
+	limits           accountLimits
+	kinds            map[workerKind]*pool.KindSpeed
 	startsInProgress int                             // placed, and the request of the start has not ended
+	starts           *placement.StartLimit           // of startsInProgress
 	dispatcher       *permit.Dispatcher              // of calls to the permit service
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
+	room             roomKeeper
+	histories        map[string]*objective.History // by queue
 }
 
 // jobEntry is a job with the scheduler's own data on it.
@@ -114,7 +126,10 @@
 	createdRevision ident.Revision // revision at which the job was stored; 0 while it is not known
 	hasGang         bool           // a step of the job is a gang
 	queue           route.Queue    // as it was when the job was accepted
+	account         account.ID     // to which the job belongs; empty if it belongs to none
 	accepted        time.Time
+	excess          bool            // accepted beyond the share of its account
+	plan            *objective.Plan // nil if the queue has no objective
 	steps           map[workflow.StepRef]*stepEntry
 	avoidWorkers    map[workflow.TaskRef]map[ident.WorkerID]bool // workers on which the task failed or stalled
 	revision        ident.Revision                               // revision of the progress record; 0 while there is none
@@ -141,6 +156,7 @@
 	wait     stepWait              // tasks that have not started, for whatever reason
 	duration pool.DurationEstimate // learned
 	queued   *candidate            // nil if the step is not in the queue
+	aside    *asideSteps           // nil unless the step is set aside from the queue
 	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
 }
 
@@ -157,19 +173,22 @@
 func New(
 	self ident.ProcessID, settings Settings, ports Ports, table *route.Table, term leadership.Term, log *slog.Logger,
 ) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
 		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
 		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
-		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{},
+		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{}, kinds: map[workerKind]*pool.KindSpeed{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
 		monitors: map[ident.WorkerID]*workerMonitor{}, unsynced: map[ident.WorkerID]port.WorkerRecord{},
 		orphans: map[workflow.ID][]orphanRun{}, orphanEnds: map[workflow.ID][]orphanEnd{},
 		crashes:  map[string]*pool.CrashHistory{},
 		recorded: map[ident.WorkerID]bool{}, dispatcher: permit.NewDispatcher(self),
-		allowedShares: map[string]*permit.AllowedShare{},
+		allowedShares: map[string]*permit.AllowedShare{}, room: newRoomKeeper(ports.Store), starts: placement.NewStartLimit(settings.UsableShare),
+		histories: map[string]*objective.History{},
 	}
+	s.limits = newAccountLimits(s)
+	return s
 }
 
 // Run runs the scheduler until the context ends or the process finds that it is no longer the leader. It reports whether the
@@ -195,6 +214,7 @@
 		}
 	})
 	s.goTask(func() { s.reportWaits(s.ctx) })
+	s.goTask(func() { s.watchRoom(s.ctx) })
 	s.goTask(func() { s.readHistory(s.ctx) })
 	s.goTask(func() { s.archiveFinished(s.ctx) })
 	s.goTask(func() { s.deleteFinished(s.ctx) })
@@ -249,8 +269,9 @@
 // addJob adds a job that the store holds. The lock is held.
 func (s *Scheduler) addJob(job port.AcceptedJob) *jobEntry {
 	e := &jobEntry{
-		workflow: workflow.New(job.Spec), hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
-		steps: map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
+		workflow: workflow.New(job.Spec), account: job.Account, hasGang: job.Spec.HasGang(), queue: job.Queue, accepted: job.AcceptedAt,
+		excess: job.Excess,
+		steps:  map[workflow.StepRef]*stepEntry{}, avoidWorkers: map[workflow.TaskRef]map[ident.WorkerID]bool{},
 		excuses: map[workflow.TaskRef]int{}, suspectedIn: map[workflow.TaskRef][]*pool.CrashHistory{},
 		history: map[workflow.TaskRef]*runHistory{},
 	}
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -17,6 +17,10 @@
 	"skylarkstall/internal/app/routing"
 	"skylarkstall/internal/app/scheduler"
 	"skylarkstall/internal/app/storeguard"
+	"skylarkstall/internal/bootclock"
+	"skylarkstall/internal/domain/account"
+	"skylarkstall/internal/domain/admission"
+	"skylarkstall/internal/domain/fitness"
 	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/fault"
@@ -33,9 +37,10 @@
 	PeerAddress       string   // host:port that other processes connect to
 	Seeds             []string // host:port of other processes; may be outdated
 	ConfigKey         string   // key of the configuration in the store
+	Withdrawal        account.WithdrawalPolicy
 	Scheduler         scheduler.Settings
 	StopGracePeriod   time.Duration // from the signal to stop until the process is killed
-	ElectionDelay     time.Duration // how long the process waits before it takes a vacant leader key
+	Share             fitness.Share // of a processor, as far as the process can use it; 0 if it is not known
 	DrainAcceptPeriod time.Duration // how long a draining process still accepts new connections
 }
 
@@ -46,7 +51,10 @@
 	Workers      scheduler.WorkerList
 	PermitClient port.PermitClient
 	ObservePass  func(port.PlacementPass) // called after each pass of placement; nil if nobody observes them
-	Decode       routing.DecodeFunc
+	// ObserveRefusal is called for each job that was refused for want of room; nil if nobody observes them.
+	ObserveRefusal func(account account.ID, reason admission.Reason)
+	Decode         routing.DecodeFunc
+	Clock          port.Clock // by which evidence is dated; nil: that of the kernel
 	// NewCallerHandler and NewReadinessHandler return the HTTP handlers for callers and for the readiness probe.
 	NewCallerHandler    func(*gateway.Gateway) http.Handler
 	NewReadinessHandler func(func() bool) http.Handler
@@ -87,14 +95,18 @@
 		settings: settings, platform: platform, log: log, table: &route.Table{}, leader: &leaderClient{},
 		draining: make(chan struct{}),
 	}
-	handler := &peerHandler{permits: platform.PermitClient}
+	gate := &admission.Gate{}
+	handler := &peerHandler{permits: platform.PermitClient, gate: gate}
 	handler.remote = notLeader{}
 	self := port.Leader{
 		Process: settings.Process, Address: settings.PeerAddress, Incarnation: settings.Incarnation,
-		ElectionDelay: settings.ElectionDelay,
+		ElectionDelay: fitness.StartingDelay(settings.Share), Share: settings.Share,
 	}
 	handler.self = self
-	replica := routing.NewReplica(n.table, platform.Decode, log)
+	if n.platform.Clock == nil {
+		n.platform.Clock = bootclock.Now
+	}
+	replica := routing.NewReplica(n.table, platform.Decode, n.platform.Clock, log)
 	n.transport = cellwire.New(self, listener, settings.Seeds, handler, replica, log)
 	n.leader.remote = n.transport
 	n.store = storeguard.New(platform.Store, log)
@@ -102,7 +114,8 @@
 		self, n.store, cellwire.RecordCodec{}, n.transport, n.leadFunc(handler), log,
 	)
 	n.configWatcher = routing.New(settings.ConfigKey, n.store, replica, log)
-	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log)
+	g := gateway.New(n.store, cellwire.RecordCodec{}, n.leader, n.table, log).WithWithdrawal(settings.Withdrawal, n.platform.Clock)
+	g.RefuseBy(gate, platform.ObserveRefusal)
 	n.callerServer = &http.Server{
 		Handler: logPanics(platform.NewCallerHandler(g), log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -117,7 +130,7 @@
 		ports := scheduler.Ports{
 			Store: n.store, RecordCodec: cellwire.RecordCodec{}, RunClient: n.platform.RunClient,
 			Workers: n.platform.Workers, PermitClient: n.platform.PermitClient, PeerPermitClients: n.transport,
-			ObservePass: n.platform.ObservePass,
+			ObservePass: n.platform.ObservePass, ObserveRoom: handler.ObserveRoom,
 		}
 		s := scheduler.New(n.settings.Process, n.settings.Scheduler, ports, n.table, term, n.log)
 		handler.term.Store(term.Number)
@@ -132,10 +145,9 @@
 
 // State returns the state of the process for its metrics.
 func (n *Node) State() port.ProcessState {
-	state := port.ProcessState{ConfigVersion: n.table.Config().Version}
-	if confirmed := n.table.Confirmed(); !confirmed.At.IsZero() {
-		state.ConfigAge = time.Since(confirmed.At)
-	}
+	config, confirmed := n.table.Active()
+	state := port.ProcessState{ConfigVersion: config.Version}
+	state.ConfigAge, _ = confirmed.Age(n.platform.Clock())
 	if local := n.leader.local.Load(); local != nil {
 		local.FillState(&state)
 	}
