Let steps wait for the rack with their data while that pays

A step's data rack was a preference among the workers with room now: a task ran several times as long elsewhere although its rack would have had room in a fraction of that. The factor (bounds.remoteFactor) was not read.

The leader now keeps the expected releases of each rack by the starts and ends of runs, and lets a step whose best worker is off its rack wait as one when locality.Decide expects that it is done earlier. It holds no room meanwhile, preempts nothing and makes no calls for permits; calls name full workers of the rack first. A worker of the rack with room wins over a far one by what the far one costs. Durations are learnt without what the rack adds. Without the factor nothing changes.

Measured: the tests of scheduler, pool and platform pass.

--- a/internal/app/scheduler/candidate.go
+++ b/internal/app/scheduler/candidate.go
@@ -120,7 +120,7 @@
 func (c *candidate) request(now time.Time) pool.Request {
 	return pool.Request{
 		Ref: c.ref, Step: c.entry.workflow.Step(c.ref), Service: c.queue.Service, Waited: c.waited, Now: now,
-		Priority: c.queue.Priority,
+		Priority: c.queue.Priority, RemoteFactor: c.pass.scheduler.settings.RemoteFactor,
 	}
 }
 
--- a/internal/app/scheduler/permits.go
+++ b/internal/app/scheduler/permits.go
@@ -132,6 +132,7 @@
 	worker   permit.Worker
 	allowed  bool
 	tooSlow  bool // for an urgent task
+	near     bool // on the rack with the data, which is worth waiting for
 	score    float64
 	fitCount int // further tasks of the step that fit
 }
@@ -191,6 +192,11 @@
 		}
 		add(recorded.monitor, false)
 	}
+	for _, m := range s.fullNearWorkers(&c, &request) {
+		if option, ok := c.askable(m); ok {
+			options = append(options, option)
+		}
+	}
 	if expected < missing && c.waited >= askForPreemptionAfter && c.mayPreempt() && !c.pass.hasLowestPriority(c.queue.Priority) {
 		options = c.appendPreemptionOptions(options, &request, share, missing-expected)
 	}
@@ -198,7 +204,7 @@
 	return options
 }
 
-// compare orders candidates by preference: those that are not too slow first, then those known to be allowed, then those with the most room if
+// compare orders candidates by preference: those that are not too slow first, then those on the rack with the data, then those known to be allowed, then those with the most room if
 // that counts, then by score.
 func (o *permitCandidate) compare(other *permitCandidate, byRoom bool) int {
 	switch {
@@ -207,6 +213,11 @@
 			return -1
 		}
 		return 1
+	case o.near != other.near:
+		if o.near {
+			return -1
+		}
+		return 1
 	case o.allowed != other.allowed:
 		if o.allowed {
 			return -1
@@ -224,15 +235,24 @@
 	if !m.worker.Eligible(request) {
 		return permitCandidate{}, false
 	}
-	option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
-	var mayAsk bool
-	if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk {
+	option, mayAsk := c.askable(m)
+	if !mayAsk {
 		return permitCandidate{}, false
 	}
 	option.score, option.fitCount = m.worker.Score(request), min(m.worker.FitCount(request.Step), unplaced)
 	return option, true
 }
 
+// askable returns the worker as an option for a call, whatever room it has, and false if it must not be asked about.
+func (c *candidate) askable(m *workerMonitor) (permitCandidate, bool) {
+	option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
+	step := c.entry.workflow.Step(c.ref)
+	option.near = c.pass.scheduler.settings.RemoteFactor > 1 && step.DataRack != "" && m.worker.IsNear(step)
+	var mayAsk bool
+	mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime)
+	return option, mayAsk
+}
+
 // appendFullWorkers appends workers that have no room for a task now until there are as many options as a call should name at least. Capacity
 // of theirs may be released while the ticket is valid.
 func (c *candidate) appendFullWorkers(options []permitCandidate, minimum int, now time.Time) []permitCandidate {
@@ -249,9 +269,8 @@
 		if len(options) >= minimum {
 			break
 		}
-		option := permitCandidate{worker: permitWorker(m), tooSlow: c.queue.HasTopPriority() && m.worker.IsSlow()}
-		var mayAsk bool
-		if mayAsk, option.allowed = c.permits.MayAsk(option.worker, c.pass.ticketTime); !mayAsk || listed[m.worker.ID()] {
+		option, mayAsk := c.askable(m)
+		if !mayAsk || listed[m.worker.ID()] {
 			continue
 		}
 		if m.worker.Rejection(&request) == pool.NoCapacity {
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -178,7 +178,7 @@
 		}
 		if waiting.Changed() {
 			settled = false // all its tasks were placed, or nothing can start it
-		} else if next := waiting.NextTry(c.queue.Priority); next.Before(nextTry) {
+		} else if next := c.nextTry(); next.Before(nextTry) {
 			nextTry = next
 		}
 	}
@@ -193,6 +193,9 @@
 // needsTry reports whether a step has to be compared with any worker. The lock is held.
 func (s *Scheduler) needsTry(c *candidate, now time.Time) bool {
 	waiting := &c.step.waiting
+	if c.step.near.isDue(now) {
+		waiting.Retry()
+	}
 	return c.held || waiting.Due(now, c.queue.Priority) || len(s.releases.since(c.step.triedIn)) > 0
 }
 
@@ -261,6 +264,8 @@
 	case len(launches) == c.room:
 		step.waiting.Retry() // the others may have room too
 		return launches, nil
+	case step.near.isOn(now):
+		return launches, nil // there is room elsewhere
 	}
 	s.preempt(c, unplaced, now)
 	if c.queue.PermitPolicy == nil {
@@ -273,6 +278,7 @@
 func (s *Scheduler) allPlaced(c candidate) {
 	if c.entry.workflow.WaitingCount(c.ref) == 0 {
 		c.step.wait = stepWait{}
+		s.near.allPlaced(&c, c.pass.now)
 	}
 	if c.waited > 0 {
 		c.dropHolds()
@@ -342,6 +348,9 @@
 		}
 	}
 	slices.Sort(racks)
+	if at, ok := slices.BinarySearch(racks, step.DataRack); ok && s.settings.RemoteFactor > 1 {
+		racks = slices.Insert(slices.Delete(racks, at, at+1), 0, step.DataRack)
+	}
 	return append(racks, "")
 }
 
@@ -368,7 +377,7 @@
 func (s *Scheduler) reserve(c candidate, ref workflow.RunRef, rack string, now time.Time) (launch, bool) {
 	step := c.entry.workflow.Step(c.ref)
 	best := c.chooseWorker(ref.Task, rack, now)
-	if best.monitor == nil {
+	if best.monitor == nil || s.waitsForRack(&c, best.monitor.worker, now) {
 		return launch{}, false
 	}
 	worker := best.monitor.worker
--- a/internal/app/scheduler/reply.go
+++ b/internal/app/scheduler/reply.go
@@ -155,6 +155,7 @@
 		return
 	}
 	took, learned := time.Since(run.Started), &e.step(run.Task.StepRef).duration
+	took = time.Duration(float64(took) / s.remoteFactor(m.worker, step)) // its rack says nothing about the worker
 	learned.Observe(m.worker, took)
 	s.history(e.queue.Name).Observe(took)
 	if e.plan != nil {
--- a/internal/app/scheduler/roster.go
+++ b/internal/app/scheduler/roster.go
@@ -14,7 +14,8 @@
 type workerRoster struct {
 	workers []allowedWorker // by their positions in free
 	free    *pool.Roster
-	scanned bool // all workers were looked through for releases that the former roster may have noted
+	byRack  map[string][]*workerMonitor // all workers that the leader knows
+	scanned bool                        // all workers were looked through for releases that the former roster may have noted
 }
 
 // putMonitor adds the monitor of a worker, or replaces it. The lock is held.
@@ -22,8 +23,8 @@
 	m.worker.SetToken(s.term.Token)
 	s.assignKind(m.worker)
 	s.stopObserving(id)
-	m.worker.SetObserver(&s.limits)
 	s.monitors[id], s.roster = m, nil
+	m.worker.SetObserver(s.observer)
 }
 
 // removeMonitor removes a worker and what is recorded of it. The lock is held.
@@ -61,9 +62,10 @@
 	if s.roster != nil {
 		return s.roster
 	}
-	s.roster = &workerRoster{}
+	s.roster = &workerRoster{byRack: map[string][]*workerMonitor{}}
 	var workers []*pool.Worker
 	for id, m := range s.monitors {
+		s.roster.byRack[m.worker.Rack()] = append(s.roster.byRack[m.worker.Rack()], m)
 		if s.recorded[id] {
 			m.roster = s.roster
 			s.roster.workers = append(s.roster.workers, allowedWorker{monitor: m})
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -29,6 +29,7 @@
 	StatusRetention time.Duration // how long the state of a finished job can be queried
 	CPUShare        float64       // CPU limit of the process as a fraction of a core; 0 if it is not known
 	UsableShare     float64       // what the link of the process lets it use of that; 0 if it is not known
+	RemoteFactor    float64       // how many times as long tasks take off the rack with their data; steps wait for racks if it exceeds 1
 }
 
 // maxRunLease is how long runs continue without a sync, unless the platform's limit is lower. It exceeds the duration
@@ -110,6 +111,8 @@
 	roster           *workerRoster             // nil if it has to be made again
 	releases         releaseLog                // capacity that placement has not used yet
 	limits           accountLimits
+	near             rackWaits
+	observer         pool.RunObserver // of the runs on all workers
 	kinds            map[workerKind]*pool.KindSpeed
 	startsInProgress int                             // placed, and the request of the start has not ended
 	starts           *placement.StartLimit           // of startsInProgress
@@ -158,6 +161,7 @@
 	queued   *candidate            // nil if the step is not in the queue
 	aside    *asideSteps           // nil unless the step is set aside from the queue
 	heldOn   []*workerMonitor      // workers that may keep capacity free for tasks of the step
+	near     rackWait              // for the rack with its data
 }
 
 func (e *jobEntry) step(ref workflow.StepRef) *stepEntry {
@@ -187,7 +191,11 @@
 		allowedShares: map[string]*permit.AllowedShare{}, room: newRoomKeeper(ports.Store), starts: placement.NewStartLimit(settings.UsableShare),
 		histories: map[string]*objective.History{},
 	}
-	s.limits = newAccountLimits(s)
+	s.limits, s.near = newAccountLimits(s), rackWaits{scheduler: s, waiting: map[string][]*stepEntry{}}
+	s.observer = &s.limits
+	if settings.RemoteFactor > 1 {
+		s.observer = &runCounter{&s.limits, &s.near}
+	}
 	return s
 }
 
--- a/internal/app/scheduler/workers.go
+++ b/internal/app/scheduler/workers.go
@@ -125,6 +125,9 @@
 		former := m.worker.Info()
 		incarnation := former.Incarnation
 		m.worker.UpdateInfo(w)
+		if former.Rack != w.Rack {
+			s.roster = nil // it lists the workers by rack
+		}
 		if !slices.Equal(former.Labels, w.Labels) {
 			s.assignKind(m.worker)
 		}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -151,7 +151,7 @@
 		Process: s.Process, Incarnation: uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()), CallerAddress: s.CallerAddress,
 		ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress, Seeds: s.Seeds, ConfigKey: platform.ConfigKey,
 		Withdrawal:      s.Withdrawal,
-		Scheduler:       scheduler.Settings{MaxLease: s.MaxLease, StatusRetention: s.StatusRetention, CPUShare: s.CPUShare, UsableShare: float64(share)},
+		Scheduler:       scheduler.Settings{MaxLease: s.MaxLease, StatusRetention: s.StatusRetention, CPUShare: s.CPUShare, UsableShare: float64(share), RemoteFactor: s.RemoteFactor},
 		StopGracePeriod: s.StopGracePeriod, DrainAcceptPeriod: platform.UnreadyPropagationDelay, Share: share,
 	}
 }
--- a/internal/domain/pool/choose.go
+++ b/internal/domain/pool/choose.go
@@ -25,7 +25,9 @@
 	LastChoice bool                    // also use workers on which runs have failed
 	Crashes    int                     // number of workers that crashed under the task
 	Priority   int                     // of the queue; 0 is the highest
-	Now        time.Time
+	// RemoteFactor is how many times as long the task takes off the rack with its data; 0 if that is not known.
+	RemoteFactor float64
+	Now          time.Time
 }
 
 // Rejection is the reason for which a worker may not run a task.
@@ -147,7 +149,7 @@
 	if r.Priority == 0 {
 		speed = weightUrgentSpeed
 	}
-	return weightUnused*unused(w, r) + weightDataRack*offDataRack(w, r) +
+	return weightUnused*unused(w, r) + dataRackWeight(r)*offDataRack(w, r) +
 		weightInterference*interference(w, r) + speed*slowdown(w, r) + weightFailures*failures(w, r) +
 		weightSuspicion*blursSuspicion(w, r)
 }
@@ -171,12 +173,27 @@
 }
 
 func offDataRack(w *Worker, r *Request) float64 {
-	if r.Step.DataRack == "" || w.info.Rack == r.Step.DataRack || w.HasLabel(r.Step.DataRack) {
+	if w.IsNear(r.Step) {
 		return 0
 	}
 	return 1
 }
 
+// IsNear reports whether the worker is on the rack that holds the data of the step, or the step has none.
+func (w *Worker) IsNear(step *workflow.Step) bool {
+	return step.DataRack == "" || w.info.Rack == step.DataRack || w.HasLabel(step.DataRack)
+}
+
+// dataRackWeight returns the weight of a place off the rack with the task's data. Where it is known how much longer the task takes there, that
+// counts as it does on a slow worker, so that a worker of the rack with room wins unless it is as slow.
+func dataRackWeight(r *Request) float64 {
+	longer := max(r.RemoteFactor-1, 0)
+	if r.Priority == 0 {
+		longer *= weightUrgentSpeed
+	}
+	return max(weightDataRack, longer)
+}
+
 func interference(w *Worker, r *Request) float64 {
 	switch {
 	case r.Step.BestEffort && w.latencyRuns > 0:
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/locality"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -39,12 +40,13 @@
 	Partial         bool      // it resumed from a checkpoint, or its start time is not known
 	SpeedPercent    int       // speed limit; unknownSpeed when it is not known
 	tailLatency     time.Duration
-	progress        int       // percent of its work that is done
-	lastProgress    time.Time // when the progress last changed
-	lastReport      time.Time // when the worker last reported it
-	firstReported   time.Time // when the worker first reported it
-	owner           Owner     // zero if the worker has no observer
-	overTargetSince time.Time // since when its tail latency exceeds the target; zero while it does not
+	progress        int          // percent of its work that is done
+	lastProgress    time.Time    // when the progress last changed
+	lastReport      time.Time    // when the worker last reported it
+	firstReported   time.Time    // when the worker first reported it
+	owner           Owner        // zero if the worker has no observer
+	RackUse         locality.Use // as the observer counts the run; zero if it does not
+	overTargetSince time.Time    // since when its tail latency exceeds the target; zero while it does not
 }
 
 // Worker is the state of one worker. It is not safe for concurrent use.
