--- a/internal/app/scheduler/locality.go
+++ b/internal/app/scheduler/locality.go
@@ -185,6 +185,14 @@
 	near *rackWaits
 }
 
+// newRunObserver returns the observer of the runs on all workers. The expectations of racks are kept only where something may wait for them.
+func (s *Scheduler) newRunObserver() pool.RunObserver {
+	if s.settings.RemoteFactor > 1 {
+		return &runCounter{&s.limits, &s.near}
+	}
+	return &s.limits
+}
+
 // RunAdded implements pool.RunObserver.
 func (o *runCounter) RunAdded(worker ident.WorkerID, run *pool.Run) {
 	o.accountLimits.RunAdded(worker, run)
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -192,10 +192,7 @@
 		histories: map[string]*objective.History{},
 	}
 	s.limits, s.near = newAccountLimits(s), rackWaits{scheduler: s, waiting: map[string][]*stepEntry{}}
-	s.observer = &s.limits
-	if settings.RemoteFactor > 1 {
-		s.observer = &runCounter{&s.limits, &s.near}
-	}
+	s.observer = s.newRunObserver()
 	return s
 }
 
--- a/internal/app/scheduler/simulated_load_test.go
+++ b/internal/app/scheduler/simulated_load_test.go
@@ -29,6 +29,7 @@
 type simulatedWorker struct {
 	running map[workflow.RunRef]time.Time // when they started
 	slow    bool                          // takes slowFactor times as long
+	rack    string
 	ended   []port.EndedRun
 	numbers uint64
 	changed chan struct{}
@@ -50,6 +51,7 @@
 type simulatedJob struct {
 	priority  int
 	duration  time.Duration // of each task
+	rack      string        // with the data; tasks take simulatedRemoteFactor times as long on others
 	submitted time.Time
 	started   time.Time // zero before its first task starts
 	left      int       // tasks that are not done
@@ -59,12 +61,19 @@
 // slowFactor is how much longer tasks take on a slow worker.
 const slowFactor = 2.2
 
-// taking returns how long the worker takes for what takes others a time.
-func (w *simulatedWorker) taking(usual time.Duration) time.Duration {
+// simulatedRemoteFactor is how much longer tasks take off the rack with their data.
+const simulatedRemoteFactor = 3
+
+// taking returns how long the worker takes for a task of the job.
+func (w *simulatedWorker) taking(job *simulatedJob) time.Duration {
+	duration := float64(job.duration)
 	if w.slow {
-		return time.Duration(slowFactor * float64(usual))
+		duration *= slowFactor
+	}
+	if job.rack != "" && job.rack != w.rack {
+		duration *= simulatedRemoteFactor
 	}
-	return usual
+	return time.Duration(duration)
 }
 
 // simulatedLatency is the time of a message to a worker or back.
@@ -86,7 +95,7 @@
 	if job.started.IsZero() {
 		job.started = time.Now()
 	}
-	time.AfterFunc(c.workers[to.Worker].taking(job.duration), func() { c.end(to.Worker, request.RunRef, workflow.Done) })
+	time.AfterFunc(c.workers[to.Worker].taking(job), func() { c.end(to.Worker, request.RunRef, workflow.Done) })
 	return time.Since(c.began), nil
 }
 
@@ -143,7 +152,7 @@
 	defer c.mu.Unlock()
 	reply := port.SyncReply{WorkerClock: time.Since(c.began), Incarnation: 1}
 	for run, started := range w.running {
-		percent := int(100 * time.Since(started) / w.taking(c.jobs[run.Task.Job].duration))
+		percent := int(100 * time.Since(started) / w.taking(c.jobs[run.Task.Job]))
 		reply.Running = append(reply.Running, port.RunningRun{RunRef: run, Progress: percent})
 	}
 	reply.Ended = append(reply.Ended, w.ended...)
