--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -37,6 +37,7 @@
 	roomPriorities   map[int]bool                 // priorities of which the room was exported before
 
 	lastDroppedStarts int // of the term, at the last update
+	lastRackWaits     port.RackWaits
 }
 
 // NewCellMetrics registers the metrics of a process. Close must be called to report the last values.
@@ -123,6 +124,21 @@
 	c.updateQueues(s.Queues)
 	c.updateRoom(s.RoomWaits)
 	c.updateAccounts(s.Accounts)
+	c.updateRackWaits(s.RackWaits)
+}
+
+// updateRackWaits counts the waits for racks that have ended since the last update. Each term counts anew.
+func (c *CellMetrics) updateRackWaits(waits port.RackWaits) {
+	last := c.lastRackWaits
+	if waits.Paid < last.Paid || waits.Vain < last.Vain {
+		last = port.RackWaits{}
+	}
+	c.lastRackWaits = waits
+	for outcome, count := range map[string]int{"paid": waits.Paid - last.Paid, "vain": waits.Vain - last.Vain} {
+		c.scope.Tagged(map[string]string{"outcome": outcome}).Counter("rack_waits").Inc(int64(count))
+	}
+	c.scope.Counter("rack_wait_saved_ms").Inc((waits.Saved - last.Saved).Milliseconds())
+	c.scope.Counter("rack_wait_lost_ms").Inc((waits.Lost - last.Lost).Milliseconds())
 }
 
 func boolValue(b bool) float64 {
--- a/internal/app/scheduler/locality.go
+++ b/internal/app/scheduler/locality.go
@@ -10,6 +10,7 @@
 	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/pool"
 	"skylarkstall/internal/domain/workflow"
+	"skylarkstall/internal/port"
 )
 
 const (
@@ -30,6 +31,7 @@
 	racks      locality.Racks
 	waiting    map[string][]*stepEntry // by rack
 	reportedAt time.Time
+	counts     port.RackWaits // that have ended in the term
 }
 
 // rackWait is the wait of a step for the rack with its data. The zero value is a step that has not waited.
@@ -163,6 +165,13 @@
 func (r *rackWaits) ended(c *candidate, rack string, paid bool, outcome string, now time.Time) {
 	wait := &c.step.near
 	r.racks.Waited(rack, paid, now)
+	if waited := now.Sub(wait.began); paid {
+		r.counts.Paid++
+		r.counts.Saved += max(wait.saving-waited, 0)
+	} else {
+		r.counts.Vain++
+		r.counts.Lost += waited
+	}
 	r.waiting[rack] = slices.DeleteFunc(r.waiting[rack], func(e *stepEntry) bool { return e == c.step })
 	if r.reports(now) {
 		r.scheduler.log.Info("wait for rack over", "step", c.ref.String(), "rack", rack, "kind", outcome,
--- a/internal/app/scheduler/state.go
+++ b/internal/app/scheduler/state.go
@@ -22,7 +22,7 @@
 			}
 		}
 	}
-	state.RoomWaits = s.roomByPriority()
+	state.RoomWaits, state.RackWaits = s.roomByPriority(), s.near.counts
 	state.PlacementBehind, state.LateFor = s.progress.Behind(), s.term.Lateness.For(now)
 	state.StartLimit, state.StartsInProgress, state.DroppedStarts = s.starts.Max(false), s.startsInProgress, s.starts.Dropped()
 	state.Accounts = s.limits.states()
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -303,6 +303,15 @@
 	DroppedStarts     int                         // decisions of the term that were too old to be sent
 	RoomWaits         map[int]time.Duration       // expected waits for room of new jobs, by priority; priorities with room may be missing
 	Accounts          map[account.ID]AccountState // accounts with a limit of what they may run at once
+	RackWaits         RackWaits
+}
+
+// RackWaits counts the waits of steps for the racks with their data that have ended in the term.
+type RackWaits struct {
+	Paid  int           // all tasks of the step have started
+	Vain  int           // tasks of the step went elsewhere after all
+	Saved time.Duration // by which the tasks of the waits that paid are done earlier than elsewhere, as predicted
+	Lost  time.Duration // length of the waits in vain
 }
 
 // AccountState is what an account with a limit runs.
