Let a gang that wants one rack wait for it while that pays

A gang with SameRack tried each rack and went apart at once if none had room for all its members. It now decides as one, for the rack that is expected to have room for the missing members first, and is bounded like the waits of steps.

--- a/internal/app/scheduler/locality.go
+++ b/internal/app/scheduler/locality.go
@@ -39,6 +39,7 @@
 	began      time.Time // zero before the step waits
 	until      time.Time // when it is decided anew
 	elsewhere  bool      // its tasks go elsewhere, until all of them are placed
+	rack       string
 	saving     time.Duration
 	milliCores int64 // that its tasks need
 	position   placement.Position
@@ -73,17 +74,17 @@
 	}
 	verdict := locality.Decide(s.rackChoice(c, step, best, now))
 	if !verdict.Waits() {
-		s.near.goElsewhere(c, step.DataRack, verdict, now)
+		s.near.goElsewhere(c, verdict, now)
 		return false
 	}
-	s.near.wait(c, step, verdict, now)
+	s.near.wait(c, step.DataRack, step.Count, verdict, now)
 	return true
 }
 
-// rackChoice describes the choice between a worker that has room now and the rack of a step. The lock is held.
-func (s *Scheduler) rackChoice(c *candidate, step *workflow.Step, best *pool.Worker, now time.Time) locality.Choice {
+// choice describes the choice between a place that has room now and a rack, without the rack. The lock is held.
+func (s *Scheduler) choice(c *candidate, farSpeed float64, now time.Time) locality.Choice {
 	choice := locality.Choice{
-		Duration: s.expectedDuration(c), FarFactor: s.settings.RemoteFactor, FarSpeed: best.Speed(), NearSpeed: 1, Room: -1,
+		Duration: s.expectedDuration(c), FarFactor: s.settings.RemoteFactor, FarSpeed: farSpeed, NearSpeed: 1, Room: -1,
 	}
 	if wait := &c.step.near; !wait.began.IsZero() {
 		choice.Waited = now.Sub(wait.began)
@@ -93,6 +94,12 @@
 		rest := max(c.entry.plan.Remaining(c.ref.Step)-choice.Duration, 0)
 		choice.Left, choice.Bounded = limits.InTime.Sub(now)-rest, true
 	}
+	return choice
+}
+
+// rackChoice describes the choice between a worker that has room now and the rack of a step. The lock is held.
+func (s *Scheduler) rackChoice(c *candidate, step *workflow.Step, best *pool.Worker, now time.Time) locality.Choice {
+	choice := s.choice(c, best.Speed(), now)
 	usable, speed, all := 0, 0.0, s.currentRoster().byRack[step.DataRack]
 	request := c.request(now)
 	for _, m := range all {
@@ -129,27 +136,32 @@
 }
 
 // wait begins the wait of a step, or lets it go on.
-func (r *rackWaits) wait(c *candidate, step *workflow.Step, verdict locality.Verdict, now time.Time) {
+func (r *rackWaits) wait(c *candidate, rack string, members int, verdict locality.Verdict, now time.Time) {
 	wait := &c.step.near
 	if wait.began.IsZero() {
 		wait.began = now
 		if r.reports(now) {
-			r.scheduler.log.Info("waits for rack", "step", c.ref.String(), "rack", step.DataRack, "room_ms", verdict.Room.Milliseconds(),
+			r.scheduler.log.Info("waits for rack", "step", c.ref.String(), "rack", rack, "room_ms", verdict.Room.Milliseconds(),
 				"saving_ms", verdict.Saving.Milliseconds())
 		}
 	}
-	if !slices.Contains(r.waiting[step.DataRack], c.step) {
-		r.waiting[step.DataRack] = append(r.waiting[step.DataRack], c.step)
+	if wait.rack != rack {
+		r.forget(c.step)
+	}
+	if !slices.Contains(r.waiting[rack], c.step) {
+		r.waiting[rack] = append(r.waiting[rack], c.step)
 	}
+	wait.rack = rack
 	wait.until, wait.saving, wait.position = now.Add(verdict.Until), verdict.Saving, c.position
-	wait.milliCores = pool.ReservedSize(step).MilliCores * int64(c.entry.workflow.WaitingCount(c.ref))
+	step := c.entry.workflow.Step(c.ref)
+	wait.milliCores = pool.ReservedSize(step).MilliCores * int64(min(c.entry.workflow.WaitingCount(c.ref), members))
 }
 
 // goElsewhere lets the tasks of a step start elsewhere. A wait of it was in vain.
-func (r *rackWaits) goElsewhere(c *candidate, rack string, verdict locality.Verdict, now time.Time) {
+func (r *rackWaits) goElsewhere(c *candidate, verdict locality.Verdict, now time.Time) {
 	wait := &c.step.near
 	if !wait.began.IsZero() {
-		r.ended(c, rack, false, string(verdict.Reason), now)
+		r.ended(c, false, string(verdict.Reason), now)
 	}
 	*wait = rackWait{elsewhere: true}
 }
@@ -157,14 +169,14 @@
 // allPlaced ends the wait of a step of which no task waits any more.
 func (r *rackWaits) allPlaced(c *candidate, now time.Time) {
 	if wait := &c.step.near; !wait.began.IsZero() {
-		r.ended(c, c.entry.workflow.Step(c.ref).DataRack, true, "placed", now)
+		r.ended(c, true, "placed", now)
 	}
 	c.step.near = rackWait{}
 }
 
-func (r *rackWaits) ended(c *candidate, rack string, paid bool, outcome string, now time.Time) {
+func (r *rackWaits) ended(c *candidate, paid bool, outcome string, now time.Time) {
 	wait := &c.step.near
-	r.racks.Waited(rack, paid, now)
+	r.racks.Waited(wait.rack, paid, now)
 	if waited := now.Sub(wait.began); paid {
 		r.counts.Paid++
 		r.counts.Saved += max(wait.saving-waited, 0)
@@ -172,13 +184,19 @@
 		r.counts.Vain++
 		r.counts.Lost += waited
 	}
-	r.waiting[rack] = slices.DeleteFunc(r.waiting[rack], func(e *stepEntry) bool { return e == c.step })
+	r.forget(c.step)
 	if r.reports(now) {
-		r.scheduler.log.Info("wait for rack over", "step", c.ref.String(), "rack", rack, "kind", outcome,
+		r.scheduler.log.Info("wait for rack over", "step", c.ref.String(), "rack", wait.rack, "kind", outcome,
 			"waited_ms", now.Sub(wait.began).Milliseconds(), "saving_ms", wait.saving.Milliseconds())
 	}
 }
 
+// forget takes a step off those that wait for its rack.
+func (r *rackWaits) forget(step *stepEntry) {
+	rack := step.near.rack
+	r.waiting[rack] = slices.DeleteFunc(r.waiting[rack], func(e *stepEntry) bool { return e == step })
+}
+
 // reports reports whether a log line is due.
 func (r *rackWaits) reports(now time.Time) bool {
 	if now.Sub(r.reportedAt) < rackWaitReportInterval {
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -329,7 +329,11 @@
 	}
 	run := c.entry.workflow.NextRun(first, s.runNumberFloor())
 	for _, rack := range s.racks(step) {
-		if launches := s.tryGang(c, run, rack, now); launches != nil {
+		try := s.tryGang
+		if rack == "" {
+			try = s.tryGangApart
+		}
+		if launches := try(c, run, rack, now); launches != nil {
 			return launches, 0
 		}
 	}
@@ -361,10 +365,7 @@
 		task := workflow.TaskRef{StepRef: c.ref, Index: index}
 		l, ok := s.reserve(c, workflow.RunRef{Task: task, Run: run}, rack, now)
 		if !ok {
-			for _, l := range launches {
-				l.monitor.worker.CancelReservation(l.request.RunRef)
-				c.entry.workflow.DropRun(l.request.RunRef, l.target.Worker)
-			}
+			c.dropGang(launches)
 			return nil
 		}
 		launches = append(launches, l)
