End a wait for a rack when there is no room elsewhere either

A step whose wait was due was tried on all workers in every pass as long as no worker had room, because only a worker with room elsewhere leads to a decision. Its wait now lapses, and it waits like other steps. TestWaitLapses fails without this.

BenchmarkPlaceAfterEnd measures a pass that starts a task after an end, with and without the expectations of racks.

--- a/internal/app/scheduler/locality.go
+++ b/internal/app/scheduler/locality.go
@@ -37,7 +37,7 @@
 // rackWait is the wait of a step for the rack with its data. The zero value is a step that has not waited.
 type rackWait struct {
 	began      time.Time // zero before the step waits
-	until      time.Time // when it is decided anew
+	until      time.Time // when it is decided anew; zero if there is no room elsewhere either
 	elsewhere  bool      // its tasks go elsewhere, until all of them are placed
 	rack       string
 	saving     time.Duration
@@ -50,13 +50,13 @@
 
 // isDue reports whether the wait has to be decided on anew.
 func (w *rackWait) isDue(now time.Time) bool {
-	return !w.began.IsZero() && !w.elsewhere && !now.Before(w.until)
+	return !w.until.IsZero() && !now.Before(w.until)
 }
 
 // nextTry returns when the step is due if nothing changes.
 func (c *candidate) nextTry() time.Time {
 	next := c.step.waiting.NextTry(c.queue.Priority)
-	if wait := &c.step.near; !wait.began.IsZero() && !wait.elsewhere && wait.until.Before(next) {
+	if wait := &c.step.near; !wait.until.IsZero() && wait.until.Before(next) {
 		return wait.until
 	}
 	return next
@@ -160,12 +160,21 @@
 // goElsewhere lets the tasks of a step start elsewhere. A wait of it was in vain.
 func (r *rackWaits) goElsewhere(c *candidate, verdict locality.Verdict, now time.Time) {
 	wait := &c.step.near
-	if !wait.began.IsZero() {
+	if !wait.until.IsZero() { // otherwise it was not the rack that it waited for last
 		r.ended(c, false, string(verdict.Reason), now)
 	}
 	*wait = rackWait{elsewhere: true}
 }
 
+// lapse ends a wait that is due and was not decided on, because there is no room elsewhere any more: the step waits like others. What it has
+// waited counts when there is.
+func (r *rackWaits) lapse(step *stepEntry, now time.Time) {
+	if step.near.isDue(now) {
+		r.forget(step)
+		step.near.until = time.Time{}
+	}
+}
+
 // allPlaced ends the wait of a step of which no task waits any more.
 func (r *rackWaits) allPlaced(c *candidate, now time.Time) {
 	if wait := &c.step.near; !wait.began.IsZero() {
--- a/internal/app/scheduler/locality_load_test.go
+++ b/internal/app/scheduler/locality_load_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"skylarkstall/internal/domain/ident"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/port"
@@ -92,3 +93,39 @@
 		t.Errorf("jobs with long tasks take %v, and %v without waits", long, without)
 	}
 }
+
+// BenchmarkPlaceAfterEnd measures one pass of placement that starts a task after the end of a run, with and without the expectations of
+// racks that both have to change. No step names a rack.
+func BenchmarkPlaceAfterEnd(b *testing.B) {
+	for _, workers := range []int{100, 300, 1100} {
+		for _, factor := range []float64{0, simulatedRemoteFactor} {
+			b.Run(fmt.Sprintf("workers=%d/factor=%v", workers, factor), func(b *testing.B) {
+				s, now := newFullLeader(b, workers, 100)
+				s.settings.RemoteFactor = factor
+				s.observer = s.newRunObserver()
+				for i := range workers {
+					w := s.monitors[ident.WorkerID(fmt.Sprintf("x%d", i))].worker
+					info := w.Info()
+					info.Rack = fmt.Sprintf("r%d", i/20)
+					w.UpdateInfo(info)
+					w.SetObserver(s.observer)
+				}
+				s.roster = nil
+				m, run := s.monitors["x0"], workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: "full"}}, Run: 1}
+				b.ReportAllocs()
+				for b.Loop() {
+					m.worker.Release(run)
+					if e := s.jobs[run.Task.Job]; e != nil {
+						e.workflow.DropRun(run, m.worker.ID())
+					}
+					launches, _ := s.place(now)
+					if len(launches) != 1 {
+						b.Fatalf("%d starts after an end, want 1", len(launches))
+					}
+					s.startsInProgress = 0
+					m, run = launches[0].monitor, launches[0].request.RunRef
+				}
+			})
+		}
+	}
+}
--- a/internal/app/scheduler/locality_test.go
+++ b/internal/app/scheduler/locality_test.go
@@ -144,6 +144,33 @@
 	}
 }
 
+// TestWaitLapses guards against a step that every pass tries on all workers, because it was to decide on its wait and there is no room elsewhere
+// any more.
+func TestWaitLapses(t *testing.T) {
+	now := time.Now()
+	s := newRackLeader(t, 3, shortRuns, now)
+	acceptNamed(s, "near", nearStep(1))
+	if launches := placeAt(s, now); len(launches) > 0 {
+		t.Fatalf("%d starts, want a wait", len(launches))
+	}
+	acceptNamed(s, "filler", workflow.Step{Count: 16, Size: resource.Vector{MilliCores: 1000}})
+	if launches := placeAt(s, now); len(launches) != 16 {
+		t.Fatalf("%d starts, want r2 filled", len(launches))
+	}
+	s.startsInProgress = 0
+	now = now.Add(400 * time.Millisecond) // the wait is due
+	placeAt(s, now)
+	step := s.jobs["near"].step(workflow.StepRef{Job: "near"})
+	if now = now.Add(time.Millisecond); s.needsTry(step.queued, now) || step.near.isOn(now) || len(s.near.waiting["r1"]) > 0 {
+		t.Errorf("the step is to be tried again at once, or waits for its rack: %+v", step.near)
+	}
+	filled := s.monitors["r2-0"].worker
+	filled.Release(filled.Runs()[0].RunRef)
+	if waited, ok := placedWithin(s, now, 3*time.Second); !ok || waited > locality.MaxWait {
+		t.Errorf("the step starts: %v, after %v", ok, waited)
+	}
+}
+
 // TestRackDiesDuringWait guards against a task that keeps waiting for a rack whose workers cannot take it any more.
 func TestRackDiesDuringWait(t *testing.T) {
 	now := time.Now()
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -255,6 +255,7 @@
 	step.wait.triedAt = now
 	c.workers, c.partial = s.allowedWorkers(c), false
 	launches, unplaced := s.placeStep(c, now)
+	s.near.lapse(step, now)
 	step.waiting.Tried(now, unplaced)
 	step.triedIn = s.releases.pass
 	switch {
