Compare decisions without racks in simulated time

TestNoRackNamed failed in 12 of 300 runs on a busy machine: passes are limited in real time, so that the two leaders it compares were at times cut off at different steps. Under synctest a pass takes no time; the comparison is the same.

--- a/internal/app/scheduler/locality_test.go
+++ b/internal/app/scheduler/locality_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"skylarkstall/internal/domain/ident"
@@ -281,6 +282,10 @@
 
 // TestNoRackNamed guards against decisions that change where no step names a rack.
 func TestNoRackNamed(t *testing.T) {
+	synctest.Test(t, testNoRackNamed) // otherwise the time for a pass depends on the machine
+}
+
+func testNoRackNamed(t *testing.T) {
 	decide := func(remoteFactor float64) (decided []string) {
 		now, random := time.Now(), rand.New(rand.NewPCG(3, 4))
 		s := newRackLeader(t, remoteFactor, shortRuns, now)
