--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/locality"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/workflow"
 	"skylarkstall/internal/fault"
@@ -40,12 +41,13 @@
 	Partial         bool      // it resumed from a checkpoint, or its start time is not known
 	SpeedPercent    int       // speed limit; unknownSpeed when it is not known
 	tailLatency     time.Duration
-	progress        int       // percent of its work that is done
-	lastProgress    time.Time // when the progress last changed
-	lastReport      time.Time // when the worker last reported it
-	firstReported   time.Time // when the worker first reported it
-	owner           Owner     // zero if the worker has no observer
-	overTargetSince time.Time // since when its tail latency exceeds the target; zero while it does not
+	progress        int          // percent of its work that is done
+	lastProgress    time.Time    // when the progress last changed
+	lastReport      time.Time    // when the worker last reported it
+	firstReported   time.Time    // when the worker first reported it
+	owner           Owner        // zero if the worker has no observer
+	RackUse         locality.Use // as the observer counts the run; zero if it does not
+	overTargetSince time.Time    // since when its tail latency exceeds the target; zero while it does not
 }
 
 // Worker is the state of one worker. It is not safe for concurrent use.
@@ -324,8 +326,19 @@
 func (w *Worker) HasLabel(label string) bool { return slices.Contains(w.info.Labels, label) }
 
 // FitCount returns how many further tasks of the step fit on the worker.
-func (w *Worker) FitCount(step *workflow.Step) int {
-	free, size := w.Free(), ReservedSize(step)
+func (w *Worker) FitCount(step *workflow.Step) int { return fitCount(w.Free(), step) }
+
+// MaxFitCount returns how many tasks of the step fit on the worker without its runs.
+func (w *Worker) MaxFitCount(step *workflow.Step) int {
+	count := fitCount(w.info.Capacity, step)
+	if step.MaxPerWorker > 0 {
+		count = min(count, step.MaxPerWorker)
+	}
+	return count
+}
+
+func fitCount(free resource.Vector, step *workflow.Step) int {
+	size := ReservedSize(step)
 	n := int64(unlimitedFit)
 	for _, pair := range [][2]int64{
 		{free.MilliCores, size.MilliCores}, {free.MemoryBytes, size.MemoryBytes}, {free.Accelerators, size.Accelerators},
