Take back the waits of gangs that want any one rack

Such a gang probably takes the room for which steps with data there wait; that was not shown.

Conclusion: taken back, with its test and the worker's MaxFitCount. TestNoRackNamed covers gangs with SameRack again. Gangs that name the rack of their data still wait as one.

--- a/internal/app/scheduler/locality.go
+++ b/internal/app/scheduler/locality.go
@@ -77,14 +77,14 @@
 		s.near.goElsewhere(c, verdict, now)
 		return false
 	}
-	s.near.wait(c, step.DataRack, step.Count, verdict, now)
+	s.near.wait(c, step, verdict, now)
 	return true
 }
 
-// choice describes the choice between a place that has room now and a rack, without the rack. The lock is held.
-func (s *Scheduler) choice(c *candidate, farSpeed float64, now time.Time) locality.Choice {
+// rackChoice describes the choice between a worker that has room now and the rack of a step. The lock is held.
+func (s *Scheduler) rackChoice(c *candidate, step *workflow.Step, best *pool.Worker, now time.Time) locality.Choice {
 	choice := locality.Choice{
-		Duration: s.expectedDuration(c), FarFactor: s.settings.RemoteFactor, FarSpeed: farSpeed, NearSpeed: 1, Room: -1,
+		Duration: s.expectedDuration(c), FarFactor: s.settings.RemoteFactor, FarSpeed: best.Speed(), NearSpeed: 1, Room: -1,
 	}
 	if wait := &c.step.near; !wait.began.IsZero() {
 		choice.Waited = now.Sub(wait.began)
@@ -94,12 +94,6 @@
 		rest := max(c.entry.plan.Remaining(c.ref.Step)-choice.Duration, 0)
 		choice.Left, choice.Bounded = limits.InTime.Sub(now)-rest, true
 	}
-	return choice
-}
-
-// rackChoice describes the choice between a worker that has room now and the rack of a step. The lock is held.
-func (s *Scheduler) rackChoice(c *candidate, step *workflow.Step, best *pool.Worker, now time.Time) locality.Choice {
-	choice := s.choice(c, best.Speed(), now)
 	usable, speed, all := 0, 0.0, s.currentRoster().byRack[step.DataRack]
 	request := c.request(now)
 	for _, m := range all {
@@ -136,25 +130,20 @@
 }
 
 // wait begins the wait of a step, or lets it go on.
-func (r *rackWaits) wait(c *candidate, rack string, members int, verdict locality.Verdict, now time.Time) {
+func (r *rackWaits) wait(c *candidate, step *workflow.Step, verdict locality.Verdict, now time.Time) {
 	wait := &c.step.near
 	if wait.began.IsZero() {
 		wait.began = now
 		if r.reports(now) {
-			r.scheduler.log.Info("waits for rack", "step", c.ref.String(), "rack", rack, "room_ms", verdict.Room.Milliseconds(),
+			r.scheduler.log.Info("waits for rack", "step", c.ref.String(), "rack", step.DataRack, "room_ms", verdict.Room.Milliseconds(),
 				"saving_ms", verdict.Saving.Milliseconds())
 		}
 	}
-	if wait.rack != rack {
-		r.forget(c.step)
-	}
-	if !slices.Contains(r.waiting[rack], c.step) {
-		r.waiting[rack] = append(r.waiting[rack], c.step)
+	if wait.rack = step.DataRack; !slices.Contains(r.waiting[wait.rack], c.step) {
+		r.waiting[wait.rack] = append(r.waiting[wait.rack], c.step)
 	}
-	wait.rack = rack
 	wait.until, wait.saving, wait.position = now.Add(verdict.Until), verdict.Saving, c.position
-	step := c.entry.workflow.Step(c.ref)
-	wait.milliCores = pool.ReservedSize(step).MilliCores * int64(min(c.entry.workflow.WaitingCount(c.ref), members))
+	wait.milliCores = pool.ReservedSize(step).MilliCores * int64(c.entry.workflow.WaitingCount(c.ref))
 }
 
 // goElsewhere lets the tasks of a step start elsewhere. A wait of it was in vain.
--- a/internal/app/scheduler/locality_test.go
+++ b/internal/app/scheduler/locality_test.go
@@ -215,45 +215,6 @@
 	}
 }
 
-// TestGangWaitsForOneRack guards against a gang that goes apart just before a rack has room for all its members, and against one that waits for
-// racks that are too small for it.
-func TestGangWaitsForOneRack(t *testing.T) {
-	start := func(count int, remoteFactor float64) (*Scheduler, []launch, time.Time) {
-		now := time.Now()
-		s := newRackLeader(t, remoteFactor, shortRuns, now)
-		for i := range 4 { // r2 has room for one task in each worker
-			filler := workflow.Step{Count: 1, Size: resource.Vector{MilliCores: 3000}}
-			ref := workflow.RunRef{Task: workflow.TaskRef{StepRef: workflow.StepRef{Job: "filler"}, Index: i}, Run: 1}
-			if err := s.monitors[ident.WorkerID(fmt.Sprintf("r2-%d", i))].worker.Reserve(ref, &filler); err != nil {
-				t.Fatal(err)
-			}
-		}
-		endRuns(s, 2)
-		step := nearStep(count)
-		step.DataRack, step.Gang, step.SameRack = "", true, true
-		acceptNamed(s, "gang", step)
-		return s, placeAt(s, now), now
-	}
-	if _, launches, _ := start(5, 1); len(launches) != 5 {
-		t.Fatalf("without waits %d members start, want 5 on two racks", len(launches))
-	}
-	s, launches, now := start(5, 3)
-	if len(launches) > 0 {
-		t.Fatalf("%d members start apart, want a wait for r1", len(launches))
-	}
-	endRuns(s, 3)
-	if there, elsewhere := placedOn(placeAt(s, now.Add(50*time.Millisecond))); there != 5 || elsewhere != 0 {
-		t.Errorf("%d members start on r1 and %d elsewhere, want 5", there, elsewhere)
-	}
-	s, _, now = start(5, 3)
-	if waited, ok := placedWithin(s, now, 3*time.Second); !ok || waited == 0 || waited > locality.MaxWait+placeInterval {
-		t.Errorf("a gang starts apart: %v, after %v; want at most %v", ok, waited, locality.MaxWait)
-	}
-	if n := len(s.near.waiting["r1"]); n > 0 {
-		t.Errorf("%d gangs are noted to wait after the start", n)
-	}
-}
-
 // TestNewLeaderHasNoWaits guards against a task that waits because of what a former leader expected: a leader that knows nothing of the runs
 // on a rack expects nothing of it.
 func TestNewLeaderHasNoWaits(t *testing.T) {
@@ -290,8 +251,7 @@
 		now, random := time.Now(), rand.New(rand.NewPCG(3, 4))
 		s := newRackLeader(t, remoteFactor, shortRuns, now)
 		for i := range 200 {
-			step := workflow.Step{Count: 1 + random.IntN(4), Gang: random.IntN(5) == 0, Estimate: time.Second}
-			step.SameRack = !step.Gang && random.IntN(2) == 0 // a gang with it does want a rack
+			step := workflow.Step{Count: 1 + random.IntN(4), Gang: random.IntN(5) == 0, SameRack: random.IntN(2) == 0, Estimate: time.Second}
 			step.Size.MilliCores = int64(200 * (1 + random.IntN(10)))
 			id := workflow.ID(fmt.Sprintf("j%03d", i))
 			acceptNamed(s, id, step)
--- a/internal/app/scheduler/place.go
+++ b/internal/app/scheduler/place.go
@@ -330,11 +330,7 @@
 	}
 	run := c.entry.workflow.NextRun(first, s.runNumberFloor())
 	for _, rack := range s.racks(step) {
-		try := s.tryGang
-		if rack == "" {
-			try = s.tryGangApart
-		}
-		if launches := try(c, run, rack, now); launches != nil {
+		if launches := s.tryGang(c, run, rack, now); launches != nil {
 			return launches, 0
 		}
 	}
@@ -366,7 +362,10 @@
 		task := workflow.TaskRef{StepRef: c.ref, Index: index}
 		l, ok := s.reserve(c, workflow.RunRef{Task: task, Run: run}, rack, now)
 		if !ok {
-			c.dropGang(launches)
+			for _, l := range launches {
+				l.monitor.worker.CancelReservation(l.request.RunRef)
+				c.entry.workflow.DropRun(l.request.RunRef, l.target.Worker)
+			}
 			return nil
 		}
 		launches = append(launches, l)
--- a/internal/domain/pool/worker.go
+++ b/internal/domain/pool/worker.go
@@ -325,19 +325,8 @@
 func (w *Worker) HasLabel(label string) bool { return slices.Contains(w.info.Labels, label) }
 
 // FitCount returns how many further tasks of the step fit on the worker.
-func (w *Worker) FitCount(step *workflow.Step) int { return fitCount(w.Free(), step) }
-
-// MaxFitCount returns how many tasks of the step fit on the worker without its runs.
-func (w *Worker) MaxFitCount(step *workflow.Step) int {
-	count := fitCount(w.info.Capacity, step)
-	if step.MaxPerWorker > 0 {
-		count = min(count, step.MaxPerWorker)
-	}
-	return count
-}
-
-func fitCount(free resource.Vector, step *workflow.Step) int {
-	size := ReservedSize(step)
+func (w *Worker) FitCount(step *workflow.Step) int {
+	free, size := w.Free(), ReservedSize(step)
 	n := int64(unlimitedFit)
 	for _, pair := range [][2]int64{
 		{free.MilliCores, size.MilliCores}, {free.MemoryBytes, size.MemoryBytes}, {free.Accelerators, size.Accelerators},
