Let a busy leader keep enough starts in progress

Cause: the limit of starts in progress fell while even the fastest answers took 40 ms longer than usual, by 30% in each window of 0.2 s, also in those in which only requests from before were answered.

Change: the delay is 160 ms, a third of the age from which a decision is withdrawn, and the limit does not fall again before the requests that showed the delay have been answered.

TestDecisionsAtTwiceTheRateOfSending (200 ms from decision to sending) passes.

--- a/internal/domain/placement/start_limit.go
+++ b/internal/domain/placement/start_limit.go
@@ -18,8 +18,10 @@
 	// startWindow is the time over which the limit is judged, some passes of placement.
 	startWindow = 200 * time.Millisecond
 	// standingDelay is how much longer than ever in the term the fastest request of a window has to take for the leader to be late. What
-	// delays even the fastest one is the leader itself: a slow worker, a far one or a few requests in a row to one worker do not.
-	standingDelay = 40 * time.Millisecond
+	// delays even the fastest one is the leader itself: a slow worker, a far one or a few requests in a row to one worker do not. It is a third
+	// of the age from which a decision is withdrawn. A leader that is busy all the time needs starts for several passes in progress, or it has
+	// none to send between two passes.
+	standingDelay = 160 * time.Millisecond
 	// maxFloor bounds what counts as the fastest of the term. The nearest worker of a cell answers sooner; a leader that is late from its
 	// first request on must not take that for usual.
 	maxFloor = 20 * time.Millisecond
@@ -35,17 +37,18 @@
 // StartLimit is the aggregate of the starts that a leader may have in progress. It follows the time that requests take at least: that is
 // short while the leader has the processor time to send them and to read the answers.
 type StartLimit struct {
-	limit    float64
-	most     float64       // the limit of a leader that keeps up
-	window   time.Time     // start of the present window; zero before the first start
-	answered int           // requests that were answered in the window
-	fastest  time.Duration // of these
-	floor    time.Duration // the fastest of the term, at most maxFloor
-	dropped  int           // decisions that were too old to be sent, of all windows
-	delay    time.Duration // from a decision to its sending, smoothed
-	stale    int           // decisions dropped in the window
-	sent     bool          // a start was sent or dropped in the window
-	reduced  bool
+	limit     float64
+	most      float64       // the limit of a leader that keeps up
+	window    time.Time     // start of the present window; zero before the first start
+	answered  int           // requests that were answered in the window
+	fastest   time.Duration // of these
+	floor     time.Duration // the fastest of the term, at most maxFloor
+	dropped   int           // decisions that were too old to be sent, of all windows
+	delay     time.Duration // from a decision to its sending, smoothed
+	stale     int           // decisions dropped in the window
+	sent      bool          // a start was sent or dropped in the window
+	heldUntil time.Time     // the limit is not lowered again before
+	reduced   bool
 }
 
 // NewStartLimit returns the limit of a leader with a usable share of a processor, in cores; 0 if it is not known.
@@ -106,9 +109,11 @@
 		return false
 	}
 	late = l.answered >= minWindowStarts && l.fastest-l.floor >= standingDelay || l.stale >= max(minWindowStarts, l.answered)
-	if late {
-		l.limit = max(l.limit*startDecrease, minStarts)
-	} else {
+	switch {
+	case late && now.Before(l.heldUntil): // the answers are those of requests from before the limit was lowered
+	case late:
+		l.limit, l.heldUntil = max(l.limit*startDecrease, minStarts), now.Add(l.fastest)
+	default:
 		l.limit = min(l.limit+float64(passed)*startIncrease*l.most, l.most)
 	}
 	l.reduced = l.limit < l.most && (l.reduced || l.limit < reducedBelow*l.most)
