State nothing about room while the leader does not keep up

Cause: a leader that does not keep up finds tasks waiting, states that there is no room, and is then asked by every process about each job before it is stored. Tasks wait for the leader then, not for room, so that the answers tell nothing.

Change: the leader states nothing while its placement is behind or it is late.

The new test fails without the change.

--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -54,10 +54,11 @@
 }
 
 // observeRoom compares what waits with the workers. Nothing is stated while runs of earlier terms are unknown, because their workers look
-// free or their tasks seem to wait. The lock is held.
+// free or their tasks seem to wait, nor while the leader does not keep up: tasks then wait for it rather than for room, and questions about
+// each job would take the time that it lacks. The lock is held.
 func (s *Scheduler) observeRoom(now time.Time) {
 	config := s.table.Config()
-	if !s.accounted || !refusesJobs(&config) {
+	if !s.accounted || !refusesJobs(&config) || s.progress.Behind() || s.term.Lateness.For(now) > 0 {
 		s.room.stated = admission.Statement{}
 		return
 	}
--- a/internal/app/scheduler/room_test.go
+++ b/internal/app/scheduler/room_test.go
@@ -231,3 +231,20 @@
 		})
 	}
 }
+
+// TestLateLeaderStatesNothing guards against a leader that is asked about every job while it does not keep up with its queue.
+func TestLateLeaderStatesNothing(t *testing.T) {
+	s, now := newSharedLeader(t), time.Now()
+	for i := range 20 {
+		acceptOf(s, workflow.ID(fmt.Sprintf("j%d", i)), "a", 2)
+	}
+	placeAt(s, now)
+	if observeRoomAt(s, now); s.room.stated.IsZero() {
+		t.Fatal("nothing is stated although the workers are full")
+	}
+	s.progress.Observe(now, 1)
+	s.progress.Observe(now.Add(2*time.Second), 1)
+	if observeRoomAt(s, now.Add(2*time.Second)); !s.room.stated.IsZero() {
+		t.Errorf("statement %+v of a leader that is behind", s.room.stated)
+	}
+}
