Let TestLateLeaderStatesNothing notice the statements

Change: it looks at the time of the statement. Result: it fails without the change and passes with it.

--- a/internal/app/scheduler/room_test.go
+++ b/internal/app/scheduler/room_test.go
@@ -9,6 +9,7 @@
 	"skylarkstall/internal/domain/account"
 	"skylarkstall/internal/domain/admission"
 	"skylarkstall/internal/domain/ident"
+	"skylarkstall/internal/domain/placement"
 	"skylarkstall/internal/domain/resource"
 	"skylarkstall/internal/domain/route"
 	"skylarkstall/internal/domain/workflow"
@@ -242,9 +243,10 @@
 	if observeRoomAt(s, now); s.room.stated.IsZero() {
 		t.Fatal("nothing is stated although the workers are full")
 	}
+	s.progress = placement.Progress{}
+	s.progress.Observe(now.Add(-2*time.Second), 1)
 	s.progress.Observe(now, 1)
-	s.progress.Observe(now.Add(2*time.Second), 1)
-	if observeRoomAt(s, now.Add(2*time.Second)); !s.room.stated.IsZero() {
+	if observeRoomAt(s, now); !s.room.stated.IsZero() {
 		t.Errorf("statement %+v of a leader that is behind", s.room.stated)
 	}
 }
