--- a/internal/adapter/metrics/admission.go
+++ b/internal/adapter/metrics/admission.go
@@ -32,3 +32,16 @@
 		c.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge("room_wait_seconds").Update(waits[priority].Seconds())
 	}
 }
+
+// updateShedding sets the gauges of what is refused because the leader starts less than is asked. Those of priorities that are not stated
+// any more return to 0.
+func (c *CellMetrics) updateShedding(shedding map[int]admission.Shedding) {
+	for priority := range shedding {
+		c.shedPriorities[priority] = true
+	}
+	for priority := range c.shedPriorities {
+		scope := c.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
+		scope.Gauge("start_wait_seconds").Update(shedding[priority].Wait.Seconds())
+		scope.Gauge("shed_part").Update(shedding[priority].Refused)
+	}
+}
--- a/internal/adapter/metrics/cell.go
+++ b/internal/adapter/metrics/cell.go
@@ -35,6 +35,7 @@
 	lastDroppedLines int64                        // total at the last update
 	refusingAccounts map[string]bool              // accounts of which refusals are counted
 	roomPriorities   map[int]bool                 // priorities of which the room was exported before
+	shedPriorities   map[int]bool                 // priorities of which the refused part was exported before
 
 	lastDroppedStarts int // of the term, at the last update
 	lastRackWaits     port.RackWaits
@@ -48,7 +49,7 @@
 	}, cellInterval)
 	c := &CellMetrics{
 		exporter: e, scope: scope, close: closer.Close, scopes: map[[3]string]tally.Scope{}, seenPriorities: map[int]bool{},
-		queues: map[string]queueGauges{}, accounts: map[account.ID]accountGauges{}, refusingAccounts: map[string]bool{}, roomPriorities: map[int]bool{}, passes: map[string]tally.Counter{},
+		queues: map[string]queueGauges{}, accounts: map[account.ID]accountGauges{}, refusingAccounts: map[string]bool{}, roomPriorities: map[int]bool{}, shedPriorities: map[int]bool{}, passes: map[string]tally.Counter{},
 		passSeconds: scope.Histogram("placement_pass_seconds", passBuckets),
 		stepsTried:  scope.Histogram("placement_steps_tried", stepBuckets),
 	}
@@ -106,6 +107,7 @@
 		"leads": boolValue(s.IsLeader), "placement_behind": boolValue(s.PlacementBehind),
 		"config_version": float64(s.ConfigVersion), "config_age_seconds": s.ConfigAge.Seconds(),
 		"workers": float64(s.Workers), "runs": float64(s.Runs), "doubtful_starts": float64(s.UnconfirmedStarts), "unrecorded_jobs": float64(s.UnrecordedJobs),
+		"start_rate": s.StartRate, "asked_rate": s.AskedRate,
 		"leader_late_seconds": s.LateFor.Seconds(), "start_limit": float64(s.StartLimit), "starts_in_progress": float64(s.StartsInProgress),
 	} {
 		c.scope.Gauge(name).Update(value)
@@ -123,6 +125,7 @@
 	}
 	c.updateQueues(s.Queues)
 	c.updateRoom(s.RoomWaits)
+	c.updateShedding(s.Shedding)
 	c.updateAccounts(s.Accounts)
 	c.updateRackWaits(s.RackWaits)
 }
--- a/internal/app/scheduler/load.go
+++ b/internal/app/scheduler/load.go
@@ -192,6 +192,7 @@
 		return
 	}
 	s.countJob(&job, time.Now())
+	s.countIntake(&job)
 	e := s.addJob(job)
 	e.createdRevision = revision
 	s.adoptOrphans(e)
--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -37,6 +37,7 @@
 	for pause.For(ctx, roomInterval) {
 		now := time.Now()
 		s.mu.Lock()
+		s.observeStarts(now)
 		s.observeRoom(now)
 		stated := s.room.stated
 		s.mu.Unlock()
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -120,6 +120,7 @@
 	prefetchedAt     time.Time                       // when calls for steps that are held back were last planned
 	allowedShares    map[string]*permit.AllowedShare // by queue
 	room             roomKeeper
+	demand           startDemand
 	histories        map[string]*objective.History // by queue
 }
 
--- a/internal/app/scheduler/starts.go
+++ b/internal/app/scheduler/starts.go
@@ -58,6 +58,7 @@
 	defer s.mu.Unlock()
 	if !sent.IsZero() {
 		s.starts.Answered(time.Since(sent))
+		s.demand.started++
 	}
 	s.startsInProgress--
 	if n := s.startsInProgress; n == s.starts.Max(false)-1 || n == s.starts.Max(true)-1 {
--- a/internal/app/scheduler/state.go
+++ b/internal/app/scheduler/state.go
@@ -25,6 +25,8 @@
 	state.RoomWaits, state.RackWaits = s.roomByPriority(), s.near.counts
 	state.PlacementBehind, state.LateFor = s.progress.Behind(), s.term.Lateness.For(now)
 	state.StartLimit, state.StartsInProgress, state.DroppedStarts = s.starts.Max(false), s.startsInProgress, s.starts.Dropped()
+	state.StartRate, state.AskedRate = s.demand.shedder.Rates()
+	state.Shedding = s.sheddingByPriority()
 	state.Accounts = s.limits.states()
 	state.WaitingTasks, state.Queues = map[int]int{}, map[string]port.QueueState{}
 	for _, e := range s.openJobs {
--- a/internal/domain/admission/admission.go
+++ b/internal/domain/admission/admission.go
@@ -44,6 +44,8 @@
 	NotRefused  Reason = ""
 	BeyondShare Reason = "beyond_share"
 	TooLate     Reason = "too_late"
+	// LeaderBehind is the reason while the leader starts less than is asked.
+	LeaderBehind Reason = "leader_behind"
 )
 
 // Verdict is the leader's answer to a Request.
--- a/internal/domain/admission/gate.go
+++ b/internal/domain/admission/gate.go
@@ -15,6 +15,7 @@
 	Level
 	Wait          time.Duration // expected wait for room of a new job
 	RefusesExcess bool          // jobs beyond the share of their account are refused
+	Shedding      Shedding      // what is refused because the leader starts less than is asked
 	// Parts of the service's capacity that jobs of the level and above use and wait for. Only the leader knows them.
 	Used, Waiting float64
 }
@@ -38,6 +39,7 @@
 	stated  time.Time // when the statement was requested; zero if there is none
 	levels  map[Level]LevelState
 	refused map[account.ID]time.Time // until when jobs that were refused may be submitted again
+	shed    time.Time                // until when jobs of any account that the leader does not know may be
 }
 
 // Observe takes a statement that was requested at the given time. An older one than the latest changes nothing.
@@ -53,6 +55,9 @@
 		g.levels = make(map[Level]LevelState, len(s.Levels))
 		for _, l := range s.Levels {
 			g.levels[l.Level] = l
+			if l.Shedding.Refused > 0 {
+				g.shed = requested.Add(refusalMemory)
+			}
 		}
 	}
 	for _, id := range s.Refused {
@@ -80,7 +85,7 @@
 func (g *Gate) MayHaveRefused(id account.ID, now time.Time) bool {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	return now.Before(g.refused[id])
+	return now.Before(g.refused[id]) || now.Before(g.shed)
 }
 
 // MustAsk reports whether the leader has to be asked about a job before it is stored.
@@ -94,6 +99,25 @@
 	return level.RefusesExcess && r.Account != "" || r.LatestStart > 0 && level.Wait > r.LatestStart
 }
 
+// Shed decides on a job by what the leader has stated about its starts, without asking it.
+func (g *Gate) Shed(r Request, now time.Time) Verdict {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if now.Sub(g.stated) > statementTTL {
+		return Verdict{}
+	}
+	return g.levels[r.Level].Shed(r)
+}
+
+// Shed decides on a job by what the leader starts less than is asked. Jobs that may start at any time are never refused for that.
+func (l LevelState) Shed(r Request) Verdict {
+	after, refused := l.Shedding.Refuses(r.Job)
+	if r.LatestStart <= 0 || !refused {
+		return Verdict{}
+	}
+	return Verdict{Reason: LeaderBehind, RetryAfter: after, Wait: l.Shedding.Wait}
+}
+
 // Age returns the age of the latest statement. There must be one.
 func (g *Gate) Age(now time.Time) time.Duration {
 	g.mu.RLock()
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -302,6 +302,9 @@
 	StartsInProgress  int                         // starts that were decided and whose request has not ended
 	DroppedStarts     int                         // decisions of the term that were too old to be sent
 	RoomWaits         map[int]time.Duration       // expected waits for room of new jobs, by priority; priorities with room may be missing
+	StartRate         float64                     // starts per second that the leader is able to send, as far as it had to
+	AskedRate         float64                     // tasks per second of the jobs that are submitted
+	Shedding          map[int]admission.Shedding  // how new jobs are treated while the leader starts less than is asked, by priority
 	Accounts          map[account.ID]AccountState // accounts with a limit of what they may run at once
 	RackWaits         RackWaits
 }
