Refuse part of the jobs while the leader starts less than is asked

Callers saw: accepted jobs that complete late or never while workers are free; colour-separations, of the lowest priority, got no start for seconds. Cause: admission counted workers only, and stated nothing just when the leader did not keep up, so that everything was taken in. Proof-checks alone asked for all that the leader starts, and strict priority gave them all. The long queue made starts dearer, and permits expired unused. Ruled out: workers and permits as the limit (pass_out_of_time is the reason of most waits); a remedy by order alone, since what is taken in beyond the rate is late in any order.

--- a/internal/adapter/cellwire/admission.go
+++ b/internal/adapter/cellwire/admission.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// millionths is the unit of a part in messages.
+const millionths = 1_000_000
+
 // encodeRoom returns nil if there is room for everything.
 func encodeRoom(s admission.Statement) *cellpb.Room {
 	if s.IsZero() {
@@ -61,6 +64,7 @@
 	for _, l := range s.Levels {
 		m.Levels = append(m.Levels, &cellpb.LevelRoom{
 			Service: l.Service, Priority: int32(l.Priority), WaitMs: l.Wait.Milliseconds(), RefusesExcess: l.RefusesExcess,
+			RefusedMillionths: uint32(l.Shedding.Refused * millionths), StartWaitMs: l.Shedding.Wait.Milliseconds(),
 		})
 	}
 	for _, id := range s.Refused {
@@ -75,6 +79,9 @@
 		s.Levels = append(s.Levels, admission.LevelState{
 			Level: admission.Level{Service: l.GetService(), Priority: int(l.GetPriority())}, Wait: millis(l.GetWaitMs()),
 			RefusesExcess: l.GetRefusesExcess(),
+			Shedding: admission.Shedding{
+				Refused: float64(min(l.GetRefusedMillionths(), millionths)) / millionths, Wait: millis(l.GetStartWaitMs()),
+			},
 		})
 	}
 	for _, id := range m.GetRefused() {
--- a/internal/adapter/cellwire/admission_test.go
+++ b/internal/adapter/cellwire/admission_test.go
@@ -24,6 +24,7 @@
 	for priority := range 3 {
 		s.Levels = append(s.Levels, admission.LevelState{
 			Level: admission.Level{Service: "order-desk", Priority: priority}, Wait: 12 * time.Second, RefusesExcess: true,
+			Shedding: admission.Shedding{Refused: 0.375, Wait: 4 * time.Second},
 		})
 	}
 	for i := range accounts {
--- a/internal/app/gateway/admission.go
+++ b/internal/app/gateway/admission.go
@@ -50,12 +50,8 @@
 	if first := &job.Spec.Steps[0]; !first.BestEffort {
 		request.Size, request.Count = first.Size, first.Count
 	}
-	if !gate.MustAsk(request, time.Now()) {
-		return nil
-	}
-	verdict, err := g.askLeader(ctx, request)
-	if err != nil {
-		g.log.Info("leader did not decide on a job; it is stored", "job", job.Spec.ID, "error", err)
+	verdict, ok := g.decide(ctx, request)
+	if !ok {
 		return nil
 	}
 	job.Excess = verdict.Excess
@@ -65,6 +61,22 @@
 	return g.refuse(job, verdict)
 }
 
+// decide decides on a job by what the leader has stated, or asks it. It returns false if nobody decides.
+func (g *Gateway) decide(ctx context.Context, request admission.Request) (admission.Verdict, bool) {
+	now := time.Now()
+	if verdict := g.refusals.gate.Shed(request, now); verdict.Refused() {
+		return verdict, true
+	}
+	if !g.refusals.gate.MustAsk(request, now) {
+		return admission.Verdict{}, false
+	}
+	verdict, err := g.askLeader(ctx, request)
+	if err != nil {
+		g.log.Info("leader did not decide on a job; it is stored", "job", request.Job, "error", err)
+	}
+	return verdict, err == nil
+}
+
 func (g *Gateway) askLeader(ctx context.Context, request admission.Request) (admission.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
@@ -125,9 +137,13 @@
 }
 
 func refusalError(v admission.Verdict) error {
-	if v.Reason == admission.BeyondShare {
+	switch v.Reason {
+	case admission.BeyondShare:
 		return fault.New(fault.QuotaExceeded, "no room beyond the share: the account submits %.1f jobs per second and is entitled to %.1f",
 			v.Rate, v.Share)
+	case admission.LeaderBehind:
+		return fault.New(fault.Overloaded, "more jobs are submitted than can be started in time: new ones would wait %v", v.Wait)
+	default:
+		return fault.New(fault.Overloaded, "the job cannot be completed in time: new ones wait %v for room", v.Wait)
 	}
-	return fault.New(fault.Overloaded, "the job cannot be completed in time: new ones wait %v for room", v.Wait)
 }
--- a/internal/app/gateway/admission_test.go
+++ b/internal/app/gateway/admission_test.go
@@ -346,3 +346,77 @@
 		t.Errorf("the submission ends with %v, want an unknown outcome", err)
 	}
 }
+
+// newSheddingGateway is a gateway that has been told that the leader starts less than is asked, and that all jobs of a level are refused for that.
+func newSheddingGateway() *overloadedGateway {
+	o := newOverloadedGateway()
+	o.leader.err = fault.New(fault.DeadlineExceeded, "the leader is late")
+	level := admission.Level{Service: "desk", Priority: 2}
+	shedding := admission.Shedding{Refused: 1, Wait: 3 * time.Second}
+	o.gate.Observe(admission.Statement{Levels: []admission.LevelState{{Level: level, Shedding: shedding}}}, time.Now())
+	return o
+}
+
+func objectiveCaller() gateway.Caller {
+	caller := overloadedCaller()
+	caller.Queue.Objective = route.Objective{Stretch: 2, Slack: time.Second}
+	return caller
+}
+
+// TestSlowLeaderIsNotAsked replays a submission while the leader starts less than is asked. It guards against jobs that are stored because a leader
+// without time does not answer, and against a refusal that does not say when to return.
+func TestSlowLeaderIsNotAsked(t *testing.T) {
+	o := newSheddingGateway()
+	err := o.Submit(t.Context(), objectiveCaller(), testSpec())
+	after, _ := fault.RetryAfterOf(err)
+	if !fault.Is(err, fault.Overloaded) || after < 3*time.Second || after > 10*time.Second {
+		t.Errorf("error %v, retry after %v; want a refusal for the expected wait, 3 s, or more", err, after)
+	}
+	if len(o.leader.asked) > 0 || o.store.keys[port.JobPrefix+"j"] != 0 || len(o.refused) != 1 || o.refused[0] != admission.LeaderBehind {
+		t.Errorf("asked %v, keys %v, observed %v; want nobody asked, no job and one refusal", o.leader.asked, o.store.keys, o.refused)
+	}
+}
+
+// TestSheddingTakesInTheRest guards against refusals of jobs that lose nothing by waiting, or that are stored, and against ones by a statement that is
+// too old.
+func TestSheddingTakesInTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lasting := testSpec()
+		lasting.ID, lasting.Steps[0].LongRunning, lasting.Steps[0].Estimate = "lasting", true, 0
+		stored := newSheddingGateway()
+		stored.store.keys[port.JobPrefix+"j"] = 1
+		outdated := newSheddingGateway()
+		time.Sleep(3 * time.Second)
+		fresh := newSheddingGateway()
+		for name, test := range map[string]struct {
+			gateway *overloadedGateway
+			caller  gateway.Caller
+			spec    workflow.Spec
+		}{
+			"long-running job":   {fresh, objectiveCaller(), lasting},
+			"without objective":  {fresh, overloadedCaller(), testSpec()},
+			"outdated statement": {outdated, objectiveCaller(), testSpec()},
+			"stored job":         {stored, objectiveCaller(), testSpec()},
+		} {
+			if err := test.gateway.Submit(t.Context(), test.caller, test.spec); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	})
+}
+
+// TestCallerReturnsAfterShedding replays a caller that was refused by one process because the leader starts less than is asked, and returns to
+// another one once the leader keeps up. It guards against a caller that is refused again because of the first refusal.
+func TestCallerReturnsAfterShedding(t *testing.T) {
+	o := newSheddingGateway()
+	_ = o.Submit(t.Context(), objectiveCaller(), testSpec())
+	gate := &admission.Gate{}
+	level := admission.LevelState{Level: admission.Level{Service: "desk", Priority: 2}, Shedding: admission.Shedding{Refused: 0.1}}
+	gate.Observe(admission.Statement{Levels: []admission.LevelState{level}}, time.Now())
+	gate.Observe(admission.Statement{}, time.Now())
+	other := gateway.New(o.store, specCodec{}, o.leader, &route.Table{}, slog.New(slog.DiscardHandler))
+	other.RefuseBy(gate, nil)
+	if err := other.Submit(t.Context(), objectiveCaller(), testSpec()); err != nil {
+		t.Errorf("the caller returns and is refused again: %v", err)
+	}
+}
--- a/internal/app/scheduler/room.go
+++ b/internal/app/scheduler/room.go
@@ -54,17 +54,25 @@
 	return s.room.stated
 }
 
-// observeRoom compares what waits with the workers. Nothing is stated while runs of earlier terms are unknown, because their workers look
-// free or their tasks seem to wait, nor while the leader does not keep up: tasks then wait for it rather than for room, and questions about
-// each job would take the time that it lacks. The lock is held.
+// observeRoom states for which jobs there is room. Nothing is stated while runs of earlier terms are unknown, because their workers look
+// free or their tasks seem to wait. While the leader does not keep up, tasks wait for it rather than for room, and questions about each job
+// would take the time that it lacks: processes then refuse jobs without asking. The lock is held.
 func (s *Scheduler) observeRoom(now time.Time) {
 	config := s.table.Config()
-	if !s.accounted || !refusesJobs(&config) || s.progress.Behind() || s.term.Lateness.For(now) > 0 {
-		s.room.stated = admission.Statement{}
+	s.room.stated = admission.Statement{}
+	if !s.accounted || !refusesJobs(&config) {
 		return
 	}
+	if !s.progress.Behind() && s.term.Lateness.For(now) == 0 {
+		s.stateRoom(&config, now)
+	}
+	s.stateShedding(&config)
+}
+
+// stateRoom compares what waits with the workers. The lock is held.
+func (s *Scheduler) stateRoom(config *route.Config, now time.Time) {
 	s.room.shares.Prune(now)
-	services := s.serviceLoads(&config, now)
+	services := s.serviceLoads(config, now)
 	s.room.room.Retain(func(service string) bool { return services[service] != nil })
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		service := services[name]
@@ -219,7 +227,10 @@
 	fits := func() bool {
 		return pool.Fits(request.Level.Service, s.workers(), request.Size, request.Count, now)
 	}
-	verdict := admission.Decide(request, known.Share, s.room.shares, s.room.room, fits, now)
+	verdict := s.room.stated.Level(request.Level).Shed(request)
+	if !verdict.Refused() {
+		verdict = admission.Decide(request, known.Share, s.room.shares, s.room.room, fits, now)
+	}
 	if verdict.Refused() {
 		s.room.room.NoteRefusal(request.Account, now)
 	}
--- a/internal/app/scheduler/shedding.go
+++ b/internal/app/scheduler/shedding.go
@@ -15,8 +15,8 @@
 // startDemand holds what the leader knows of the tasks that it starts and of those that are asked of it.
 type startDemand struct {
 	shedder admission.Shedder
-	started int              // starts that were answered since the last observation
-	intake  admission.Intake // since the last observation
+	started int                      // starts that were answered since the last observation
+	intake  map[int]admission.Intake // since the last observation, by priority
 }
 
 // countIntake counts the tasks of a job that was announced. The lock is held.
@@ -25,15 +25,16 @@
 	for i := range job.Spec.Steps {
 		tasks += job.Spec.Steps[i].Count
 	}
-	intake := &s.demand.intake
-	if !isSheddable(&job.Queue, &job.Spec) {
-		intake.Other += tasks
-		return
+	if s.demand.intake == nil {
+		s.demand.intake = map[int]admission.Intake{}
 	}
-	if intake.Sheddable == nil {
-		intake.Sheddable = map[int]int{}
+	intake := s.demand.intake[job.Queue.Priority]
+	if isSheddable(&job.Queue, &job.Spec) {
+		intake.Sheddable += tasks
+	} else {
+		intake.Other += tasks
 	}
-	intake.Sheddable[job.Queue.Priority] += tasks
+	s.demand.intake[job.Queue.Priority] = intake
 }
 
 // isSheddable reports whether the job loses its use by waiting, so that it may be refused for that.
@@ -46,7 +47,7 @@
 	demand := &s.demand
 	config := s.table.Config()
 	changed := demand.shedder.Observe(now, demand.started, demand.intake, s.startBacklogs(&config, now), s.accounted && s.progress.Behind())
-	demand.started, demand.intake = 0, admission.Intake{}
+	demand.started, demand.intake = 0, nil
 	if !changed {
 		return
 	}
@@ -59,6 +60,17 @@
 	}
 }
 
+// stateShedding adds to the statement which part of the jobs is refused because the leader starts less than is asked. The lock is held.
+func (s *Scheduler) stateShedding(config *route.Config) {
+	if !s.demand.shedder.Active() {
+		return
+	}
+	for i := range config.Queues {
+		queue := &config.Queues[i]
+		s.room.stated.SetShedding(admission.Level{Service: queue.Service, Priority: queue.Priority}, s.demand.shedder.Shedding(queue.Priority))
+	}
+}
+
 // startBacklogs returns the tasks that passes of placement have not reached lately, and for how long tasks may wait, by priority. The lock
 // is held.
 func (s *Scheduler) startBacklogs(config *route.Config, now time.Time) []admission.StartBacklog {
--- a/internal/domain/admission/gate.go
+++ b/internal/domain/admission/gate.go
@@ -32,6 +32,27 @@
 	return len(s.Levels) == 0 && len(s.Refused) == 0
 }
 
+// SetShedding states how new jobs of a level are treated while the leader starts less than is asked.
+func (s *Statement) SetShedding(level Level, shedding Shedding) {
+	for i := range s.Levels {
+		if s.Levels[i].Level == level {
+			s.Levels[i].Shedding = shedding
+			return
+		}
+	}
+	s.Levels = append(s.Levels, LevelState{Level: level, Shedding: shedding})
+}
+
+// Level returns what is stated of a level.
+func (s *Statement) Level(level Level) LevelState {
+	for _, l := range s.Levels {
+		if l.Level == level {
+			return l
+		}
+	}
+	return LevelState{Level: level}
+}
+
 // Gate keeps the latest statement of the leader in a process, and tells which jobs the leader has to be asked about. Without a valid
 // statement it is asked about none. It is safe for concurrent use. The zero value is ready to use.
 type Gate struct {
--- a/internal/domain/admission/shed.go
+++ b/internal/domain/admission/shed.go
@@ -22,10 +22,20 @@
 	// strainObservations is for how many observations in a row waits must exceed what is tolerable before jobs are refused: a pause of the
 	// leader is not an overload.
 	strainObservations = 4
-	// targetStrain is the part of the tolerable waits that is used while jobs are refused. Later steps of the jobs wait too.
-	targetStrain = 0.5
-	// maxCatchUp bounds the tasks that are taken in per start while the waits are short.
-	maxCatchUp = 1.5
+	// targetStrain is the part of the tolerable waits that is used while jobs are refused. Each of up to four steps of a job waits that long.
+	targetStrain = 0.25
+	// maxPassedStrain bounds how much of the strain of a priority is that of a lower one: it gives up its part for it, and not more.
+	maxPassedStrain = 0.5
+	// targetUse is the part of the starts for which tasks are taken in at the target strain. The rest is for runs that are repeated, and
+	// keeps the queue short: a long one makes starts dearer, and permits expire before they are used.
+	targetUse = 0.85
+	// strainGain is how many fewer tasks are taken in for each start for each multiple of the tolerable wait beyond the target: the backlog
+	// of a burst is worked off within a few times that wait, and few tasks more than are started are taken in while nothing waits.
+	strainGain = 0.4
+	// minIntake is the number of tasks that are taken in for each start at least.
+	minIntake = 0.3
+	// minLeft is the part of the starts that a priority is taken to get however few of its tasks are submitted.
+	minLeft = 0.1
 	// minAdmitted is the part of the jobs that is taken in at least, so that the rate of submissions is still seen.
 	minAdmitted = 0.1
 	// shedReturnSpan spreads the returns of callers after the expected wait.
@@ -39,9 +49,9 @@
 	MaxWait  time.Duration // for which tasks of the priority may wait while their jobs remain in time; 0: any time
 }
 
-// Intake counts tasks of jobs that were taken in.
+// Intake counts tasks of jobs of a priority that were taken in.
 type Intake struct {
-	Sheddable map[int]int // tasks of jobs that may be refused, by priority
+	Sheddable int // of jobs that may be refused
 	Other     int
 }
 
@@ -58,7 +68,6 @@
 	observed time.Time // zero before the first observation
 	recent   []startSample
 	capacity float64 // starts per second that the leader is able to send
-	other    float64 // tasks per second of jobs that cannot be refused
 	levels   map[int]*shedLevel
 	strained int // observations in a row with waits that are too long
 	shedding bool
@@ -72,6 +81,7 @@
 // shedLevel is the state of one priority.
 type shedLevel struct {
 	asked    float64 // tasks per second of submitted jobs that may be refused
+	other    float64 // the same of other jobs
 	admitted float64 // part of them that is taken in by the latest decision
 	adopted  float64 // the same as far as processes have heard of it
 	wait     time.Duration
@@ -79,7 +89,7 @@
 
 // Observe updates the state with what the leader has started and taken in since the last observation, and with what waits for it. Behind states that
 // the leader leaves out tasks that could start. It reports whether shedding has begun or ended.
-func (s *Shedder) Observe(now time.Time, starts int, intake Intake, backlogs []StartBacklog, behind bool) (changed bool) {
+func (s *Shedder) Observe(now time.Time, starts int, intake map[int]Intake, backlogs []StartBacklog, behind bool) (changed bool) {
 	span := now.Sub(s.observed)
 	first := s.observed.IsZero()
 	s.observed = now
@@ -102,7 +112,7 @@
 }
 
 // measure updates the rates.
-func (s *Shedder) measure(span time.Duration, starts int, intake Intake, behind bool) {
+func (s *Shedder) measure(span time.Duration, starts int, intake map[int]Intake, behind bool) {
 	s.recent = append(s.recent, startSample{span, starts})
 	if len(s.recent) > rateObservations {
 		s.recent = s.recent[1:]
@@ -116,13 +126,14 @@
 		rate = max(rate, s.capacity) // it could start more
 	}
 	s.capacity = rate
-	s.other += (float64(intake.Other)/span.Seconds() - s.other) * weight(span, askedSpan)
-	for priority := range intake.Sheddable {
+	for priority := range intake {
 		s.level(priority)
 	}
 	for priority, level := range s.levels {
-		asked := float64(intake.Sheddable[priority]) / span.Seconds() / level.adopted
+		asked := float64(intake[priority].Sheddable) / span.Seconds() / level.adopted
+		other := float64(intake[priority].Other) / span.Seconds()
 		level.asked += (asked - level.asked) * weight(span, askedSpan)
+		level.other += (other - level.other) * weight(span, askedSpan)
 	}
 }
 
@@ -136,27 +147,28 @@
 	return s.levels[priority]
 }
 
-// judge returns the strain of each priority: its expected wait as a multiple of the tolerable one, or that of a lower priority, which
-// waits for what is taken in at a higher one.
+// judge returns the strain of each priority: its expected wait as a multiple of the tolerable one, or within bounds that of a lower
+// priority, which waits for what is taken in at a higher one.
 func (s *Shedder) judge(backlogs []StartBacklog) map[int]float64 {
 	backlogs = slices.Clone(backlogs)
 	slices.SortFunc(backlogs, func(a, b StartBacklog) int { return cmp.Compare(a.Priority, b.Priority) })
 	var wait, higher float64 // of the tasks ahead, in seconds, and tasks per second that are taken in ahead of them
-	asked := s.asked()
+	asked, other := s.asked()
 	for _, b := range backlogs {
 		level := s.level(b.Priority)
 		// What is left by higher priorities, and at least the part that all priorities give up for it.
-		left := max(s.capacity-higher, s.capacity*level.asked/max(asked, 1), 1)
-		wait += float64(b.Tasks) / left
+		part := max((level.asked+level.other)/max(asked+other, 1), minLeft)
+		wait += float64(b.Tasks) / max(s.capacity-higher, s.capacity*part, 1)
 		level.wait = time.Duration(wait * float64(time.Second))
-		higher += level.asked * level.adopted
+		higher += level.asked*level.adopted + level.other
 	}
 	strains, lower := map[int]float64{}, 0.0
 	for _, b := range slices.Backward(backlogs) {
+		strain := min(lower, maxPassedStrain)
 		if b.MaxWait > 0 {
-			lower = max(lower, s.levels[b.Priority].wait.Seconds()/b.MaxWait.Seconds())
+			strain = max(strain, s.levels[b.Priority].wait.Seconds()/b.MaxWait.Seconds())
 		}
-		strains[b.Priority] = lower
+		strains[b.Priority], lower = strain, max(lower, strain)
 	}
 	return strains
 }
@@ -173,16 +185,17 @@
 		s.strained = 0
 	}
 	s.shedding = s.shedding || s.strained >= strainObservations
-	asked, full := s.asked(), true
+	asked, other := s.asked()
+	full := true
 	for priority, level := range s.levels {
 		level.admitted = 1
 		if s.shedding && asked > 0 {
-			rate := s.capacity*min(max(1+targetStrain-strains[priority], 0), maxCatchUp) - s.other
+			rate := s.capacity*max(targetUse+strainGain*(targetStrain-strains[priority]), minIntake) - other
 			level.admitted = min(max(rate/asked, minAdmitted), 1)
 		}
 		full = full && level.admitted == 1
 	}
-	s.shedding = s.shedding && (!full || highest > targetStrain)
+	s.shedding = s.shedding && (behind || !full || highest > targetStrain)
 }
 
 // Shedding returns how new jobs of a priority are treated.
@@ -199,16 +212,16 @@
 
 // Rates returns the starts per second that the leader is able to send, and the tasks per second that are submitted.
 func (s *Shedder) Rates() (starts, asked float64) {
-	return s.capacity, s.other + s.asked()
+	asked, other := s.asked()
+	return s.capacity, asked + other
 }
 
-// asked returns the tasks per second of submitted jobs that may be refused.
-func (s *Shedder) asked() float64 {
-	sum := 0.0
+// asked returns the tasks per second of submitted jobs that may be refused, and of others.
+func (s *Shedder) asked() (asked, other float64) {
 	for _, level := range s.levels {
-		sum += level.asked
+		asked, other = asked+level.asked, other+level.other
 	}
-	return sum
+	return asked, other
 }
 
 // Refuses decides on a job, and returns when its caller should return if it is refused. The verdict on an id stays the same until the refused
