Bound the connections that a leader opens to workers at once

Callers saw: on a leader with little of a processor, nothing is started for up to ten seconds after each change of the leader, and up to 0.8 of the requests fail. Cause: a new leader syncs with all workers at once, and with each again 50 ms after an attempt that took over 250 ms. With 1,100 workers and 0.2 of a core it does not get to the answers in time, so that nearly all attempts are in vain: the load of the retries keeps it from ending. The class: retries without a bound on what is in progress, whose cost grows with the lateness that they cause. Change: syncs with workers that are not reached hold one of 320 slots per core of the share (32 to 256). The line explain prints names when the leader fell behind.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -178,8 +178,48 @@
 	return delay
 }
 
+// Bounds of the syncs in progress with workers that are not reached. Each opens a connection, which takes up to 0.5 ms of processor time. All that
+// are in progress must be answered within retrySyncTimeout: those that are not have been in vain, and are tried again.
+const (
+	reconnectsPerCore = 320
+	minReconnects     = 32
+	maxReconnects     = 256
+)
+
+// newReconnectSlots returns the slots of such syncs of a process with a usable share of a processor, in cores; 0 if it is not known.
+func newReconnectSlots(share float64) chan struct{} {
+	slots := maxReconnects
+	if share > 0 {
+		slots = min(max(int(share*reconnectsPerCore), minReconnects), maxReconnects)
+	}
+	return make(chan struct{}, slots)
+}
+
+// acquireReconnect waits until a sync with a worker that is not reached may be sent. It returns false when the context ends first.
+func (s *Scheduler) acquireReconnect(ctx context.Context) bool {
+	select {
+	case s.reconnects <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isUnreachable reports whether the last sync with the worker failed, or there was none.
+func (s *Scheduler) isUnreachable(m *workerMonitor) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m.unreachable
+}
+
 // sync sends one sync request to a worker and applies the reply.
 func (s *Scheduler) sync(ctx context.Context, m *workerMonitor, wait time.Duration) error {
+	if s.isUnreachable(m) {
+		if !s.acquireReconnect(ctx) {
+			return ctx.Err()
+		}
+		defer func() { <-s.reconnects }()
+	}
 	s.mu.Lock()
 	request := s.syncRequest(m, wait)
 	target, timeout := m.target(), syncTimeout
--- a/internal/app/scheduler/scheduler.go
+++ b/internal/app/scheduler/scheduler.go
@@ -82,6 +82,7 @@
 	commits        chan struct{} // signals that progress has to be recorded
 	firstAnswers   chan struct{} // signals that a worker that is not recorded has answered for the first time
 	restarts       chan struct{} // signals that a worker has restarted, which the worker list has to describe again
+	reconnects     chan struct{} // holds a token for each sync in progress with a worker that is not reached
 	progressStored notify.Broadcast
 
 	mu               sync.Mutex
@@ -181,7 +182,7 @@
 	s := &Scheduler{
 		self: self, settings: settings, ports: ports, table: table, term: term, log: log.With("term", term.Number),
 		wake: make(chan struct{}, 1), commits: make(chan struct{}, committers),
-		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1),
+		firstAnswers: make(chan struct{}, 1), restarts: make(chan struct{}, 1), reconnects: newReconnectSlots(settings.UsableShare),
 		jobs: map[workflow.ID]*jobEntry{}, openJobs: map[workflow.ID]*jobEntry{}, finished: map[workflow.ID]finishedJob{},
 		openGangs: map[workflow.ID]*jobEntry{}, idle: map[string]idleCheck{}, kinds: map[workerKind]*pool.KindSpeed{},
 		tombstones: map[workflow.ID]time.Time{}, dirty: map[workflow.ID]*jobEntry{},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -34,6 +34,7 @@
 var processEvents = []string{
 	"process started", "process drains", "leadership taken", "leadership ended", "term lost", "store lost",
 	"store regained", "store read", "runs of earlier terms accounted for", "configuration in force",
+	"placement falls behind", "placement has caught up", "leader starts less than is asked", "leader starts what is asked again",
 }
 
 // Add adds a log line; lines may come in any order. Text before the time attribute is skipped, and a line without a time is
