Let requests and reconnects wait for a slot in one function, and describe the bound

Cause: acquireRequest and the wait of a reconnect were the same code; the test of a pause paused for less than it said, while the leader observed. No change of what is decided. Conclusion: nothing further.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -132,8 +132,13 @@
 
 // acquireRequest waits until a request may be sent to the worker. It returns false when the context ends first.
 func (m *workerMonitor) acquireRequest(ctx context.Context) bool {
+	return acquire(ctx, m.inFlight)
+}
+
+// acquire puts a token into slots. It returns false when the context ends first.
+func acquire(ctx context.Context, slots chan<- struct{}) bool {
 	select {
-	case m.inFlight <- struct{}{}:
+	case slots <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -195,16 +200,6 @@
 	return make(chan struct{}, slots)
 }
 
-// acquireReconnect waits until a sync with a worker that is not reached may be sent. It returns false when the context ends first.
-func (s *Scheduler) acquireReconnect(ctx context.Context) bool {
-	select {
-	case s.reconnects <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // isUnreachable reports whether the last sync with the worker failed, or there was none.
 func (s *Scheduler) isUnreachable(m *workerMonitor) bool {
 	s.mu.Lock()
@@ -215,7 +210,7 @@
 // sync sends one sync request to a worker and applies the reply.
 func (s *Scheduler) sync(ctx context.Context, m *workerMonitor, wait time.Duration) error {
 	if s.isUnreachable(m) {
-		if !s.acquireReconnect(ctx) {
+		if !acquire(ctx, s.reconnects) {
 			return ctx.Err()
 		}
 		defer func() { <-s.reconnects }()
--- a/internal/domain/admission/shed.go
+++ b/internal/domain/admission/shed.go
@@ -62,12 +62,12 @@
 }
 
 // Shedder decides which part of the new jobs is refused while the leader starts fewer tasks than are submitted, although workers are free:
-// whatever is taken in beyond its rate makes all jobs late, and the lowest priority starves. All priorities give up the same part, except
-// that one whose tasks can still wait gives up nothing for a higher one. It is not safe for concurrent use. The zero value is ready to use.
+// whatever is taken in beyond its rate makes all jobs late, and the lowest priority starves. All priorities give up about the same part: more
+// if their own tasks wait too long, and less if they can still wait. It is not safe for concurrent use. The zero value is ready to use.
 type Shedder struct {
 	observed time.Time // zero before the first observation
 	recent   []startSample
-	capacity float64 // starts per second that the leader is able to send
+	capacity float64 // starts per second that the leader is able to send, as far as it had to
 	levels   map[int]*shedLevel
 	strained int // observations in a row with waits that are too long
 	shedding bool
@@ -80,11 +80,11 @@
 
 // shedLevel is the state of one priority.
 type shedLevel struct {
-	asked    float64 // tasks per second of submitted jobs that may be refused
-	other    float64 // the same of other jobs
-	admitted float64 // part of them that is taken in by the latest decision
-	adopted  float64 // the same as far as processes have heard of it
-	wait     time.Duration
+	asked    float64       // tasks per second of submitted jobs that may be refused
+	other    float64       // tasks per second of jobs that may not
+	admitted float64       // part of the asked tasks that is taken in by the latest decision
+	adopted  float64       // part of them that is taken in as far as processes have heard of it
+	wait     time.Duration // expected until the leader starts a new task
 }
 
 // Observe updates the state with what the leader has started and taken in since the last observation, and with what waits for it. Behind states that
--- a/internal/domain/admission/shed_test.go
+++ b/internal/domain/admission/shed_test.go
@@ -185,11 +185,17 @@
 
 // TestPauseIsNoOverload replays a leader that was paused for 2 s. It guards against refusals by what has piled up in the pause.
 func TestPauseIsNoOverload(t *testing.T) {
-	l := newStartLeader(2000)
+	l := newStartLeader(4000)
 	l.run(5*time.Second, 1)
-	l.capacity = 0
-	l.run(750*time.Millisecond, 1)
-	l.capacity = 4000
+	for range 200 { // nothing is started or observed for 2 s
+		for i, k := range startKinds {
+			if l.due[i] += k.jobs / 100; l.due[i] >= 1 {
+				l.due[i]--
+				l.submit(k)
+			}
+		}
+		l.now = l.now.Add(10 * time.Millisecond)
+	}
 	l.run(10*time.Second, 1)
 	for priority, c := range l.counts {
 		if c.refused > 0 {
