Make the tests of shedding notice three mutations, and correct figures that were not measured

Cause: read again, the bound of the strain that a higher priority takes over and the end of shedding could be taken out without a test that fails, and TestNothingIsShedBeforeRunsAreKnown could not fail by the refusals that it names, as its steps were held back. let TestBurstBeyondTheStarts allow one job that is not in time, without a word: jobs submitted before the count began were counted in. Change: only jobs submitted since the count began count, so that all must be in time again, which is stricter than before too; TestUrgentJobsGiveUpTheirPart; the other tests as above. No product code but the comment. That Observe is not told of a leader that is behind before runs are known is still covered by no test.

--- a/internal/app/scheduler/monitor.go
+++ b/internal/app/scheduler/monitor.go
@@ -183,8 +183,8 @@
 	return delay
 }
 
-// Bounds of the syncs in progress with workers that are not reached. Each opens a connection, which takes up to 0.5 ms of processor time. All that
-// are in progress must be answered within retrySyncTimeout: those that are not have been in vain, and are tried again.
+// Bounds of the syncs in progress with workers that are not reached. Each opens a connection. All that are in progress must be answered within
+// retrySyncTimeout, which leaves 0.8 ms of processor time for each: those that are not have been in vain, and are tried again.
 const (
 	reconnectsPerCore = 320
 	minReconnects     = 32
--- a/internal/app/scheduler/slow_leader_test.go
+++ b/internal/app/scheduler/slow_leader_test.go
@@ -249,15 +249,17 @@
 
 func (grantingStore) Grant(context.Context, time.Duration) (port.LeaseID, error) { return 1, nil }
 
-// TestNothingIsShedBeforeRunsAreKnown replays a new leader, whose starts wait until the runs of its predecessor are known. It guards against
-// refusals by what has piled up meanwhile, and by the statement of an earlier term.
+// TestNothingIsShedBeforeRunsAreKnown replays a leader that refuses jobs, and to which runs of an earlier term are not known. It guards against refusals
+// by what waits for these.
 func TestNothingIsShedBeforeRunsAreKnown(t *testing.T) {
 	l := newSlowLeader(t, 128)
-	l.unsynced["gone"] = port.WorkerRecord{}
-	l.run(5*time.Second, 1)
-	for _, job := range l.jobs {
-		if job.entry == nil {
-			t.Fatalf("a job is refused %v after the start", job.submitted.Sub(l.jobs[0].submitted))
-		}
+	l.run(10*time.Second, 1)
+	if stated := l.Room(); stated.IsZero() || !l.demand.shedder.Active() {
+		t.Fatal("nothing is refused although twice the starts are asked for")
+	}
+	l.accounted = false
+	observeRoomAt(l.Scheduler, l.now)
+	if stated := l.Room(); !stated.IsZero() {
+		t.Errorf("statement %+v", stated)
 	}
 }
--- a/internal/domain/admission/shed_test.go
+++ b/internal/domain/admission/shed_test.go
@@ -41,6 +41,7 @@
 	due      []float64
 	jobs     int
 	counts   map[int]*startCounts
+	counted  time.Time // jobs submitted before do not count
 }
 
 type startCounts struct{ asked, refused, inTime, late int }
@@ -56,7 +57,7 @@
 
 // reset counts anew.
 func (l *startLeader) reset() {
-	l.counts = map[int]*startCounts{}
+	l.counts, l.counted = map[int]*startCounts{}, l.now
 	for _, k := range startKinds {
 		l.counts[k.priority] = &startCounts{}
 	}
@@ -101,12 +102,14 @@
 		if jobs[0].left--; jobs[0].left > 0 {
 			continue
 		}
-		if l.now.Sub(jobs[0].submitted) <= k.maxWait+250*time.Millisecond {
-			l.counts[k.priority].inTime++
-		} else {
+		l.waiting[k.priority] = jobs[1:]
+		switch late := l.now.Sub(jobs[0].submitted) > k.maxWait+250*time.Millisecond; {
+		case jobs[0].submitted.Before(l.counted):
+		case late:
 			l.counts[k.priority].late++
+		default:
+			l.counts[k.priority].inTime++
 		}
-		l.waiting[k.priority] = jobs[1:]
 	}
 }
 
@@ -164,8 +167,12 @@
 	l.run(10*time.Second, 1)
 	l.reset()
 	l.run(10*time.Second, 1)
+	l.run(10*time.Second, 0)
+	if l.shedder.Active() {
+		t.Error("jobs may still be refused 20 s after the burst")
+	}
 	for priority, c := range l.counts {
-		if c.refused > 0 || c.late > 0 || c.inTime < c.asked-1 {
+		if c.refused > 0 || c.inTime != c.asked {
 			t.Errorf("priority %d, 10 s after the burst: %+v, want all in time", priority, *c)
 		}
 	}
@@ -183,6 +190,19 @@
 	}
 }
 
+// TestUrgentJobsGiveUpTheirPart replays a backlog of the lowest priority that takes a minute. It guards against urgent jobs that are refused until it is
+// gone, rather than by what is submitted beyond the starts.
+func TestUrgentJobsGiveUpTheirPart(t *testing.T) {
+	l := newStartLeader(1280)
+	for range 900 {
+		l.waiting[2] = append(l.waiting[2], &startJob{l.now, 80})
+	}
+	l.run(20*time.Second, 1)
+	if c := l.counts[0]; c.refused == 0 || c.refused > c.asked/2 {
+		t.Errorf("urgent jobs: %+v, want some refused and fewer than half", *c)
+	}
+}
+
 // TestPauseIsNoOverload replays a leader that was paused for 2 s. It guards against refusals by what has piled up in the pause.
 func TestPauseIsNoOverload(t *testing.T) {
 	l := newStartLeader(4000)
