--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,6 +5,6 @@
 scratch="$(mktemp -d)" || exit 2
 trap 'rm -rf "$scratch"' EXIT
 TMPDIR="$scratch" REVIEW_PROGRAM="$PWD/target/skylarkstall" REVIEW_RECORD="$PWD/review/11/record.txt" \
-  timeout 115 target/review-3 -test.run '^TestCrashingRack$' >"$scratch/output" 2>&1
+  timeout 115 target/review-3 -test.run '^TestReplacedRoute$' >"$scratch/output" 2>&1
 status=$?
 case "$status" in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
--- a/review/standins-3/attempts_test.go
+++ b/review/standins-3/attempts_test.go
@@ -14,6 +14,8 @@
 const (
 	attemptsBefore = 4
 	attemptsAfter  = 2
+	// settleTime is `finish_s` and a second.
+	settleTime = 15 * time.Second
 )
 
 // TestReplacedRoute replaces a route by one with fewer attempts at the same address, while a task waits that has failed as often.
--- a/review/standins-3/cell_test.go
+++ b/review/standins-3/cell_test.go
@@ -128,6 +128,7 @@
 	}
 	p.cmd = exec.Command(os.Getenv(programEnv), "platform") // as the deploy file runs it
 	p.cmd.Env = append(os.Environ(), "SKYLARKSTALL_BOOT="+path)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // if the script is killed
 	if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
 		log, err := os.Create(filepath.Join(dir, name+".log"))
 		if err != nil {
